Add the design, the control messages, settings and the fleet state

Cause: the repository was empty; every later change needs a written design and shared definitions to build on. Conclusion: the modules can be built in parallel from here.

--- /dev/null
+++ b/api/rescode/error.go
@@ -0,0 +1,20 @@
+package rescode
+
+import "fmt"
+
+// Error is an error that carries a result code.
+type Error struct {
+	Code Code
+	// Detail is shown to the caller; it must hold no key and no statement text.
+	Detail string
+}
+
+// New returns an Error with a formatted detail.
+func New(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the name of the code and the detail.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%d): %s", e.Code, uint32(e.Code), e.Detail)
+}
--- /dev/null
+++ b/base/settings/check.go
@@ -0,0 +1,192 @@
+package settings
+
+import (
+	"encoding/hex"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/jayloom/jayloom/base/tlsconf"
+)
+
+// Role selects the section that a process needs to be complete.
+type Role string
+
+// Roles of the processes that read settings.
+const (
+	RoleControl Role = "control"
+	RoleProxy   Role = "proxy"
+)
+
+// checker collects problems.
+type checker struct {
+	problems []Problem
+}
+
+func (c *checker) add(field, message string) {
+	c.problems = append(c.problems, Problem{Field: field, Message: message})
+}
+
+func (c *checker) require(field, value string) {
+	if value == "" {
+		c.add(field, "is missing")
+	}
+}
+
+func (c *checker) address(field, value string) {
+	if value == "" {
+		return
+	}
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		c.add(field, "must be an address of the form host:port")
+	}
+}
+
+func (c *checker) files(field string, f tlsconf.Files, needCA bool) {
+	if f.Empty() {
+		return
+	}
+	if f.Cert == "" || f.Key == "" {
+		c.add(field, "must name both cert_file and key_file")
+	}
+	if needCA && f.CA == "" {
+		c.add(field, "must name ca_file, because both sides are checked")
+	}
+}
+
+func (c *checker) positive(field string, value uint32) {
+	if value == 0 {
+		c.add(field, "must be above 0")
+	}
+}
+
+func (c *checker) credentialHash(field, value string) {
+	if value == "" {
+		return
+	}
+	salt, hash, ok := strings.Cut(value, ":")
+	_, saltErr := hex.DecodeString(salt)
+	decoded, hashErr := hex.DecodeString(hash)
+	if !ok || saltErr != nil || hashErr != nil || len(decoded) != 32 {
+		c.add(field, "must have the form salt:hash that jayloomctl hash-credential prints")
+	}
+}
+
+// problems checks what holds for every process.
+func (s *Settings) problems() []Problem {
+	var c checker
+	if s.Log.Format != "text" && s.Log.Format != "json" {
+		c.add("log.format", `must be "text" or "json"`)
+	}
+	for _, voter := range s.Cluster.Voters {
+		c.address("cluster.voters", voter)
+	}
+	sorted := slices.Sorted(slices.Values(s.Cluster.Voters))
+	if len(slices.Compact(sorted)) != len(s.Cluster.Voters) {
+		c.add("cluster.voters", "names an address twice")
+	}
+	c.files("tls.identity", s.TLS.Identity, true)
+	s.Control.check(&c)
+	s.Proxy.check(&c)
+	return c.problems
+}
+
+func (s *Control) check(c *checker) {
+	c.address("control.listen_grpc", s.ListenGRPC)
+	c.address("control.advertise_grpc", s.AdvertiseGRPC)
+	c.address("control.listen_http", s.ListenHTTP)
+	c.credentialHash("control.operator_credential_hash", s.OperatorCredentialHash)
+	c.credentialHash("control.announcement_credential_hash", s.AnnouncementCredentialHash)
+	c.positive("control.probe_interval_ms", s.ProbeIntervalMs)
+	c.positive("control.probe_timeout_ms", s.ProbeTimeoutMs)
+	if s.SnapshotEntries == 0 {
+		c.add("control.snapshot_entries", "must be above 0")
+	}
+	if s.SuspectAfterMs < s.ProbeIntervalMs+s.ProbeTimeoutMs {
+		c.add("control.suspect_after_ms", "must cover probe_interval_ms and probe_timeout_ms")
+	}
+}
+
+func (s *Proxy) check(c *checker) {
+	c.address("proxy.listen", s.Listen)
+	c.address("proxy.listen_peering", s.ListenPeering)
+	c.address("proxy.advertise_peering", s.AdvertisePeering)
+	c.address("proxy.listen_http", s.ListenHTTP)
+	c.files("proxy.caller_tls", s.CallerTLS, false)
+	c.positive("proxy.max_clients", s.MaxClients)
+	c.positive("proxy.max_unauthenticated", s.MaxUnauthenticated)
+	c.positive("proxy.authentication_timeout_ms", s.AuthenticationTimeoutMs)
+	c.positive("proxy.max_message_bytes", s.MaxMessageBytes)
+	c.positive("proxy.default_deadline_ms", s.DefaultDeadlineMs)
+	c.positive("proxy.queue_per_team", s.QueuePerTeam)
+	c.positive("proxy.drain_timeout_ms", s.DrainTimeoutMs)
+	if s.RequireTLS && s.CallerTLS.Empty() {
+		c.add("proxy.require_tls", "needs proxy.caller_tls")
+	}
+	if s.MaxPinnedPercent > 100 {
+		c.add("proxy.max_pinned_percent", "must be at most 100")
+	}
+	if s.RetryPercent > 100 {
+		c.add("proxy.retry_percent", "must be at most 100")
+	}
+}
+
+// CheckRole checks that what the role's process needs is there.
+func (s *Settings) CheckRole(role Role) error {
+	var c checker
+	c.require("vm.name", s.VM.Name)
+	if len(s.Cluster.Voters) == 0 {
+		c.add("cluster.voters", "is missing")
+	}
+	switch role {
+	case RoleControl:
+		s.Control.checkComplete(&c, s)
+	case RoleProxy:
+		s.Proxy.checkComplete(&c, s)
+	}
+	if len(c.problems) == 0 {
+		return nil
+	}
+	lines := make([]string, 0, len(c.problems))
+	for _, p := range c.problems {
+		lines = append(lines, "field \""+p.Field+"\" "+p.Message)
+	}
+	return refuse(errorString(strings.Join(lines, "\n")))
+}
+
+func (s *Control) checkComplete(c *checker, all *Settings) {
+	c.require("control.listen_grpc", s.ListenGRPC)
+	c.require("control.advertise_grpc", s.AdvertiseGRPC)
+	c.require("control.listen_http", s.ListenHTTP)
+	c.require("control.data_folder", s.DataFolder)
+	c.require("control.operator_credential_hash", s.OperatorCredentialHash)
+	c.require("control.announcement_credential_hash", s.AnnouncementCredentialHash)
+	c.require("control.upstream.user", s.Upstream.User)
+	all.checkPlain(c, "control.listen_grpc", s.ListenGRPC)
+}
+
+func (s *Proxy) checkComplete(c *checker, all *Settings) {
+	c.require("proxy.listen", s.Listen)
+	c.require("proxy.listen_peering", s.ListenPeering)
+	c.require("proxy.advertise_peering", s.AdvertisePeering)
+	c.require("proxy.upstream.user", s.Upstream.User)
+	all.checkPlain(c, "proxy.listen_peering", s.ListenPeering)
+}
+
+// checkPlain refuses a listener outside loopback that would speak without TLS.
+func (s *Settings) checkPlain(c *checker, field, address string) {
+	if !s.TLS.Identity.Empty() || s.TLS.AllowPlain {
+		return
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		c.add(field, "is outside loopback and needs tls.identity or tls.allow_plain")
+	}
+}
+
+type errorString string
+
+func (e errorString) Error() string { return string(e) }
--- /dev/null
+++ b/base/tlsconf/tlsconf.go
@@ -0,0 +1,66 @@
+// Package tlsconf builds TLS configurations from certificate files.
+package tlsconf
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Files names the PEM files of one identity.
+type Files struct {
+	// Cert is the certificate chain of this process.
+	Cert string `json:"cert_file"`
+	// Key is the private key of the certificate.
+	Key string `json:"key_file"`
+	// CA holds the certificates that peers are checked against.
+	CA string `json:"ca_file"`
+}
+
+// Empty reports whether no file is named.
+func (f Files) Empty() bool {
+	return f == Files{}
+}
+
+// Mutual returns a configuration in which both sides show a certificate of the CA.
+// It serves both as server and as client configuration.
+func (f Files) Mutual() (*tls.Config, error) {
+	config, err := f.Server()
+	if err != nil {
+		return nil, err
+	}
+	pool, err := f.pool()
+	if err != nil {
+		return nil, err
+	}
+	config.RootCAs = pool
+	config.ClientCAs = pool
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	return config, nil
+}
+
+// Server returns a configuration that shows the certificate and asks for none.
+func (f Files) Server() (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return nil, errors.Wrapf(err, "load certificate %s and key %s", f.Cert, f.Key)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		MinVersion:   tls.VersionTLS12,
+	}, nil
+}
+
+func (f Files) pool() (*x509.CertPool, error) {
+	pem, err := os.ReadFile(f.CA)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read CA file %s", f.CA)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("CA file %s holds no certificate", f.CA)
+	}
+	return pool, nil
+}
--- /dev/null
+++ b/cmd/jayloomctl/main.go
@@ -0,0 +1,4 @@
+// Command jayloomctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/consensus/doc.go
@@ -0,0 +1,2 @@
+// Package consensus is under construction.
+package consensus
--- /dev/null
+++ b/control/doc.go
@@ -0,0 +1,2 @@
+// Package control is under construction.
+package control
--- /dev/null
+++ b/proxy/doc.go
@@ -0,0 +1,2 @@
+// Package proxy is under construction.
+package proxy
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is under construction.
+package standin
--- /dev/null
+++ b/wal/doc.go
@@ -0,0 +1,2 @@
+// Package wal is under construction.
+package wal
