--- /dev/null
+++ b/policy/rate/config.go
@@ -0,0 +1,23 @@
+package rate
+
+import "time"
+
+// Config holds the time limits of an Owner.
+type Config struct {
+	// Lifetime of a grant, from the send time of the report that it answers.
+	Lifetime time.Duration
+	// LapseAfter is the time after granting until the owner may assume that a
+	// grant has expired: the lifetime plus the drift bound of 5 %.
+	LapseAfter time.Duration
+	// RecallGap is the least time between recalls of one team's unused tokens.
+	RecallGap time.Duration
+}
+
+// DefaultConfig returns the limits of the design page, section 3.10.
+func DefaultConfig() Config {
+	return Config{
+		Lifetime:   2500 * time.Millisecond,
+		LapseAfter: 2625 * time.Millisecond,
+		RecallGap:  20 * time.Millisecond,
+	}
+}
