Decide failover in a pure state machine

Cause: nothing replaced a failed primary. Change: failover.Machine adopts, fences, chooses, promotes and confirms, sends replicas to the new primary, ages replicas' data from the primary's position history. The fleet state keeps the diverged mark against announcements, marks a candidate that was given up, and refuses to remove a candidate, to move an upstream between groups and to take rates that are not numbers.

--- a/policy/failover/config.go
+++ b/policy/failover/config.go
@@ -18,7 +18,8 @@
 	// repeated. All of them are idempotent.
 	CallRetry time.Duration
 	// ChoiceWait bounds the wait for the positions of all answering replicas
-	// before one is chosen: two probes with their timeout.
+	// before one is chosen: a probe under way may need its timeout of 400 ms, and
+	// the next one too.
 	ChoiceWait time.Duration
 }
 
@@ -30,6 +31,6 @@
 		CandidateSilence: 2 * time.Second,
 		CandidateLimit:   10 * time.Second,
 		CallRetry:        time.Second,
-		ChoiceWait:       600 * time.Millisecond,
+		ChoiceWait:       900 * time.Millisecond,
 	}
 }
--- /dev/null
+++ b/policy/failover/group.go
@@ -0,0 +1,88 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+)
+
+// group is the replicated state of a database group with what this leader knows.
+type group struct {
+	name          string
+	members       []*upstream
+	term          uint64
+	primary       string
+	phase         controlpb.GroupPhase
+	candidate     string
+	candidateTerm uint64
+	// startLSN and timeline are those of the newest entry of the term history.
+	startLSN uint64
+	timeline uint32
+
+	// since is when this leader first saw the present phase, term and candidate.
+	since    time.Duration
+	proposal proposal
+	suspect  suspicion
+	fence    fence
+	// candidateLSN is the highest position that the candidate was seen to have
+	// replayed; 0 when it was never seen in recovery.
+	candidateLSN uint64
+	promoteCall  call
+	positions   positions
+}
+
+// proposal is a command under way.
+type proposal struct {
+	pending bool
+	at      time.Duration
+}
+
+// call is a request to an upstream.
+type call struct {
+	pending bool
+	at      time.Duration
+}
+
+// due tells whether the call must be made, for the first time or again.
+func (c call) due(now, retry time.Duration) bool {
+	return !c.pending || now-c.at >= retry
+}
+
+// syncGroup takes over the replicated state and resets what belongs to an earlier
+// phase, term or candidate.
+func (m *Machine) syncGroup(now time.Duration, g *group, pb *controlpb.Group) {
+	same := g.term == pb.Term && g.primary == pb.Primary && g.phase == pb.Phase &&
+		g.candidate == pb.Candidate && g.candidateTerm == pb.CandidateTerm
+	newTerm := g.term != pb.Term
+	g.term, g.primary, g.phase = pb.Term, pb.Primary, pb.Phase
+	g.candidate, g.candidateTerm = pb.Candidate, pb.CandidateTerm
+	if n := len(pb.History); n > 0 {
+		g.startLSN, g.timeline = pb.History[n-1].StartLsn, pb.History[n-1].Timeline
+	}
+	if same {
+		return
+	}
+	g.since = now
+	g.proposal = proposal{}
+	g.suspect = suspicion{}
+	g.promoteCall = call{}
+	if newTerm {
+		g.positions = positions{}
+	}
+	g.fence = fence{}
+	if g.phase == controlpb.GroupPhase_GROUP_PHASE_FENCED {
+		g.fence = m.newFence(now)
+	}
+	g.candidateLSN = m.replayed(g.candidate)
+}
+
+// currentTimeline is the primary's timeline. The control file of a server shows a
+// new timeline only from the checkpoint after its promotion, so the primary may
+// report a later one than the term history holds.
+func (m *Machine) currentTimeline(g *group) uint32 {
+	u, ok := m.upstreams[g.primary]
+	if ok && u.answered && !u.inRecovery && u.sent >= g.since && u.timeline > g.timeline {
+		return u.timeline
+	}
+	return g.timeline
+}
--- /dev/null
+++ b/policy/failover/promote.go
@@ -0,0 +1,156 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+)
+
+// choose begins a promotion once the fenced term has no lease left.
+func (m *Machine) choose(now time.Duration, g *group) {
+	if !m.leasesEnded(now, &g.fence) {
+		return
+	}
+	if !g.fence.ended {
+		g.fence.ended = true
+		g.fence.positionsFrom = now
+		m.probeMembers(g)
+	}
+	// Positions from before the end of the leases may miss a write that a replica
+	// confirmed and a proxy acknowledged, so only later ones are compared.
+	from := g.fence.positionsFrom
+	if now-from < m.cfg.ChoiceWait && m.positionsMissing(now, g, from) {
+		return
+	}
+	m.begin(now, g, m.successor(now, g, from))
+}
+
+func (m *Machine) probeMembers(g *group) {
+	for _, u := range g.members {
+		m.emit(ProbeNow{Address: u.address})
+	}
+}
+
+// positionsMissing tells whether an answering replica has no probe outcome yet
+// from after a time.
+func (m *Machine) positionsMissing(now time.Duration, g *group, from time.Duration) bool {
+	for _, u := range g.members {
+		if m.promotable(now, g, u) && u.triedSent < from {
+			return true
+		}
+	}
+	return false
+}
+
+// best returns the most advanced replica by answers to probes sent from a time
+// on, or nil.
+func (m *Machine) best(now time.Duration, g *group, from time.Duration) *upstream {
+	var best *upstream
+	for _, u := range g.members {
+		if u.sent < from || !m.promotable(now, g, u) || u.address == g.candidate {
+			continue
+		}
+		if best == nil || moreAdvanced(u, best) {
+			best = u
+		}
+	}
+	return best
+}
+
+func moreAdvanced(a, b *upstream) bool {
+	if a.timeline != b.timeline {
+		return a.timeline > b.timeline
+	}
+	return a.lsn > b.lsn
+}
+
+// successor returns the best replica or, when there is none, the fenced term's own
+// primary if it answers again.
+func (m *Machine) successor(now time.Duration, g *group, from time.Duration) *upstream {
+	if u := m.best(now, g, from); u != nil {
+		return u
+	}
+	u, ok := m.upstreams[g.primary]
+	if !ok || u.address == g.candidate || u.sent < from || !m.answering(now, u) {
+		return nil
+	}
+	if u.inRecovery || u.state == controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED || u.timeline < g.timeline {
+		return nil
+	}
+	return u
+}
+
+func (m *Machine) begin(now time.Duration, g *group, u *upstream) {
+	if u == nil {
+		return
+	}
+	m.propose(now, g, &controlpb.Command{Change: &controlpb.Command_BeginPromotion{
+		BeginPromotion: &controlpb.BeginPromotion{
+			Group: g.name, Candidate: u.address, Term: max(g.term, g.candidateTerm) + 1,
+		},
+	}})
+}
+
+// promote drives the promotion under way to its end or to another candidate.
+func (m *Machine) promote(now time.Duration, g *group) {
+	u, ok := m.upstreams[g.candidate]
+	if ok && u.answered && !u.inRecovery && u.sent >= g.since {
+		m.complete(now, g, u)
+		return
+	}
+	if !ok || m.givenUp(now, g, u) {
+		if next := m.successor(now, g, g.since); next != nil {
+			m.begin(now, g, next)
+			return
+		}
+	}
+	if !ok || !u.answered || !u.inRecovery || u.address == g.primary {
+		return
+	}
+	if g.promoteCall.due(now, m.cfg.CallRetry) {
+		g.promoteCall = call{pending: true, at: now}
+		m.emit(Promote{Group: g.name, Address: u.address, Term: g.candidateTerm})
+	}
+}
+
+// givenUp tells whether the candidate is silent, or answers and stays in recovery.
+func (m *Machine) givenUp(now time.Duration, g *group, u *upstream) bool {
+	heard := max(g.since, u.answeredAt)
+	return now-heard >= m.cfg.CandidateSilence || now-g.since >= m.cfg.CandidateLimit
+}
+
+func (m *Machine) complete(now time.Duration, g *group, u *upstream) {
+	m.propose(now, g, &controlpb.Command{Change: &controlpb.Command_CompletePromotion{
+		CompletePromotion: &controlpb.CompletePromotion{
+			Group: g.name, Primary: u.address, Term: g.candidateTerm,
+			StartLsn: g.completionLSN(u), Timeline: max(u.timeline, g.timeline),
+		},
+	}})
+}
+
+// completionLSN is a position that the new primary held before it wrote anything
+// in its new term. Positions of earlier terms above it count as lost, so it must
+// never be too high; too low costs a session one error.
+func (g *group) completionLSN(u *upstream) uint64 {
+	switch {
+	case u.address == g.primary && u.timeline == g.timeline:
+		return u.lsn
+	case u.address != g.primary && g.candidateLSN > 0:
+		return g.candidateLSN
+	default:
+		// This leader did not see what the server held before it left recovery.
+		return g.startLSN
+	}
+}
+
+func (m *Machine) promoteResult(e PromoteResult) {
+	g, ok := m.groups[e.Group]
+	if !ok || g.candidate != e.Address || g.candidateTerm != e.Term {
+		return
+	}
+	if e.Err != nil {
+		m.emit(Record{Subject: g.name, Text: "promotion of " + e.Address + " failed: " + e.Err.Error()})
+		return
+	}
+	m.emit(ProbeNow{Address: e.Address})
+}
--- /dev/null
+++ b/policy/failover/replica.go
@@ -0,0 +1,69 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+)
+
+// follow tells every server in recovery to follow the primary of a term that began
+// with a promotion. A new leader repeats it; the repetition changes nothing.
+func (m *Machine) follow(now time.Duration, g *group) {
+	if g.term <= 1 {
+		return
+	}
+	for _, u := range g.members {
+		if u.address == g.primary || !u.inRecovery || !m.answering(now, u) {
+			continue
+		}
+		if u.follow.primary != g.primary || u.follow.term != g.term {
+			u.follow = follow{primary: g.primary, term: g.term}
+		}
+		if u.follow.confirmed || !u.follow.call.due(now, m.cfg.CallRetry) {
+			continue
+		}
+		u.follow.call = call{pending: true, at: now}
+		m.emit(Follow{Address: u.address, Primary: g.primary})
+	}
+}
+
+func (m *Machine) followResult(e FollowResult) {
+	u, ok := m.upstreams[e.Address]
+	if !ok || u.follow.primary != e.Primary {
+		return
+	}
+	if e.Err != nil {
+		m.emit(Record{Subject: u.group, Text: e.Address + " cannot follow " + e.Primary + ": " + e.Err.Error()})
+		return
+	}
+	u.follow.confirmed = true
+}
+
+// readmit removes the mark of a diverged server that replicates from the primary
+// again, by removing the server: its next announcement adds it as joining. An
+// announcement alone never removes the mark.
+func (m *Machine) readmit(now time.Duration, g *group) {
+	for _, u := range g.members {
+		if u.state != controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED || !m.replicates(now, g, u) {
+			continue
+		}
+		if !u.readmission.due(now, m.cfg.CallRetry) {
+			continue
+		}
+		// Not through propose: a fence must not wait for this.
+		u.readmission = call{pending: true, at: now}
+		m.emit(Propose{Group: g.name, Command: &controlpb.Command{Change: &controlpb.Command_RemoveUpstream{
+			RemoveUpstream: &controlpb.RemoveUpstream{Address: u.address},
+		}}})
+	}
+}
+
+// replicates tells whether a server is in recovery on the current timeline with a
+// receiver that was told to follow the primary.
+func (m *Machine) replicates(now time.Duration, g *group, u *upstream) bool {
+	if !m.answering(now, u) || !u.inRecovery || u.sent < g.since {
+		return false
+	}
+	following := u.follow.confirmed && u.follow.primary == g.primary && u.follow.term == g.term
+	return following && u.receiverActive && u.timeline == m.currentTimeline(g)
+}
--- a/policy/fleet/change.go
+++ b/policy/fleet/change.go
@@ -55,8 +55,8 @@
 	if t.Name == "" {
 		return "", "", rescode.New(rescode.InvalidCommand, "the team has no name")
 	}
-	if t.Rate < 0 || t.Burst < 0 {
-		return "", "", rescode.New(rescode.InvalidCommand, "rate and burst must not be negative")
+	if !validLimit(t.Rate) || !validLimit(t.Burst) {
+		return "", "", rescode.New(rescode.InvalidCommand, "rate and burst must be numbers from 0 to %g", float64(maxLimit))
 	}
 	team := proto.Clone(t).(*controlpb.Team)
 	team.Keys = map[string]*controlpb.Key{}
@@ -70,6 +70,11 @@
 	return fmt.Sprintf("team set to rate %g/s, burst %g", t.Rate, t.Burst), t.Name, nil
 }
 
+// validLimit also refuses NaN, which compares false with everything.
+func validLimit(v float64) bool {
+	return v >= 0 && v <= maxLimit
+}
+
 func (s *State) putKey(c *controlpb.PutKey) (string, string, *rescode.Error) {
 	team, ok := s.pb.Teams[c.Team]
 	if !ok {
--- a/policy/fleet/fleet.go
+++ b/policy/fleet/fleet.go
@@ -18,6 +18,8 @@
 	maxResults = 4096
 	// maxEvents bounds the record of state changes that explain returns.
 	maxEvents = 2048
+	// maxLimit bounds rate and burst so that token counts stay exact in a float64.
+	maxLimit = 1e12
 )
 
 // State is the control state. It is owned by one goroutine; Clone gives others a
@@ -181,7 +183,7 @@
 // reports false when the change does not follow the state's revision, or was not
 // applied; the caller then needs a full copy.
 func (s *State) ApplyChange(change *controlpb.Change) bool {
-	if change.Revision != s.pb.Revision+1 {
+	if change.GetCommand() == nil || change.Revision != s.pb.Revision+1 {
 		return false
 	}
 	command := proto.Clone(change.Command).(*controlpb.Command)
--- a/policy/fleet/group.go
+++ b/policy/fleet/group.go
@@ -38,6 +38,11 @@
 		return "", "", rescode.New(rescode.InvalidCommand,
 			"group %q belongs to service %q", u.Group, group.Service)
 	}
+	if current, ok := s.pb.Upstreams[u.Address]; ok {
+		if err := announceable(current, u); err != nil {
+			return "", "", err
+		}
+	}
 	if _, ok := s.pb.Groups[u.Group]; !ok {
 		s.pb.Groups[u.Group] = &controlpb.Group{Name: u.Group, Service: c.Service}
 	}
@@ -45,6 +50,20 @@
 	return fmt.Sprintf("upstream of group %s is %s", u.Group, stateName(u.State)), u.Address, nil
 }
 
+// announceable refuses what an announcement must not change. A diverged server
+// keeps its mark until the leader's watcher has seen it replicate again and
+// removed it; its next announcement then adds it afresh.
+func announceable(current, announced *controlpb.Upstream) *rescode.Error {
+	if current.Group != announced.Group {
+		return rescode.New(rescode.InvalidCommand,
+			"upstream %q belongs to group %q; remove it first", current.Address, current.Group)
+	}
+	if current.State == controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED {
+		return rescode.New(rescode.InvalidCommand, "upstream %q has diverged", current.Address)
+	}
+	return nil
+}
+
 func stateName(state controlpb.UpstreamState) string {
 	switch state {
 	case controlpb.UpstreamState_UPSTREAM_STATE_LEAVING:
@@ -64,6 +83,9 @@
 	if s.pb.Groups[u.Group].GetPrimary() == c.Address {
 		return "", "", rescode.New(rescode.InvalidCommand, "the upstream is the primary of %q", u.Group)
 	}
+	if s.pb.Groups[u.Group].GetCandidate() == c.Address {
+		return "", "", rescode.New(rescode.InvalidCommand, "the upstream is being promoted in %q", u.Group)
+	}
 	delete(s.pb.Upstreams, c.Address)
 	return "upstream removed", c.Address, nil
 }
@@ -76,8 +98,8 @@
 	if group.Primary != "" {
 		return "", "", rescode.New(rescode.AlreadyExists, "group %q has a primary", c.Group)
 	}
-	if u, ok := s.pb.Upstreams[c.Address]; !ok || u.Group != c.Group {
-		return "", "", unknown("upstream", c.Address)
+	if err := s.mayBePrimary(c.Group, c.Address); err != nil {
+		return "", "", err
 	}
 	group.Term = 1
 	group.Primary = c.Address
@@ -106,15 +128,39 @@
 	if !fenced || c.Term <= group.Term || c.Term <= group.CandidateTerm {
 		return "", "", termMismatch(group)
 	}
-	if u, ok := s.pb.Upstreams[c.Candidate]; !ok || u.Group != c.Group {
-		return "", "", unknown("upstream", c.Candidate)
+	if err := s.mayBePrimary(c.Group, c.Candidate); err != nil {
+		return "", "", err
 	}
+	s.giveUpCandidate(group, c.Candidate)
 	group.Phase = controlpb.GroupPhase_GROUP_PHASE_PROMOTING
 	group.Candidate = c.Candidate
 	group.CandidateTerm = c.Term
 	return fmt.Sprintf("promotion of %s to term %d begun", c.Candidate, c.Term), c.Group, nil
 }
 
+// mayBePrimary refuses servers of other groups and diverged ones.
+func (s *State) mayBePrimary(group, address string) *rescode.Error {
+	u, ok := s.pb.Upstreams[address]
+	if !ok || u.Group != group {
+		return unknown("upstream", address)
+	}
+	if u.State == controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED {
+		return rescode.New(rescode.InvalidCommand, "upstream %q has diverged", address)
+	}
+	return nil
+}
+
+// giveUpCandidate marks an earlier candidate as diverged, because it may leave
+// recovery at any time. The fenced primary is no replica and may still be confirmed.
+func (s *State) giveUpCandidate(group *controlpb.Group, next string) {
+	if group.Candidate == next || group.Candidate == group.Primary {
+		return
+	}
+	if u, ok := s.pb.Upstreams[group.Candidate]; ok {
+		u.State = controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED
+	}
+}
+
 func (s *State) completePromotion(c *controlpb.CompletePromotion) (string, string, *rescode.Error) {
 	group, ok := s.pb.Groups[c.Group]
 	if !ok {
