--- /dev/null
+++ b/cmd/jayloomctl/keys.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base32"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/xdg-go/scram"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/control"
+)
+
+// Shape of a key: keyPrefix, identifier, underscore, secret. Proxies refuse any
+// statement that holds text of this shape.
+const (
+	keyPrefix     = "jlk_"
+	keyIDBytes    = 5
+	keySecretByte = 20
+	// credentialSaltBytes is the length of the salt of a hashed credential.
+	credentialSaltBytes = 16
+)
+
+var lowerBase32 = base32.NewEncoding("abcdefghijklmnopqrstuvwxyz234567").WithPadding(base32.NoPadding)
+
+// newKey returns an identifier and the whole key.
+func newKey() (id, key string) {
+	id = randomText(keyIDBytes)
+	return id, keyPrefix + id + "_" + randomText(keySecretByte)
+}
+
+func randomText(n int) string {
+	buffer := make([]byte, n)
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(buffer)
+	return lowerBase32.EncodeToString(buffer)
+}
+
+// verifier derives what control stores in place of a key.
+func verifier(team *controlpb.Team, id, key string) (*controlpb.Key, error) {
+	client, err := scram.SHA256.NewClient(team.Name, key, "")
+	if err != nil {
+		return nil, errors.Wrap(err, "derive the verifier of the key")
+	}
+	factors := scram.KeyFactors{Salt: string(team.ScramSalt), Iters: int(team.ScramIterations)}
+	stored, err := client.GetStoredCredentialsWithError(factors)
+	if err != nil {
+		return nil, errors.Wrap(err, "derive the verifier of the key")
+	}
+	return &controlpb.Key{Id: id, StoredKey: stored.StoredKey, ServerKey: stored.ServerKey}, nil
+}
+
+type keyGive struct {
+	Args struct {
+		Team string `positional-arg-name:"TEAM" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute creates a key. The key itself is printed here and nowhere kept.
+func (c *keyGive) Execute([]string) error {
+	team, err := findTeam(c.Args.Team)
+	if err != nil {
+		return err
+	}
+	id, key := newKey()
+	pb, err := verifier(team, id, key)
+	if err != nil {
+		return err
+	}
+	change := &controlpb.Command_PutKey{PutKey: &controlpb.PutKey{Team: team.Name, Key: pb}}
+	if _, err := send(&controlpb.Command{Change: change}); err != nil {
+		return err
+	}
+	fmt.Println(key)
+	return nil
+}
+
+func findTeam(name string) (*controlpb.Team, error) {
+	var team *controlpb.Team
+	err := withControl(func(ctx context.Context, client controlpb.ControlClient) error {
+		reply, err := client.Show(ctx, &controlpb.ShowRequest{})
+		if err != nil {
+			return err
+		}
+		team = reply.State.Teams[name]
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if team == nil {
+		return nil, errors.Newf("team %q does not exist", name)
+	}
+	return team, nil
+}
+
+type keyWithdraw struct {
+	Args struct {
+		Team string `positional-arg-name:"TEAM" required:"yes"`
+		Key  string `positional-arg-name:"KEY-ID" description:"the 8 characters behind jlk_" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute withdraws a key; the whole key is accepted as well as its identifier.
+func (c *keyWithdraw) Execute([]string) error {
+	id := strings.TrimPrefix(c.Args.Key, keyPrefix)
+	id, _, _ = strings.Cut(id, "_")
+	withdraw := &controlpb.WithdrawKey{Team: c.Args.Team, KeyId: id}
+	return propose(&controlpb.Command{Change: &controlpb.Command_WithdrawKey{WithdrawKey: withdraw}})
+}
+
+type hashCredential struct{}
+
+// Execute prints the form that the settings hold.
+func (c *hashCredential) Execute([]string) error {
+	data, err := readAllStdin()
+	if err != nil {
+		return err
+	}
+	credential := strings.TrimSpace(string(data))
+	if credential == "" {
+		return errors.New("no credential on standard input")
+	}
+	salt := make([]byte, credentialSaltBytes)
+	_, _ = rand.Read(salt)
+	fmt.Println(control.HashCredential(salt, credential))
+	return nil
+}
+
+func readAllStdin() ([]byte, error) {
+	data, err := os.ReadFile("/dev/stdin")
+	return data, errors.Wrap(err, "read standard input")
+}
--- /dev/null
+++ b/control/attend.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/policy/failover"
+)
+
+// sessionQueue is the number of updates that may wait for a proxy's connection.
+// A proxy that is further behind is disconnected and starts again.
+const sessionQueue = 64
+
+// attendance is one stream of a proxy. The leader's goroutine owns all fields but
+// the channel and the context.
+type attendance struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	// updates carries what the leader sends; only the leader's goroutine writes.
+	updates chan *controlpb.Update
+
+	stream       uint64 // distinguishes streams of one proxy
+	proxy        string
+	incarnation  string
+	sequence     uint64 // newest report handled
+	sentRevision uint64 // newest revision sent on this stream
+	applied      uint64 // newest revision that the proxy has reported
+	registered   bool
+}
+
+// holder identifies the process behind the stream, which may hold leases.
+func (a *attendance) holder() failover.Holder {
+	return failover.Holder{Proxy: a.proxy, Incarnation: a.incarnation}
+}
+
+// Attend implements controlpb.ControlServer.
+func (s *Server) Attend(stream controlpb.Control_AttendServer) error {
+	if !s.leads() {
+		return s.notLeader()
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	a := &attendance{ctx: ctx, cancel: cancel, updates: make(chan *controlpb.Update, sessionQueue)}
+	go s.receiveReports(stream, a)
+	defer s.leader.post(attendanceEnded{a})
+	for {
+		select {
+		case <-ctx.Done():
+			return s.notLeader()
+		case update := <-a.updates:
+			updateBytes.Add(proto.Size(update))
+			if err := stream.Send(update); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// receiveReports hands the reports of a stream to the leader's goroutine.
+func (s *Server) receiveReports(stream controlpb.Control_AttendServer, a *attendance) {
+	defer a.cancel()
+	for {
+		report, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		reportBytes.Add(proto.Size(report))
+		event := reportReceived{attendance: a, report: report, at: clock.Now()}
+		if !s.leader.post(event) {
+			return
+		}
+	}
+}
+
+// notLeader names the leader in the details, so that the proxy goes there next.
+func (s *Server) notLeader() error {
+	st := status.New(codes.Unavailable, "this control VM does not lead")
+	detailed, err := st.WithDetails(&controlpb.NotLeader{LeaderAddress: s.replicator.Status().LeaderAddress})
+	if err != nil {
+		return st.Err()
+	}
+	return detailed.Err()
+}
--- /dev/null
+++ b/control/forward.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+// forwardedKey marks a call that another control VM has forwarded; it is not
+// forwarded again, so that two VMs with old views cannot send it back and forth.
+const forwardedKey = "jayloom-forwarded"
+
+// leaderConn keeps one connection to the leader.
+type leaderConn struct {
+	credentials credentials.TransportCredentials
+
+	mu struct {
+		sync.Mutex
+		address string
+		conn    *grpc.ClientConn
+	}
+}
+
+func (l *leaderConn) client(address string) (controlpb.ControlClient, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.mu.conn != nil && l.mu.address == address {
+		return controlpb.NewControlClient(l.mu.conn), nil
+	}
+	l.closeLocked()
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(l.credentials))
+	if err != nil {
+		return nil, errors.Wrapf(err, "address of the leader %s", address)
+	}
+	l.mu.address = address
+	l.mu.conn = conn
+	return controlpb.NewControlClient(conn), nil
+}
+
+func (l *leaderConn) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closeLocked()
+}
+
+func (l *leaderConn) closeLocked() {
+	if l.mu.conn == nil {
+		return
+	}
+	// The connection is given up either way.
+	_ = l.mu.conn.Close()
+	l.mu.conn = nil
+}
+
+// leaderClient returns a client of the leader, or NotLeader when none is known.
+func (s *Server) leaderClient() (controlpb.ControlClient, error) {
+	current := s.replicator.Status()
+	if current.LeaderAddress == "" || current.LeaderAddress == s.settings.AdvertiseGRPC {
+		return nil, rescode.New(rescode.NotLeader, "no leader is known")
+	}
+	return s.toLeader.client(current.LeaderAddress)
+}
+
+// forwardToLeader repeats a call at the leader.
+func forwardToLeader[Q, R any](
+	ctx context.Context, s *Server, credential string, request Q,
+	call func(controlpb.ControlClient, context.Context, Q, ...grpc.CallOption) (R, error),
+) (R, error) {
+	var none R
+	if md, ok := metadata.FromIncomingContext(ctx); ok && len(md.Get(forwardedKey)) > 0 {
+		return none, statusOf(rescode.New(rescode.NotLeader, "the call was forwarded to a control VM that does not lead"))
+	}
+	leader, err := s.leaderClient()
+	if err != nil {
+		return none, statusOf(err)
+	}
+	forward := metadata.AppendToOutgoingContext(ctx, authorizationKey, bearerPrefix+credential, forwardedKey, "1")
+	return call(leader, forward, request)
+}
+
+// statusOf turns a result code into a gRPC status.
+func statusOf(err error) error {
+	var refused *rescode.Error
+	if !errors.As(err, &refused) {
+		return status.Error(codes.Internal, err.Error())
+	}
+	switch refused.Code {
+	case rescode.OperatorCredentialWrong, rescode.AnnouncementCredentialWrong:
+		return status.Error(codes.PermissionDenied, refused.Error())
+	default:
+		return status.Error(codes.Unavailable, refused.Error())
+	}
+}
+
+func sortEvents(events []*controlpb.Event) {
+	slices.SortStableFunc(events, func(a, b *controlpb.Event) int {
+		return int(a.UnixMs - b.UnixMs)
+	})
+}
--- /dev/null
+++ b/control/operator.go
@@ -0,0 +1,188 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/metadata"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+const (
+	// scramSaltBytes is the length of a team's salt.
+	scramSaltBytes = 16
+	// scramIterations is the minimum of RFC 7677; keys are random, so more
+	// iterations would only slow connections down.
+	scramIterations = 4096
+	// maxExplainEvents bounds one answer of Explain.
+	maxExplainEvents = 2048
+)
+
+// Propose implements controlpb.ControlServer. A control VM that does not lead
+// forwards the command to the leader.
+func (s *Server) Propose(ctx context.Context, r *controlpb.ProposeRequest) (*controlpb.ProposeReply, error) {
+	credential := bearer(ctx)
+	if err := s.authorize(credential, r.Command); err != nil {
+		return &controlpb.ProposeReply{Result: resultOf(r.Command, err)}, nil
+	}
+	result, err := s.submit(ctx, credential, prepare(r.Command))
+	if err != nil {
+		return &controlpb.ProposeReply{Result: resultOf(r.Command, err)}, nil
+	}
+	return &controlpb.ProposeReply{Result: result}, nil
+}
+
+// authorize accepts the operator credential for the configuration and the
+// announcement credential for announcements. Commands about groups and proxies
+// come only from the leader itself.
+func (s *Server) authorize(credential string, c *controlpb.Command) error {
+	switch c.GetChange().(type) {
+	case *controlpb.Command_AnnounceUpstream:
+		if s.announcementAllowed(credential) {
+			return nil
+		}
+	case *controlpb.Command_InitializeCluster, *controlpb.Command_RegisterProxy, *controlpb.Command_AdoptPrimary,
+		*controlpb.Command_FenceGroup, *controlpb.Command_BeginPromotion, *controlpb.Command_CompletePromotion:
+		refusals(rescode.InvalidCommand).Inc()
+		return rescode.New(rescode.InvalidCommand, "the command is reserved for the control leader")
+	}
+	return s.authorizeOperator(credential)
+}
+
+func (s *Server) authorizeOperator(credential string) error {
+	if credentialMatches(s.settings.OperatorCredentialHash, credential) {
+		return nil
+	}
+	refusals(rescode.OperatorCredentialWrong).Inc()
+	return rescode.New(rescode.OperatorCredentialWrong, "the call carries no valid operator credential")
+}
+
+func (s *Server) announcementAllowed(credential string) bool {
+	return credentialMatches(s.settings.AnnouncementCredentialHash, credential)
+}
+
+// prepare fills in what must be the same on every voter and is therefore decided
+// before the command enters the log.
+func prepare(c *controlpb.Command) *controlpb.Command {
+	c.UnixMs = time.Now().UnixMilli()
+	if team := c.GetPutTeam(); team != nil {
+		team.ScramSalt = make([]byte, scramSaltBytes)
+		// crypto/rand.Read never fails.
+		_, _ = rand.Read(team.ScramSalt)
+		team.ScramIterations = scramIterations
+	}
+	return c
+}
+
+// submit orders a command here or at the leader.
+func (s *Server) submit(ctx context.Context, credential string, c *controlpb.Command) (*controlpb.CommandResult, error) {
+	result, err := s.replicator.Propose(ctx, c)
+	var refused *rescode.Error
+	if !errors.As(err, &refused) || refused.Code != rescode.NotLeader {
+		return result, err
+	}
+	leader, err := s.leaderClient()
+	if err != nil {
+		return nil, err
+	}
+	forward := metadata.AppendToOutgoingContext(ctx, authorizationKey, bearerPrefix+credential)
+	reply, err := leader.Propose(forward, &controlpb.ProposeRequest{Command: c})
+	if err != nil {
+		return nil, rescode.New(rescode.ControlUnavailable, "the leader did not confirm the command")
+	}
+	return reply.Result, nil
+}
+
+func resultOf(c *controlpb.Command, err error) *controlpb.CommandResult {
+	var refused *rescode.Error
+	if !errors.As(err, &refused) {
+		refused = rescode.New(rescode.ControlUnavailable, "%s", err.Error())
+	}
+	return &controlpb.CommandResult{
+		RequestId: c.GetRequestId(),
+		Code:      uint32(refused.Code),
+		Message:   refused.Detail,
+	}
+}
+
+// Show implements controlpb.ControlServer. A follower asks the leader, whose
+// health and proxy data only it has.
+func (s *Server) Show(ctx context.Context, r *controlpb.ShowRequest) (*controlpb.ShowReply, error) {
+	credential := bearer(ctx)
+	if err := s.authorizeOperator(credential); err != nil {
+		return nil, statusOf(err)
+	}
+	if !s.leads() {
+		return forwardToLeader(ctx, s, credential, r, controlpb.ControlClient.Show)
+	}
+	status := s.replicator.Status()
+	reply := &controlpb.ShowReply{
+		State:      s.store.ForOperators(),
+		Leader:     status.LeaderAddress,
+		LeaderTerm: status.Term,
+	}
+	for _, m := range status.Members {
+		reply.Voters = append(reply.Voters, &controlpb.VoterStatus{
+			Identity:   m.Identity,
+			Address:    m.Address,
+			Learner:    m.Learner,
+			MatchIndex: m.MatchIndex,
+			Active:     m.Active,
+		})
+	}
+	s.leader.describe(ctx, reply)
+	return reply, nil
+}
+
+// Explain implements controlpb.ControlServer.
+func (s *Server) Explain(ctx context.Context, r *controlpb.ExplainRequest) (*controlpb.ExplainReply, error) {
+	credential := bearer(ctx)
+	if err := s.authorizeOperator(credential); err != nil {
+		return nil, statusOf(err)
+	}
+	if !s.leads() {
+		return forwardToLeader(ctx, s, credential, r, controlpb.ControlClient.Explain)
+	}
+	limit := int(r.Limit)
+	if limit <= 0 || limit > maxExplainEvents {
+		limit = maxExplainEvents
+	}
+	events := s.store.View().Events
+	events = append(events[:len(events):len(events)], s.leader.localEvents(ctx)...)
+	return &controlpb.ExplainReply{Events: lastEvents(events, r.Subject, limit)}, nil
+}
+
+// lastEvents returns the newest events about subject in order of time.
+func lastEvents(events []*controlpb.Event, subject string, limit int) []*controlpb.Event {
+	sortEvents(events)
+	var matching []*controlpb.Event
+	for _, e := range events {
+		if subject == "" || e.Subject == subject || e.Actor == subject {
+			matching = append(matching, e)
+		}
+	}
+	if len(matching) > limit {
+		matching = matching[len(matching)-limit:]
+	}
+	return matching
+}
+
+// ChangeMembership implements controlpb.ControlServer.
+func (s *Server) ChangeMembership(ctx context.Context, r *controlpb.ChangeMembershipRequest) (*controlpb.ChangeMembershipReply, error) {
+	credential := bearer(ctx)
+	if err := s.authorizeOperator(credential); err != nil {
+		return nil, statusOf(err)
+	}
+	if !s.leads() {
+		return forwardToLeader(ctx, s, credential, r, controlpb.ControlClient.ChangeMembership)
+	}
+	result, err := s.replicator.ChangeMembership(ctx, r)
+	if err != nil {
+		result = resultOf(nil, err)
+	}
+	return &controlpb.ChangeMembershipReply{Result: result}, nil
+}
--- /dev/null
+++ b/control/watch/metrics.go
@@ -0,0 +1,6 @@
+package watch
+
+import "github.com/VictoriaMetrics/metrics"
+
+// probeFailures counts probes without a usable answer.
+var probeFailures = metrics.NewCounter("jayloom_control_probe_failures_total")
