--- /dev/null
+++ b/control/replica/cluster_test.go
@@ -0,0 +1,228 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+// memory is an Applier that applies each request once and counts.
+type memory struct {
+	mu sync.Mutex
+	// Order holds the requests in the order of their first application.
+	Order   []string
+	leading bool
+}
+
+func (m *memory) Apply(_ uint64, c *controlpb.Command) *controlpb.CommandResult {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, id := range m.Order {
+		if id == c.RequestId {
+			return &controlpb.CommandResult{RequestId: id, Revision: uint64(i + 1)}
+		}
+	}
+	m.Order = append(m.Order, c.RequestId)
+	return &controlpb.CommandResult{RequestId: c.RequestId, Revision: uint64(len(m.Order))}
+}
+
+func (m *memory) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return json.Marshal(m.Order)
+}
+
+func (m *memory) Restore(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Order = nil
+	return json.Unmarshal(data, &m.Order)
+}
+
+func (m *memory) LeadershipChanged(leading bool, _ uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leading = leading
+}
+
+func (m *memory) order() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]string(nil), m.Order...)
+}
+
+// process is one running replica.
+type process struct {
+	*Replica
+	state  *memory
+	cancel context.CancelFunc
+	server *grpc.Server
+	ended  chan error
+}
+
+// cluster runs replicas over loopback with real files.
+type cluster struct {
+	t         *testing.T
+	addresses []string
+	folders   []string
+	processes []*process
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{t: t, processes: make([]*process, size)}
+	var listeners []net.Listener
+	for range size {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		c.addresses = append(c.addresses, l.Addr().String())
+		c.folders = append(c.folders, t.TempDir())
+	}
+	for i, l := range listeners {
+		c.startOn(i, l)
+	}
+	t.Cleanup(func() {
+		for i := range c.processes {
+			c.stop(i)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(i int) {
+	c.t.Helper()
+	l, err := net.Listen("tcp", c.addresses[i])
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.startOn(i, l)
+}
+
+func (c *cluster) startOn(i int, l net.Listener) {
+	c.t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	state := &memory{}
+	r, err := Open(Config{
+		Folder: c.folders[i], Address: c.addresses[i], Voters: c.addresses, SnapshotEntries: 20,
+		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
+		Log:         logrus.NewEntry(logger),
+	}, state)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{Replica: r, state: state, cancel: cancel, server: grpc.NewServer(ServerOptions()...), ended: make(chan error, 1)}
+	r.Register(p.server)
+	go func() { _ = p.server.Serve(l) }()
+	go func() { p.ended <- r.Run(ctx) }()
+	c.processes[i] = p
+}
+
+func (c *cluster) stop(i int) {
+	p := c.processes[i]
+	if p == nil {
+		return
+	}
+	c.processes[i] = nil
+	p.cancel()
+	if err := <-p.ended; err != nil {
+		c.t.Errorf("replica %d ended with %v", i, err)
+	}
+	p.server.Stop()
+}
+
+// until polls a condition; the test's own deadline ends it.
+func (c *cluster) until(what string, cond func() bool) {
+	c.t.Helper()
+	poll := time.NewTicker(5 * time.Millisecond)
+	defer poll.Stop()
+	limit := time.After(time.Minute)
+	for !cond() {
+		select {
+		case <-poll.C:
+		case <-limit:
+			c.t.Fatalf("not reached within a minute: %s", what)
+		}
+	}
+}
+
+func (c *cluster) leader() *process {
+	for _, p := range c.processes {
+		if p != nil && p.Status().Leading {
+			return p
+		}
+	}
+	return nil
+}
+
+func (c *cluster) awaitLeader() *process {
+	c.t.Helper()
+	var p *process
+	c.until("a leader with a lease", func() bool {
+		p = c.leader()
+		return p != nil && p.LeaseValid(0)
+	})
+	return p
+}
+
+// propose sends a command until it is confirmed, as an operator's tool does.
+func (c *cluster) propose(id string) *controlpb.CommandResult {
+	c.t.Helper()
+	var result *controlpb.CommandResult
+	c.until("command "+id, func() bool {
+		got, err := c.awaitLeader().Propose(c.t.Context(), &controlpb.Command{RequestId: id})
+		var coded *rescode.Error
+		if err != nil && !errors.As(err, &coded) {
+			c.t.Fatalf("error without result code: %v", err)
+		}
+		result = got
+		return err == nil
+	})
+	return result
+}
+
+func (c *cluster) proposeMany(prefix string, count int) {
+	c.t.Helper()
+	for i := range count {
+		c.propose(fmt.Sprint(prefix, i))
+	}
+}
+
+// awaitEqual waits until all running replicas hold the same requests.
+func (c *cluster) awaitEqual(want int) {
+	c.t.Helper()
+	for i, p := range c.processes {
+		if p != nil {
+			c.until(fmt.Sprintf("replica %d applied %d requests", i, want), func() bool { return len(p.state.order()) >= want })
+		}
+	}
+	var first []string
+	for i, p := range c.processes {
+		if p == nil {
+			continue
+		}
+		got := p.state.order()
+		if first == nil {
+			first = got
+		}
+		if len(got) != want || fmt.Sprint(got) != fmt.Sprint(first) {
+			c.t.Errorf("replica %d holds %v, want %d requests like %v", i, got, want, first)
+		}
+	}
+}
--- /dev/null
+++ b/control/replica/introduce.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/consensus"
+)
+
+const (
+	// introduceTimeout bounds one introduction.
+	introduceTimeout = time.Second
+	// introducePause is the time between two rounds of introductions.
+	introducePause = 200 * time.Millisecond
+)
+
+// formedIndex is the index of the snapshot that holds the first membership. It is
+// not 0, so that members which did not take part get the membership as a snapshot.
+const formedIndex = 1
+
+// join decides how a replica with an empty folder starts. It returns the first
+// membership if this replica has to form it, and nil if it waits to be contacted.
+//
+// Only the first address of the settings in sorted order forms the membership, once
+// all others have answered and none has one. If every VM did so by itself, two that
+// saw different identities of a third, whose disk was replaced in between, would
+// start with different memberships.
+func (r *Replica) join(ctx context.Context) (*consensus.Membership, error) {
+	introducer, err := newIntroducer(r.config)
+	if err != nil {
+		return nil, err
+	}
+	defer introducer.close()
+	forms := len(r.config.Voters) > 0 && slices.Min(r.config.Voters) == r.config.Address
+	for {
+		answers := introducer.round(ctx, r.introduction())
+		if formedBy := formed(answers); formedBy != nil {
+			r.logWaiting(formedBy)
+			return nil, nil
+		}
+		if !forms {
+			r.log.Info("waiting for the first membership to be formed")
+			return nil, nil
+		}
+		if m, ok := r.firstMembership(answers); ok {
+			return &m, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(introducePause):
+		}
+	}
+}
+
+func (r *Replica) logWaiting(formedBy *controlpb.Introduction) {
+	for _, member := range formedBy.Membership.GetMembers() {
+		if member.Identity == string(r.identity) {
+			r.log.Info("member of a membership that is formed already; waiting for its leader")
+			return
+		}
+	}
+	r.log.Warn("a membership exists without this identity; an operator has to add it as a learner")
+}
+
+func formed(answers map[string]*controlpb.Introduction) *controlpb.Introduction {
+	for _, answer := range answers {
+		if answer.Formed {
+			return answer
+		}
+	}
+	return nil
+}
+
+// firstMembership returns the membership of all VMs of the settings, if each of
+// them has answered.
+func (r *Replica) firstMembership(answers map[string]*controlpb.Introduction) (consensus.Membership, bool) {
+	m := consensus.Membership{}
+	seen := map[consensus.ID]bool{}
+	for _, address := range slices.Sorted(slices.Values(r.config.Voters)) {
+		id := r.identity
+		if address != r.config.Address {
+			answer := answers[address]
+			if answer == nil || answer.Identity == "" {
+				return consensus.Membership{}, false
+			}
+			id = consensus.ID(answer.Identity)
+		}
+		if seen[id] {
+			r.log.Warnf("address %s leads to the same control VM as another address of the settings", address)
+			return consensus.Membership{}, false
+		}
+		seen[id] = true
+		m.Members = append(m.Members, consensus.Member{ID: id, Address: address})
+	}
+	return m, true
+}
+
+// introducer asks the other control VMs who they are.
+type introducer struct {
+	connections map[string]*grpc.ClientConn
+}
+
+func newIntroducer(c Config) (*introducer, error) {
+	in := &introducer{connections: map[string]*grpc.ClientConn{}}
+	for _, address := range c.Voters {
+		if address == c.Address {
+			continue
+		}
+		connection, err := grpc.NewClient(address, dialOptions(c.DialOptions)...)
+		if err != nil {
+			in.close()
+			return nil, errors.Wrapf(err, "address %s of a control VM", address)
+		}
+		in.connections[address] = connection
+	}
+	return in, nil
+}
+
+func (in *introducer) close() {
+	for _, connection := range in.connections {
+		_ = connection.Close()
+	}
+}
+
+// round asks all addresses at once and returns the answers by address.
+func (in *introducer) round(ctx context.Context, own *controlpb.Introduction) map[string]*controlpb.Introduction {
+	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
+	defer cancel()
+	type result struct {
+		address string
+		answer  *controlpb.Introduction
+	}
+	results := make(chan result, len(in.connections))
+	for address, connection := range in.connections {
+		go func() {
+			answer, err := controlpb.NewVoterClient(connection).Introduce(ctx, own)
+			if err != nil {
+				answer = nil
+			}
+			results <- result{address, answer}
+		}()
+	}
+	answers := map[string]*controlpb.Introduction{}
+	for range in.connections {
+		if got := <-results; got.answer != nil {
+			answers[got.address] = got.answer
+		}
+	}
+	return answers
+}
--- /dev/null
+++ b/control/replica/proposals.go
@@ -0,0 +1,171 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/consensus"
+)
+
+// outcome ends a proposal or a membership change.
+type outcome struct {
+	result *controlpb.CommandResult
+	err    error
+}
+
+// proposal is a command on its way through the log.
+type proposal struct {
+	data []byte
+	// term is that of the entry; another entry may take its place at its index.
+	term consensus.Term
+	// done has room for the one outcome, so that the sender never waits.
+	done chan outcome
+}
+
+func unavailable(format string, args ...any) *rescode.Error {
+	metricUnavailable.Inc()
+	return rescode.New(rescode.ControlUnavailable, format, args...)
+}
+
+func (r *Replica) notLeader() *rescode.Error {
+	metricNotLeader.Inc()
+	if address := r.Status().LeaderAddress; address != "" {
+		return rescode.New(rescode.NotLeader, "the leader is at %s", address)
+	}
+	return rescode.New(rescode.NotLeader, "no leader is known")
+}
+
+// Propose implements Replicator.
+func (r *Replica) Propose(ctx context.Context, c *controlpb.Command) (*controlpb.CommandResult, error) {
+	metricProposals.Inc()
+	data, err := proto.Marshal(c)
+	if err != nil {
+		return nil, rescode.New(rescode.InvalidCommand, "the command cannot be encoded: %v", err)
+	}
+	started := time.Now()
+	p := &proposal{data: data, done: make(chan outcome, 1)}
+	select {
+	case r.proposals <- p:
+	case <-ctx.Done():
+		return nil, unavailable("no answer in time")
+	case <-r.stopped:
+		return nil, unavailable("the control process stops")
+	}
+	result, err := r.await(ctx, p.done)
+	metricCommitSeconds.Update(time.Since(started).Seconds())
+	return result, err
+}
+
+func (r *Replica) await(ctx context.Context, done <-chan outcome) (*controlpb.CommandResult, error) {
+	select {
+	case o := <-done:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, unavailable("no answer in time")
+	case <-r.stopped:
+	}
+	// The outcome may have come together with the end.
+	select {
+	case o := <-done:
+		return o.result, o.err
+	default:
+		return nil, unavailable("the control process stops")
+	}
+}
+
+// accept appends a proposal to the log.
+func (r *Replica) accept(p *proposal) {
+	index, err := r.node.Propose(clock.Now(), p.data)
+	switch {
+	case errors.Is(err, consensus.ErrNotLeader):
+		p.done <- outcome{err: r.notLeader()}
+	case err != nil:
+		p.done <- outcome{err: unavailable("%v", err)}
+	default:
+		p.term = r.node.Status().Term
+		r.waiting[index] = p
+	}
+}
+
+// apply takes committed entries over into the state.
+func (r *Replica) apply(entries []consensus.Entry) {
+	for _, e := range entries {
+		var result *controlpb.CommandResult
+		switch e.Kind {
+		case consensus.EntryCommand:
+			result = r.applyCommand(e)
+		case consensus.EntryEmpty:
+			r.gainLeadership(e.Term)
+		}
+		r.applied = e.Index
+		metricApplied.Inc()
+		r.finish(e, result)
+	}
+}
+
+func (r *Replica) applyCommand(e consensus.Entry) *controlpb.CommandResult {
+	c := &controlpb.Command{}
+	if err := proto.Unmarshal(e.Data, c); err != nil {
+		// Every member comes to the same result, so the states stay equal.
+		r.log.WithError(err).Errorf("entry %d holds no command", e.Index)
+		return &controlpb.CommandResult{Code: uint32(rescode.InvalidCommand), Message: "the command cannot be decoded"}
+	}
+	return r.applier.Apply(uint64(e.Index), c)
+}
+
+// finish tells the proposer of an entry.
+func (r *Replica) finish(e consensus.Entry, result *controlpb.CommandResult) {
+	p := r.waiting[e.Index]
+	if p == nil {
+		return
+	}
+	delete(r.waiting, e.Index)
+	if p.term != e.Term {
+		p.done <- outcome{err: unavailable("the leader changed")}
+		return
+	}
+	p.done <- outcome{result: result}
+}
+
+// failWaiting answers everything that waits. What was proposed may still be applied.
+func (r *Replica) failWaiting(reason string) {
+	for index, p := range r.waiting {
+		p.done <- outcome{err: unavailable("%s", reason)}
+		delete(r.waiting, index)
+	}
+	for _, c := range r.awaited {
+		c.done <- outcome{err: unavailable("%s", reason)}
+	}
+	r.awaited = nil
+}
+
+// gainLeadership is called when the first entry of a term is applied: all that
+// earlier leaders committed was applied before it.
+func (r *Replica) gainLeadership(term consensus.Term) {
+	s := r.node.Status()
+	if s.Role != consensus.Leader || s.Term != term || r.leadingTerm == term {
+		return
+	}
+	r.leadingTerm = term
+	metricLeadershipWon.Inc()
+	r.log.WithField("term", term).Info("leads the control VMs")
+	r.applier.LeadershipChanged(true, uint64(term))
+}
+
+func (r *Replica) loseLeadership() {
+	if r.leadingTerm == 0 {
+		return
+	}
+	term := r.leadingTerm
+	r.leadingTerm = 0
+	metricLeadershipLost.Inc()
+	r.log.WithField("term", term).Warn("no longer leads the control VMs")
+	r.applier.LeadershipChanged(false, uint64(term))
+	r.failWaiting("the leader changed")
+}
--- /dev/null
+++ b/control/replica/replica_test.go
@@ -0,0 +1,129 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/clock"
+)
+
+// TestRestartOfAll guards against commands that are lost or applied twice when all
+// processes restart, with snapshots in between.
+func TestRestartOfAll(t *testing.T) {
+	c := newCluster(t, 3)
+	for round := range 3 {
+		c.proposeMany(string(rune('a'+round)), 30)
+		c.awaitEqual(30 * (round + 1))
+		for i := range c.processes {
+			c.stop(i)
+		}
+		for i := range c.processes {
+			c.start(i)
+		}
+	}
+	c.awaitLeader()
+	c.awaitEqual(90)
+}
+
+// TestLeaderChange guards against a cluster that stops, or loses commands, when its
+// leader ends, and against a member that does not catch up by snapshot.
+func TestLeaderChange(t *testing.T) {
+	c := newCluster(t, 3)
+	c.proposeMany("a", 10)
+	first := c.awaitLeader()
+	var stopped int
+	for i, p := range c.processes {
+		if p == first {
+			stopped = i
+		}
+	}
+	c.stop(stopped)
+	c.proposeMany("b", 600)
+	c.start(stopped)
+	c.awaitEqual(610)
+}
+
+// TestResendAfterLostAnswer guards against a command that is applied twice when its
+// answer was lost and it is sent again.
+func TestResendAfterLostAnswer(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.awaitLeader()
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	command := &controlpb.Command{RequestId: "once"}
+	for range 3 {
+		_, _ = leader.Propose(gone, command)
+	}
+	first := c.propose("once")
+	again := c.propose("once")
+	if first.Revision != again.Revision {
+		t.Errorf("results are %v and %v", first, again)
+	}
+	c.awaitEqual(1)
+}
+
+// TestReplacedVoter guards against a VM that lost its disk and goes on under its old
+// identity, and against a replacement that is reported finished too early.
+func TestReplacedVoter(t *testing.T) {
+	c := newCluster(t, 3)
+	c.proposeMany("a", 30)
+	lost := 0
+	for c.processes[lost].Status().Leading {
+		lost++
+	}
+	old := c.processes[lost].Status().Identity
+	c.stop(lost)
+	c.folders[lost] = t.TempDir()
+	c.start(lost)
+	c.proposeMany("b", 10)
+	replacement := c.processes[lost]
+	id := replacement.Status().Identity
+	if id == old {
+		t.Fatal("the identity is the old one")
+	}
+	if len(replacement.state.order()) > 0 {
+		t.Fatal("the replacement takes part without being added")
+	}
+	add := &controlpb.ChangeMembershipRequest{
+		Kind: controlpb.ChangeMembershipRequest_KIND_ADD_LEARNER, Identity: id, Address: c.addresses[lost],
+	}
+	promote := &controlpb.ChangeMembershipRequest{Kind: controlpb.ChangeMembershipRequest_KIND_PROMOTE_LEARNER, Identity: id}
+	remove := &controlpb.ChangeMembershipRequest{Kind: controlpb.ChangeMembershipRequest_KIND_REMOVE, Identity: old}
+	for _, request := range []*controlpb.ChangeMembershipRequest{add, remove, promote, promote} {
+		c.change(request)
+	}
+	for i, p := range c.processes {
+		if i != lost && !p.Status().Leading {
+			c.stop(i)
+		}
+	}
+	c.proposeMany("c", 10)
+	c.awaitEqual(50)
+}
+
+// change sends a membership change until it is confirmed.
+func (c *cluster) change(request *controlpb.ChangeMembershipRequest) {
+	c.t.Helper()
+	c.until("membership change "+request.String(), func() bool {
+		result, err := c.awaitLeader().ChangeMembership(c.t.Context(), request)
+		return err == nil && result.Code == uint32(rescode.OK)
+	})
+}
+
+// TestLeaseAfterPause guards against a lease that is judged by a time which was read
+// before the process was frozen.
+func TestLeaseAfterPause(t *testing.T) {
+	r := &Replica{}
+	now := clock.Now()
+	r.leaseUntil.Store(int64(now + time.Hour))
+	if !r.LeaseValid(now) {
+		t.Error("the lease is not valid before its end")
+	}
+	r.leaseUntil.Store(int64(now))
+	if r.LeaseValid(now - time.Second) {
+		t.Error("the lease is valid after its end")
+	}
+}
--- /dev/null
+++ b/control/replica/transport.go
@@ -0,0 +1,190 @@
+package replica
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+)
+
+const (
+	// peerQueue bounds the messages that wait for one peer. Older messages lose their
+	// worth quickly, so more are dropped.
+	peerQueue = 256
+	// reconnectDelay is the pause after a stream has failed.
+	reconnectDelay = 100 * time.Millisecond
+	// connectTimeout bounds one attempt to connect.
+	connectTimeout = time.Second
+	// keepaliveInterval finds connections that a silent partition has cut. It is the
+	// shortest that grpc-go allows a client.
+	keepaliveInterval = 10 * time.Second
+	// keepaliveTimeout is also the TCP user timeout: a connection on which sent bytes
+	// stay unacknowledged for longer is closed.
+	keepaliveTimeout = 2 * time.Second
+)
+
+// ServerOptions are needed by the gRPC server that a Replica is registered on: a
+// snapshot is one message, and peers ping on idle connections.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(math.MaxInt32),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime: keepaliveInterval / 2, PermitWithoutStream: true,
+		}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+	}
+}
+
+func dialOptions(credentials []grpc.DialOption) []grpc.DialOption {
+	quick := backoff.Config{BaseDelay: reconnectDelay, Multiplier: 1.5, Jitter: 0.2, MaxDelay: connectTimeout}
+	return append([]grpc.DialOption{
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: quick, MinConnectTimeout: connectTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: keepaliveInterval, Timeout: keepaliveTimeout, PermitWithoutStream: true,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(math.MaxInt32)),
+	}, credentials...)
+}
+
+// transport sends messages to other replicas, each address over its own stream.
+type transport struct {
+	ctx     context.Context
+	options []grpc.DialOption
+	log     *logrus.Entry
+
+	// peers is used by the replica's goroutine only.
+	peers   map[string]*peer
+	running sync.WaitGroup
+}
+
+func newTransport(ctx context.Context, options []grpc.DialOption, log *logrus.Entry) *transport {
+	return &transport{ctx: ctx, options: options, log: log, peers: map[string]*peer{}}
+}
+
+// send queues a message and never blocks.
+func (t *transport) send(address string, m *controlpb.ConsensusMessage) {
+	p := t.peers[address]
+	if p == nil {
+		p = t.open(address)
+	}
+	select {
+	case p.queue <- m:
+		metricSent.Inc()
+	default:
+		countDropped(droppedQueueFull)
+	}
+}
+
+func (t *transport) open(address string) *peer {
+	ctx, cancel := context.WithCancel(t.ctx)
+	p := &peer{
+		address: address,
+		queue:   make(chan *controlpb.ConsensusMessage, peerQueue),
+		cancel:  cancel,
+		log:     t.log.WithField("peer", address),
+	}
+	t.peers[address] = p
+	t.running.Go(func() { p.run(ctx, t.options) })
+	return p
+}
+
+// keep closes the connections to all addresses but the given ones.
+func (t *transport) keep(addresses map[string]bool) {
+	for address, p := range t.peers {
+		if !addresses[address] {
+			p.cancel()
+			delete(t.peers, address)
+		}
+	}
+}
+
+// close waits until all connections are closed. The context must have ended.
+func (t *transport) close() {
+	t.running.Wait()
+}
+
+// peer carries messages to one address.
+type peer struct {
+	address string
+	queue   chan *controlpb.ConsensusMessage
+	cancel  context.CancelFunc
+	log     *logrus.Entry
+	// reachable avoids a log line for each failed attempt.
+	reachable bool
+}
+
+func (p *peer) run(ctx context.Context, options []grpc.DialOption) {
+	defer p.cancel()
+	connection, err := grpc.NewClient(p.address, options...)
+	if err != nil {
+		p.log.WithError(err).Error("the address of a control VM cannot be used")
+		return
+	}
+	defer connection.Close()
+	client := controlpb.NewVoterClient(connection)
+	for ctx.Err() == nil {
+		err := p.stream(ctx, client)
+		if ctx.Err() != nil {
+			return
+		}
+		p.note(false, err)
+		p.drain()
+		select {
+		case <-ctx.Done():
+		case <-time.After(reconnectDelay):
+		}
+	}
+}
+
+// stream sends queued messages until the stream fails.
+func (p *peer) stream(ctx context.Context, client controlpb.VoterClient) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := client.Exchange(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case m := <-p.queue:
+			if err := stream.Send(m); err != nil {
+				// The cause of a failed Send is what RecvMsg returns.
+				return stream.RecvMsg(&controlpb.ExchangeReply{})
+			}
+			p.note(true, nil)
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
+
+func (p *peer) note(reachable bool, err error) {
+	if reachable == p.reachable {
+		return
+	}
+	p.reachable = reachable
+	if reachable {
+		p.log.Info("connected to control VM")
+	} else {
+		p.log.WithError(err).Warn("connection to control VM lost")
+	}
+}
+
+// drain drops what queued up before a stream failed.
+func (p *peer) drain() {
+	for {
+		select {
+		case <-p.queue:
+			countDropped(droppedStream)
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/wal/log.go
@@ -0,0 +1,221 @@
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jayloom/jayloom/consensus"
+)
+
+// maxSegmentBytes is the size from which on a new segment is started.
+const maxSegmentBytes = 16 << 20
+
+// identityBytes make two identities equal with negligible probability.
+const identityBytes = 16
+
+// Log is the durable log of one member.
+type Log interface {
+	// Append makes the hard state and the entries durable. Entries replace all from
+	// the index of the first one on.
+	Append(hs consensus.HardState, entries []consensus.Entry) error
+	// SaveSnapshot makes a snapshot durable and drops the entries that it includes,
+	// and all entries if they do not continue the snapshot.
+	SaveSnapshot(s consensus.Snapshot) error
+	Close() error
+}
+
+// Loaded is what a data folder held when it was opened.
+type Loaded struct {
+	// Identity is new when the folder was empty.
+	Identity  consensus.ID
+	HardState consensus.HardState
+	// Snapshot is nil when there is none.
+	Snapshot *consensus.Snapshot
+	// Entries follow the snapshot.
+	Entries []consensus.Entry
+}
+
+// ErrFailed is returned after a failed write: what is durable is then unknown.
+var ErrFailed = errors.New("wal: an earlier write failed")
+
+// FolderLog is the Log in a data folder.
+type FolderLog struct {
+	mu     sync.Mutex
+	folder string
+	lock   *os.File
+	failed bool
+
+	identity consensus.ID
+	hard     consensus.HardState
+	// base is the entry before terms[0].
+	base          consensus.Index
+	baseTerm      consensus.Term
+	terms         []consensus.Term
+	snapshotIndex consensus.Index
+
+	// segments are ordered; the last one is open as file and ends at size.
+	segments []segment
+	file     *os.File
+	size     int64
+}
+
+type segment struct {
+	number uint64
+	// highest is the highest index ever written to the segment.
+	highest consensus.Index
+}
+
+// Open opens a data folder, and creates it with a new identity if it is empty.
+func Open(folder string) (*FolderLog, *Loaded, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, nil, errors.Wrap(err, "create data folder")
+	}
+	lock, err := lockFolder(folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	l := &FolderLog{folder: folder, lock: lock}
+	loaded, err := l.load()
+	if err != nil {
+		_ = l.Close()
+		return nil, nil, err
+	}
+	return l, loaded, nil
+}
+
+// Append implements Log.
+func (l *FolderLog) Append(hs consensus.HardState, entries []consensus.Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed {
+		return ErrFailed
+	}
+	if len(entries) > 0 {
+		if err := checkSequence(entries, l.base, l.last()); err != nil {
+			return errors.Wrap(err, "append")
+		}
+	}
+	return l.orFail(l.append(hs, entries))
+}
+
+func (l *FolderLog) append(hs consensus.HardState, entries []consensus.Entry) error {
+	if l.size >= maxSegmentBytes {
+		if err := l.startSegment(false); err != nil {
+			return err
+		}
+	}
+	if err := l.write(recordBatch, encodeBatch(hs, entries)); err != nil {
+		return err
+	}
+	l.hard = hs
+	if len(entries) == 0 {
+		return nil
+	}
+	l.terms = l.terms[:entries[0].Index-l.base-1]
+	for _, e := range entries {
+		l.terms = append(l.terms, e.Term)
+	}
+	current := &l.segments[len(l.segments)-1]
+	current.highest = max(current.highest, l.last())
+	return nil
+}
+
+// SaveSnapshot implements Log.
+func (l *FolderLog) SaveSnapshot(s consensus.Snapshot) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed {
+		return ErrFailed
+	}
+	if s.Index <= l.snapshotIndex {
+		return errors.Newf("snapshot %d is not newer than snapshot %d", s.Index, l.snapshotIndex)
+	}
+	return l.orFail(l.saveSnapshot(s))
+}
+
+func (l *FolderLog) saveSnapshot(s consensus.Snapshot) error {
+	if err := writeSnapshot(l.folder, l.identity, s); err != nil {
+		return err
+	}
+	reset := l.trim(s.SnapshotMeta)
+	if err := l.startSegment(reset); err != nil {
+		return err
+	}
+	return l.removeBefore(s.Index, reset)
+}
+
+// trim drops from memory what a snapshot includes, and everything if the log does
+// not continue the snapshot. It returns true in the second case, in which the next
+// segment must be marked as a reset.
+func (l *FolderLog) trim(s consensus.SnapshotMeta) bool {
+	term, held := l.term(s.Index)
+	continues := held && term == s.Term
+	if continues {
+		l.terms = append([]consensus.Term(nil), l.terms[s.Index-l.base:]...)
+	} else {
+		l.terms = nil
+	}
+	l.base, l.baseTerm = s.Index, s.Term
+	l.snapshotIndex = s.Index
+	return !continues
+}
+
+// removeBefore removes the files that a durable snapshot replaces.
+func (l *FolderLog) removeBefore(snapshot consensus.Index, reset bool) error {
+	if err := l.removeSegments(reset); err != nil {
+		return err
+	}
+	return removeSnapshotsBefore(l.folder, snapshot)
+}
+
+// Close implements Log. It does not sync, because Append has.
+func (l *FolderLog) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed = true
+	var err error
+	if l.file != nil {
+		err = l.file.Close()
+		l.file = nil
+	}
+	return errors.CombineErrors(err, l.lock.Close())
+}
+
+// orFail refuses later writes after a failed one. The kernel may drop the pages of a
+// failed sync, so a retry could report data durable that is lost.
+func (l *FolderLog) orFail(err error) error {
+	if err != nil {
+		l.failed = true
+	}
+	return err
+}
+
+func (l *FolderLog) last() consensus.Index {
+	return l.base + consensus.Index(len(l.terms))
+}
+
+func (l *FolderLog) term(i consensus.Index) (consensus.Term, bool) {
+	if i == l.base {
+		return l.baseTerm, true
+	}
+	if i < l.base || i > l.last() {
+		return 0, false
+	}
+	return l.terms[i-l.base-1], true
+}
+
+func newIdentity() consensus.ID {
+	random := make([]byte, identityBytes)
+	// crypto/rand.Read ends the process when the system has no randomness.
+	_, _ = rand.Read(random)
+	return consensus.ID(hex.EncodeToString(random))
+}
+
+func (l *FolderLog) segmentPath(number uint64) string {
+	return filepath.Join(l.folder, segmentName(number))
+}
