--- a/control/operator.go
+++ b/control/operator.go
@@ -124,15 +124,7 @@
 		State:      s.store.ForOperators(),
 		Leader:     status.LeaderAddress,
 		LeaderTerm: status.Term,
-	}
-	for _, m := range status.Members {
-		reply.Voters = append(reply.Voters, &controlpb.VoterStatus{
-			Identity:   m.Identity,
-			Address:    m.Address,
-			Learner:    m.Learner,
-			MatchIndex: m.MatchIndex,
-			Active:     m.Active,
-		})
+		Voters:     status.Members,
 	}
 	s.leader.describe(ctx, reply)
 	return reply, nil
