--- /dev/null
+++ b/policy/fairq/fairq.go
@@ -0,0 +1,134 @@
+// Package fairq orders waiting requests by start-time fair queueing over teams:
+// each team gets an equal part of what is handed out, however much it asks for.
+package fairq
+
+// Item is one waiting request. It belongs to one queue at a time.
+type Item[T any] struct {
+	Value T
+	team  *team[T]
+}
+
+type team[T any] struct {
+	name    string
+	waiting []*Item[T]
+	// start is the virtual time at which the team's first waiting item may start.
+	start float64
+}
+
+// Queue is a fair queue. It has one owner.
+type Queue[T any] struct {
+	teams map[string]*team[T]
+	// now is the virtual time: the start of the item that was handed out last.
+	now     float64
+	waiting int
+}
+
+// New returns an empty queue.
+func New[T any]() *Queue[T] {
+	return &Queue[T]{teams: map[string]*team[T]{}}
+}
+
+// Len returns the number of waiting items.
+func (q *Queue[T]) Len() int {
+	return q.waiting
+}
+
+// TeamLen returns the number of waiting items of a team.
+func (q *Queue[T]) TeamLen(name string) int {
+	if t, ok := q.teams[name]; ok {
+		return len(t.waiting)
+	}
+	return 0
+}
+
+// Push adds a request of a team.
+func (q *Queue[T]) Push(name string, value T) *Item[T] {
+	t, ok := q.teams[name]
+	if !ok {
+		t = &team[T]{name: name, start: q.now}
+		q.teams[name] = t
+	}
+	if len(t.waiting) == 0 {
+		// A team that was away gets no credit for its absence.
+		t.start = max(t.start, q.now)
+	}
+	item := &Item[T]{Value: value, team: t}
+	t.waiting = append(t.waiting, item)
+	q.waiting++
+	return item
+}
+
+// Pop returns the item that starts next.
+func (q *Queue[T]) Pop() (T, bool) {
+	next := q.first()
+	if next == nil {
+		var none T
+		return none, false
+	}
+	item := next.waiting[0]
+	next.waiting[0] = nil
+	next.waiting = next.waiting[1:]
+	q.waiting--
+	q.charge(next)
+	return item.Value, true
+}
+
+// Charge counts a request of a team that was served without waiting.
+func (q *Queue[T]) Charge(name string) {
+	if q.waiting == 0 {
+		// Nobody competes, so there is nothing to account for.
+		return
+	}
+	t, ok := q.teams[name]
+	if !ok {
+		t = &team[T]{name: name}
+		q.teams[name] = t
+	}
+	t.start = max(t.start, q.now)
+	q.charge(t)
+}
+
+func (q *Queue[T]) charge(t *team[T]) {
+	q.now = max(q.now, t.start)
+	t.start++
+	if q.waiting == 0 {
+		q.reset()
+	}
+}
+
+// reset forgets all accounts once nobody waits.
+func (q *Queue[T]) reset() {
+	clear(q.teams)
+	q.now = 0
+}
+
+// first returns the waiting team with the earliest start; the name decides ties.
+func (q *Queue[T]) first() *team[T] {
+	var best *team[T]
+	for _, t := range q.teams {
+		if len(t.waiting) == 0 {
+			continue
+		}
+		if best == nil || t.start < best.start || t.start == best.start && t.name < best.name {
+			best = t
+		}
+	}
+	return best
+}
+
+// Remove takes a waiting item out. It reports false when the item was handed out.
+func (q *Queue[T]) Remove(item *Item[T]) bool {
+	t := item.team
+	for i, other := range t.waiting {
+		if other != item {
+			continue
+		}
+		t.waiting = append(t.waiting[:i:i], t.waiting[i+1:]...)
+		q.waiting--
+		if q.waiting == 0 {
+			q.reset()
+		}
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/policy/session/token.go
@@ -0,0 +1,157 @@
+package session
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+const (
+	// version is the first byte of a token.
+	version = 1
+	// maxPositions bounds what a token may claim.
+	maxPositions = 256
+	// maxTokenText bounds the text that is decoded at all.
+	maxTokenText = 16 << 10
+)
+
+// Identity names a session over its connections.
+type Identity [16]byte
+
+// NewIdentity returns a random identity.
+func NewIdentity() Identity {
+	var id Identity
+	// crypto/rand.Read never returns an error.
+	_, _ = rand.Read(id[:])
+	return id
+}
+
+// String returns the identity in hexadecimal.
+func (id Identity) String() string {
+	return hex.EncodeToString(id[:])
+}
+
+// ParseIdentity reads an identity without positions.
+func ParseIdentity(text string) (Identity, bool) {
+	var id Identity
+	if len(text) != hex.EncodedLen(len(id)) {
+		return id, false
+	}
+	_, err := hex.Decode(id[:], []byte(text))
+	return id, err == nil
+}
+
+// Token is what a caller carries between connections.
+type Token struct {
+	Identity  Identity
+	Positions Positions
+}
+
+// Sign returns the token's text, bound to the team.
+func (t Token) Sign(key []byte, team string) string {
+	payload := t.encode()
+	return base64.RawURLEncoding.EncodeToString(append(payload, mac(key, team, payload)...))
+}
+
+func (t Token) encode() []byte {
+	b := make([]byte, 0, 64+32*len(t.Positions))
+	b = append(b, version)
+	b = append(b, t.Identity[:]...)
+	b = binary.AppendUvarint(b, uint64(len(t.Positions)))
+	for _, p := range t.Positions {
+		b = binary.AppendUvarint(b, uint64(len(p.Group)))
+		b = append(b, p.Group...)
+		b = binary.AppendUvarint(b, p.Term)
+		b = binary.AppendUvarint(b, p.LSN)
+	}
+	return b
+}
+
+// mac covers the team with its length, so that no other split of team and payload
+// has the same code.
+func mac(key []byte, team string, payload []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	var length [binary.MaxVarintLen64]byte
+	h.Write(length[:binary.PutUvarint(length[:], uint64(len(team)))])
+	h.Write([]byte(team))
+	h.Write(payload)
+	return h.Sum(nil)
+}
+
+// Verify reads a token that was signed for the team.
+func Verify(key []byte, team, text string) (Token, *rescode.Error) {
+	if len(text) > maxTokenText {
+		return Token{}, invalid("the token is too long")
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(raw) < sha256.Size {
+		return Token{}, invalid("the token is not of the form that jayloom.session reports")
+	}
+	payload, code := raw[:len(raw)-sha256.Size], raw[len(raw)-sha256.Size:]
+	if len(key) == 0 || !hmac.Equal(code, mac(key, team, payload)) {
+		return Token{}, invalid("the token does not verify for the team")
+	}
+	token, ok := decode(payload)
+	if !ok {
+		return Token{}, invalid("the token's content cannot be read")
+	}
+	return token, nil
+}
+
+// decode reads a payload. It accepts only what encode writes.
+func decode(b []byte) (Token, bool) {
+	var t Token
+	if len(b) < 1+len(t.Identity) || b[0] != version {
+		return t, false
+	}
+	copy(t.Identity[:], b[1:])
+	d := decoder{rest: b[1+len(t.Identity):]}
+	count := d.number()
+	if count > maxPositions {
+		return t, false
+	}
+	for range count {
+		p := Position{Group: d.text(), Term: d.number(), LSN: d.number()}
+		if d.failed || len(t.Positions) > 0 && t.Positions[len(t.Positions)-1].Group >= p.Group {
+			return t, false
+		}
+		t.Positions = append(t.Positions, p)
+	}
+	return t, !d.failed && len(d.rest) == 0
+}
+
+type decoder struct {
+	rest   []byte
+	failed bool
+}
+
+func (d *decoder) number() uint64 {
+	n, size := binary.Uvarint(d.rest)
+	if size <= 0 {
+		d.failed = true
+		d.rest = nil
+		return 0
+	}
+	d.rest = d.rest[size:]
+	return n
+}
+
+func (d *decoder) text() string {
+	n := d.number()
+	if d.failed || n > uint64(len(d.rest)) {
+		d.failed = true
+		return ""
+	}
+	s := string(d.rest[:n])
+	d.rest = d.rest[n:]
+	return s
+}
+
+func invalid(text string) *rescode.Error {
+	return rescode.New(rescode.SessionTokenInvalid, "%s", text)
+}
--- /dev/null
+++ b/proxy/admission.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+// TokenHolder holds the request tokens that control granted. It is not safe for
+// concurrent use; admission guards it.
+type TokenHolder interface {
+	Take(now time.Duration, team string) bool
+	// Exhausted says that the owner reported the team's bucket as empty.
+	Exhausted(team string) bool
+	// Urgent says that a report should be sent before the next interval.
+	Urgent(now time.Duration) bool
+	Waiting(team string, delta int)
+	Report(now time.Duration) []*controlpb.TokenDemand
+	Grant(now, sentAt time.Duration, grant *controlpb.TokenGrant)
+	StreamStarted(now time.Duration)
+}
+
+// admission hands out request tokens, in order of arrival within a team.
+type admission struct {
+	mu      sync.Mutex
+	holder  TokenHolder
+	waiting map[string][]*tokenWaiter
+	urgent  func()
+}
+
+type tokenWaiter struct {
+	granted chan struct{}
+}
+
+func newAdmission(holder TokenHolder, urgent func()) *admission {
+	return &admission{holder: holder, waiting: map[string][]*tokenWaiter{}, urgent: urgent}
+}
+
+// take takes a token without waiting.
+func (a *admission) take(now time.Duration, team string) bool {
+	a.mu.Lock()
+	taken := len(a.waiting[team]) == 0 && a.holder.Take(now, team)
+	urgent := a.holder.Urgent(now)
+	a.mu.Unlock()
+	if urgent {
+		a.urgent()
+	}
+	return taken
+}
+
+// wait takes a token, waiting until ctx ends. limit bounds the wait while the
+// team's bucket is known to be empty.
+func (a *admission) wait(ctx context.Context, now time.Duration, team string, limit time.Duration) *rescode.Error {
+	if a.take(now, team) {
+		return nil
+	}
+	metricTokenWaits.Inc()
+	w := a.enqueue(team)
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	expired := timer.C
+	for {
+		select {
+		case <-w.granted:
+			return nil
+		case <-ctx.Done():
+			return a.giveUp(w, team)
+		case <-expired:
+			if a.exhausted(team) {
+				return a.giveUp(w, team)
+			}
+			// No owner answers: the request waits for its deadline, or for the
+			// answer that the bucket is empty.
+			timer.Reset(limit)
+		}
+	}
+}
+
+func (a *admission) exhausted(team string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holder.Exhausted(team)
+}
+
+func (a *admission) enqueue(team string) *tokenWaiter {
+	w := &tokenWaiter{granted: make(chan struct{})}
+	a.mu.Lock()
+	a.waiting[team] = append(a.waiting[team], w)
+	a.holder.Waiting(team, 1)
+	a.mu.Unlock()
+	a.urgent()
+	return w
+}
+
+// giveUp takes a waiter out. A token that was granted at the same moment is used.
+func (a *admission) giveUp(w *tokenWaiter, team string) *rescode.Error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	queue := a.waiting[team]
+	for i, other := range queue {
+		if other == w {
+			a.setWaiting(team, append(queue[:i:i], queue[i+1:]...))
+			a.holder.Waiting(team, -1)
+			return rescode.New(rescode.RateExceeded, "team %q", team)
+		}
+	}
+	return nil
+}
+
+func (a *admission) setWaiting(team string, queue []*tokenWaiter) {
+	if len(queue) == 0 {
+		delete(a.waiting, team)
+		return
+	}
+	a.waiting[team] = queue
+}
+
+// Report implements attend.TokenReporter.
+func (a *admission) Report(now time.Duration) []*controlpb.TokenDemand {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holder.Report(now)
+}
+
+// StreamStarted implements attend.TokenReporter.
+func (a *admission) StreamStarted(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holder.StreamStarted(now)
+}
+
+// Grant implements attend.TokenReporter and serves who waits.
+func (a *admission) Grant(now, sentAt time.Duration, grant *controlpb.TokenGrant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holder.Grant(now, sentAt, grant)
+	queue := a.waiting[grant.Team]
+	for len(queue) > 0 && a.holder.Take(now, grant.Team) {
+		close(queue[0].granted)
+		queue = queue[1:]
+		a.holder.Waiting(grant.Team, -1)
+	}
+	a.setWaiting(grant.Team, queue)
+}
--- a/proxy/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package proxy is under construction.
-package proxy
--- /dev/null
+++ b/proxy/metrics.go
@@ -0,0 +1,84 @@
+package proxy
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+// metricResults counts the result codes that callers were answered with.
+var metricResults = func() map[rescode.Code]*metrics.Counter {
+	m := map[rescode.Code]*metrics.Counter{}
+	for _, info := range rescode.All() {
+		m[info.Code] = metrics.NewCounter(fmt.Sprintf(`jayloom_proxy_results_total{code="%d",name=%q}`, info.Code, info.Name))
+	}
+	return m
+}()
+
+func countResult(code rescode.Code) {
+	if c, ok := metricResults[code]; ok {
+		c.Inc()
+	}
+}
+
+// retryReason says why a request was sent again.
+type retryReason string
+
+const (
+	retryNotSent     retryReason = "not_sent"
+	retryAnswerLost  retryReason = "answer_lost"
+	retryWithoutTerm retryReason = "primary_not_leased"
+	retryRefused     retryReason = "budget_exhausted"
+)
+
+var metricRetries = labelled("jayloom_proxy_retries_total", "reason",
+	retryNotSent, retryAnswerLost, retryWithoutTerm, retryRefused)
+
+// readReason says why a read went to its target.
+type readReason string
+
+const (
+	readFloor       readReason = "floor"
+	readAge         readReason = "age"
+	readNoReplica   readReason = "no_replica"
+	readNotReached  readReason = "not_reached"
+	readFellBehind  readReason = "check_failed"
+	readReplicaLost readReason = "replica_failed"
+	readPinned      readReason = "bound"
+)
+
+var (
+	metricReadsReplica = labelled("jayloom_proxy_reads_replica_total", "reason", readFloor, readAge, readPinned)
+	metricReadsPrimary = labelled("jayloom_proxy_reads_primary_total", "reason",
+		readNoReplica, readNotReached, readFellBehind, readReplicaLost, readPinned)
+)
+
+func labelled[L ~string](name, label string, values ...L) map[L]*metrics.Counter {
+	m := make(map[L]*metrics.Counter, len(values))
+	for _, value := range values {
+		m[value] = metrics.NewCounter(fmt.Sprintf("%s{%s=%q}", name, label, string(value)))
+	}
+	return m
+}
+
+var (
+	metricRequests        = metrics.NewCounter("jayloom_proxy_requests_total")
+	metricCallers         = metrics.NewCounter("jayloom_proxy_callers_total")
+	metricBarrierBatches  = metrics.NewCounter("jayloom_proxy_barrier_batches_total")
+	metricBarrierRequests = metrics.NewCounter("jayloom_proxy_barrier_requests_total")
+	metricReplicaQuestion = metrics.NewCounter("jayloom_proxy_replica_questions_total")
+	metricPositionTrips   = metrics.NewCounter("jayloom_proxy_position_round_trips_total")
+	metricCancels         = metrics.NewCounter("jayloom_proxy_cancels_total")
+	metricCancelsForeign  = metrics.NewCounter("jayloom_proxy_cancels_forwarded_total")
+	metricCancelsDropped  = metrics.NewCounter("jayloom_proxy_cancels_dropped_total")
+	metricDials           = metrics.NewCounter("jayloom_proxy_upstream_dials_total")
+	metricDialFailures    = metrics.NewCounter("jayloom_proxy_upstream_dial_failures_total")
+	metricClosed          = metrics.NewCounter("jayloom_proxy_upstream_closed_total")
+	metricStale           = metrics.NewCounter("jayloom_proxy_upstream_stale_total")
+	metricResets          = metrics.NewCounter("jayloom_proxy_upstream_resets_total")
+	metricQueued          = metrics.NewCounter("jayloom_proxy_pool_queued_total")
+	metricPins            = metrics.NewCounter("jayloom_proxy_pins_total")
+	metricTokenWaits      = metrics.NewCounter("jayloom_proxy_token_waits_total")
+)
