--- /dev/null
+++ b/cmd/jayloom-proxy/main.go
@@ -0,0 +1,197 @@
+// Command jayloom-proxy serves callers between them and the database servers.
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/logging"
+	"github.com/jayloom/jayloom/base/metricsrv"
+	"github.com/jayloom/jayloom/base/settings"
+	"github.com/jayloom/jayloom/policy/rate"
+	"github.com/jayloom/jayloom/policy/share"
+	"github.com/jayloom/jayloom/proxy"
+	"github.com/jayloom/jayloom/proxy/attend"
+	"github.com/jayloom/jayloom/proxy/view"
+)
+
+// Exit statuses.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() {
+	o, err := parseOptions(os.Args[1:])
+	if err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitSettings)
+	}
+	if o.Version {
+		printVersion(os.Stdout)
+		return
+	}
+	s, err := o.load()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return
+	}
+	log, err := logging.New(s.Log.Format, s.Log.Level, "jayloom-proxy", s.VM.Name)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if err := run(s, log); err != nil {
+		log.WithError(err).Error("stopped")
+		os.Exit(exitFailure)
+	}
+}
+
+// process is what run starts and stops.
+type process struct {
+	settings *settings.Settings
+	log      *logrus.Entry
+	server   *proxy.Server
+	attend   *attend.Client
+	peering  *grpc.Server
+	callers  net.Listener
+}
+
+func run(s *settings.Settings, log *logrus.Entry) error {
+	p, err := newProcess(s, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	failed := make(chan error, 2)
+	attending, stopAttending := context.WithCancel(context.Background())
+	defer stopAttending()
+	go p.attend.Run(attending)
+	go func() { failed <- p.server.Serve(p.callers) }()
+	log.WithField("listen", p.callers.Addr().String()).Info("serving callers")
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	p.shutDown()
+	return nil
+}
+
+// shutDown ends callers at their transaction boundaries and leaves the fleet.
+func (p *process) shutDown() {
+	p.log.Info("draining")
+	limit := time.Duration(p.settings.Proxy.DrainTimeoutMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	p.server.Drain(ctx)
+	leaving, cancelLeaving := context.WithTimeout(context.Background(), time.Second)
+	defer cancelLeaving()
+	p.attend.Leave(leaving)
+	p.peering.Stop()
+	p.server.Close()
+	p.log.Info("stopped")
+}
+
+func newProcess(s *settings.Settings, log *logrus.Entry) (*process, error) {
+	transport, err := transportCredentials(s)
+	if err != nil {
+		return nil, err
+	}
+	callerTLS, err := callerTLS(s)
+	if err != nil {
+		return nil, err
+	}
+	dial := []grpc.DialOption{grpc.WithTransportCredentials(transport)}
+	store := view.NewStore()
+	p := &process{settings: s, log: log}
+	p.server = proxy.New(proxy.Options{
+		Settings: s.Proxy,
+		Store:    store,
+		Tokens:   rate.NewHolder(),
+		Shares:   share.NewHolder(),
+		TLS:      callerTLS,
+		Peers:    &proxy.Peers{DialOptions: dial},
+		Log:      log,
+	})
+	p.attend = attend.New(store, attend.Options{
+		Voters: s.Cluster.Voters,
+		Member: &controlpb.ProxyMember{
+			Name:           s.VM.Name,
+			PeeringAddress: s.Proxy.AdvertisePeering,
+			Place:          s.VM.Place,
+		},
+		DialOptions: dial,
+		Tokens:      p.server.TokenReporter(),
+		Shares:      p.server.ShareReporter(),
+		Log:         log,
+	})
+	p.server.OnUrgent(p.attend.ReportNow)
+	return p, p.listen(transport)
+}
+
+func (p *process) listen(transport credentials.TransportCredentials) error {
+	s := p.settings.Proxy
+	peering, err := listen(s.ListenPeering)
+	if err != nil {
+		return err
+	}
+	p.peering = grpc.NewServer(grpc.Creds(transport))
+	controlpb.RegisterPeeringServer(p.peering, &proxy.PeeringServer{Server: p.server})
+	go func() { _ = p.peering.Serve(peering) }()
+	if s.ListenHTTP != "" {
+		if _, err := metricsrv.Start(s.ListenHTTP); err != nil {
+			return errors.Join(rescode.New(rescode.AddressInUse, "%s", s.ListenHTTP), err)
+		}
+	}
+	p.callers, err = listen(s.Listen)
+	return err
+}
+
+func listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Join(rescode.New(rescode.AddressInUse, "%s", address), err)
+	}
+	return listener, nil
+}
+
+func transportCredentials(s *settings.Settings) (credentials.TransportCredentials, error) {
+	if s.TLS.Identity.Empty() {
+		return insecure.NewCredentials(), nil
+	}
+	config, err := s.TLS.Identity.Mutual()
+	if err != nil {
+		return nil, err
+	}
+	return credentials.NewTLS(config), nil
+}
+
+func callerTLS(s *settings.Settings) (*tls.Config, error) {
+	if s.Proxy.CallerTLS.Empty() {
+		return nil, nil
+	}
+	return s.Proxy.CallerTLS.Server()
+}
--- a/policy/fairq/fairq.go
+++ b/policy/fairq/fairq.go
@@ -2,15 +2,11 @@
 // each team gets an equal part of what is handed out, however much it asks for.
 package fairq
 
-// Item is one waiting request. It belongs to one queue at a time.
-type Item[T any] struct {
-	Value T
-	team  *team[T]
-}
+import "slices"
 
 type team[T any] struct {
 	name    string
-	waiting []*Item[T]
+	waiting []T
 	// start is the virtual time at which the team's first waiting item may start.
 	start float64
 }
@@ -42,7 +38,7 @@
 }
 
 // Push adds a request of a team.
-func (q *Queue[T]) Push(name string, value T) *Item[T] {
+func (q *Queue[T]) Push(name string, value T) {
 	t, ok := q.teams[name]
 	if !ok {
 		t = &team[T]{name: name, start: q.now}
@@ -52,10 +48,8 @@
 		// A team that was away gets no credit for its absence.
 		t.start = max(t.start, q.now)
 	}
-	item := &Item[T]{Value: value, team: t}
-	t.waiting = append(t.waiting, item)
+	t.waiting = append(t.waiting, value)
 	q.waiting++
-	return item
 }
 
 // Pop returns the item that starts next.
@@ -65,27 +59,11 @@
 		var none T
 		return none, false
 	}
-	item := next.waiting[0]
-	next.waiting[0] = nil
-	next.waiting = next.waiting[1:]
+	value := next.waiting[0]
+	next.waiting = slices.Delete(next.waiting, 0, 1)
 	q.waiting--
 	q.charge(next)
-	return item.Value, true
-}
-
-// Charge counts a request of a team that was served without waiting.
-func (q *Queue[T]) Charge(name string) {
-	if q.waiting == 0 {
-		// Nobody competes, so there is nothing to account for.
-		return
-	}
-	t, ok := q.teams[name]
-	if !ok {
-		t = &team[T]{name: name}
-		q.teams[name] = t
-	}
-	t.start = max(t.start, q.now)
-	q.charge(t)
+	return value, true
 }
 
 func (q *Queue[T]) charge(t *team[T]) {
@@ -116,19 +94,21 @@
 	return best
 }
 
-// Remove takes a waiting item out. It reports false when the item was handed out.
-func (q *Queue[T]) Remove(item *Item[T]) bool {
-	t := item.team
-	for i, other := range t.waiting {
-		if other != item {
-			continue
-		}
-		t.waiting = append(t.waiting[:i:i], t.waiting[i+1:]...)
-		q.waiting--
-		if q.waiting == 0 {
-			q.reset()
-		}
-		return true
+// Remove takes the first waiting item of a team that matches out of the queue. It
+// reports false when there is none, because the item was handed out.
+func (q *Queue[T]) Remove(name string, matches func(T) bool) bool {
+	t, ok := q.teams[name]
+	if !ok {
+		return false
+	}
+	at := slices.IndexFunc(t.waiting, matches)
+	if at < 0 {
+		return false
+	}
+	t.waiting = slices.Delete(t.waiting, at, at+1)
+	q.waiting--
+	if q.waiting == 0 {
+		q.reset()
 	}
-	return false
+	return true
 }
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -7,6 +7,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/clock"
 )
 
 // TokenHolder holds the request tokens that control granted. It is not safe for
@@ -14,7 +15,7 @@
 type TokenHolder interface {
 	Take(now time.Duration, team string) bool
 	// Exhausted says that the owner reported the team's bucket as empty.
-	Exhausted(team string) bool
+	Exhausted(now time.Duration, team string) bool
 	// Urgent says that a report should be sent before the next interval.
 	Urgent(now time.Duration) bool
 	Waiting(team string, delta int)
@@ -69,7 +70,7 @@
 		case <-ctx.Done():
 			return a.giveUp(w, team)
 		case <-expired:
-			if a.exhausted(team) {
+			if a.exhausted(clock.Now(), team) {
 				return a.giveUp(w, team)
 			}
 			// No owner answers: the request waits for its deadline, or for the
@@ -79,10 +80,10 @@
 	}
 }
 
-func (a *admission) exhausted(team string) bool {
+func (a *admission) exhausted(now time.Duration, team string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.holder.Exhausted(team)
+	return a.holder.Exhausted(now, team)
 }
 
 func (a *admission) enqueue(team string) *tokenWaiter {
--- a/proxy/attend/client.go
+++ b/proxy/attend/client.go
@@ -207,6 +207,7 @@
 	c := s.client
 	c.applier.sends.reset()
 	c.opts.Tokens.StreamStarted(clock.Now())
+	c.opts.Shares.StreamStarted(clock.Now())
 	if err := s.report(false); err != nil {
 		return err
 	}
--- a/proxy/attend/holders.go
+++ b/proxy/attend/holders.go
@@ -19,4 +19,5 @@
 type ShareReporter interface {
 	Report(now time.Duration) []*controlpb.ShareDemand
 	Grant(now, sentAt time.Duration, grant *controlpb.ShareGrant)
+	StreamStarted(now time.Duration)
 }
--- /dev/null
+++ b/proxy/auth.go
@@ -0,0 +1,206 @@
+package proxy
+
+import (
+	"crypto/hmac"
+	"crypto/pbkdf2"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/policy/route"
+	"github.com/jayloom/jayloom/proxy/view"
+	"github.com/jayloom/jayloom/proxy/wire"
+)
+
+const mechanism = "SCRAM-SHA-256"
+
+// checkCaller finds the team and checks the key that the caller shows.
+func (h *handshake) checkCaller(s *caller) error {
+	snapshot := h.server.view.Current()
+	if !snapshot.Routes.HasService(s.service) {
+		return rescode.New(rescode.UnknownService, "service %q", s.service)
+	}
+	team, ok := snapshot.Teams[s.team]
+	if !ok {
+		return rescode.New(rescode.UnknownTeam, "")
+	}
+	if s.team == route.PublicTeam {
+		return nil
+	}
+	var err error
+	if h.inTLS || isLoopback(h.net) {
+		s.keyID, err = h.cleartext(team)
+	} else {
+		s.keyID, err = h.scram(team)
+	}
+	return err
+}
+
+func isLoopback(conn net.Conn) bool {
+	tcp, ok := conn.RemoteAddr().(*net.TCPAddr)
+	return ok && tcp.IP.IsLoopback()
+}
+
+func (h *handshake) passwordMessage() ([]byte, error) {
+	if _, err := h.out.Flush(); err != nil {
+		return nil, err
+	}
+	frame, err := h.rd.Next()
+	if err != nil {
+		return nil, err
+	}
+	if frame.Type != 'p' {
+		return nil, malformed("a password message was expected")
+	}
+	return frame.Body(), nil
+}
+
+// cleartext checks a password. It returns the identifier of its key.
+func (h *handshake) cleartext(team *view.Team) (string, error) {
+	h.out.Message(&pgproto3.AuthenticationCleartextPassword{})
+	body, err := h.passwordMessage()
+	if err != nil {
+		return "", err
+	}
+	var message pgproto3.PasswordMessage
+	if err := message.Decode(body); err != nil {
+		return "", malformed("the password message cannot be read")
+	}
+	if id, ok := matchPassword(team, message.Password); ok {
+		return id, nil
+	}
+	return "", rescode.New(rescode.WrongKey, "")
+}
+
+// matchPassword derives the stored key of a password and compares it with those of
+// all active keys, in a time that does not depend on which one matches.
+func matchPassword(team *view.Team, password string) (string, bool) {
+	if _, ok := wire.KeyID(password); !ok || team.Iterations < 1 {
+		return "", false
+	}
+	salted, err := pbkdf2.Key(sha256.New, password, team.Salt, team.Iterations, sha256.Size)
+	if err != nil {
+		return "", false
+	}
+	mac := hmac.New(sha256.New, salted)
+	mac.Write([]byte("Client Key"))
+	stored := sha256.Sum256(mac.Sum(nil))
+	matched := -1
+	for i, key := range team.Keys {
+		equal := subtle.ConstantTimeCompare(stored[:], key.StoredKey)
+		matched = subtle.ConstantTimeSelect(equal, i, matched)
+	}
+	if matched < 0 {
+		return "", false
+	}
+	return team.Keys[matched].ID, true
+}
+
+// scram runs SCRAM-SHA-256. It returns the identifier of the key that matched.
+func (h *handshake) scram(team *view.Team) (string, error) {
+	h.out.Message(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+	body, err := h.passwordMessage()
+	if err != nil {
+		return "", err
+	}
+	var initial pgproto3.SASLInitialResponse
+	if err := initial.Decode(body); err != nil || initial.AuthMechanism != mechanism {
+		return "", refuseInitial(body)
+	}
+	exchange := newScramExchange(team)
+	challenge, err := exchange.first(string(initial.Data))
+	if err != nil {
+		return "", rescode.New(rescode.WrongKey, "")
+	}
+	h.out.Message(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
+	body, err = h.passwordMessage()
+	if err != nil {
+		return "", err
+	}
+	var response pgproto3.SASLResponse
+	if err := response.Decode(body); err != nil {
+		return "", malformed("the SASL response cannot be read")
+	}
+	id, final, ok := exchange.last(string(response.Data))
+	if !ok {
+		return "", rescode.New(rescode.WrongKey, "")
+	}
+	h.out.Message(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	return id, nil
+}
+
+// refuseInitial tells a password from another mechanism: a password that was not
+// asked for has just crossed the network.
+func refuseInitial(body []byte) *rescode.Error {
+	if len(body) > 0 && body[len(body)-1] == 0 {
+		if _, ok := wire.KeyID(string(body[:len(body)-1])); ok {
+			return rescode.New(rescode.CleartextRefused, "")
+		}
+	}
+	return rescode.New(rescode.UnsupportedProtocol, "authentication other than %s", mechanism)
+}
+
+// scramExchange runs one conversation per active key over the same messages, because
+// the caller does not say which of the team's keys it holds.
+type scramExchange struct {
+	keys          []view.Key
+	conversations []*scram.ServerConversation
+}
+
+func newScramExchange(team *view.Team) *scramExchange {
+	nonce := newNonce()
+	exchange := &scramExchange{keys: team.Keys}
+	if len(team.Keys) == 0 {
+		// The conversation runs to its end, as with a wrong key.
+		exchange.keys = []view.Key{{StoredKey: make([]byte, sha256.Size), ServerKey: make([]byte, sha256.Size)}}
+	}
+	for _, key := range exchange.keys {
+		credentials := scram.StoredCredentials{
+			KeyFactors: scram.KeyFactors{Salt: string(team.Salt), Iters: team.Iterations},
+			StoredKey:  key.StoredKey,
+			ServerKey:  key.ServerKey,
+		}
+		// NewServer fails only without a hash function.
+		server, _ := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+			return credentials, nil
+		})
+		server.WithNonceGenerator(func() string { return nonce })
+		exchange.conversations = append(exchange.conversations, server.NewConversation())
+	}
+	return exchange
+}
+
+var errScram = errors.New("SCRAM failed")
+
+// first returns the challenge, which is the same in all conversations.
+func (e *scramExchange) first(message string) (string, error) {
+	challenge := ""
+	for _, conversation := range e.conversations {
+		var err error
+		if challenge, err = conversation.Step(message); err != nil {
+			return "", errScram
+		}
+	}
+	return challenge, nil
+}
+
+// last finishes all conversations, so that the time does not tell which one matched.
+func (e *scramExchange) last(message string) (id, final string, ok bool) {
+	for i, conversation := range e.conversations {
+		answer, err := conversation.Step(message)
+		if err == nil && conversation.Valid() {
+			id, final, ok = e.keys[i].ID, answer, true
+		}
+	}
+	return id, final, ok
+}
+
+func newNonce() string {
+	return rand.Text()
+}
--- /dev/null
+++ b/proxy/batch.go
@@ -0,0 +1,385 @@
+package proxy
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/policy/route"
+	"github.com/jayloom/jayloom/proxy/wire"
+)
+
+// batchBytes is how much of a batch is collected before a part of it is sent.
+const batchBytes = 1 << 20
+
+// batch is the extended protocol between two Sync messages.
+type batch struct {
+	items []item
+	size  int
+	// defined are the statements that the batch prepares, or closes when nil.
+	defined map[string]*statement
+	// started says that a part was sent, so that the batch stays on its connection.
+	started bool
+	// failed says that an error was reported; everything up to Sync is dropped.
+	failed bool
+	// mayCommit says that a part that was sent could have committed.
+	mayCommit bool
+}
+
+func (b *batch) open() bool {
+	return len(b.items) > 0 || b.started || b.failed
+}
+
+func (b *batch) define(name string, stmt *statement) {
+	if b.defined == nil {
+		b.defined = map[string]*statement{}
+	}
+	b.defined[name] = stmt
+}
+
+// lost records that the batch's connection is gone.
+func (b *batch) lost() {
+	b.started = false
+}
+
+// extended handles a message of the extended protocol.
+func (s *caller) extended(frame wire.Frame) error {
+	if s.batch.failed {
+		if frame.Type == 'S' {
+			return s.endFailedBatch()
+		}
+		return nil
+	}
+	if frame.Type == 'S' || frame.Type == 'H' {
+		return s.endPart(frame.Type == 'S')
+	}
+	if wire.ContainsKey(frame.Body()) {
+		return s.refuseBatch(rescode.New(rescode.KeyInStatement, ""), false)
+	}
+	it, refused := s.newItem(frame)
+	if refused != nil && refused.Code == rescode.MalformedPacket {
+		return refused
+	}
+	if refused != nil {
+		return s.refuseBatch(refused, false)
+	}
+	s.batch.items = append(s.batch.items, it)
+	s.batch.size += len(it.raw)
+	if s.batch.size > batchBytes {
+		return s.endPart(false)
+	}
+	return nil
+}
+
+// endPart sends what was collected. A batch ends with sync.
+func (s *caller) endPart(sync bool) error {
+	items := s.batch.items
+	s.batch.items, s.batch.size = nil, 0
+	if len(items) == 0 && !s.batch.started {
+		if sync {
+			s.readyAfter()
+			s.batch = batch{}
+		}
+		return nil
+	}
+	local, mixed := localItems(items)
+	if mixed {
+		return s.refuseBatch(rescode.New(rescode.UnsupportedProtocol, "a jayloom setting together with other statements"), sync)
+	}
+	if local {
+		return s.localBatch(items, sync)
+	}
+	r, refused := s.batchRequest(items, sync)
+	if refused != nil {
+		return s.refuseBatch(refused, sync)
+	}
+	refused, err := s.submit(r)
+	if err != nil {
+		return err
+	}
+	if refused != nil {
+		return s.refuseBatch(refused, sync)
+	}
+	if r.sync {
+		s.batch = batch{}
+	}
+	return nil
+}
+
+// batchRequest plans a part by the statements that it executes.
+func (s *caller) batchRequest(items []item, sync bool) (*request, *rescode.Error) {
+	r := &request{items: items, sync: sync}
+	if r.items == nil {
+		r.items = []item{}
+	}
+	tagged := false
+	for i := range items {
+		it := &items[i]
+		if it.kind == 'E' {
+			if it.stmt == nil {
+				r.unknown = true
+			} else {
+				r.texts = append(r.texts, it.stmt.sql)
+			}
+		}
+		if it.stmt == nil || it.stmt.tag == (route.Tag{}) {
+			continue
+		}
+		if tagged && r.tag != it.stmt.tag {
+			return nil, rescode.New(rescode.BadTag, "the statements of a batch name different routes")
+		}
+		r.tag, tagged = it.stmt.tag, true
+	}
+	s.batch.mayCommit = s.batch.mayCommit || r.mayCommit()
+	return r, nil
+}
+
+// refuseBatch reports an error in the batch; what follows up to Sync is dropped.
+func (s *caller) refuseBatch(refused *rescode.Error, sync bool) error {
+	if err := s.refuse(refused, false); err != nil {
+		return err
+	}
+	s.batch.failed = true
+	s.batch.items, s.batch.size = nil, 0
+	if sync {
+		return s.endFailedBatch()
+	}
+	return nil
+}
+
+// endFailedBatch answers the Sync behind an error.
+func (s *caller) endFailedBatch() error {
+	if s.bound != nil && s.batch.started {
+		if err := s.syncUpstream(); err != nil {
+			return err
+		}
+	}
+	s.batch = batch{}
+	s.readyAfter()
+	return nil
+}
+
+// syncUpstream ends a failed batch on its connection.
+func (s *caller) syncUpstream() error {
+	held := s.bound
+	held.conn.out.Raw(syncMessage)
+	if _, err := held.conn.out.Flush(); err != nil {
+		return s.lossOfTransaction(held.target)
+	}
+	answer, err := readInternal(held.conn)
+	if err != nil {
+		return s.lossOfTransaction(held.target)
+	}
+	s.tx = answer.txStatus
+	s.batch = batch{}
+	s.settle(held, &request{sync: true}, tagEffects{})
+	return nil
+}
+
+// forwardBatch passes on the answers to a part of a batch, in the order of what was
+// sent.
+func (x *exchange) forwardBatch() error {
+	for i := 0; i < len(x.expect); {
+		frame, err := x.read()
+		if err != nil {
+			return err
+		}
+		if isAsynchronous(frame.Type) {
+			if err := x.pass(frame); err != nil {
+				return err
+			}
+			continue
+		}
+		if frame.Type == 'E' {
+			if err := x.pass(frame); err != nil {
+				return err
+			}
+			return x.skipToSync()
+		}
+		done, err := x.answerTo(x.expect[i], frame)
+		if err != nil {
+			return err
+		}
+		if done {
+			i++
+		}
+	}
+	if !x.r.sync {
+		return x.flush()
+	}
+	return nil
+}
+
+func isAsynchronous(kind byte) bool {
+	return kind == 'N' || kind == 'A' || kind == 'S'
+}
+
+// skipToSync reads the ReadyForQuery behind an error. Without a Sync in this part
+// the batch waits for the caller's.
+func (x *exchange) skipToSync() error {
+	if !x.r.sync {
+		x.s.batch.failed = true
+		return x.flush()
+	}
+	for {
+		frame, err := x.read()
+		if err != nil {
+			return err
+		}
+		if frame.Type == 'Z' {
+			return x.ready(frame)
+		}
+		if isAsynchronous(frame.Type) {
+			if err := x.pass(frame); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// answerTo handles one message of the answer to e. It reports true at its end.
+func (x *exchange) answerTo(e expectation, frame wire.Frame) (bool, error) {
+	switch e.kind {
+	case 'S':
+		if frame.Type != 'Z' {
+			return false, wire.ErrMalformed
+		}
+		return true, x.ready(frame)
+	case 'P':
+		if frame.Type != '1' {
+			return false, wire.ErrMalformed
+		}
+		x.parsed(e)
+		if e.own {
+			return true, nil
+		}
+		return true, x.pass(frame)
+	case 'B', 'C':
+		if e.kind == 'C' {
+			x.closed(e)
+		}
+		return true, x.pass(frame)
+	case 'd', 'D':
+		return frame.Type == 'T' || frame.Type == 'n', x.pass(frame)
+	default:
+		return x.executed(frame)
+	}
+}
+
+// executed handles an answer to Execute.
+func (x *exchange) executed(frame wire.Frame) (bool, error) {
+	switch frame.Type {
+	case 'C', 'I', 's':
+		return true, x.pass(frame)
+	case 'G':
+		// The server ignores the Sync that was sent along; the caller sends another.
+		x.r.sync = false
+		x.expect = x.expect[:0:0]
+		if err := x.copyIn(frame); err != nil {
+			return false, err
+		}
+		return false, x.afterCopy()
+	default:
+		return false, x.pass(frame)
+	}
+}
+
+// afterCopy reads the end of a COPY that was started by Execute.
+func (x *exchange) afterCopy() error {
+	for {
+		frame, err := x.read()
+		if err != nil {
+			return err
+		}
+		if err := x.pass(frame); err != nil {
+			return err
+		}
+		switch frame.Type {
+		case 'E':
+			x.s.batch.failed = true
+			return x.flush()
+		case 'C':
+			return x.flush()
+		}
+	}
+}
+
+// parsed records a prepared statement.
+func (x *exchange) parsed(e expectation) {
+	x.conn.note(e.stmt)
+	if e.own {
+		return
+	}
+	if x.s.statements == nil {
+		x.s.statements = map[string]*statement{}
+	}
+	x.s.statements[e.stmt.name] = e.stmt
+}
+
+// closed records that a statement was closed.
+func (x *exchange) closed(e expectation) {
+	if e.stmt == nil || e.item.target != 'S' {
+		return
+	}
+	delete(x.s.statements, e.stmt.name)
+	if e.stmt.name == "" {
+		x.conn.unnamed = nil
+		return
+	}
+	delete(x.conn.prepared, e.stmt.upstream)
+}
+
+// localItems reports whether all or only some statements of a part are local.
+func localItems(items []item) (all, mixed bool) {
+	local, other := 0, 0
+	for i := range items {
+		if items[i].stmt != nil && items[i].stmt.isLocal {
+			local++
+		} else {
+			other++
+		}
+	}
+	return local > 0 && other == 0, local > 0 && other > 0
+}
+
+// localBatch answers a part whose statements are all about jayloom settings.
+func (s *caller) localBatch(items []item, sync bool) error {
+	for i := range items {
+		if refused := s.localItem(&items[i]); refused != nil {
+			return s.refuseBatch(refused, sync)
+		}
+	}
+	if sync {
+		return s.endFailedBatch()
+	}
+	return nil
+}
+
+func (s *caller) localItem(it *item) *rescode.Error {
+	switch it.kind {
+	case 'P':
+		if s.statements == nil {
+			s.statements = map[string]*statement{}
+		}
+		s.statements[it.name] = it.stmt
+		s.out.Message(&pgproto3.ParseComplete{})
+	case 'B':
+		s.out.Message(&pgproto3.BindComplete{})
+	case 'D':
+		if it.target == 'S' {
+			s.out.Message(&pgproto3.ParameterDescription{})
+		}
+		s.out.Message(describeLocal(it.stmt.local))
+	case 'C':
+		if it.target == 'S' {
+			delete(s.statements, it.name)
+		}
+		s.out.Message(&pgproto3.CloseComplete{})
+	case 'E':
+		shown, tag, refused := s.runLocal(it.stmt.local)
+		if refused != nil {
+			return refused
+		}
+		s.answerLocal(shown, tag)
+	}
+	return nil
+}
--- /dev/null
+++ b/proxy/cancel.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// cancelTimeout bounds the passing on of one cancel request.
+const cancelTimeout = 2 * time.Second
+
+// cancelRequest handles a cancel request of a caller. Nothing is answered.
+func (s *Server) cancelRequest(processID, secret uint32) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	snapshot := s.view.Current()
+	if processID == snapshot.Number {
+		s.CancelLocal(ctx, secret)
+		return
+	}
+	address, ok := snapshot.Peers[processID]
+	if !ok || s.opts.Peers == nil {
+		metricCancelsDropped.Inc()
+		return
+	}
+	metricCancelsForeign.Inc()
+	secretBytes := binary.BigEndian.AppendUint32(nil, secret)
+	if err := s.opts.Peers.Cancel(ctx, address, processID, secretBytes); err != nil {
+		metricCancelsDropped.Inc()
+	}
+}
+
+// CancelLocal cancels what a caller of this proxy runs. It reports whether the
+// secret is that of a caller.
+func (s *Server) CancelLocal(ctx context.Context, secret uint32) bool {
+	session := s.registry.find(secret)
+	if session == nil {
+		metricCancelsDropped.Inc()
+		return false
+	}
+	conn := session.running.Load()
+	if conn == nil || !conn.cancel.claim(session.id) {
+		// The caller waits for a connection or runs nothing.
+		return true
+	}
+	metricCancels.Inc()
+	if err := sendCancel(ctx, conn); err != nil {
+		metricCancelsDropped.Inc()
+	}
+	return true
+}
+
+// sendCancel sends a cancel request to the upstream and waits until it is taken.
+func sendCancel(ctx context.Context, conn *upstreamConn) error {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", conn.net.RemoteAddr().String())
+	if err != nil {
+		return errors.Wrap(err, "connect to cancel")
+	}
+	defer func() { _ = c.Close() }()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = c.SetDeadline(deadline)
+	}
+	b := binary.BigEndian.AppendUint32(nil, uint32(12+len(conn.secret)))
+	b = binary.BigEndian.AppendUint32(b, codeCancel)
+	b = binary.BigEndian.AppendUint32(b, conn.processID)
+	b = append(b, conn.secret...)
+	if _, err := c.Write(b); err != nil {
+		return errors.Wrap(err, "send the cancel request")
+	}
+	// The upstream closes the connection once it has taken the request.
+	_, err = io.Copy(io.Discard, c)
+	return err
+}
--- /dev/null
+++ b/proxy/conclude.go
@@ -0,0 +1,214 @@
+package proxy
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+// mayRetry decides whether a request outside a transaction runs again. Only what
+// was not sent, and reads that a replica could not prove, need no idempotent route.
+func (s *caller) mayRetry(held *lease, r *request, res result) bool {
+	if r.ctx.Err() != nil || held == s.kept || s.batch.started {
+		return false
+	}
+	switch res.kind {
+	case resultUnsent:
+		metricRetries[retryNotSent].Inc()
+		return true
+	case resultBehind:
+		r.primaryOnly, r.reason = true, readFellBehind
+		return true
+	case resultLost, resultUnleased:
+	default:
+		return false
+	}
+	if !r.plan.Idempotent || res.forwarded {
+		return false
+	}
+	if !s.server.retries.spend(s.team) {
+		metricRetries[retryRefused].Inc()
+		return false
+	}
+	if !held.target.primary {
+		r.primaryOnly, r.reason = true, readReplicaLost
+	}
+	if res.kind == resultUnleased {
+		metricRetries[retryWithoutTerm].Inc()
+	} else {
+		metricRetries[retryAnswerLost].Inc()
+	}
+	return true
+}
+
+// abandon gives back the connection of an attempt that is followed by another.
+func (s *caller) abandon(held *lease, res result) {
+	pool := held.conn.pool
+	if res.kind != resultBehind {
+		pool.discard(held.conn)
+		return
+	}
+	pool.release(held.conn)
+}
+
+// conclude settles the connection and turns the result into an answer.
+func (s *caller) conclude(held *lease, r *request, res result) (*rescode.Error, error) {
+	switch res.kind {
+	case resultDone:
+		s.countRead(held, r)
+		s.settle(held, r, res.effects)
+		return nil, nil
+	case resultRefused:
+		return s.concludeRefused(held, r, res)
+	case resultCallerGone:
+		s.drop(held)
+		return nil, res.err
+	case resultUnsent:
+		s.drop(held)
+		return nil, errOr(s.endReason(), rescode.New(rescode.UpstreamLost, "upstream %s", held.target.pool.address))
+	}
+	code := s.lossCode(held, r, res)
+	s.drop(held)
+	if closesConnection(code.Code) {
+		return nil, code
+	}
+	return code, nil
+}
+
+func errOr(reason, other *rescode.Error) error {
+	if reason != nil {
+		return reason
+	}
+	return other
+}
+
+// lossCode names the loss of an answer. Only work that surely had no effect is
+// reported as not run.
+func (s *caller) lossCode(held *lease, r *request, res result) *rescode.Error {
+	address := held.target.pool.address
+	if res.startTx != txIdle && !r.mayCommit() {
+		return s.lossOfTransaction(held.target)
+	}
+	if res.startTx == txIdle && !r.sync && !s.batch.mayCommit && !r.plan.Read {
+		// The batch's implicit transaction commits with the Sync that was not sent.
+		return s.lossOfTransaction(held.target)
+	}
+	if !held.target.primary || r.plan.Read {
+		return rescode.New(rescode.AnswerLost, "upstream %s", address)
+	}
+	if s.replaced(held.target) {
+		return rescode.New(rescode.PrimaryReplaced, "upstream %s", address)
+	}
+	if res.kind == resultUnleased {
+		return rescode.New(rescode.WriteWithoutLease, "group %q, term %d", held.target.group, held.target.term)
+	}
+	if errors.Is(res.err, context.Canceled) {
+		return rescode.New(rescode.ProxyInternal, "")
+	}
+	return rescode.New(rescode.AnswerLost, "upstream %s", address)
+}
+
+func (r *request) mayCommit() bool {
+	if r.unknown {
+		return true
+	}
+	for _, sql := range r.texts {
+		if mayCommit(sql) {
+			return true
+		}
+	}
+	return false
+}
+
+// replaced reports whether the term in which a request was sent is over or fenced.
+func (s *caller) replaced(t target) bool {
+	group, ok := s.server.view.Current().Groups[t.group]
+	return !ok || !group.Healthy || group.Term != t.term
+}
+
+// concludeRefused answers with a code in place of an answer that has come.
+func (s *caller) concludeRefused(held *lease, r *request, res result) (*rescode.Error, error) {
+	s.settle(held, r, res.effects)
+	if closesConnection(res.refused.Code) {
+		return nil, res.refused
+	}
+	return res.refused, nil
+}
+
+// drop closes a connection after a failure; a transaction on it is over.
+func (s *caller) drop(held *lease) {
+	if s.bound == held {
+		s.bound = nil
+	}
+	if s.kept == held {
+		s.kept = nil
+	}
+	s.tx = txIdle
+	s.batch.lost()
+	held.conn.pool.discard(held.conn)
+}
+
+// settle decides what becomes of a connection after an answer: it stays with an
+// open transaction or batch, or with session state, or goes back to the pool.
+func (s *caller) settle(held *lease, r *request, effects tagEffects) {
+	if effects.discards {
+		held.conn.forgetSession()
+		s.statements = nil
+	}
+	if effects.deallocate {
+		s.statements = nil
+		clear(held.conn.prepared)
+	}
+	if effects.discards && s.kept == held {
+		s.kept = nil
+		held.conn.pool.unpin(held.conn)
+	}
+	if !effects.discards && s.kept == nil && (effects.pins || r.pins()) {
+		s.kept = held
+		held.conn.pool.pin(held.conn)
+	}
+	if s.tx != txIdle || !r.sync {
+		if s.bound == nil {
+			s.txPlan, s.txTag = r.plan, r.tag
+		}
+		s.bound = held
+		s.batch.started = s.batch.started || !r.sync
+		return
+	}
+	s.bound = nil
+	s.portals = nil
+	if s.kept != held {
+		held.conn.pool.release(held.conn)
+	}
+}
+
+func (r *request) pins() bool {
+	for _, sql := range r.texts {
+		if pinsByText(sql) {
+			return true
+		}
+	}
+	return false
+}
+
+// countRead counts where a read was served.
+func (s *caller) countRead(held *lease, r *request) {
+	if !r.plan.Read || r.reason == "" {
+		return
+	}
+	counters := metricReadsPrimary
+	if !held.target.primary {
+		counters = metricReadsReplica
+	}
+	if counter, ok := counters[r.reason]; ok {
+		counter.Inc()
+	}
+}
+
+// readyAfter answers with ReadyForQuery.
+func (s *caller) readyAfter() {
+	s.out.Message(&pgproto3.ReadyForQuery{TxStatus: s.tx})
+}
--- /dev/null
+++ b/proxy/conn.go
@@ -0,0 +1,110 @@
+package proxy
+
+import (
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/jayloom/jayloom/proxy/wire"
+)
+
+// upstreamLimit bounds a message of an upstream, as PostgreSQL itself does.
+const upstreamLimit = 1 << 30
+
+// upstreamConn is a connection to an upstream. While it is lent, it belongs to the
+// goroutine of the borrower.
+type upstreamConn struct {
+	pool       *pool
+	net        net.Conn
+	rd         *wire.Reader
+	out        *wire.Writer
+	processID  uint32
+	secret     []byte
+	parameters map[string]string
+
+	// lastSession is the session whose settings and statements the connection
+	// carries, 0 for none.
+	lastSession uint64
+	// prepared holds the proxy-chosen names of the statements that are prepared.
+	prepared map[string]bool
+	// unnamed is the statement that is prepared without a name.
+	unnamed *statement
+	// readOnly is what default_transaction_read_only was set to.
+	readOnly bool
+	pinned   bool
+	// unsafe says that the connection must not be lent again.
+	unsafe bool
+
+	cancel cancelGuard
+}
+
+// cancelGuard keeps a cancel request from reaching another caller's statement.
+type cancelGuard struct {
+	mu     sync.Mutex
+	holder uint64
+	// hit says that a cancel request was sent; it may take effect at any later time.
+	hit bool
+}
+
+// bind makes the session the one whose cancel requests are sent on.
+func (g *cancelGuard) bind(session uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holder = session
+}
+
+// unbind ends that, and reports whether a cancel request was sent meanwhile.
+func (g *cancelGuard) unbind() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holder = 0
+	return g.hit
+}
+
+// claim marks the connection as hit if it still serves the session.
+func (g *cancelGuard) claim(session uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.holder != session {
+		return false
+	}
+	g.hit = true
+	return true
+}
+
+// forgetSession records that DISCARD ALL was sent.
+func (c *upstreamConn) forgetSession() {
+	c.lastSession = 0
+	c.readOnly = false
+	c.unnamed = nil
+	clear(c.prepared)
+}
+
+// query appends a simple query, which ends the unnamed statement.
+func (c *upstreamConn) query(sql string) {
+	c.out.Query(sql)
+	c.unnamed = nil
+}
+
+// quiet reports whether the connection is open and has nothing unread. An answer
+// left behind would be taken for the answer to the next request.
+func (c *upstreamConn) quiet() bool {
+	if c.rd.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && (peeked == syscall.EAGAIN || peeked == syscall.EWOULDBLOCK)
+}
--- /dev/null
+++ b/proxy/copy.go
@@ -0,0 +1,69 @@
+package proxy
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jayloom/jayloom/proxy/wire"
+)
+
+// copyIn passes the data of a COPY FROM STDIN to the upstream, until the caller ends
+// it or the upstream reports an error.
+func (x *exchange) copyIn(start wire.Frame) error {
+	x.s.out.Raw(start.Raw)
+	if err := x.flush(); err != nil {
+		return err
+	}
+	for {
+		done, err := x.copyMessage()
+		if err != nil || done {
+			return err
+		}
+	}
+}
+
+// copyMessage handles one message of the caller. It reports true at the end.
+func (x *exchange) copyMessage() (bool, error) {
+	if x.s.rd.Buffered() == 0 || x.conn.out.Pending() >= forwardBytes {
+		if err := x.flushCopy(); err != nil {
+			return false, err
+		}
+		if x.conn.out.Pending() == 0 && !x.conn.quiet() {
+			// The upstream has ended the COPY; the caller's data that follows is
+			// dropped, as a server would.
+			return true, nil
+		}
+	}
+	frame, err := x.s.rd.Next()
+	if err != nil {
+		return false, errors.CombineErrors(errCallerGone, x.s.readError(err))
+	}
+	switch frame.Type {
+	case 'd':
+		if x.copyScan.ContainsKey(frame.Body()) {
+			x.keyInCopy = true
+			x.conn.out.Message(&pgproto3.CopyFail{Message: "refused by the proxy"})
+			return true, x.flushCopy()
+		}
+		x.conn.out.Raw(frame.Raw)
+		return false, nil
+	case 'c', 'f':
+		if wire.ContainsKey(frame.Body()) {
+			x.keyInCopy = true
+			x.conn.out.Message(&pgproto3.CopyFail{Message: "refused by the proxy"})
+			return true, x.flushCopy()
+		}
+		x.conn.out.Raw(frame.Raw)
+		return true, x.flushCopy()
+	case 'H', 'S':
+		// A server ignores these during COPY.
+		return false, nil
+	default:
+		return false, errors.CombineErrors(errCallerGone, malformed("unexpected message during COPY"))
+	}
+}
+
+func (x *exchange) flushCopy() error {
+	_, err := x.conn.out.Flush()
+	return err
+}
--- /dev/null
+++ b/proxy/dial.go
@@ -0,0 +1,83 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/jayloom/jayloom/base/settings"
+	"github.com/jayloom/jayloom/proxy/wire"
+)
+
+// Dialer opens connections to upstreams.
+type Dialer interface {
+	Dial(ctx context.Context, address, service string) (*upstreamConn, error)
+}
+
+// dialTimeout bounds the opening of one connection.
+const dialTimeout = 2 * time.Second
+
+// accountDialer logs in with the system's own account.
+type accountDialer struct {
+	account settings.UpstreamAccount
+}
+
+// Dial implements Dialer.
+func (d accountDialer) Dial(ctx context.Context, address, service string) (*upstreamConn, error) {
+	config, err := d.config(address, service)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to upstream %s", address)
+	}
+	hijacked, err := conn.Hijack()
+	if err != nil {
+		return nil, errors.Wrapf(err, "take over the connection to %s", address)
+	}
+	if hijacked.Frontend.ReadBufferLen() != 0 {
+		_ = hijacked.Conn.Close()
+		return nil, errors.Newf("upstream %s sent data after the start", address)
+	}
+	return &upstreamConn{
+		net:        hijacked.Conn,
+		rd:         wire.NewReader(hijacked.Conn, upstreamLimit),
+		out:        wire.NewWriter(hijacked.Conn),
+		processID:  hijacked.PID,
+		secret:     hijacked.SecretKey,
+		parameters: hijacked.ParameterStatuses,
+		prepared:   map[string]bool{},
+	}, nil
+}
+
+func (d accountDialer) config(address, service string) (*pgconn.Config, error) {
+	host, portText, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "upstream address %q", address)
+	}
+	port, err := strconv.ParseUint(portText, 10, 16)
+	if err != nil {
+		return nil, errors.Wrapf(err, "upstream address %q", address)
+	}
+	// The host in the string keeps ParseConfig from reading other sources for it.
+	config, err := pgconn.ParseConfig("host=127.0.0.1 user=jayloom sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	config.Host, config.Port = host, uint16(port)
+	config.User, config.Password = d.account.User, d.account.Password
+	config.Database = d.account.Database
+	if config.Database == "" {
+		config.Database = service
+	}
+	config.RuntimeParams = map[string]string{"application_name": "jayloom-proxy"}
+	config.Fallbacks = nil
+	return config, nil
+}
--- /dev/null
+++ b/proxy/execute.go
@@ -0,0 +1,275 @@
+package proxy
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/policy/session"
+	"github.com/jayloom/jayloom/proxy/wire"
+)
+
+// resultKind is how an execution ended.
+type resultKind int
+
+const (
+	// resultDone: the whole answer was forwarded, or the part of the batch is answered.
+	resultDone resultKind = iota
+	// resultUnsent: nothing was sent.
+	resultUnsent
+	// resultBehind: the replica has not reached the floor; its answer was dropped.
+	resultBehind
+	// resultLost: the connection ended before the answer was complete.
+	resultLost
+	// resultUnleased: the answer came when the primary lease was over.
+	resultUnleased
+	// resultCallerGone: the caller's connection ended.
+	resultCallerGone
+	// resultRefused: the answer was replaced by a result code.
+	resultRefused
+)
+
+// result is the end of an execution.
+type result struct {
+	kind resultKind
+	// forwarded says that the caller has seen a part of the answer.
+	forwarded bool
+	err       error
+	refused   *rescode.Error
+	effects   tagEffects
+	// startTx is the transaction state before the request.
+	startTx byte
+}
+
+// exchange is one request on one connection: statements of the proxy in front of
+// it, the request, and the question for the position behind it, in one flush.
+type exchange struct {
+	s      *caller
+	conn   *upstreamConn
+	target target
+	r      *request
+
+	reset      bool
+	parameters bool
+	access     bool
+	position   bool
+	expect     []expectation
+
+	// startTx is the transaction state before the request.
+	startTx byte
+	// completed counts CommandComplete messages; failed says that an error came.
+	completed int
+	failed    bool
+	tags      tagEffects
+	// hold is where the acknowledgement of a write starts in the caller's buffer,
+	// or -1.
+	hold int
+	// base is what the caller's buffer held before the answer.
+	base      int
+	flushed   bool
+	first     bool
+	copyScan  wire.CopyScanner
+	keyInCopy bool
+	// ended says that ReadyForQuery has come.
+	ended bool
+}
+
+// tagEffects is what command tags say about session state.
+type tagEffects struct {
+	pins       bool
+	discards   bool
+	deallocate bool
+	writes     bool
+}
+
+// execute runs a request on a connection and forwards the answer.
+func (s *caller) execute(conn *upstreamConn, t target, r *request) result {
+	x := &exchange{s: s, conn: conn, target: t, r: r, hold: -1, startTx: s.tx, first: true}
+	s.running.Store(conn)
+	defer s.running.Store(nil)
+	res := x.run()
+	res.effects, res.startTx = x.tags, x.startTx
+	return res
+}
+
+func (x *exchange) run() result {
+	s, conn := x.s, x.conn
+	if failed := x.verifyParameters(); failed != nil {
+		return *failed
+	}
+	x.prepare()
+	if sent, err := conn.out.Flush(); err != nil {
+		if sent == 0 && s.bound == nil {
+			return result{kind: resultUnsent, err: err}
+		}
+		return result{kind: resultLost, err: err}
+	}
+	return x.answers()
+}
+
+// verifyParameters sets the caller's startup settings on their own the first time:
+// if the upstream refuses one, the request must not run without it.
+func (x *exchange) verifyParameters() *result {
+	s := x.s
+	if s.parameterSQL == "" || s.parametersTaken || x.conn.lastSession == s.id {
+		return nil
+	}
+	if x.conn.lastSession != 0 {
+		if answer, err := ask(x.conn, sqlReset); err != nil || answer.failed {
+			return &result{kind: resultUnsent, err: err}
+		}
+		x.conn.forgetSession()
+	}
+	answer, err := ask(x.conn, s.parameterSQL)
+	if err != nil {
+		return &result{kind: resultUnsent, err: err}
+	}
+	if answer.failed {
+		return &result{kind: resultRefused, refused: rescode.New(rescode.BadTag, "the upstream refuses a startup parameter")}
+	}
+	s.parametersTaken = true
+	x.conn.lastSession = s.id
+	return nil
+}
+
+// prepare collects everything that is sent.
+func (x *exchange) prepare() {
+	conn, s := x.conn, x.s
+	if s.bound == nil {
+		x.prepareSession()
+		x.prepareAccess()
+	}
+	if x.target.checked {
+		conn.query(sqlReadPosition)
+	}
+	if x.r.items == nil {
+		conn.out.Raw(x.r.raw)
+		conn.unnamed = nil
+	} else {
+		x.expect = s.encodeBatch(conn, x.r)
+	}
+	if x.positionInFlush() {
+		x.position = true
+		conn.query(sqlWritePosition)
+	}
+}
+
+// prepareSession clears what the last borrower left behind.
+func (x *exchange) prepareSession() {
+	conn, s := x.conn, x.s
+	if conn.lastSession == s.id {
+		return
+	}
+	if conn.lastSession != 0 {
+		metricResets.Inc()
+		x.reset = true
+		conn.query(sqlReset)
+		conn.forgetSession()
+	}
+	if s.parameterSQL != "" {
+		x.parameters = true
+		conn.query(s.parameterSQL)
+	}
+	conn.lastSession = s.id
+}
+
+// prepareAccess makes a read route unable to write on a primary.
+func (x *exchange) prepareAccess() {
+	wanted := x.r.plan.Read && x.target.primary
+	if x.conn.readOnly == wanted {
+		return
+	}
+	x.access = true
+	x.conn.readOnly = wanted
+	if wanted {
+		x.conn.query(sqlReadOnly)
+	} else {
+		x.conn.query(sqlReadWrite)
+	}
+}
+
+// positionInFlush reports whether the position is asked for behind the request.
+func (x *exchange) positionInFlush() bool {
+	if !x.target.primary || x.r.plan.Read || !x.r.sync || x.r.unknown || len(x.r.texts) == 0 {
+		return false
+	}
+	if x.s.batch.started {
+		return false
+	}
+	for _, sql := range x.r.texts {
+		if !positionFollows(sql) {
+			return false
+		}
+	}
+	return true
+}
+
+// answers reads the answers in the order of what was sent.
+func (x *exchange) answers() result {
+	for _, sent := range []bool{x.reset, x.parameters, x.access} {
+		if !sent {
+			continue
+		}
+		answer, err := readInternal(x.conn)
+		if err == nil && answer.failed {
+			err = errors.New("the upstream refused a statement of the proxy")
+		}
+		if err != nil {
+			return result{kind: resultLost, err: err}
+		}
+	}
+	if x.target.checked {
+		reached, err := x.checkFloor()
+		if err != nil {
+			return result{kind: resultLost, err: err}
+		}
+		if !reached {
+			return x.dropAnswer()
+		}
+	}
+	return x.forward()
+}
+
+// checkFloor reads a replica's position in front of its answer.
+func (x *exchange) checkFloor() (bool, error) {
+	answer, err := readInternal(x.conn)
+	if err != nil {
+		return false, err
+	}
+	at, err := answer.replicaPosition()
+	if err != nil {
+		// The server is no replica any more, or answers otherwise: not proven.
+		return false, nil
+	}
+	group, ok := x.s.server.view.Current().Groups[x.target.group]
+	if !ok {
+		return false, nil
+	}
+	return session.Reached(group.History, x.target.floor, at.lsn, at.timeline), nil
+}
+
+// dropLimit bounds the answer of a replica that is read only to be dropped; beyond
+// it closing the connection is cheaper.
+const dropLimit = 256 << 10
+
+// dropAnswer reads the answer of a replica that has not reached the floor.
+func (x *exchange) dropAnswer() result {
+	dropped := result{kind: resultBehind}
+	for size := 0; size < dropLimit; {
+		frame, err := x.conn.rd.Next()
+		if err != nil {
+			break
+		}
+		size += len(frame.Raw)
+		if frame.Type == 'Z' {
+			if frame.Body()[0] != txIdle {
+				break
+			}
+			return dropped
+		}
+		if frame.Type == 'G' {
+			break
+		}
+	}
+	x.conn.unsafe = true
+	return dropped
+}
--- /dev/null
+++ b/proxy/forward.go
@@ -0,0 +1,259 @@
+package proxy
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/policy/session"
+	"github.com/jayloom/jayloom/proxy/wire"
+)
+
+const (
+	// forwardBytes is how much of an answer is collected before it is written.
+	forwardBytes = 16 << 10
+	// holdLimit bounds the answer of a write that is held for its acknowledgement.
+	holdLimit = 4 << 20
+)
+
+var (
+	errCallerGone = errors.New("the caller has gone")
+	errUnleased   = errors.New("the primary lease has ended")
+	errHoldLimit  = errors.New("the held answer is too long")
+)
+
+// forward passes the answer on, message by message.
+func (x *exchange) forward() result {
+	x.base = x.s.out.Pending()
+	err := x.forwardAll()
+	if err == nil && x.ended {
+		err = x.acknowledge()
+	}
+	if err != nil {
+		x.withhold()
+	}
+	kind := resultDone
+	var refused *rescode.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &refused):
+		kind = resultRefused
+	case errors.Is(err, errCallerGone):
+		kind = resultCallerGone
+	case errors.Is(err, errUnleased):
+		kind = resultUnleased
+	default:
+		kind = resultLost
+	}
+	return result{kind: kind, forwarded: x.flushed, err: err, refused: refused}
+}
+
+// withhold takes back what the caller has not been sent: the acknowledgement, or the
+// whole answer when nothing of it was written.
+func (x *exchange) withhold() {
+	switch {
+	case !x.flushed:
+		x.s.out.Truncate(x.base)
+	case x.hold >= 0:
+		x.s.out.Truncate(x.hold)
+	}
+}
+
+func (x *exchange) forwardAll() error {
+	if x.r.items == nil {
+		return x.forwardSimple()
+	}
+	return x.forwardBatch()
+}
+
+func (x *exchange) forwardSimple() error {
+	for {
+		frame, err := x.read()
+		if err != nil {
+			return err
+		}
+		switch frame.Type {
+		case 'Z':
+			return x.ready(frame)
+		case 'G':
+			if err := x.copyIn(frame); err != nil {
+				return err
+			}
+		default:
+			if err := x.pass(frame); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// read returns the next message. Before it waits, it writes what the caller may
+// already have.
+func (x *exchange) read() (wire.Frame, error) {
+	if x.s.out.Pending() > 0 && x.hold < 0 && !x.conn.rd.NextComplete() {
+		if err := x.flush(); err != nil {
+			return wire.Frame{}, err
+		}
+	}
+	frame, err := x.conn.rd.Next()
+	if err != nil {
+		return frame, err
+	}
+	if x.first {
+		x.first = false
+		// What a read saw was current if the lease is valid now, at its first byte.
+		if x.target.primary && x.r.plan.Read && !x.s.server.leaseValid(x.target) {
+			return frame, errUnleased
+		}
+	}
+	return frame, nil
+}
+
+func (x *exchange) flush() error {
+	x.flushed = true
+	if _, err := x.s.out.Flush(); err != nil {
+		return errors.CombineErrors(errCallerGone, err)
+	}
+	return nil
+}
+
+// pass forwards one message and notes what it says.
+func (x *exchange) pass(frame wire.Frame) error {
+	switch frame.Type {
+	case 'C':
+		x.noteTag(frame.Body())
+		if x.mustHold() && x.hold < 0 {
+			x.hold = x.s.out.Pending()
+		}
+	case 'E':
+		x.failed = true
+		if x.keyInCopy {
+			countResult(rescode.KeyInStatement)
+			x.s.out.Message(errorResponse(rescode.New(rescode.KeyInStatement, "in COPY data"), severityError))
+			return nil
+		}
+	}
+	x.s.out.Raw(frame.Raw)
+	pending := x.s.out.Pending()
+	if x.hold >= 0 {
+		if pending > holdLimit {
+			return errHoldLimit
+		}
+		return nil
+	}
+	if pending >= forwardBytes {
+		return x.flush()
+	}
+	return nil
+}
+
+// mustHold reports whether CommandComplete acknowledges a write, which is checked
+// once ReadyForQuery has come.
+func (x *exchange) mustHold() bool {
+	return x.target.primary && !x.r.plan.Read && x.r.sync
+}
+
+func (x *exchange) noteTag(body []byte) {
+	x.completed++
+	tag := string(bytes.TrimRight(body, "\x00"))
+	word, _, _ := strings.Cut(tag, " ")
+	switch {
+	case tag == tagDiscards:
+		x.tags = tagEffects{discards: true}
+		return
+	case tag == "DEALLOCATE ALL":
+		x.tags.deallocate = true
+	case pinsByTag(tag) && !x.setsLocally():
+		x.tags.pins = true
+	}
+	switch word {
+	case "BEGIN", "START", "ROLLBACK", "SET", "RESET", "SHOW", "LISTEN", "UNLISTEN",
+		"DEALLOCATE", "PREPARE", "SAVEPOINT", "RELEASE", "CLOSE", "FETCH", "EXPLAIN":
+	default:
+		x.tags.writes = true
+	}
+}
+
+// setsLocally reports whether the request is one SET that ends with its transaction,
+// whose command tag is that of any SET.
+func (x *exchange) setsLocally() bool {
+	if len(x.r.texts) != 1 || x.r.unknown || !isSingle(x.r.texts[0]) {
+		return false
+	}
+	word, _ := firstWord(x.r.texts[0])
+	return word == "SET" && !pinsByWord(x.r.texts[0])
+}
+
+// ready handles ReadyForQuery, which is forwarded once the request is acknowledged.
+func (x *exchange) ready(frame wire.Frame) error {
+	if len(frame.Body()) != 1 {
+		return wire.ErrMalformed
+	}
+	x.s.tx = frame.Body()[0]
+	x.ended = true
+	return nil
+}
+
+// acknowledge checks what an answer of a primary needs before the caller gets its
+// end, and reports the session's position.
+func (x *exchange) acknowledge() error {
+	if x.target.primary && !x.r.plan.Read {
+		if err := x.acknowledgeWrite(); err != nil {
+			return err
+		}
+	}
+	x.s.out.Message(&pgproto3.ReadyForQuery{TxStatus: x.s.tx})
+	return nil
+}
+
+func (x *exchange) acknowledgeWrite() error {
+	if x.completed > 0 && !x.s.server.leaseValid(x.target) {
+		return errUnleased
+	}
+	committed := x.s.tx == txIdle && x.completed > 0 && x.tags.writes
+	if x.position {
+		answer, err := readInternal(x.conn)
+		if err != nil {
+			return err
+		}
+		if !committed || x.failed {
+			return nil
+		}
+		return x.takePosition(answer)
+	}
+	if !committed || x.failed && x.startTx == txIdle && x.completed == 0 {
+		return nil
+	}
+	metricPositionTrips.Inc()
+	answer, err := ask(x.conn, sqlWritePosition)
+	if err != nil {
+		return err
+	}
+	return x.takePosition(answer)
+}
+
+// takePosition raises the session's floor and waits for a replica if the route
+// says so.
+func (x *exchange) takePosition(answer internalAnswer) error {
+	lsn, err := answer.writePosition()
+	if err != nil {
+		return err
+	}
+	position := session.Position{Group: x.target.group, Term: x.target.term, LSN: lsn}
+	if x.r.plan.WaitReplica {
+		if err := x.s.server.confirmerOf(x.target.group).wait(x.r.ctx, position); err != nil {
+			return rescode.New(rescode.ReplicaWaitTimeout, "group %q", x.target.group)
+		}
+		// The wait took time in which the primary may have been replaced.
+		if !x.s.server.leaseValid(x.target) {
+			return errUnleased
+		}
+	}
+	if x.s.raiseFloor(position) {
+		x.s.out.Message(&pgproto3.ParameterStatus{Name: nameSession, Value: x.s.tokenText()})
+	}
+	return nil
+}
--- /dev/null
+++ b/proxy/pools.go
@@ -0,0 +1,223 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/policy/share"
+	"github.com/jayloom/jayloom/proxy/view"
+)
+
+// ShareHolder holds the connection shares that control lent. It is not safe for
+// concurrent use; poolSet guards it.
+type ShareHolder interface {
+	// Allowed is the number of connections that may be open to an upstream.
+	Allowed(now time.Duration, upstream string) int
+	Urgent(now time.Duration, pools []share.Pool) bool
+	Report(now time.Duration, pools []share.Pool) []*controlpb.ShareDemand
+	Grant(now, sentAt time.Duration, grant *controlpb.ShareGrant)
+	StreamStarted(now time.Duration)
+}
+
+// poolSet holds the pools of all upstreams and keeps them within their shares.
+type poolSet struct {
+	dialer           Dialer
+	queuePerTeam     int
+	maxPinnedPercent int
+	reportNow        func()
+
+	mu     sync.Mutex
+	pools  map[string]*pool
+	config *view.Config
+
+	holderMu sync.Mutex
+	holder   ShareHolder
+
+	parametersMu sync.Mutex
+	parameters   map[string]map[string]string
+}
+
+// get returns the pool of an upstream, which is created on first use.
+func (s *poolSet) get(address, service string) *pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pools[address]
+	if !ok {
+		p = newPool(s, address, service)
+		p.allowed = s.allowed(clock.Now(), address)
+		s.pools[address] = p
+	}
+	return p
+}
+
+func (s *poolSet) allowed(now time.Duration, address string) int {
+	s.holderMu.Lock()
+	defer s.holderMu.Unlock()
+	return s.holder.Allowed(now, address)
+}
+
+func (s *poolSet) list() []*pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*pool, 0, len(s.pools))
+	for _, p := range s.pools {
+		all = append(all, p)
+	}
+	return all
+}
+
+// demandGrew asks for a report when the shares do not cover the demand.
+func (s *poolSet) demandGrew() {
+	now := clock.Now()
+	demands := s.demands(now)
+	s.holderMu.Lock()
+	urgent := s.holder.Urgent(now, demands)
+	s.holderMu.Unlock()
+	if urgent {
+		s.reportNow()
+	}
+}
+
+func (s *poolSet) demands(now time.Duration) []share.Pool {
+	var demands []share.Pool
+	for _, p := range s.list() {
+		demands = append(demands, p.demand(now))
+	}
+	return demands
+}
+
+// Report implements attend.ShareReporter.
+func (s *poolSet) Report(now time.Duration) []*controlpb.ShareDemand {
+	demands := s.demands(now)
+	s.holderMu.Lock()
+	defer s.holderMu.Unlock()
+	return s.holder.Report(now, demands)
+}
+
+// Grant implements attend.ShareReporter.
+func (s *poolSet) Grant(now, sentAt time.Duration, grant *controlpb.ShareGrant) {
+	s.holderMu.Lock()
+	s.holder.Grant(now, sentAt, grant)
+	s.holderMu.Unlock()
+	s.mu.Lock()
+	p, ok := s.pools[grant.Upstream]
+	s.mu.Unlock()
+	if ok {
+		s.apply(now, p)
+	}
+}
+
+// StreamStarted implements attend.ShareReporter.
+func (s *poolSet) StreamStarted(now time.Duration) {
+	s.holderMu.Lock()
+	defer s.holderMu.Unlock()
+	s.holder.StreamStarted(now)
+}
+
+// enforce applies shares that lapse without a message; a timer calls it.
+func (s *poolSet) enforce(now time.Duration) {
+	for _, p := range s.list() {
+		s.apply(now, p)
+	}
+}
+
+func (s *poolSet) apply(now time.Duration, p *pool) {
+	s.mu.Lock()
+	retired := s.config != nil && !s.config.Usable(p.address)
+	s.mu.Unlock()
+	p.setAllowed(s.allowed(now, p.address), retired)
+}
+
+// follow reacts to a new snapshot: upstreams that leave get no new work, those that
+// are gone, replaced or silent lose their connections.
+func (s *poolSet) follow(old, next *view.Snapshot) {
+	s.mu.Lock()
+	s.config = next.Config
+	s.mu.Unlock()
+	if old.Config != next.Config {
+		s.followConfig(old.Config, next.Config)
+	}
+	for address, health := range next.Health {
+		if !health.Reachable && old.Health[address].UpstreamHealth.GetReachable() {
+			s.cutReplica(next, address)
+		}
+	}
+}
+
+func (s *poolSet) followConfig(old, next *view.Config) {
+	now := clock.Now()
+	for _, p := range s.list() {
+		_, known := next.Upstreams[p.address]
+		if !known || replacedPrimary(old, next, p.address) {
+			p.cut()
+		}
+		s.apply(now, p)
+	}
+}
+
+// replacedPrimary reports whether an address was the primary of a term that is over
+// or fenced. Whoever waits for its answers is told now.
+func replacedPrimary(old, next *view.Config, address string) bool {
+	for name, group := range old.Groups {
+		if group.Primary != address || !group.Healthy {
+			continue
+		}
+		now, ok := next.Groups[name]
+		if !ok || !now.Healthy || now.Term != group.Term {
+			return true
+		}
+	}
+	return false
+}
+
+// cutReplica ends the reads that wait for a replica which control cannot reach.
+// A primary is left to the fence: control may have lost its own path only.
+func (s *poolSet) cutReplica(snapshot *view.Snapshot, address string) {
+	upstream, ok := snapshot.Upstreams[address]
+	if !ok || snapshot.Groups[upstream.Group].Primary == address {
+		return
+	}
+	s.mu.Lock()
+	p := s.pools[address]
+	s.mu.Unlock()
+	if p != nil {
+		p.cut()
+	}
+}
+
+// learnParameters keeps what upstreams report at their start for new callers.
+func (s *poolSet) learnParameters(service string, parameters map[string]string) {
+	s.parametersMu.Lock()
+	defer s.parametersMu.Unlock()
+	s.parameters[service] = parameters
+}
+
+func (s *poolSet) parametersOf(service string) map[string]string {
+	s.parametersMu.Lock()
+	defer s.parametersMu.Unlock()
+	return s.parameters[service]
+}
+
+// registerMetrics exposes the sums over all pools.
+func (s *poolSet) registerMetrics(set *metrics.Set) {
+	sum := func(value func(p *pool) int) func() float64 {
+		return func() float64 {
+			total := 0
+			for _, p := range s.list() {
+				p.mu.Lock()
+				total += value(p)
+				p.mu.Unlock()
+			}
+			return float64(total)
+		}
+	}
+	set.NewGauge("jayloom_proxy_pool_open", sum(func(p *pool) int { return p.open }))
+	set.NewGauge("jayloom_proxy_pool_idle", sum(func(p *pool) int { return len(p.idle) }))
+	set.NewGauge("jayloom_proxy_pool_waiting", sum(func(p *pool) int { return p.queue.Len() }))
+	set.NewGauge("jayloom_proxy_pool_pinned", sum(func(p *pool) int { return p.pinned }))
+	set.NewGauge("jayloom_proxy_pool_allowed", sum(func(p *pool) int { return p.allowed }))
+}
--- /dev/null
+++ b/proxy/registry.go
@@ -0,0 +1,111 @@
+package proxy
+
+import (
+	"sync"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/proxy/view"
+)
+
+// registry knows all connected callers, to end them when their key is withdrawn and
+// to find the one that a cancel request names.
+type registry struct {
+	mu       sync.Mutex
+	sessions map[uint64]*caller
+	// bySecret finds a session by the secret of its cancel key.
+	bySecret map[uint32]*caller
+	next     uint64
+	draining bool
+	// empty is closed when draining and the last session has ended.
+	empty chan struct{}
+}
+
+func newRegistry() *registry {
+	return &registry{
+		sessions: map[uint64]*caller{},
+		bySecret: map[uint32]*caller{},
+		empty:    make(chan struct{}),
+	}
+}
+
+// add registers a session and gives it its number and a cancel secret.
+func (r *registry) add(s *caller, secret func() uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	s.id = r.next
+	s.cancelSecret = secret()
+	for r.bySecret[s.cancelSecret] != nil {
+		s.cancelSecret = secret()
+	}
+	r.sessions[s.id] = s
+	r.bySecret[s.cancelSecret] = s
+	if r.draining {
+		s.drain()
+	}
+}
+
+func (r *registry) remove(s *caller) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.sessions, s.id)
+	delete(r.bySecret, s.cancelSecret)
+	r.checkEmpty()
+}
+
+func (r *registry) checkEmpty() {
+	if r.draining && len(r.sessions) == 0 {
+		select {
+		case <-r.empty:
+		default:
+			close(r.empty)
+		}
+	}
+}
+
+func (r *registry) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.sessions)
+}
+
+func (r *registry) find(secret uint32) *caller {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bySecret[secret]
+}
+
+// follow ends the callers whose key or team a new snapshot does not hold any more.
+func (r *registry) follow(old, next *view.Snapshot) {
+	if old.Config == next.Config {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.sessions {
+		if !s.keyActive(next) {
+			s.end(rescode.New(rescode.KeyWithdrawn, "team %q", s.team))
+		}
+	}
+}
+
+// drain ends idle callers now and the others at the end of their transactions.
+func (r *registry) drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = true
+	for _, s := range r.sessions {
+		s.drain()
+	}
+	r.checkEmpty()
+}
+
+// endAll ends all callers, when the drain limit is reached.
+func (r *registry) endAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.sessions {
+		s.end(rescode.New(rescode.ProxyDraining, ""))
+		_ = s.net.Close()
+	}
+}
--- /dev/null
+++ b/proxy/retry.go
@@ -0,0 +1,49 @@
+package proxy
+
+import "sync"
+
+const (
+	// retryStart is what a team may retry before it has sent requests; without it the
+	// first requests after a start could not be retried at all.
+	retryStart = 10
+	// retryCap bounds the retries saved up in quiet times.
+	retryCap = 100
+)
+
+// retryBudget limits retries to a part of each team's requests, so that retries do
+// not multiply the load on upstreams that already fail.
+type retryBudget struct {
+	perRequest float64
+	mu         sync.Mutex
+	credit     map[string]float64
+}
+
+func newRetryBudget(percent int) *retryBudget {
+	return &retryBudget{perRequest: float64(percent) / 100, credit: map[string]float64{}}
+}
+
+// earn counts a request.
+func (b *retryBudget) earn(team string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.credit[team] = min(b.get(team)+b.perRequest, retryCap)
+}
+
+// spend reports whether a retry is within the budget, and counts it.
+func (b *retryBudget) spend(team string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	credit := b.get(team)
+	if credit < 1 {
+		return false
+	}
+	b.credit[team] = credit - 1
+	return true
+}
+
+func (b *retryBudget) get(team string) float64 {
+	if credit, ok := b.credit[team]; ok {
+		return credit
+	}
+	return retryStart
+}
--- /dev/null
+++ b/proxy/server.go
@@ -0,0 +1,223 @@
+// Package proxy serves callers over the PostgreSQL protocol and lends them the
+// connections to upstreams.
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/base/settings"
+	"github.com/jayloom/jayloom/proxy/view"
+)
+
+// Canceller passes a cancel request on to the proxy that issued its key.
+type Canceller interface {
+	Cancel(ctx context.Context, address string, processID uint32, secret []byte) error
+}
+
+// Options configure a Server.
+type Options struct {
+	Settings settings.Proxy
+	Store    *view.Store
+	Tokens   TokenHolder
+	Shares   ShareHolder
+	// Dialer opens connections to upstreams; nil logs in with the settings' account.
+	Dialer Dialer
+	// TLS is offered to callers when set.
+	TLS *tls.Config
+	// Peers forwards cancel requests; nil drops those of other proxies.
+	Peers Canceller
+	Log   *logrus.Entry
+}
+
+// Server is the traffic side of one proxy.
+type Server struct {
+	opts      Options
+	settings  settings.Proxy
+	view      view.View
+	admission *admission
+	pools     *poolSet
+	registry  *registry
+	retries   *retryBudget
+	metrics   *metrics.Set
+	reportNow atomic.Pointer[func()]
+
+	unauthenticated atomic.Int64
+
+	questionsMu sync.Mutex
+	barriers    map[string]*barrier
+	confirmers  map[string]*confirmer
+
+	listenerMu sync.Mutex
+	listeners  []net.Listener
+	closed     bool
+	stop       chan struct{}
+}
+
+// shareInterval is how often lapsed shares are looked for.
+const shareInterval = 100 * time.Millisecond
+
+// New returns a server that follows the snapshots of the store.
+func New(opts Options) *Server {
+	s := &Server{
+		opts:       opts,
+		settings:   opts.Settings,
+		view:       opts.Store,
+		registry:   newRegistry(),
+		retries:    newRetryBudget(int(opts.Settings.RetryPercent)),
+		metrics:    metrics.NewSet(),
+		barriers:   map[string]*barrier{},
+		confirmers: map[string]*confirmer{},
+		stop:       make(chan struct{}),
+	}
+	s.admission = newAdmission(opts.Tokens, s.report)
+	s.pools = &poolSet{
+		dialer:           opts.Dialer,
+		queuePerTeam:     int(opts.Settings.QueuePerTeam),
+		maxPinnedPercent: int(opts.Settings.MaxPinnedPercent),
+		reportNow:        s.report,
+		pools:            map[string]*pool{},
+		holder:           opts.Shares,
+		parameters:       map[string]map[string]string{},
+	}
+	if s.pools.dialer == nil {
+		s.pools.dialer = accountDialer{account: opts.Settings.Upstream}
+	}
+	s.pools.registerMetrics(s.metrics)
+	s.metrics.NewGauge("jayloom_proxy_callers", func() float64 { return float64(s.registry.count()) })
+	metrics.RegisterSet(s.metrics)
+	opts.Store.OnPublish(s.pools.follow)
+	opts.Store.OnPublish(s.registry.follow)
+	go s.enforceShares()
+	return s
+}
+
+// TokenReporter returns what the control client reports and grants tokens to.
+func (s *Server) TokenReporter() *admission { return s.admission }
+
+// ShareReporter returns what the control client reports and grants shares to.
+func (s *Server) ShareReporter() *poolSet { return s.pools }
+
+// OnUrgent sets the function that asks for a report before the next interval.
+func (s *Server) OnUrgent(report func()) {
+	s.reportNow.Store(&report)
+}
+
+func (s *Server) report() {
+	if report := s.reportNow.Load(); report != nil {
+		(*report)()
+	}
+}
+
+func (s *Server) enforceShares() {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.pools.enforce(clock.Now())
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+// Serve accepts callers until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	s.listenerMu.Lock()
+	closed := s.closed
+	s.listeners = append(s.listeners, listener)
+	s.listenerMu.Unlock()
+	if closed {
+		return listener.Close()
+	}
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept callers")
+		}
+		go s.handle(conn)
+	}
+}
+
+// handle serves one network connection from its first byte to its end.
+func (s *Server) handle(conn net.Conn) {
+	authenticated := s.authenticate(conn)
+	if authenticated == nil {
+		return
+	}
+	metricCallers.Inc()
+	authenticated.run()
+}
+
+// Drain stops accepting, ends idle callers, and waits for running transactions
+// until ctx ends; then it closes what is left.
+func (s *Server) Drain(ctx context.Context) {
+	s.listenerMu.Lock()
+	s.closed = true
+	for _, listener := range s.listeners {
+		_ = listener.Close()
+	}
+	s.listenerMu.Unlock()
+	s.registry.drain()
+	select {
+	case <-s.registry.empty:
+	case <-ctx.Done():
+		s.registry.endAll()
+	}
+}
+
+// Close ends everything without waiting.
+func (s *Server) Close() {
+	done, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.Drain(done)
+	close(s.stop)
+	for _, p := range s.pools.list() {
+		p.cut()
+	}
+	metrics.UnregisterSet(s.metrics, true)
+}
+
+func (s *Server) barrierOf(group string) *barrier {
+	s.questionsMu.Lock()
+	defer s.questionsMu.Unlock()
+	b, ok := s.barriers[group]
+	if !ok {
+		b = &barrier{server: s, group: group}
+		s.barriers[group] = b
+	}
+	return b
+}
+
+func (s *Server) confirmerOf(group string) *confirmer {
+	s.questionsMu.Lock()
+	defer s.questionsMu.Unlock()
+	c, ok := s.confirmers[group]
+	if !ok {
+		c = &confirmer{server: s, group: group, waiting: map[*confirmWaiter]struct{}{}}
+		s.confirmers[group] = c
+	}
+	return c
+}
+
+// attended returns an error when nothing may be served.
+func (s *Server) attended() *rescode.Error {
+	if s.view.Current().Attended(clock.Now()) {
+		return nil
+	}
+	return rescode.New(rescode.ProxyDetached, "")
+}
--- /dev/null
+++ b/proxy/startup.go
@@ -0,0 +1,367 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/proxy/wire"
+)
+
+const (
+	// startupLimit bounds what is read of a caller before it is authenticated.
+	startupLimit = 10 << 10
+	// Codes in place of a protocol version.
+	codeSSL    = 80877103
+	codeGSS    = 80877104
+	codeCancel = 80877102
+	// protocolMajor and protocolMinor are the version served.
+	protocolMajor = 3
+	protocolMinor = 0
+	// maxNegotiations bounds the encryption requests of one connection.
+	maxNegotiations = 2
+)
+
+// startupPacket is the content of a caller's first message.
+type startupPacket struct {
+	code       uint32
+	parameters []parameter
+	// cancel key, for a cancel request
+	processID uint32
+	secret    uint32
+}
+
+// parameter is a setting of a connection.
+type parameter struct {
+	name, value string
+}
+
+// parseStartup reads the body of a message without a type byte.
+func parseStartup(body []byte) (startupPacket, *rescode.Error) {
+	if len(body) < 4 {
+		return startupPacket{}, malformed("the startup message is too short")
+	}
+	packet := startupPacket{code: binary.BigEndian.Uint32(body)}
+	rest := body[4:]
+	switch {
+	case packet.code == codeSSL || packet.code == codeGSS:
+		return packet, nil
+	case packet.code == codeCancel:
+		if len(rest) != 8 {
+			return packet, malformed("the cancel request has another length than 16")
+		}
+		packet.processID = binary.BigEndian.Uint32(rest)
+		packet.secret = binary.BigEndian.Uint32(rest[4:])
+		return packet, nil
+	case packet.code>>16 != protocolMajor:
+		return packet, rescode.New(rescode.UnsupportedProtocol, "version %d.%d", packet.code>>16, packet.code&0xffff)
+	}
+	var err *rescode.Error
+	packet.parameters, err = parseParameters(rest)
+	return packet, err
+}
+
+func parseParameters(rest []byte) ([]parameter, *rescode.Error) {
+	var parameters []parameter
+	for {
+		name, after, ok := cutString(rest)
+		if !ok {
+			return nil, malformed("the startup message has no end")
+		}
+		if name == "" {
+			if len(after) > 0 {
+				return nil, malformed("the startup message continues behind its end")
+			}
+			return parameters, nil
+		}
+		value, after, ok := cutString(after)
+		if !ok {
+			return nil, malformed("a startup parameter has no value")
+		}
+		parameters = append(parameters, parameter{name, value})
+		rest = after
+	}
+}
+
+func cutString(b []byte) (string, []byte, bool) {
+	text, after, ok := bytes.Cut(b, []byte{0})
+	return string(text), after, ok
+}
+
+func malformed(text string) *rescode.Error {
+	return rescode.New(rescode.MalformedPacket, "%s", text)
+}
+
+// splitOptions reads the startup parameter "options" as a server does: words that
+// are separated by spaces, a backslash taking the next character as it is.
+func splitOptions(options string) ([]parameter, *rescode.Error) {
+	var parameters []parameter
+	words := optionWords(options)
+	for i := 0; i < len(words); i++ {
+		word := words[i]
+		switch {
+		case word == "-c" && i+1 < len(words):
+			i++
+			word = words[i]
+		case strings.HasPrefix(word, "-c"):
+			word = word[2:]
+		case strings.HasPrefix(word, "--"):
+			word = word[2:]
+		default:
+			return nil, rescode.New(rescode.UnsupportedProtocol, "startup options other than -c name=value")
+		}
+		name, value, ok := strings.Cut(word, "=")
+		if !ok {
+			return nil, rescode.New(rescode.UnsupportedProtocol, "a startup option without a value")
+		}
+		parameters = append(parameters, parameter{strings.ReplaceAll(name, "-", "_"), value})
+	}
+	return parameters, nil
+}
+
+func optionWords(options string) []string {
+	var words []string
+	var word strings.Builder
+	inWord := false
+	for i := 0; i < len(options); i++ {
+		c := options[i]
+		if c == ' ' || c == '\t' || c == '\n' {
+			if inWord {
+				words = append(words, word.String())
+				word.Reset()
+				inWord = false
+			}
+			continue
+		}
+		if c == '\\' && i+1 < len(options) {
+			i++
+			c = options[i]
+		}
+		word.WriteByte(c)
+		inWord = true
+	}
+	if inWord {
+		words = append(words, word.String())
+	}
+	return words
+}
+
+// handshake is a connection before its caller is authenticated.
+type handshake struct {
+	server *Server
+	net    net.Conn
+	rd     *wire.Reader
+	out    *wire.Writer
+	inTLS  bool
+}
+
+func (h *handshake) use(conn net.Conn) {
+	h.net = conn
+	h.rd = wire.NewReader(conn, startupLimit)
+	h.out = wire.NewWriter(conn)
+}
+
+// authenticate takes a connection through startup. It returns nil when the
+// connection is over.
+func (s *Server) authenticate(conn net.Conn) *caller {
+	defer s.unauthenticated.Add(-1)
+	h := &handshake{server: s}
+	h.use(conn)
+	waiting := s.unauthenticated.Add(1)
+	limit := time.Duration(s.settings.AuthenticationTimeoutMs) * time.Millisecond
+	_ = conn.SetDeadline(time.Now().Add(limit))
+	if waiting > int64(s.settings.MaxUnauthenticated) {
+		h.refuse(rescode.New(rescode.TooManyUnauthenticated, ""))
+		return nil
+	}
+	session, err := h.run()
+	if err != nil {
+		h.fail(err)
+		return nil
+	}
+	if session != nil {
+		_ = conn.SetDeadline(time.Time{})
+	}
+	return session
+}
+
+// fail answers a refusal; other errors mean that the caller has gone.
+func (h *handshake) fail(err error) {
+	var refused *rescode.Error
+	var tooLarge *wire.TooLargeError
+	var netErr net.Error
+	switch {
+	case errors.As(err, &refused):
+		h.refuse(refused)
+	case errors.As(err, &tooLarge):
+		h.refuse(rescode.New(rescode.PacketTooLarge, "%s", tooLarge.Error()))
+	case errors.Is(err, wire.ErrMalformed):
+		h.refuse(malformed(err.Error()))
+	case errors.As(err, &netErr) && netErr.Timeout():
+		h.refuse(rescode.New(rescode.AuthenticationTimeout, ""))
+	default:
+		_ = h.net.Close()
+	}
+}
+
+// refuseTimeout bounds the writing of a refusal to a caller that does not read.
+const refuseTimeout = time.Second
+
+func (h *handshake) refuse(err *rescode.Error) {
+	countResult(err.Code)
+	_ = h.net.SetDeadline(time.Now().Add(refuseTimeout))
+	h.out.Message(errorResponse(err, severityFatal))
+	_, _ = h.out.Flush()
+	_ = h.net.Close()
+}
+
+func (h *handshake) run() (*caller, error) {
+	for range maxNegotiations + 1 {
+		body, err := h.rd.NextStartup()
+		if err != nil {
+			return nil, err
+		}
+		packet, refused := parseStartup(body)
+		if refused != nil {
+			return nil, refused
+		}
+		switch packet.code {
+		case codeSSL:
+			if err := h.offerTLS(); err != nil {
+				return nil, err
+			}
+		case codeGSS:
+			if _, err := h.net.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		case codeCancel:
+			h.server.cancelRequest(packet.processID, packet.secret)
+			return nil, h.net.Close()
+		default:
+			return h.start(packet)
+		}
+	}
+	return nil, malformed("too many encryption requests")
+}
+
+func (h *handshake) offerTLS() error {
+	// Bytes behind the request would otherwise be read as if they were protected.
+	if h.rd.Buffered() > 0 {
+		return malformed("data follows the request for TLS")
+	}
+	if h.server.opts.TLS == nil || h.inTLS {
+		_, err := h.net.Write([]byte{'N'})
+		return err
+	}
+	if _, err := h.net.Write([]byte{'S'}); err != nil {
+		return err
+	}
+	secured := tls.Server(h.net, h.server.opts.TLS)
+	if err := secured.Handshake(); err != nil {
+		return err
+	}
+	h.use(secured)
+	h.inTLS = true
+	return nil
+}
+
+// start checks a startup message, authenticates and answers until ready.
+func (h *handshake) start(packet startupPacket) (*caller, error) {
+	if h.server.settings.RequireTLS && !h.inTLS {
+		return nil, rescode.New(rescode.TLSRequired, "")
+	}
+	if packet.code&0xffff != protocolMinor {
+		h.out.Message(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: protocolMinor})
+	}
+	s := &caller{server: h.server, tx: txIdle}
+	if refused := s.readStartup(packet.parameters); refused != nil {
+		return nil, refused
+	}
+	if refused := h.server.attended(); refused != nil {
+		return nil, refused
+	}
+	if err := h.checkCaller(s); err != nil {
+		return nil, err
+	}
+	if h.server.registry.count() >= int(h.server.settings.MaxClients) {
+		return nil, rescode.New(rescode.TooManyConnections, "")
+	}
+	return h.ready(s)
+}
+
+// ready registers the session and sends what a caller waits for.
+func (h *handshake) ready(s *caller) (*caller, error) {
+	s.net, s.rd, s.out = h.net, h.rd, h.out
+	s.rd.SetLimit(int(h.server.settings.MaxMessageBytes))
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	h.server.registry.add(s, randomSecret)
+	// The key may have been withdrawn between the check and the registration.
+	snapshot := h.server.view.Current()
+	if !s.keyActive(snapshot) {
+		h.server.registry.remove(s)
+		return nil, rescode.New(rescode.KeyWithdrawn, "team %q", s.team)
+	}
+	if refused := s.takeShownToken(); refused != nil {
+		h.server.registry.remove(s)
+		return nil, refused
+	}
+	h.out.Message(&pgproto3.AuthenticationOk{})
+	for _, p := range s.reportedParameters() {
+		h.out.Message(&pgproto3.ParameterStatus{Name: p.name, Value: p.value})
+	}
+	secret := binary.BigEndian.AppendUint32(nil, s.cancelSecret)
+	h.out.Message(&pgproto3.BackendKeyData{ProcessID: snapshot.Number, SecretKey: secret})
+	h.out.Message(&pgproto3.ReadyForQuery{TxStatus: txIdle})
+	if _, err := h.out.Flush(); err != nil {
+		h.server.registry.remove(s)
+		return nil, err
+	}
+	return s, nil
+}
+
+func randomSecret() uint32 {
+	var b [4]byte
+	// crypto/rand.Read never returns an error.
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint32(b[:])
+}
+
+// defaultParameters are reported while no upstream has been seen.
+var defaultParameters = map[string]string{
+	"server_version":              "16.0",
+	"server_encoding":             "UTF8",
+	"client_encoding":             "UTF8",
+	"DateStyle":                   "ISO, MDY",
+	"IntervalStyle":               "postgres",
+	"TimeZone":                    "UTC",
+	"integer_datetimes":           "on",
+	"standard_conforming_strings": "on",
+}
+
+// reportedParameters are the values that a caller learns at its start.
+func (s *caller) reportedParameters() []parameter {
+	known := s.server.pools.parametersOf(s.service)
+	var reported []parameter
+	for name, fallback := range defaultParameters {
+		value, ok := known[name]
+		if !ok {
+			value = fallback
+		}
+		for _, p := range s.parameters {
+			if strings.EqualFold(p.name, name) {
+				value = p.value
+			}
+		}
+		reported = append(reported, parameter{name, value})
+	}
+	return append(reported, parameter{nameSession, s.tokenText()})
+}
--- a/proxy/view/config.go
+++ b/proxy/view/config.go
@@ -48,6 +48,7 @@
 // Group is a database group in its current term.
 type Group struct {
 	Name    string
+	Service string
 	Term    uint64
 	Primary string
 	Healthy bool
@@ -103,6 +104,7 @@
 func compileGroup(group *controlpb.Group) *Group {
 	return &Group{
 		Name:    group.Name,
+		Service: group.Service,
 		Term:    group.Term,
 		Primary: group.Primary,
 		Healthy: group.Phase == controlpb.GroupPhase_GROUP_PHASE_HEALTHY,
--- a/proxy/wire/writer.go
+++ b/proxy/wire/writer.go
@@ -87,3 +87,10 @@
 		w.buf = nil
 	}
 }
+
+// String appends a string and its terminating zero, as a part of a message.
+func (w *Writer) String(text string) {
+	w.reserve()
+	w.buf = append(w.buf, text...)
+	w.buf = append(w.buf, 0)
+}
