Add the stand-in database server

Cause: the proxy, control and their tests need a PostgreSQL server that can be crashed, frozen, promoted and audited in a process of the repository.

Change: module standin with a SQL subset, tables in memory, a log with timelines, asynchronous replication over the server's own port, protocol v3 and an audit; command jayloom-standin with announcements.

--- /dev/null
+++ b/cmd/jayloom-standin/main.go
@@ -0,0 +1,109 @@
+// Command jayloom-standin is a stand-in for a PostgreSQL server, for local runs
+// and tests.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jayloom/jayloom/base/logging"
+	"github.com/jayloom/jayloom/base/metricsrv"
+	"github.com/jayloom/jayloom/cmd/internal/flagfile"
+	"github.com/jayloom/jayloom/standin"
+	"github.com/jayloom/jayloom/standin/announce"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "jayloom-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	var o options
+	_, err := flagfile.Parse(flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash), args)
+	if flagfile.Wanted(err) {
+		fmt.Println(err)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if o.Version {
+		fmt.Println("jayloom-standin", flagfile.Version)
+		return nil
+	}
+	if err := o.load(); err != nil || o.Check {
+		return err
+	}
+	return serve(&o)
+}
+
+func serve(o *options) error {
+	logger, err := logging.New(o.LogFormat, o.LogLevel, "jayloom-standin", o.Listen)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := o.config()
+	c.Logger = logger
+	if err := o.openFiles(&c); err != nil {
+		return err
+	}
+	server, err := standin.Start(ctx, c)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	if err := initialize(ctx, server, o.Init); err != nil {
+		return err
+	}
+	if o.HTTP != "" {
+		if _, err := metricsrv.Start(o.HTTP); err != nil {
+			return err
+		}
+	}
+	logger.WithFields(logrus.Fields{"address": server.Addr(), "replica": server.InRecovery()}).Info("serving")
+	announcer := announce.New(o.Announce, o.AnnounceCredential, o.upstream(server.Addr()), logger)
+	var announcing sync.WaitGroup
+	announcing.Go(func() { announcer.Run(ctx) })
+	awaitSignal(ctx, announcer, logger)
+	cancel()
+	announcing.Wait()
+	return nil
+}
+
+func initialize(ctx context.Context, server *standin.Server, path string) error {
+	if path == "" || server.InRecovery() {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "--init")
+	}
+	return errors.Wrap(server.Exec(ctx, string(data)), "--init")
+}
+
+// awaitSignal returns when the process is to end. SIGUSR1 announces leaving and
+// goes on serving.
+func awaitSignal(ctx context.Context, announcer *announce.Announcer, logger *logrus.Entry) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	for s := range signals {
+		logger.WithField("signal", s.String()).Info("announcing leaving")
+		announcer.Leave(ctx)
+		if s != syscall.SIGUSR1 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/commitlog/log.go
@@ -0,0 +1,182 @@
+// Package commitlog is the stand-in's write-ahead log: commits with their
+// positions, and the timelines that promotions start.
+package commitlog
+
+import (
+	"encoding/gob"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/jayloom/jayloom/standin/value"
+)
+
+// Base is the position of an empty log, the one a new PostgreSQL cluster has
+// after its first segment.
+const Base value.LSN = 0x1000000
+
+func init() {
+	gob.Register(time.Time{})
+	gob.Register(value.LSN(0))
+}
+
+// Op is the kind of a change.
+type Op uint8
+
+// Kinds of changes.
+const (
+	CreateTable Op = iota + 1
+	DropTable
+	Insert
+	Update
+	Delete
+)
+
+// Column describes a column of a table.
+type Column struct {
+	Name       string
+	Type       value.Type
+	PrimaryKey bool
+	NotNull    bool
+	// Serial columns take the next number of the table when no value is given.
+	Serial bool
+	// Default is used when no value is given; DefaultNow stands for now().
+	Default    any
+	DefaultNow bool
+}
+
+// Change is one change of a commit.
+type Change struct {
+	Op      Op
+	Table   string
+	Row     int64
+	Values  []any
+	Columns []Column
+}
+
+// Record is one commit, or the start of a timeline when it holds no changes.
+type Record struct {
+	Timeline    uint32
+	Start, End  value.LSN
+	CommittedAt time.Time
+	Changes     []Change
+}
+
+// Sizes that a record adds to the position. They only have to be positive and
+// to grow with the content, as in PostgreSQL.
+const (
+	recordBytes = 48
+	changeBytes = 56
+	valueBytes  = 8
+)
+
+// Log holds the records since Base in memory.
+type Log struct {
+	mu      sync.Mutex
+	records []*Record
+	history History
+	grown   chan struct{} // closed and replaced when the log grows
+}
+
+// New returns an empty log on timeline 1 of a branch of its own.
+func New() *Log {
+	return &Log{history: newHistory(), grown: make(chan struct{})}
+}
+
+// NewFollower returns an empty log that takes its history from the primary.
+func NewFollower() *Log {
+	return &Log{grown: make(chan struct{})}
+}
+
+// Append adds a commit of this server.
+func (l *Log) Append(changes []Change, at time.Time) *Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.append(changes, at)
+}
+
+func (l *Log) append(changes []Change, at time.Time) *Record {
+	start := l.end()
+	r := &Record{
+		Timeline:    l.history.Timeline(),
+		Start:       start,
+		End:         start + size(changes),
+		CommittedAt: at,
+		Changes:     changes,
+	}
+	l.push(r)
+	return r
+}
+
+// Receive adds a record of the primary, whose history is given.
+func (l *Log) Receive(r *Record, primary History) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.push(r)
+	l.history = primary.Before(r.End)
+}
+
+// Adopt takes over the part of the primary's history that covers the log.
+func (l *Log) Adopt(primary History) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.history = primary.Before(l.end())
+}
+
+// StartTimeline begins the next timeline at the end of the log.
+func (l *Log) StartTimeline(at time.Time) uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.history = l.history.branch(l.end())
+	l.append(nil, at)
+	return l.history.Timeline()
+}
+
+func (l *Log) push(r *Record) {
+	l.records = append(l.records, r)
+	close(l.grown)
+	l.grown = make(chan struct{})
+}
+
+// End returns the position behind the last record.
+func (l *Log) End() value.LSN {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.end()
+}
+
+func (l *Log) end() value.LSN {
+	if len(l.records) == 0 {
+		return Base
+	}
+	return l.records[len(l.records)-1].End
+}
+
+// History returns the timelines of the log.
+func (l *Log) History() History {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append(History(nil), l.history...)
+}
+
+// After returns the records from position on, and a channel that is closed when
+// there are more.
+func (l *Log) After(position value.LSN) ([]*Record, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := sort.Search(len(l.records), func(i int) bool { return l.records[i].Start >= position })
+	return l.records[first:len(l.records):len(l.records)], l.grown
+}
+
+func size(changes []Change) value.LSN {
+	total := recordBytes
+	for _, c := range changes {
+		total += changeBytes + valueBytes*len(c.Values)
+		for _, v := range c.Values {
+			if s, ok := v.(string); ok {
+				total += (len(s) + valueBytes - 1) / valueBytes * valueBytes
+			}
+		}
+	}
+	return value.LSN(total)
+}
--- a/standin/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package standin is under construction.
-package standin
--- /dev/null
+++ b/standin/engine/copy.go
@@ -0,0 +1,152 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"strings"
+
+	"github.com/jayloom/jayloom/standin/sql"
+	"github.com/jayloom/jayloom/standin/sqlerr"
+	"github.com/jayloom/jayloom/standin/store"
+	"github.com/jayloom/jayloom/standin/value"
+)
+
+// CopyIn takes the rows of COPY FROM STDIN.
+type CopyIn struct {
+	session *Session
+	table   *store.Table
+	targets []int
+	pending []byte
+	rows    int
+	ended   bool
+}
+
+// Formats returns the format codes of the columns for CopyInResponse.
+func (c *CopyIn) Formats() []uint16 { return make([]uint16, len(c.targets)) }
+
+func (e *env) copy(s *sql.Copy) (*Result, error) {
+	if s.From {
+		return e.copyIn(s)
+	}
+	query := s.Query
+	if query == nil {
+		query = &sql.Select{Items: copyItems(s.Columns), From: &sql.From{Name: s.Table}}
+	}
+	r, err := e.selectStatement(query)
+	if err != nil {
+		return nil, err
+	}
+	r.Tag = count("COPY", len(r.Rows))
+	r.CopyOut = true
+	return r, nil
+}
+
+func copyItems(columns []string) []sql.Item {
+	if len(columns) == 0 {
+		return []sql.Item{{Star: true}}
+	}
+	var items []sql.Item
+	for _, name := range columns {
+		items = append(items, sql.Item{Expr: &sql.Column{Name: name}})
+	}
+	return items
+}
+
+func (e *env) copyIn(s *sql.Copy) (*Result, error) {
+	t, err := e.session.writable("COPY FROM", s.Table)
+	if err != nil {
+		return nil, err
+	}
+	targets, err := targetColumns(t, s.Columns)
+	if err != nil {
+		return nil, err
+	}
+	return &Result{CopyIn: &CopyIn{session: e.session, table: t, targets: targets}}, nil
+}
+
+// Write takes a piece of the data; lines may be split between pieces.
+func (c *CopyIn) Write(ctx context.Context, data []byte) error {
+	c.pending = append(c.pending, data...)
+	for {
+		line, rest, found := bytes.Cut(c.pending, []byte{'\n'})
+		if !found {
+			return nil
+		}
+		c.pending = rest
+		if err := c.line(ctx, strings.TrimSuffix(string(line), "\r")); err != nil {
+			return c.session.fail(nil, err)
+		}
+	}
+}
+
+// Done ends the data and returns the command tag.
+func (c *CopyIn) Done(ctx context.Context) (string, error) {
+	if len(c.pending) > 0 {
+		if err := c.line(ctx, string(c.pending)); err != nil {
+			return "", c.session.fail(nil, err)
+		}
+	}
+	tag := count("COPY", c.rows)
+	if n := len(c.session.entries); n > 0 {
+		c.session.Audit.Result(c.session.entries[n-1], tag, "")
+	}
+	return tag, nil
+}
+
+// Abort drops the work after the client gave up.
+func (c *CopyIn) Abort(message string) error {
+	return c.session.fail(nil, sqlerr.New(sqlerr.QueryCanceled, "COPY from stdin failed: %s", message))
+}
+
+func (c *CopyIn) line(ctx context.Context, line string) error {
+	if c.ended || line == `\.` {
+		c.ended = true
+		return nil
+	}
+	parts := strings.Split(line, "\t")
+	if len(parts) != len(c.targets) {
+		return sqlerr.New(sqlerr.BadCopyFormat, "a line has %d columns, %d are expected", len(parts), len(c.targets))
+	}
+	given := make([]bool, len(c.table.Columns))
+	values := make([]any, len(c.table.Columns))
+	for i, part := range parts {
+		given[c.targets[i]] = true
+		if part != `\N` {
+			values[c.targets[i]] = copyUnescape.Replace(part)
+		}
+	}
+	if err := complete(c.table, given, values); err != nil {
+		return err
+	}
+	added, err := c.session.tx.Insert(ctx, c.table, values)
+	if err == nil && !added {
+		err = store.DuplicateKey(c.table)
+	}
+	c.rows++
+	return err
+}
+
+var (
+	copyEscape   = strings.NewReplacer("\\", `\\`, "\t", `\t`, "\n", `\n`, "\r", `\r`)
+	copyUnescape = strings.NewReplacer(`\\`, "\\", `\t`, "\t", `\n`, "\n", `\r`, "\r")
+)
+
+// CopyLine returns a row in the text format of COPY.
+func CopyLine(row []any, fields []Field) ([]byte, error) {
+	var line []byte
+	for i, v := range row {
+		if i > 0 {
+			line = append(line, '\t')
+		}
+		if v == nil {
+			line = append(line, `\N`...)
+			continue
+		}
+		text, err := value.Encode(v, fields[i].Type, value.FormatText)
+		if err != nil {
+			return nil, err
+		}
+		line = append(line, copyEscape.Replace(string(text))...)
+	}
+	return append(line, '\n'), nil
+}
--- /dev/null
+++ b/standin/sqlerr/sqlerr.go
@@ -0,0 +1,65 @@
+// Package sqlerr defines the errors that a client of the stand-in sees.
+package sqlerr
+
+import (
+	"errors"
+	"fmt"
+)
+
+// SQLSTATE codes that the stand-in uses.
+const (
+	SyntaxError          = "42601"
+	UndefinedTable       = "42P01"
+	UndefinedColumn      = "42703"
+	UndefinedFunction    = "42883"
+	UndefinedObject      = "42704"
+	DuplicateTable       = "42P07"
+	DuplicateStatement   = "42P05"
+	DatatypeMismatch     = "42804"
+	InvalidStatementName = "26000"
+	InvalidCursorName    = "34000"
+	UniqueViolation      = "23505"
+	NotNullViolation     = "23502"
+	FailedTransaction    = "25P02"
+	ActiveTransaction    = "25001"
+	ReadOnly             = "25006"
+	InvalidText          = "22P02"
+	InvalidParameter     = "22023"
+	DivisionByZero       = "22012"
+	BadCopyFormat        = "22P04"
+	Deadlock             = "40P01"
+	QueryCanceled        = "57014"
+	AdminShutdown        = "57P01"
+	TooManyConnections   = "53300"
+	InvalidPassword      = "28P01"
+	ProtocolViolation    = "08P01"
+	NotSupported         = "0A000"
+	WrongState           = "55000"
+	UndefinedWALFile     = "58P01"
+	Internal             = "XX000"
+)
+
+// Error is an error with its SQLSTATE.
+type Error struct {
+	Code    string
+	Message string
+}
+
+// New returns an Error with a formatted message.
+func New(code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the message and the SQLSTATE.
+func (e *Error) Error() string {
+	return e.Message + " (SQLSTATE " + e.Code + ")"
+}
+
+// From returns err as an Error; other errors become internal ones.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(Internal, "%s", err.Error())
+}
--- /dev/null
+++ b/standin/store/store.go
@@ -0,0 +1,241 @@
+// Package store keeps the tables of the stand-in in memory.
+//
+// Readers see the committed rows and their own transaction's work. Writers lock
+// rows until their transaction ends, as under PostgreSQL's Read Committed.
+package store
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jayloom/jayloom/standin/commitlog"
+	"github.com/jayloom/jayloom/standin/sqlerr"
+	"github.com/jayloom/jayloom/standin/value"
+)
+
+// Row is a committed row. Its values are replaced, never changed.
+type Row struct {
+	ID     int64
+	Values []any
+	dead   bool
+}
+
+// Table is a table with its committed rows.
+type Table struct {
+	Name      string
+	Columns   []commitlog.Column
+	Temporary bool
+
+	store  *Store
+	keys   []int // positions of the primary key's columns
+	rows   map[int64]*Row
+	byKey  map[string]*Row
+	order  []*Row
+	dead   int
+	nextID int64
+	serial int64
+}
+
+// Store holds all tables and appends commits to the log.
+type Store struct {
+	mu     sync.RWMutex
+	tables map[string]*Table
+	log    *commitlog.Log
+	locks  *locks
+	lastTx uint64
+}
+
+// New returns an empty store over log.
+func New(log *commitlog.Log) *Store {
+	return &Store{tables: map[string]*Table{}, log: log, locks: newLocks()}
+}
+
+func newTable(s *Store, name string, columns []commitlog.Column) *Table {
+	t := &Table{
+		Name:    name,
+		Columns: columns,
+		store:   s,
+		rows:    map[int64]*Row{},
+		byKey:   map[string]*Row{},
+	}
+	for i, c := range columns {
+		if c.PrimaryKey {
+			t.keys = append(t.keys, i)
+		}
+	}
+	return t
+}
+
+// Column returns the position of a column.
+func (t *Table) Column(name string) (int, bool) {
+	for i, c := range t.Columns {
+		if c.Name == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Keys returns the positions of the primary key's columns.
+func (t *Table) Keys() []int { return t.keys }
+
+// Key returns the primary key of values as text, empty when the table has none.
+func (t *Table) Key(values []any) string {
+	if len(t.keys) == 0 {
+		return ""
+	}
+	var b strings.Builder
+	for _, i := range t.keys {
+		text := value.Format(values[i])
+		b.WriteString(text)
+		// The separator cannot occur in PostgreSQL text, so two keys never coincide.
+		b.WriteByte(0)
+	}
+	return b.String()
+}
+
+// NextSerial returns the next number of the table. Numbers are not given back
+// when a transaction rolls back.
+func (t *Table) NextSerial() int64 {
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	t.serial++
+	return t.serial
+}
+
+func (t *Table) nextRowID() int64 {
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	t.nextID++
+	return t.nextID
+}
+
+// Position returns the end of the log; everything before it can be read.
+func (s *Store) Position() value.LSN {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.log.End()
+}
+
+// Apply applies a record received from a primary.
+func (s *Store) Apply(r *commitlog.Record, primary commitlog.History) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log.Receive(r, primary)
+	s.apply(r.Changes)
+}
+
+// StartTimeline begins a new timeline and leaves a gap in serial numbers, as
+// PostgreSQL does, which logs sequences some values ahead.
+func (s *Store) StartTimeline(at time.Time) uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.tables {
+		t.serial += serialGap
+	}
+	return s.log.StartTimeline(at)
+}
+
+// serialGap is PostgreSQL's SEQ_LOG_VALS.
+const serialGap = 32
+
+// commit appends the transaction's changes to the log and applies them at once.
+func (s *Store) commit(tx *Tx) value.LSN {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := s.log.End()
+	if len(tx.changes) > 0 {
+		end = s.log.Append(tx.changes, time.Now()).End
+		s.apply(tx.changes)
+	}
+	for t, changes := range tx.temporary {
+		for _, c := range changes {
+			t.apply(c)
+		}
+	}
+	return end
+}
+
+func (s *Store) apply(changes []commitlog.Change) {
+	for _, c := range changes {
+		switch c.Op {
+		case commitlog.CreateTable:
+			s.tables[c.Table] = newTable(s, c.Table, c.Columns)
+		case commitlog.DropTable:
+			delete(s.tables, c.Table)
+		default:
+			if t, ok := s.tables[c.Table]; ok {
+				t.apply(c)
+			}
+		}
+	}
+}
+
+func (t *Table) apply(c commitlog.Change) {
+	switch c.Op {
+	case commitlog.Insert:
+		t.insert(&Row{ID: c.Row, Values: c.Values})
+	case commitlog.Update:
+		t.update(c.Row, c.Values)
+	case commitlog.Delete:
+		t.remove(c.Row)
+	}
+}
+
+func (t *Table) insert(r *Row) {
+	t.rows[r.ID] = r
+	t.order = append(t.order, r)
+	if len(t.keys) > 0 {
+		t.byKey[t.Key(r.Values)] = r
+	}
+	t.nextID = max(t.nextID, r.ID)
+	for i, c := range t.Columns {
+		if n, ok := r.Values[i].(int64); ok && c.Serial {
+			t.serial = max(t.serial, n)
+		}
+	}
+}
+
+func (t *Table) update(id int64, values []any) {
+	r, ok := t.rows[id]
+	if !ok {
+		return
+	}
+	if len(t.keys) > 0 {
+		delete(t.byKey, t.Key(r.Values))
+		t.byKey[t.Key(values)] = r
+	}
+	r.Values = values
+}
+
+func (t *Table) remove(id int64) {
+	r, ok := t.rows[id]
+	if !ok {
+		return
+	}
+	delete(t.rows, id)
+	if len(t.keys) > 0 {
+		delete(t.byKey, t.Key(r.Values))
+	}
+	r.dead = true
+	t.dead++
+	if t.dead > len(t.order)/2 {
+		t.compact()
+	}
+}
+
+func (t *Table) compact() {
+	live := make([]*Row, 0, len(t.rows))
+	for _, r := range t.order {
+		if !r.dead {
+			live = append(live, r)
+		}
+	}
+	t.order, t.dead = live, 0
+}
+
+func duplicateKey(t *Table) error {
+	return sqlerr.New(sqlerr.UniqueViolation,
+		"duplicate key value violates unique constraint %q", t.Name+"_pkey")
+}
--- /dev/null
+++ b/standin/store/tx.go
@@ -0,0 +1,303 @@
+package store
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/jayloom/jayloom/standin/commitlog"
+	"github.com/jayloom/jayloom/standin/sqlerr"
+	"github.com/jayloom/jayloom/standin/value"
+)
+
+// Tx is the private work of one transaction. One goroutine uses it.
+type Tx struct {
+	ID uint64
+
+	store     *Store
+	session   *Session
+	changes   []commitlog.Change
+	temporary map[*Table][]commitlog.Change
+	overlays  map[*Table]*overlay
+	created   map[string]*Table
+	dropped   map[string]bool
+	locked    []lockName
+}
+
+// Session holds the temporary tables of one connection.
+type Session struct {
+	store     *Store
+	temporary map[string]*Table
+}
+
+// NewSession returns a session without temporary tables.
+func (s *Store) NewSession() *Session {
+	return &Session{store: s, temporary: map[string]*Table{}}
+}
+
+// DropTemporary drops the session's temporary tables.
+func (n *Session) DropTemporary() {
+	n.temporary = map[string]*Table{}
+}
+
+// Begin starts a transaction.
+func (n *Session) Begin() *Tx {
+	n.store.mu.Lock()
+	defer n.store.mu.Unlock()
+	n.store.lastTx++
+	return &Tx{
+		ID:        n.store.lastTx,
+		store:     n.store,
+		session:   n,
+		temporary: map[*Table][]commitlog.Change{},
+		overlays:  map[*Table]*overlay{},
+		created:   map[string]*Table{},
+		dropped:   map[string]bool{},
+	}
+}
+
+// overlay is what a transaction changed in one table.
+type overlay struct {
+	changed  map[int64][]any // nil values mean deleted
+	inserted []*Row
+	byKey    map[string]int64 // rows that the transaction wrote under this key
+}
+
+func (tx *Tx) overlay(t *Table) *overlay {
+	o, ok := tx.overlays[t]
+	if !ok {
+		o = &overlay{changed: map[int64][]any{}, byKey: map[string]int64{}}
+		tx.overlays[t] = o
+	}
+	return o
+}
+
+// Table returns a table by name; temporary ones hide others.
+func (tx *Tx) Table(name string) (*Table, error) {
+	if t, ok := tx.find(name); ok {
+		return t, nil
+	}
+	return nil, sqlerr.New(sqlerr.UndefinedTable, "relation %q does not exist", name)
+}
+
+func (tx *Tx) find(name string) (*Table, bool) {
+	if t, ok := tx.created[name]; ok {
+		return t, true
+	}
+	if tx.dropped[name] {
+		return nil, false
+	}
+	if t, ok := tx.session.temporary[name]; ok {
+		return t, true
+	}
+	tx.store.mu.RLock()
+	defer tx.store.mu.RUnlock()
+	t, ok := tx.store.tables[name]
+	return t, ok
+}
+
+// CreateTable creates a table that others see after Commit. It reports false if
+// the table exists.
+func (tx *Tx) CreateTable(ctx context.Context, name string, columns []commitlog.Column, temporary bool) (bool, error) {
+	if !temporary {
+		if err := tx.store.locks.acquire(ctx, tx, lockName{table: name}); err != nil {
+			return false, err
+		}
+	}
+	if t, ok := tx.find(name); ok && t.Temporary == temporary {
+		return false, nil
+	}
+	t := newTable(tx.store, name, columns)
+	t.Temporary = temporary
+	tx.created[name] = t
+	if !temporary {
+		tx.changes = append(tx.changes, commitlog.Change{Op: commitlog.CreateTable, Table: name, Columns: columns})
+	}
+	return true, nil
+}
+
+// DropTable drops a table; it reports false if there is none.
+func (tx *Tx) DropTable(name string) bool {
+	t, ok := tx.find(name)
+	if !ok {
+		return false
+	}
+	delete(tx.created, name)
+	tx.dropped[name] = true
+	if !t.Temporary {
+		tx.changes = append(tx.changes, commitlog.Change{Op: commitlog.DropTable, Table: name})
+	}
+	return true
+}
+
+// Writes reports whether the transaction has changes that a replica would get.
+func (tx *Tx) Writes() bool { return len(tx.changes) > 0 }
+
+// Commit makes the work visible at once and returns the position behind it.
+func (tx *Tx) Commit() value.LSN {
+	end := tx.store.commit(tx)
+	for name := range tx.dropped {
+		delete(tx.session.temporary, name)
+	}
+	for name, t := range tx.created {
+		if t.Temporary {
+			tx.session.temporary[name] = t
+		}
+	}
+	tx.finish()
+	return end
+}
+
+// Rollback drops the work.
+func (tx *Tx) Rollback() { tx.finish() }
+
+func (tx *Tx) finish() {
+	tx.store.locks.release(tx)
+}
+
+// Visible is a row as a transaction sees it.
+type Visible struct {
+	ID     int64
+	Values []any
+}
+
+// Rows returns all rows of t in the order of their insertion: the committed ones
+// of one moment and the transaction's own.
+func (tx *Tx) Rows(t *Table) []Visible {
+	tx.store.mu.RLock()
+	defer tx.store.mu.RUnlock()
+	o := tx.overlays[t]
+	rows := make([]Visible, 0, len(t.rows))
+	for _, r := range t.order {
+		if !r.dead {
+			rows = appendVisible(rows, o, r)
+		}
+	}
+	if o != nil {
+		for _, r := range o.inserted {
+			rows = appendVisible(rows, o, r)
+		}
+	}
+	return rows
+}
+
+func appendVisible(rows []Visible, o *overlay, r *Row) []Visible {
+	if o == nil {
+		return append(rows, Visible{r.ID, r.Values})
+	}
+	values, changed := o.changed[r.ID]
+	switch {
+	case !changed:
+		return append(rows, Visible{r.ID, r.Values})
+	case values == nil:
+		return rows
+	}
+	return append(rows, Visible{r.ID, values})
+}
+
+// ByKey returns the row with a primary key, as a list of at most one.
+func (tx *Tx) ByKey(t *Table, key string) []Visible {
+	tx.store.mu.RLock()
+	defer tx.store.mu.RUnlock()
+	o := tx.overlays[t]
+	if o != nil {
+		if id, ok := o.byKey[key]; ok {
+			return []Visible{{id, o.changed[id]}}
+		}
+	}
+	r, ok := t.byKey[key]
+	if !ok {
+		return nil
+	}
+	if o != nil {
+		if _, changed := o.changed[r.ID]; changed {
+			return nil // deleted, or moved to another key
+		}
+	}
+	return []Visible{{r.ID, r.Values}}
+}
+
+// Lock waits until no other transaction holds the row.
+func (tx *Tx) Lock(ctx context.Context, t *Table, id int64, values []any) error {
+	if t.Temporary {
+		return nil
+	}
+	return tx.store.locks.acquire(ctx, tx, rowLock(t, id, values))
+}
+
+// Holds reports whether the transaction has locked the row.
+func (tx *Tx) Holds(t *Table, id int64, values []any) bool {
+	if t.Temporary {
+		return true
+	}
+	tx.store.locks.mu.Lock()
+	defer tx.store.locks.mu.Unlock()
+	return tx.store.locks.owners[rowLock(t, id, values)] == tx
+}
+
+// rowLock names a row by its key, so that an insert of the same key waits too.
+func rowLock(t *Table, id int64, values []any) lockName {
+	if len(t.keys) > 0 {
+		return lockName{table: t.Name, key: t.Key(values)}
+	}
+	return lockName{table: t.Name, key: strconv.FormatInt(id, 10)}
+}
+
+// Insert adds a row. It reports false if the primary key exists.
+func (tx *Tx) Insert(ctx context.Context, t *Table, values []any) (bool, error) {
+	if len(t.keys) > 0 {
+		if err := tx.Lock(ctx, t, 0, values); err != nil {
+			return false, err
+		}
+		if tx.keyExists(t, values) {
+			return false, nil
+		}
+	}
+	id := t.nextRowID()
+	o := tx.overlay(t)
+	o.inserted = append(o.inserted, &Row{ID: id, Values: values})
+	o.changed[id] = values
+	o.byKey[t.Key(values)] = id
+	tx.record(t, commitlog.Change{Op: commitlog.Insert, Table: t.Name, Row: id, Values: values})
+	return true, nil
+}
+
+func (tx *Tx) keyExists(t *Table, values []any) bool {
+	return len(tx.ByKey(t, t.Key(values))) > 0
+}
+
+// Update replaces the values of a row that the transaction has locked.
+func (tx *Tx) Update(ctx context.Context, t *Table, id int64, old, values []any) error {
+	o := tx.overlay(t)
+	if len(t.keys) > 0 && t.Key(old) != t.Key(values) {
+		if err := tx.Lock(ctx, t, id, values); err != nil {
+			return err
+		}
+		if tx.keyExists(t, values) {
+			return duplicateKey(t)
+		}
+		delete(o.byKey, t.Key(old))
+	}
+	o.changed[id] = values
+	o.byKey[t.Key(values)] = id
+	tx.record(t, commitlog.Change{Op: commitlog.Update, Table: t.Name, Row: id, Values: values})
+	return nil
+}
+
+// Delete removes a row that the transaction has locked.
+func (tx *Tx) Delete(t *Table, id int64, values []any) {
+	o := tx.overlay(t)
+	o.changed[id] = nil
+	delete(o.byKey, t.Key(values))
+	tx.record(t, commitlog.Change{Op: commitlog.Delete, Table: t.Name, Row: id})
+}
+
+func (tx *Tx) record(t *Table, c commitlog.Change) {
+	if t.Temporary {
+		tx.temporary[t] = append(tx.temporary[t], c)
+		return
+	}
+	tx.changes = append(tx.changes, c)
+}
+
+// DuplicateKey returns the error for a primary key that exists.
+func DuplicateKey(t *Table) error { return duplicateKey(t) }
--- /dev/null
+++ b/standin/value/convert.go
@@ -0,0 +1,184 @@
+package value
+
+import (
+	"cmp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jayloom/jayloom/standin/sqlerr"
+)
+
+// timeLayout is PostgreSQL's ISO output for timestamptz.
+const timeLayout = "2006-01-02 15:04:05.999999-07"
+
+var timeLayouts = []string{timeLayout, time.RFC3339Nano, "2006-01-02 15:04:05.999999Z07:00",
+	"2006-01-02 15:04:05.999999", "2006-01-02"}
+
+// Convert converts v to type t.
+func Convert(v any, t Type) (any, error) {
+	if v == nil || t == Unknown {
+		return v, nil
+	}
+	switch t {
+	case Text:
+		return Format(v), nil
+	case Bool:
+		return toBool(v)
+	case Int4, Int8:
+		return toInt(v, t)
+	case Float8, Numeric:
+		return toFloat(v)
+	case Timestamptz:
+		return toTime(v)
+	case LSNType:
+		if l, ok := v.(LSN); ok {
+			return l, nil
+		}
+		return ParseLSN(Format(v))
+	}
+	return nil, sqlerr.New(sqlerr.DatatypeMismatch, "no conversion to type %d", t)
+}
+
+func toBool(v any) (any, error) {
+	if b, ok := v.(bool); ok {
+		return b, nil
+	}
+	switch strings.ToLower(Format(v)) {
+	case "t", "true", "on", "yes", "1":
+		return true, nil
+	case "f", "false", "off", "no", "0":
+		return false, nil
+	}
+	return nil, invalid("boolean", v)
+}
+
+func toInt(v any, t Type) (any, error) {
+	switch typed := v.(type) {
+	case int64:
+		return typed, nil
+	case float64:
+		return int64(typed), nil
+	}
+	bits := 64
+	if t == Int4 {
+		bits = 32
+	}
+	n, err := strconv.ParseInt(strings.TrimSpace(Format(v)), 10, bits)
+	if err != nil {
+		return nil, invalid("integer", v)
+	}
+	return n, nil
+}
+
+func toFloat(v any) (any, error) {
+	switch typed := v.(type) {
+	case float64:
+		return typed, nil
+	case int64:
+		return float64(typed), nil
+	}
+	f, err := strconv.ParseFloat(strings.TrimSpace(Format(v)), 64)
+	if err != nil {
+		return nil, invalid("numeric", v)
+	}
+	return f, nil
+}
+
+func toTime(v any) (any, error) {
+	if t, ok := v.(time.Time); ok {
+		return t, nil
+	}
+	for _, layout := range timeLayouts {
+		if t, err := time.Parse(layout, Format(v)); err == nil {
+			return t, nil
+		}
+	}
+	return nil, invalid("timestamp with time zone", v)
+}
+
+func invalid(typeName string, v any) error {
+	return sqlerr.New(sqlerr.InvalidText, "invalid input syntax for type %s: %q", typeName, Format(v))
+}
+
+// Format returns the text form of a value that is not nil.
+func Format(v any) string {
+	switch typed := v.(type) {
+	case string:
+		return typed
+	case int64:
+		return strconv.FormatInt(typed, 10)
+	case float64:
+		return strconv.FormatFloat(typed, 'f', -1, 64)
+	case bool:
+		if typed {
+			return "t"
+		}
+		return "f"
+	case time.Time:
+		return typed.UTC().Format(timeLayout)
+	case LSN:
+		return typed.String()
+	}
+	return ""
+}
+
+// Compare orders two values that are not nil; a text is read as the other's type.
+func Compare(a, b any) (int, error) {
+	if text, ok := a.(string); ok {
+		return compareText(text, b)
+	}
+	if _, ok := b.(string); ok {
+		order, err := Compare(b, a)
+		return -order, err
+	}
+	switch x := a.(type) {
+	case int64:
+		if y, ok := b.(int64); ok {
+			return cmp.Compare(x, y), nil
+		}
+		if y, ok := b.(float64); ok {
+			return cmp.Compare(float64(x), y), nil
+		}
+	case float64:
+		y, err := toFloat(b)
+		if err != nil {
+			return 0, err
+		}
+		return cmp.Compare(x, y.(float64)), nil
+	case bool:
+		if y, ok := b.(bool); ok {
+			return compareBool(x, y), nil
+		}
+	case time.Time:
+		if y, ok := b.(time.Time); ok {
+			return x.Compare(y), nil
+		}
+	case LSN:
+		if y, ok := b.(LSN); ok {
+			return cmp.Compare(x, y), nil
+		}
+	}
+	return 0, sqlerr.New(sqlerr.UndefinedFunction, "operator does not exist for these types")
+}
+
+func compareText(text string, b any) (int, error) {
+	if other, ok := b.(string); ok {
+		return strings.Compare(text, other), nil
+	}
+	converted, err := Convert(text, TypeOf(b))
+	if err != nil {
+		return 0, err
+	}
+	return Compare(converted, b)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/standin/wire/auth.go
@@ -0,0 +1,148 @@
+package wire
+
+import (
+	"crypto/rand"
+	"crypto/subtle"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"github.com/jayloom/jayloom/standin/sqlerr"
+)
+
+// Auth is how clients prove who they are.
+type Auth string
+
+// Ways to authenticate.
+const (
+	Cleartext Auth = "cleartext"
+	Scram     Auth = "scram"
+	Trust     Auth = "trust"
+)
+
+// Account is the one account of the server.
+type Account struct {
+	User, Password string
+	Auth           Auth
+}
+
+const (
+	scramMechanism  = "SCRAM-SHA-256"
+	scramIterations = 4096
+	scramSaltBytes  = 16
+)
+
+func (a Account) check(backend *pgproto3.Backend, user string) error {
+	if a.Auth == Trust {
+		return nil
+	}
+	ok := false
+	var err error
+	if a.Auth == Scram {
+		ok, err = a.checkScram(backend)
+	} else {
+		ok, err = a.checkCleartext(backend)
+	}
+	if err != nil {
+		return err
+	}
+	if !ok || user != a.User {
+		return sqlerr.New(sqlerr.InvalidPassword, "password authentication failed for user %q", user)
+	}
+	return nil
+}
+
+func (a Account) checkCleartext(backend *pgproto3.Backend) (bool, error) {
+	if err := ask(backend, &pgproto3.AuthenticationCleartextPassword{}, pgproto3.AuthTypeCleartextPassword); err != nil {
+		return false, err
+	}
+	m, err := backend.Receive()
+	if err != nil {
+		return false, err
+	}
+	given, ok := m.(*pgproto3.PasswordMessage)
+	if !ok {
+		return false, unexpected(m)
+	}
+	return subtle.ConstantTimeCompare([]byte(given.Password), []byte(a.Password)) == 1, nil
+}
+
+func ask(backend *pgproto3.Backend, m pgproto3.BackendMessage, authType uint32) error {
+	backend.Send(m)
+	if err := backend.Flush(); err != nil {
+		return err
+	}
+	return backend.SetAuthType(authType)
+}
+
+func unexpected(m pgproto3.FrontendMessage) error {
+	return sqlerr.New(sqlerr.ProtocolViolation, "unexpected message %T", m)
+}
+
+func (a Account) checkScram(backend *pgproto3.Backend) (bool, error) {
+	conversation, err := a.conversation()
+	if err != nil {
+		return false, err
+	}
+	offer := &pgproto3.AuthenticationSASL{AuthMechanisms: []string{scramMechanism}}
+	if err := ask(backend, offer, pgproto3.AuthTypeSASL); err != nil {
+		return false, err
+	}
+	m, err := backend.Receive()
+	if err != nil {
+		return false, err
+	}
+	initial, ok := m.(*pgproto3.SASLInitialResponse)
+	if !ok {
+		return false, unexpected(m)
+	}
+	challenge, err := conversation.Step(string(initial.Data))
+	if err != nil {
+		return false, nil
+	}
+	next := &pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)}
+	if err := ask(backend, next, pgproto3.AuthTypeSASLContinue); err != nil {
+		return false, err
+	}
+	return finishScram(backend, conversation)
+}
+
+func finishScram(backend *pgproto3.Backend, conversation *scram.ServerConversation) (bool, error) {
+	m, err := backend.Receive()
+	if err != nil {
+		return false, err
+	}
+	response, ok := m.(*pgproto3.SASLResponse)
+	if !ok {
+		return false, unexpected(m)
+	}
+	final, err := conversation.Step(string(response.Data))
+	if err != nil || !conversation.Valid() {
+		return false, nil
+	}
+	backend.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	return true, nil
+}
+
+func (a Account) conversation() (*scram.ServerConversation, error) {
+	client, err := scram.SHA256.NewClient(a.User, a.Password, "")
+	if err != nil {
+		return nil, err
+	}
+	salt := make([]byte, scramSaltBytes)
+	if _, err := rand.Read(salt); err != nil {
+		return nil, err
+	}
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: scramIterations})
+	if err != nil {
+		return nil, err
+	}
+	// PostgreSQL ignores the name inside SCRAM and uses that of the startup message.
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+		return stored, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return server.NewConversation(), nil
+}
