--- a/standin/engine/copy.go
+++ b/standin/engine/copy.go
@@ -16,18 +16,35 @@
 	session *Session
 	table   *store.Table
 	targets []int
+	binary  bool
 	pending []byte
-	rows    int
-	ended   bool
+	// headerRead is set once the header of the binary format was read.
+	headerRead bool
+	rows       int
+	ended      bool
 }
 
 // Formats returns the format codes of the columns for CopyInResponse.
-func (c *CopyIn) Formats() []uint16 { return make([]uint16, len(c.targets)) }
+func (c *CopyIn) Formats() []uint16 {
+	formats := make([]uint16, len(c.targets))
+	for i := range formats {
+		if c.binary {
+			formats[i] = uint16(value.FormatBinary)
+		}
+	}
+	return formats
+}
+
+// Binary reports the overall format.
+func (c *CopyIn) Binary() bool { return c.binary }
 
 func (e *env) copy(s *sql.Copy) (*Result, error) {
 	if s.From {
 		return e.copyIn(s)
 	}
+	if s.Binary {
+		return nil, sqlerr.New(sqlerr.NotSupported, "COPY TO in binary format is not supported")
+	}
 	query := s.Query
 	if query == nil {
 		query = &sql.Select{Items: copyItems(s.Columns), From: &sql.From{Name: s.Table}}
@@ -61,27 +78,39 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Result{CopyIn: &CopyIn{session: e.session, table: t, targets: targets}}, nil
+	return &Result{CopyIn: &CopyIn{session: e.session, table: t, targets: targets, binary: s.Binary}}, nil
 }
 
-// Write takes a piece of the data; lines may be split between pieces.
+// Write takes a piece of the data; rows may be split between pieces.
 func (c *CopyIn) Write(ctx context.Context, data []byte) error {
 	c.pending = append(c.pending, data...)
+	next := c.nextLine
+	if c.binary {
+		next = c.nextTuple
+	}
 	for {
-		line, rest, found := bytes.Cut(c.pending, []byte{'\n'})
+		found, err := next(ctx)
+		if err != nil {
+			return c.session.fail(nil, err)
+		}
 		if !found {
 			return nil
 		}
-		c.pending = rest
-		if err := c.line(ctx, strings.TrimSuffix(string(line), "\r")); err != nil {
-			return c.session.fail(nil, err)
-		}
 	}
 }
 
+func (c *CopyIn) nextLine(ctx context.Context) (bool, error) {
+	line, rest, found := bytes.Cut(c.pending, []byte{'\n'})
+	if !found {
+		return false, nil
+	}
+	c.pending = rest
+	return true, c.line(ctx, strings.TrimSuffix(string(line), "\r"))
+}
+
 // Done ends the data and returns the command tag.
 func (c *CopyIn) Done(ctx context.Context) (string, error) {
-	if len(c.pending) > 0 {
+	if len(c.pending) > 0 && !c.binary {
 		if err := c.line(ctx, string(c.pending)); err != nil {
 			return "", c.session.fail(nil, err)
 		}
@@ -115,6 +144,10 @@
 			values[c.targets[i]] = copyUnescape.Replace(part)
 		}
 	}
+	return c.add(ctx, given, values)
+}
+
+func (c *CopyIn) add(ctx context.Context, given []bool, values []any) error {
 	if err := complete(c.table, given, values); err != nil {
 		return err
 	}
--- a/standin/node/node.go
+++ b/standin/node/node.go
@@ -139,3 +139,18 @@
 	n.SetPrimaryConninfo(conninfoOf(address))
 	n.ReloadSettings()
 }
+
+// WaitFor waits until everything before position can be read.
+func (n *Node) WaitFor(ctx context.Context, position value.LSN) error {
+	for {
+		_, grown := n.log.After(position)
+		if n.Position() >= position {
+			return nil
+		}
+		select {
+		case <-grown:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/standin/server.go
+++ b/standin/server.go
@@ -211,6 +211,11 @@
 // applied on a replica.
 func (s *Server) Position() value.LSN { return s.node.Position() }
 
+// WaitFor waits until everything before position can be read.
+func (s *Server) WaitFor(ctx context.Context, position value.LSN) error {
+	return s.node.WaitFor(ctx, position)
+}
+
 // Timeline returns the current timeline.
 func (s *Server) Timeline() uint32 { return s.node.Timeline() }
 
--- a/standin/sql/ast.go
+++ b/standin/sql/ast.go
@@ -98,6 +98,7 @@
 		Columns []string
 		Query   *Select
 		From    bool
+		Binary  bool
 	}
 )
 
--- a/standin/sql/query.go
+++ b/standin/sql/query.go
@@ -175,16 +175,25 @@
 	default:
 		p.expect("to", "stdout")
 	}
-	p.copyOptions()
+	s.Binary = p.copyFormat()
 	return s
 }
 
-// copyOptions accepts the text format only; pgx's CopyFrom asks for binary, which
-// is answered with a syntax error like any other unknown option.
-func (p *parser) copyOptions() {
+// copyFormat reads the options of COPY, of which only the format is known, and
+// reports whether it is binary.
+func (p *parser) copyFormat() bool {
 	p.accept("with")
-	if p.acceptSymbol("(") {
-		p.expect("format", "text")
-		p.symbol(")")
+	if p.accept("binary") {
+		return true
+	}
+	if !p.acceptSymbol("(") {
+		return false
+	}
+	p.expect("format")
+	binary := p.accept("binary")
+	if !binary {
+		p.expect("text")
 	}
+	p.symbol(")")
+	return binary
 }
--- a/standin/wire/simple.go
+++ b/standin/wire/simple.go
@@ -127,7 +127,11 @@
 }
 
 func (k *conn) copyIn(ctx context.Context, c *engine.CopyIn) error {
-	k.backend.Send(&pgproto3.CopyInResponse{ColumnFormatCodes: c.Formats()})
+	response := &pgproto3.CopyInResponse{ColumnFormatCodes: c.Formats()}
+	if c.Binary() {
+		response.OverallFormat = byte(value.FormatBinary)
+	}
+	k.backend.Send(response)
 	if err := k.backend.Flush(); err != nil {
 		return err
 	}
