--- a/policy/failover/group.go
+++ b/policy/failover/group.go
@@ -28,7 +28,7 @@
 	// replayed; 0 when it was never seen in recovery.
 	candidateLSN uint64
 	promoteCall  call
-	positions   positions
+	positions    positions
 }
 
 // proposal is a command under way.
