--- a/cmd/jayloom-proxy/main.go
+++ b/cmd/jayloom-proxy/main.go
@@ -16,13 +16,13 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/logging"
 	"github.com/jayloom/jayloom/base/metricsrv"
 	"github.com/jayloom/jayloom/base/settings"
+	"github.com/jayloom/jayloom/cmd/internal/version"
 	"github.com/jayloom/jayloom/policy/rate"
 	"github.com/jayloom/jayloom/policy/share"
 	"github.com/jayloom/jayloom/proxy"
@@ -45,7 +45,7 @@
 		os.Exit(exitSettings)
 	}
 	if o.Version {
-		printVersion(os.Stdout)
+		fmt.Println(version.String("jayloom-proxy"))
 		return
 	}
 	s, err := o.load()
@@ -116,7 +116,7 @@
 }
 
 func newProcess(s *settings.Settings, log *logrus.Entry) (*process, error) {
-	transport, err := transportCredentials(s)
+	transport, err := s.TLS.Identity.GRPC()
 	if err != nil {
 		return nil, err
 	}
@@ -178,17 +178,6 @@
 	return listener, nil
 }
 
-func transportCredentials(s *settings.Settings) (credentials.TransportCredentials, error) {
-	if s.TLS.Identity.Empty() {
-		return insecure.NewCredentials(), nil
-	}
-	config, err := s.TLS.Identity.Mutual()
-	if err != nil {
-		return nil, err
-	}
-	return credentials.NewTLS(config), nil
-}
-
 func callerTLS(s *settings.Settings) (*tls.Config, error) {
 	if s.Proxy.CallerTLS.Empty() {
 		return nil, nil
--- a/cmd/jayloom-proxy/options.go
+++ b/cmd/jayloom-proxy/options.go
@@ -1,10 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"io"
-	"runtime/debug"
-
 	"github.com/jessevdk/go-flags"
 
 	"github.com/jayloom/jayloom/base/settings"
@@ -30,11 +26,3 @@
 	}
 	return loaded, loaded.CheckRole(settings.RoleProxy)
 }
-
-func printVersion(w io.Writer) {
-	version := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
-	}
-	fmt.Fprintln(w, "jayloom-proxy", version)
-}
--- /dev/null
+++ b/proxy/serve_test.go
@@ -0,0 +1,48 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+func asPgError(err error, target **pgconn.PgError) bool {
+	return errors.As(err, target)
+}
+
+// Guards against a caller not being served at all, by each form of the protocol.
+func TestServesEveryForm(t *testing.T) {
+	s := newSystem(t, 0)
+	conn := s.proxy().driver(t)
+	modes := []pgx.QueryExecMode{
+		pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec,
+		pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol,
+	}
+	for i, mode := range modes {
+		exec(t, conn, "INSERT INTO intake (id, note) VALUES ($1, $2)", mode, i, "crayons")
+		if got := queryText(t, conn, "SELECT note FROM intake WHERE id = $1", mode, i); got != "crayons" {
+			t.Errorf("mode %v: got %q", mode, got)
+		}
+		if got := queryText(t, conn, "SHOW jayloom.route", mode); got != "" {
+			t.Errorf("mode %v: SHOW gave %q", mode, got)
+		}
+	}
+	copied, err := conn.CopyFrom(context.Background(), pgx.Identifier{"intake"}, []string{"id", "note"},
+		pgx.CopyFromRows([][]any{{100, "a"}, {101, "b"}}))
+	if err != nil || copied != 2 {
+		t.Fatalf("COPY: %d rows, %v", copied, err)
+	}
+	batch := &pgx.Batch{}
+	for i := range 50 {
+		batch.Queue("INSERT INTO intake (id, note) VALUES ($1, 'batch')", 200+i)
+	}
+	if err := conn.SendBatch(context.Background(), batch).Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := queryText(t, conn, "SELECT count(*)::text FROM intake"); got != "57" {
+		t.Errorf("got %s rows", got)
+	}
+}
