--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -11,6 +12,10 @@
 // upstreamLimit bounds a message of an upstream, as PostgreSQL itself does.
 const upstreamLimit = 1 << 30
 
+// unknownSession is a number that no session has: what the connection carries is to
+// be discarded before anybody uses it.
+const unknownSession = math.MaxUint64
+
 // upstreamConn is a connection to an upstream. While it is lent, it belongs to the
 // goroutine of the borrower.
 type upstreamConn struct {
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -261,9 +261,10 @@
 		}
 		size += len(frame.Raw)
 		if frame.Type == 'Z' {
-			if frame.Body()[0] != txIdle {
-				break
+			if len(frame.Body()) != 1 || frame.Body()[0] != txIdle {
+				x.conn.unsafe = true
 			}
+			x.forgetPrepared()
 			return dropped
 		}
 		if frame.Type == 'G' {
@@ -273,3 +274,14 @@
 	x.conn.unsafe = true
 	return dropped
 }
+
+// forgetPrepared makes the next use reset the connection after an answer was dropped
+// that may have prepared statements.
+func (x *exchange) forgetPrepared() {
+	for _, e := range x.expect {
+		if e.kind == 'P' {
+			x.conn.lastSession = unknownSession
+			return
+		}
+	}
+}
--- /dev/null
+++ b/proxy/isolation_test.go
@@ -0,0 +1,222 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jayloom/jayloom/standin"
+)
+
+// oneConnection makes all callers share one upstream connection.
+func oneConnection(o *Options) { o.Shares = fakeShares(1) }
+
+// vanish closes a caller's network connection without a word.
+func vanish(conn *pgx.Conn) {
+	_ = conn.PgConn().Conn().Close()
+}
+
+// Guards against the work of a caller that vanished being committed by, or visible
+// to, the next one.
+func TestVanishedCallerLeavesNothing(t *testing.T) {
+	leave := map[string]func(t *testing.T, conn *pgx.Conn){
+		"in a transaction": func(t *testing.T, conn *pgx.Conn) {
+			exec(t, conn, "BEGIN")
+			exec(t, conn, "INSERT INTO intake VALUES (1, 'left')")
+		},
+		"in a COPY": func(t *testing.T, conn *pgx.Conn) {
+			f := conn.PgConn().Frontend()
+			f.Send(&pgproto3.Query{String: "COPY intake FROM STDIN"})
+			f.Send(&pgproto3.CopyData{Data: []byte("1\tleft\n")})
+			receive(t, f, 'G')
+		},
+		"in a pipeline": func(t *testing.T, conn *pgx.Conn) {
+			f := conn.PgConn().Frontend()
+			f.Send(&pgproto3.Parse{Query: "INSERT INTO intake VALUES (1, 'left')"})
+			f.Send(&pgproto3.Bind{})
+			f.Send(&pgproto3.Execute{})
+			f.Send(&pgproto3.Flush{})
+			receive(t, f, 'C')
+		},
+	}
+	for name, step := range leave {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 0)
+			p := s.proxy(oneConnection)
+			conn := p.driver(t)
+			step(t, conn)
+			vanish(conn)
+			next := p.connect(t, "sorter", keySorter)
+			exec(t, next, "BEGIN")
+			exec(t, next, "INSERT INTO intake VALUES (2, 'next')")
+			exec(t, next, "COMMIT")
+			if got := queryText(t, next, "SELECT count(*)::text FROM intake"); got != "1" {
+				t.Errorf("%s rows were committed, 1 was written and committed", got)
+			}
+		})
+	}
+}
+
+// receive reads messages up to one of a type.
+func receive(t *testing.T, f *pgproto3.Frontend, kind byte) {
+	t.Helper()
+	if err := f.Flush(); err != nil && err != io.EOF {
+		t.Fatal(err)
+	}
+	for {
+		message, err := f.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch m := message.(type) {
+		case *pgproto3.CopyInResponse:
+			if kind == 'G' {
+				return
+			}
+		case *pgproto3.CommandComplete:
+			if kind == 'C' {
+				return
+			}
+		case *pgproto3.ReadyForQuery:
+			if kind == 'Z' {
+				return
+			}
+		case *pgproto3.ErrorResponse:
+			t.Fatalf("%s %s %s", m.Code, m.Message, m.Detail)
+		}
+	}
+}
+
+// Guards against session state of one caller reaching another on the same upstream
+// connection, or not being there for its own.
+func TestSessionStateStaysWithItsCaller(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy(oneConnection)
+	ctx := context.Background()
+	first := p.driver(t)
+	exec(t, first, "SET search_path TO hidden")
+	exec(t, first, "CREATE TEMP TABLE scratch (id int)")
+	exec(t, first, "INSERT INTO scratch VALUES (7)")
+	if _, err := first.Prepare(ctx, "jl1", "SELECT 'prepared'"); err != nil {
+		t.Fatal(err)
+	}
+	if got := queryText(t, first, "SHOW search_path"); got != "hidden" {
+		t.Errorf("the caller's own setting reads %q", got)
+	}
+	if got := queryText(t, first, "SELECT id::text FROM scratch"); got != "7" {
+		t.Errorf("the caller's own temporary table reads %q", got)
+	}
+	_ = first.Close(ctx)
+
+	next := p.connect(t, "sorter", keySorter)
+	if got := queryText(t, next, "SHOW search_path"); got == "hidden" {
+		t.Error("a setting of another caller is visible")
+	}
+	if _, err := next.Exec(ctx, "SELECT id FROM scratch"); err == nil {
+		t.Error("a temporary table of another caller is visible")
+	}
+	f := next.PgConn().Frontend()
+	f.Send(&pgproto3.Bind{PreparedStatement: "jl1"})
+	f.Send(&pgproto3.Sync{})
+	if err := f.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	if message, err := f.Receive(); err != nil {
+		t.Fatal(err)
+	} else if _, refused := message.(*pgproto3.ErrorResponse); !refused {
+		t.Errorf("a prepared statement of another caller answered with %T", message)
+	}
+}
+
+// Guards against a prepared statement being unknown, or another one's, on the
+// connection that its caller gets next.
+func TestPreparedStatementsFollowTheirCaller(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy(oneConnection)
+	ctx := context.Background()
+	callers := map[string]*pgx.Conn{"a": p.driver(t), "b": p.driver(t), "c": p.connect(t, "sorter", keySorter)}
+	for name, conn := range callers {
+		if _, err := conn.Prepare(ctx, "mine", "SELECT '"+name+"' || $1::text"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 3 {
+		for name, conn := range callers {
+			if got := queryText(t, conn, "mine", "!"); got != name+"!" {
+				t.Errorf("caller %s got the answer of %s", name, got)
+			}
+		}
+	}
+	exec(t, callers["a"], "DISCARD ALL")
+	if _, err := callers["a"].Exec(ctx, "mine", "!"); err == nil {
+		t.Error("a statement outlived DISCARD ALL")
+	}
+}
+
+// Guards against startup parameters being lost or leaking on shared connections.
+func TestStartupParametersFollowTheirCaller(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy(oneConnection)
+	a := p.driver(t, "application_name=a", "options='-c statement_timeout=4000'")
+	b := p.driver(t, "application_name=b")
+	for range 2 {
+		for conn, want := range map[*pgx.Conn]string{a: "a 4000", b: "b 0"} {
+			got := queryText(t, conn, "SELECT current_setting('application_name')") + " " +
+				queryText(t, conn, "SELECT current_setting('statement_timeout')")
+			if got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		}
+	}
+}
+
+// Guards against a cancel request that races with the end of a statement reaching
+// the next caller of the connection.
+func TestLateCancelReachesNobodyElse(t *testing.T) {
+	s := newSystem(t, 0, func(c *standin.Config) { c.StatementDelay = time.Millisecond })
+	p := s.proxy(oneConnection)
+	ctx := context.Background()
+	first, next := p.driver(t), p.connect(t, "sorter", keySorter)
+	for i := range 60 {
+		cancelled := make(chan struct{})
+		go func() {
+			defer close(cancelled)
+			timer := time.NewTimer(time.Duration(i%6) * time.Millisecond)
+			defer timer.Stop()
+			<-timer.C
+			_ = first.PgConn().CancelRequest(ctx)
+		}()
+		// Cancelled or not, both are right for its own caller.
+		_, _ = first.Exec(ctx, "SELECT 'first'")
+		for range 2 {
+			if _, err := next.Exec(ctx, "SELECT 'next'"); err != nil {
+				t.Fatalf("round %d: the next caller got %v", i, err)
+			}
+		}
+		<-cancelled
+	}
+}
+
+// Guards against cancel requests that do nothing.
+func TestCancelEndsTheCallersStatement(t *testing.T) {
+	s := newSystem(t, 0)
+	conn := s.proxy().driver(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(ctx, "SELECT pg_sleep(9)")
+		failed <- err
+	}()
+	eventually(t, "the statement runs", func() bool { return len(statements(s.primary, "pg_sleep")) > 0 })
+	if err := conn.PgConn().CancelRequest(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-failed; err == nil || ctx.Err() != nil {
+		t.Errorf("the statement was not cancelled: %v", err)
+	}
+}
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -33,6 +33,8 @@
 	stmt *statement
 	// existing is the statement of the same name that a Parse finds.
 	existing *statement
+	// unknown is sent in place of a name that the caller has not defined.
+	unknown string
 	// raw is the whole message; tail is what follows the statement's name.
 	raw  []byte
 	tail []byte
@@ -107,6 +109,7 @@
 	}
 	it.name, it.tail = portal, tail
 	it.stmt = s.statement(name)
+	it.unknown = unknownName(name)
 	if s.portals == nil {
 		s.portals = map[string]*statement{}
 	}
@@ -128,12 +131,19 @@
 		return it, nil
 	}
 	it.stmt = s.statement(name)
+	it.unknown = unknownName(name)
 	if it.kind == 'C' {
 		s.batch.define(name, nil)
 	}
 	return it, nil
 }
 
+// unknownName is a name that no statement has on an upstream: the names that the
+// proxy chooses must not be reachable by guessing.
+func unknownName(name string) string {
+	return name + "?"
+}
+
 // statement finds a statement by the caller's name, in the open batch first.
 func (s *caller) statement(name string) *statement {
 	if stmt, ok := s.batch.defined[name]; ok {
@@ -206,15 +216,23 @@
 			e.prepare(it.existing)
 		}
 		e.parse(it.stmt, false, it)
-	case it.kind == 'B' && it.stmt != nil:
-		e.prepare(it.stmt)
-		e.message('B', it.name, it.stmt.upstream, it.tail)
-		e.expect = append(e.expect, expectation{kind: 'B', item: it})
-	case it.target == 'S' && it.stmt != nil:
-		if it.kind == 'D' {
+	case it.kind == 'B':
+		name := it.unknown
+		if it.stmt != nil {
 			e.prepare(it.stmt)
+			name = it.stmt.upstream
+		}
+		e.message('B', it.name, name, it.tail)
+		e.expect = append(e.expect, expectation{kind: 'B', item: it})
+	case it.target == 'S':
+		name := it.unknown
+		if it.stmt != nil {
+			name = it.stmt.upstream
+			if it.kind == 'D' {
+				e.prepare(it.stmt)
+			}
 		}
-		e.message(it.kind, "S"+it.stmt.upstream, "", nil)
+		e.message(it.kind, "S"+name, "", nil)
 		e.expect = append(e.expect, expectation{kind: describeKind(it), stmt: it.stmt, item: it})
 	default:
 		e.conn.out.Raw(it.raw)
