--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -27,7 +27,6 @@
 	"github.com/jayloom/jayloom/proxy/view"
 	"github.com/jayloom/jayloom/standin"
 	"github.com/jayloom/jayloom/standin/audit"
-	"github.com/jayloom/jayloom/standin/value"
 )
 
 // Keys of the test teams.
@@ -236,7 +235,7 @@
 		Shares:   fakeShares(4),
 		Log:      logrus.NewEntry(logger),
 	}
-	options.Settings.Upstream = settings.UpstreamAccount{User: "jayloom", Password: "pw"}
+	options.Settings.Upstream = s.account()
 	options.Settings.TokenWaitMs = 50
 	for _, c := range change {
 		c(&options)
@@ -255,6 +254,10 @@
 	return p
 }
 
+func (s *system) account() settings.UpstreamAccount {
+	return settings.UpstreamAccount{User: "jayloom", Password: "pw"}
+}
+
 // change modifies the control state and publishes it.
 func (s *system) change(f func(state *controlpb.FleetState)) {
 	s.mu.Lock()
@@ -308,7 +311,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	host, port, _ := net.SplitHostPort(p.address)
-	text := fmt.Sprintf("host=%s port=%s user=%s password=%s dbname=wax sslmode=disable %s",
+	text := fmt.Sprintf("host=%s port=%s user=%s password='%s' dbname=wax sslmode=disable %s",
 		host, port, team, key, strings.Join(parameters, " "))
 	return pgx.Connect(ctx, text)
 }
@@ -384,5 +387,3 @@
 		}
 	}
 }
-
-var _ = value.LSN(0)
--- /dev/null
+++ b/proxy/keys_test.go
@@ -0,0 +1,254 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+// remoteListener makes callers look as if they came from another machine, so that
+// they are asked for SCRAM.
+type remoteListener struct{ net.Listener }
+
+type remoteConn struct{ net.Conn }
+
+func (l remoteListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return remoteConn{conn}, err
+}
+
+func (remoteConn) RemoteAddr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(192, 0, 2, 1), Port: 1}
+}
+
+// Guards against a caller being served for a team whose key it does not hold, and
+// against active keys being refused, with both ways to authenticate.
+func TestOnlyActiveKeysOfTheTeamAuthenticate(t *testing.T) {
+	s := newSystem(t, 0)
+	const second = "jlk_driver24_abcdefghijklmnopqrstuvwxyz222222"
+	driver := s.state.Teams["driver"]
+	driver.Keys["driver24"] = verifier("driver24", second, driver.ScramSalt)
+	local := s.proxy()
+	remote := s.proxy()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = remote.Serve(remoteListener{listener}) }()
+	remote.address = listener.Addr().String()
+	cases := []struct {
+		team, key string
+		code      rescode.Code
+	}{
+		{"driver", keyDriver, 0},
+		{"driver", second, 0},
+		{"sorter", keySorter, 0},
+		{"driver", keySorter, rescode.WrongKey},
+		{"sorter", second, rescode.WrongKey},
+		{"driver", "secret", rescode.WrongKey},
+		{"driver", keyDriver[:len(keyDriver)-1] + "5", rescode.WrongKey},
+		{"nobody", keyDriver, rescode.UnknownTeam},
+		{"public", "", 0},
+	}
+	for name, p := range map[string]*testProxy{"cleartext": local, "SCRAM": remote} {
+		for _, c := range cases {
+			conn, err := p.tryConnect(c.team, c.key)
+			if codeOf(err) != c.code || err != nil && c.code == 0 {
+				t.Errorf("%s, %s with %.12s: got %v, want %v", name, c.team, c.key, err, c.code)
+			}
+			if conn != nil {
+				_ = conn.Close(context.Background())
+			}
+		}
+	}
+}
+
+// Guards against a password that crosses a network in the clear being accepted.
+func TestCleartextIsRefusedFromElsewhere(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = p.Serve(remoteListener{listener}) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	f := pgproto3.NewFrontend(conn, conn)
+	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters: map[string]string{"user": "driver", "database": "wax"}})
+	f.Send(&pgproto3.PasswordMessage{Password: keyDriver})
+	if err := f.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		message, err := f.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if refusal, ok := message.(*pgproto3.ErrorResponse); ok {
+			if !strings.HasPrefix(refusal.Detail, fmt.Sprintf("jayloom code %d ", rescode.CleartextRefused)) {
+				t.Errorf("refused with %s", refusal.Detail)
+			}
+			return
+		}
+	}
+}
+
+// Guards against a key of one team working with the session token or the cancel key
+// of another.
+func TestKeyWithForeignTokenOrCancelKey(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy()
+	driver := p.driver(t)
+	exec(t, driver, "INSERT INTO intake VALUES (1, 'x')")
+	token := sessionToken(t, driver.PgConn())
+	if _, err := p.tryConnect("sorter", keySorter, nameSession+"="+token); codeOf(err) != rescode.SessionTokenInvalid {
+		t.Errorf("a foreign token gave %v", err)
+	}
+	sorter := p.connect(t, "sorter", keySorter)
+	_, err := sorter.Exec(context.Background(), "SET jayloom.session = '"+token+"'")
+	wantCode(t, err, rescode.SessionTokenInvalid)
+
+	failed := make(chan error, 1)
+	go func() {
+		_, err := sorter.Exec(context.Background(), "SELECT pg_sleep(0.3)")
+		failed <- err
+	}()
+	eventually(t, "the statement runs", func() bool { return len(statements(s.primary, "pg_sleep")) > 0 })
+	// The driver's cancel key reaches the driver's statement only.
+	if err := driver.PgConn().CancelRequest(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-failed; err != nil {
+		t.Errorf("a foreign cancel key ended the statement: %v", err)
+	}
+}
+
+// Guards against an upstream seeing a key in anything that a caller sends.
+func TestNoUpstreamSeesAKey(t *testing.T) {
+	s := newSystem(t, 1)
+	p := s.proxy()
+	ctx := context.Background()
+	conn := p.driver(t)
+	_, err := conn.Exec(ctx, "INSERT INTO intake VALUES (1, '"+keyDriver+"')")
+	wantCode(t, err, rescode.KeyInStatement)
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeExec, pgx.QueryExecModeCacheStatement} {
+		_, err = conn.Exec(ctx, "INSERT INTO intake VALUES (1, $1)", mode, keySorter)
+		wantCode(t, err, rescode.KeyInStatement)
+	}
+	exec(t, conn, "BEGIN")
+	_, err = conn.Exec(ctx, "SELECT '"+keyDriver+"'")
+	wantCode(t, err, rescode.KeyInStatement)
+	if _, err := conn.Exec(ctx, "INSERT INTO intake VALUES (2, 'x')"); err == nil {
+		t.Error("a transaction went on after a refused statement")
+	}
+	exec(t, conn, "ROLLBACK")
+	if _, err := p.tryConnect("driver", keyDriver, "application_name="+keyDriver); codeOf(err) != rescode.KeyInStatement {
+		t.Errorf("a key as startup parameter gave %v", err)
+	}
+	for split := 1; split < len(keyDriver); split += 11 {
+		wantCode(t, copySplit(conn.PgConn(), split), rescode.KeyInStatement)
+	}
+	if got := queryText(t, conn, "SELECT count(*)::text FROM intake"); got != "0" {
+		t.Errorf("%s rows of refused requests were stored", got)
+	}
+	for _, key := range []string{keyDriver, keySorter} {
+		if s.capture.contains(key) || s.capture.contains(key[12:]) {
+			t.Error("an upstream received a key")
+		}
+	}
+}
+
+// copySplit sends COPY data that holds a key in two messages.
+func copySplit(conn *pgconn.PgConn, split int) error {
+	f := conn.Frontend()
+	f.Send(&pgproto3.Query{String: "COPY intake FROM STDIN"})
+	f.Send(&pgproto3.CopyData{Data: []byte("1\t" + keyDriver[:split])})
+	f.Send(&pgproto3.CopyData{Data: []byte(keyDriver[split:] + "\n")})
+	f.Send(&pgproto3.CopyDone{})
+	if err := f.Flush(); err != nil {
+		return err
+	}
+	var failure error
+	for {
+		message, err := f.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := message.(type) {
+		case *pgproto3.ErrorResponse:
+			failure = pgconn.ErrorResponseToPgError(m)
+		case *pgproto3.ReadyForQuery:
+			return failure
+		}
+	}
+}
+
+// Guards against a withdrawn key going on to work for callers that are connected.
+func TestWithdrawnKeyEndsItsCallers(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy(oneConnection)
+	ctx := context.Background()
+	idle, queued, open := p.driver(t), p.driver(t), p.driver(t)
+	other := p.connect(t, "sorter", keySorter)
+	exec(t, open, "BEGIN")
+	exec(t, open, "INSERT INTO intake VALUES (1, 'x')")
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := queued.Exec(ctx, "INSERT INTO intake VALUES (2, 'x')")
+		waiting <- err
+	}()
+	eventually(t, "the request is queued", func() bool { return p.pools.get(s.primary.Addr(), "wax").load() >= 2 })
+	s.change(func(state *controlpb.FleetState) { delete(state.Teams["driver"].Keys, "driver23") })
+	wantCode(t, <-waiting, rescode.KeyWithdrawn)
+	for name, conn := range map[string]*pgx.Conn{"idle": idle, "in a transaction": open} {
+		// The refusal was sent without being asked for; drivers see it on next use.
+		message, err := conn.PgConn().ReceiveMessage(ctx)
+		if refusal, ok := message.(*pgproto3.ErrorResponse); ok {
+			err = pgconn.ErrorResponseToPgError(refusal)
+		}
+		if codeOf(err) != rescode.KeyWithdrawn {
+			t.Errorf("%s: got %T, %v", name, message, err)
+		}
+	}
+	if got := queryText(t, other, "SELECT count(*)::text FROM intake"); got != "0" {
+		t.Errorf("%s rows of ended callers were stored", got)
+	}
+	if _, err := p.tryConnect("driver", keyDriver); codeOf(err) != rescode.WrongKey {
+		t.Errorf("a new connection gave %v", err)
+	}
+}
+
+// Guards against a proxy that is cut off from control serving on a stale view.
+func TestDetachedProxyServesNothing(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy()
+	conn := p.driver(t)
+	s.attendance = -time.Second
+	s.publishTo(p)
+	_, err := conn.Exec(context.Background(), "INSERT INTO intake VALUES (1, 'detached')")
+	wantCode(t, err, rescode.ProxyDetached)
+	if _, err := p.tryConnect("driver", keyDriver); codeOf(err) != rescode.ProxyDetached {
+		t.Errorf("a new connection gave %v", err)
+	}
+	s.attendance = time.Hour
+	s.publishTo(p)
+	exec(t, conn, "SELECT 1")
+	if n := len(statements(s.primary, "detached")); n != 0 {
+		t.Errorf("a refused statement ran %d times", n)
+	}
+}
--- /dev/null
+++ b/proxy/writes_test.go
@@ -0,0 +1,232 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/proxy/wire"
+)
+
+// faultDialer opens connections on which a test can act between a statement and its
+// answer.
+type faultDialer struct {
+	Dialer
+	// trigger is the text whose answer is affected; each occurrence counts.
+	trigger []byte
+	hits    atomic.Int64
+	// onAnswer runs when the answer has arrived, before the proxy sees it. It
+	// reports whether the connection is lost instead.
+	onAnswer func(hit int64) bool
+}
+
+type faultConn struct {
+	net.Conn
+	dialer *faultDialer
+	armed  int64
+}
+
+func (d *faultDialer) Dial(ctx context.Context, address, service string) (*upstreamConn, error) {
+	conn, err := d.Dialer.Dial(ctx, address, service)
+	if err != nil {
+		return nil, err
+	}
+	conn.net = &faultConn{Conn: conn.net, dialer: d}
+	conn.rd = wire.NewReader(conn.net, upstreamLimit)
+	conn.out = wire.NewWriter(conn.net)
+	return conn, nil
+}
+
+func (c *faultConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if bytes.Contains(p, c.dialer.trigger) {
+		c.armed = c.dialer.hits.Add(1)
+	}
+	return n, err
+}
+
+func (c *faultConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if hit := c.armed; hit > 0 && err == nil {
+		c.armed = 0
+		if c.dialer.onAnswer(hit) {
+			_ = c.Close()
+			return 0, io.EOF
+		}
+	}
+	return n, err
+}
+
+func (s *system) faulty(trigger string, onAnswer func(hit int64) bool) (*testProxy, *faultDialer) {
+	d := &faultDialer{
+		Dialer:   accountDialer{account: s.account()},
+		trigger:  []byte(trigger),
+		onAnswer: onAnswer,
+	}
+	return s.proxy(func(o *Options) { o.Dialer = d }), d
+}
+
+// expireLease makes the proxy's primary lease end now; fence also ends the term.
+func (s *system) expireLease(p *testProxy, fence bool) {
+	s.mu.Lock()
+	s.lease = 0
+	if fence {
+		s.state.Groups["wax-1"].Phase = controlpb.GroupPhase_GROUP_PHASE_FENCED
+		s.state.Revision++
+	}
+	s.mu.Unlock()
+	s.publishTo(p)
+}
+
+// Guards against acknowledging a write whose primary may have been replaced between
+// the sending of the write and the arrival of its answer.
+func TestWriteWithoutLeaseIsNotAcknowledged(t *testing.T) {
+	cases := []struct {
+		name  string
+		fence bool
+		sql   []string
+		code  rescode.Code
+	}{
+		{"lease lapsed", false, []string{"INSERT INTO intake VALUES (1, 'marker')"}, rescode.WriteWithoutLease},
+		{"fenced", true, []string{"INSERT INTO intake VALUES (1, 'marker')"}, rescode.PrimaryReplaced},
+		{"commit", false, []string{"BEGIN", "INSERT INTO intake VALUES (1, 'x')", "COMMIT /* marker */"}, rescode.WriteWithoutLease},
+		{"in transaction", false, []string{"BEGIN", "INSERT INTO intake VALUES (1, 'marker')"}, rescode.TransactionAborted},
+	}
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+		for _, c := range cases {
+			t.Run(c.name, func(t *testing.T) {
+				s := newSystem(t, 0)
+				var p *testProxy
+				p, d := s.faulty("marker", func(int64) bool {
+					s.expireLease(p, c.fence)
+					return false
+				})
+				conn := p.driver(t)
+				var err error
+				for _, sql := range c.sql {
+					_, err = conn.Exec(context.Background(), sql, mode)
+				}
+				wantCode(t, err, c.code)
+				if !conn.IsClosed() {
+					t.Error("the connection was not closed")
+				}
+				if d.hits.Load() != 1 {
+					t.Errorf("sent %d times", d.hits.Load())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a lost answer leading to a second run of what may run only once,
+// and against an idempotent one not being retried.
+func TestLostAnswer(t *testing.T) {
+	cases := []struct {
+		route string
+		runs  int64
+		code  rescode.Code
+	}{{"write", 1, rescode.AnswerLost}, {"upsert", 2, 0}}
+	for _, c := range cases {
+		s := newSystem(t, 0)
+		p, d := s.faulty("marker", func(hit int64) bool { return hit == 1 })
+		conn := p.driver(t, "jayloom.route="+c.route)
+		_, err := conn.Exec(context.Background(), "UPDATE intake SET note = 'marker'")
+		if codeOf(err) != c.code || err != nil && c.code == 0 {
+			t.Errorf("%s: got %v", c.route, err)
+		}
+		if got := d.hits.Load(); got != c.runs || len(statements(s.primary, "marker")) != int(c.runs) {
+			t.Errorf("%s: sent %d times, want %d", c.route, got, c.runs)
+		}
+		exec(t, conn, "SELECT 1")
+	}
+}
+
+// Guards against retries beyond their budget, which would multiply the load on an
+// upstream that already fails.
+func TestRetriesStopAtTheBudget(t *testing.T) {
+	s := newSystem(t, 0)
+	p, d := s.faulty("marker", func(int64) bool { return true })
+	conn := p.driver(t, "jayloom.route=upsert")
+	for range 5 {
+		_, err := conn.Exec(context.Background(), "UPDATE intake SET note = 'marker'")
+		wantCode(t, err, rescode.AnswerLost)
+	}
+	if got := d.hits.Load(); got > 5+retryStart+1 {
+		t.Errorf("5 requests were sent %d times", got)
+	}
+}
+
+// Guards against a transaction that lost its connection being reported as unknown,
+// or continuing on another connection.
+func TestTransactionLosesItsUpstream(t *testing.T) {
+	s := newSystem(t, 0)
+	p, _ := s.faulty("marker", func(int64) bool { return true })
+	conn := p.driver(t)
+	exec(t, conn, "BEGIN")
+	exec(t, conn, "INSERT INTO intake VALUES (1, 'x')")
+	_, err := conn.Exec(context.Background(), "UPDATE intake SET note = 'marker'")
+	wantCode(t, err, rescode.TransactionAborted)
+	if got := queryText(t, p.driver(t), "SELECT count(*)::text FROM intake"); got != "0" {
+		t.Errorf("%s rows are left of an aborted transaction", got)
+	}
+}
+
+// Guards against acknowledging a write of a route that asks for a replica while no
+// replica has it, and against not acknowledging it once one has.
+func TestAcknowledgementByReplica(t *testing.T) {
+	s := newSystem(t, 2)
+	conn := s.proxy().driver(t, "jayloom.route=safe")
+	exec(t, conn, "INSERT INTO intake VALUES (1, 'x')")
+	if s.replicas[0].Position() < s.primary.Position() && s.replicas[1].Position() < s.primary.Position() {
+		t.Error("acknowledged before any replica had the write")
+	}
+	s.replicas[0].SetLag(time.Hour)
+	s.replicas[1].SetLag(time.Hour)
+	_, err := conn.Exec(context.Background(), "INSERT INTO intake VALUES (2, 'x')")
+	wantCode(t, err, rescode.ReplicaWaitTimeout)
+	exec(t, conn, "BEGIN")
+	exec(t, conn, "INSERT INTO intake VALUES (3, 'x')")
+	_, err = conn.Exec(context.Background(), "COMMIT")
+	wantCode(t, err, rescode.ReplicaWaitTimeout)
+}
+
+// Guards against a new term's writes failing after a failover that the proxy knows.
+func TestWritesGoOnAfterFailover(t *testing.T) {
+	s := newSystem(t, 1)
+	p, d := s.faulty("marker", func(int64) bool { return false })
+	conn := p.driver(t)
+	exec(t, conn, "INSERT INTO intake VALUES (1, 'x')")
+	s.catchUp(s.replicas[0])
+	old, promoted := s.primary, s.replicas[0]
+	old.Freeze()
+	t.Cleanup(old.Unfreeze)
+	blocked := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "INSERT INTO intake VALUES (2, 'marker')")
+		blocked <- err
+	}()
+	eventually(t, "the write is sent", func() bool { return d.hits.Load() == 1 })
+	s.change(func(state *controlpb.FleetState) {
+		state.Groups["wax-1"].Phase = controlpb.GroupPhase_GROUP_PHASE_FENCED
+	})
+	wantCode(t, <-blocked, rescode.PrimaryReplaced)
+	if err := promoted.Promote(); err != nil {
+		t.Fatal(err)
+	}
+	s.primary, s.replicas = promoted, nil
+	s.change(func(state *controlpb.FleetState) {
+		group := state.Groups["wax-1"]
+		group.Phase, group.Term, group.Primary = controlpb.GroupPhase_GROUP_PHASE_HEALTHY, 2, promoted.Addr()
+		group.History = append(group.History, &controlpb.TermStart{Term: 2, StartLsn: uint64(promoted.Position()), Timeline: promoted.Timeline()})
+		state.Upstreams[old.Addr()].State = controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED
+	})
+	exec(t, p.driver(t), "INSERT INTO intake VALUES (3, 'x')")
+}
