Add a TCP relay that cuts, delays and drops

Cause: failover and lease tests need partitions, and nothing may be started on the network layer for them.

Conclusion: silent cuts hold data and pass it on after the heal, as TCP would resend it.

--- /dev/null
+++ b/standin/relay/http.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Handle adds the relay's control to mux: POST /cut, /heal, /drop and
+// /delay?ms=…, where /cut and /delay take direction=up or down.
+func (r *Relay) Handle(mux *http.ServeMux) {
+	handle(mux, "/cut", func(q *http.Request) error {
+		return r.Cut(direction(q))
+	})
+	handle(mux, "/delay", func(q *http.Request) error {
+		ms, err := strconv.Atoi(q.FormValue("ms"))
+		if err != nil {
+			return errors.New("ms must be a number of milliseconds")
+		}
+		return r.Delay(direction(q), time.Duration(ms)*time.Millisecond)
+	})
+	handle(mux, "/heal", func(*http.Request) error {
+		r.Heal()
+		return nil
+	})
+	handle(mux, "/drop", func(*http.Request) error {
+		r.Drop()
+		return nil
+	})
+}
+
+func direction(q *http.Request) Direction { return Direction(q.FormValue("direction")) }
+
+func handle(mux *http.ServeMux, path string, f func(*http.Request) error) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, q *http.Request) {
+		if err := f(q); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
--- /dev/null
+++ b/standin/relay/relay.go
@@ -0,0 +1,170 @@
+// Package relay forwards TCP connections to one address and can disturb them: cut
+// without closing, cut in one direction, delay, close.
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Direction is the way that data takes through the relay.
+type Direction string
+
+// Directions. Up is from the client to the target.
+const (
+	Up   Direction = "up"
+	Down Direction = "down"
+	Both Direction = "both"
+)
+
+// dialTimeout bounds the connection to the target.
+const dialTimeout = 5 * time.Second
+
+// Relay is a running relay.
+type Relay struct {
+	listener net.Listener
+	target   string
+	up, down *lane
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	closed bool
+}
+
+// Start listens on address and forwards to target until ctx ends or Close.
+func Start(ctx context.Context, address, target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	r := &Relay{
+		listener: listener,
+		target:   target,
+		up:       newLane(),
+		down:     newLane(),
+		conns:    map[net.Conn]bool{},
+	}
+	ctx, r.cancel = context.WithCancel(ctx)
+	context.AfterFunc(ctx, r.shut)
+	r.running.Go(func() { r.accept(ctx) })
+	return r, nil
+}
+
+// Addr returns the address that the relay listens on.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
+
+// Cut stops forwarding without closing anything. What arrives is kept and
+// forwarded after Heal, as TCP would resend it.
+func (r *Relay) Cut(d Direction) error {
+	return r.each(d, func(l *lane) { l.setCut(true) })
+}
+
+// Heal ends cuts and delays.
+func (r *Relay) Heal() {
+	for _, l := range []*lane{r.up, r.down} {
+		l.setDelay(0)
+		l.setCut(false)
+	}
+}
+
+// Delay forwards data so much later than it arrived.
+func (r *Relay) Delay(d Direction, by time.Duration) error {
+	if by < 0 {
+		return errors.New("a delay must not be negative")
+	}
+	return r.each(d, func(l *lane) { l.setDelay(by) })
+}
+
+func (r *Relay) each(d Direction, f func(*lane)) error {
+	switch d {
+	case Up:
+		f(r.up)
+	case Down:
+		f(r.down)
+	case Both, "":
+		f(r.up)
+		f(r.down)
+	default:
+		return errors.Newf("direction %q is none of %q, %q and %q", d, Up, Down, Both)
+	}
+	return nil
+}
+
+// Drop closes the connections that are open; new ones are accepted.
+func (r *Relay) Drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		c.Close()
+	}
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	r.cancel()
+	r.shut()
+	r.running.Wait()
+}
+
+func (r *Relay) shut() {
+	r.listener.Close()
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.Drop()
+	r.up.end()
+	r.down.end()
+}
+
+func (r *Relay) accept(ctx context.Context) {
+	for {
+		client, err := r.listener.Accept()
+		if err != nil {
+			return // the listener was closed
+		}
+		r.running.Go(func() { r.serve(ctx, client) })
+	}
+}
+
+func (r *Relay) serve(ctx context.Context, client net.Conn) {
+	defer client.Close()
+	// A connection made during a cut reaches the target only after Heal.
+	r.up.passable(ctx)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	target, err := dialer.DialContext(ctx, "tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer target.Close()
+	if !r.keep(client, target) {
+		return
+	}
+	defer r.forget(client, target)
+	var both sync.WaitGroup
+	both.Go(func() { r.up.forward(ctx, target, client) })
+	both.Go(func() { r.down.forward(ctx, client, target) })
+	both.Wait()
+}
+
+func (r *Relay) keep(conns ...net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		r.conns[c] = true
+	}
+	return !r.closed
+}
+
+func (r *Relay) forget(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		delete(r.conns, c)
+	}
+}
