--- a/proxy/request.go
+++ b/proxy/request.go
@@ -81,8 +81,8 @@
 	if deadline == 0 {
 		deadline = time.Duration(s.server.settings.DefaultDeadlineMs) * time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, deadline)
-	defer cancel()
+	ctx := newRequestContext(s.ctx, deadline)
+	defer ctx.stop()
 	r.ctx = ctx
 	if refused := s.admit(r, deadline); refused != nil {
 		return refused, nil
--- a/proxy/words.go
+++ b/proxy/words.go
@@ -94,6 +94,9 @@
 	switch word {
 	case "INSERT", "UPDATE", "DELETE", "MERGE":
 		return isSingle(sql)
+	case "SELECT", "VALUES", "WITH":
+		// A function may write. These cannot start a COPY or a transaction either.
+		return isSingle(sql)
 	case "COMMIT", "END":
 		// AND CHAIN opens the next transaction, whose snapshot is not ours to take.
 		return isSingle(sql) && !containsWord(strings.ToLower(rest), "chain")
