Run writes with a request identity at most once

Cause: a caller that lost an answer could not resend a write safely. Change: the write runs in a transaction that also claims its identity; a resend gets the recorded command tag; lost answers are retried by the proxy. Tests now send by both protocols: pgx sends statements without arguments as simple queries only, so the extended protocol was not covered by some of them.

--- a/proxy/conclude.go
+++ b/proxy/conclude.go
@@ -26,7 +26,8 @@
 	default:
 		return false
 	}
-	if !r.plan.Idempotent || res.forwarded {
+	repeatable := r.plan.Idempotent || r.identified()
+	if !repeatable || res.forwarded {
 		return false
 	}
 	if !s.server.retries.spend(s.team) {
@@ -89,6 +90,9 @@
 // reported as not run.
 func (s *caller) lossCode(held *lease, r *request, res result) *rescode.Error {
 	address := held.target.pool.address
+	if res.uncommitted && res.kind == resultLost {
+		return rescode.New(rescode.UpstreamLost, "upstream %s", address)
+	}
 	if res.startTx != txIdle && !r.mayCommit() {
 		return s.lossOfTransaction(held.target)
 	}
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -38,6 +38,8 @@
 	effects   tagEffects
 	// startTx is the transaction state before the request.
 	startTx byte
+	// uncommitted says that the write was lost before its COMMIT was sent.
+	uncommitted bool
 }
 
 // exchange is one request on one connection: statements of the proxy in front of
@@ -71,6 +73,8 @@
 	keyInCopy bool
 	// ended says that ReadyForQuery has come.
 	ended bool
+	// commitSent says that the COMMIT of a write with an identity was sent.
+	commitSent bool
 }
 
 // tagEffects is what command tags say about session state.
@@ -88,6 +92,7 @@
 	defer s.running.Store(nil)
 	res := x.run()
 	res.effects, res.startTx = x.tags, x.startTx
+	res.uncommitted = r.identified() && !x.commitSent
 	return res
 }
 
@@ -138,6 +143,9 @@
 		x.prepareSession()
 		x.prepareAccess()
 	}
+	if x.r.identified() {
+		return
+	}
 	if x.target.checked {
 		conn.query(sqlReadPosition)
 	}
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -63,6 +63,9 @@
 }
 
 func (x *exchange) forwardAll() error {
+	if x.r.identified() {
+		return x.runIdentified()
+	}
 	if x.r.items == nil {
 		return x.forwardSimple()
 	}
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -387,3 +387,15 @@
 		}
 	}
 }
+
+// protocols are the two ways to send a statement. pgx itself sends statements
+// without arguments as simple queries only.
+var protocols = map[string]func(conn *pgx.Conn, sql string) (pgconn.CommandTag, error){
+	"simple": func(conn *pgx.Conn, sql string) (pgconn.CommandTag, error) {
+		return conn.Exec(context.Background(), sql, pgx.QueryExecModeSimpleProtocol)
+	},
+	"extended": func(conn *pgx.Conn, sql string) (pgconn.CommandTag, error) {
+		result := conn.PgConn().ExecParams(context.Background(), sql, nil, nil, nil, nil).Read()
+		return result.CommandTag, result.Err
+	},
+}
--- a/proxy/position.go
+++ b/proxy/position.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"strconv"
@@ -31,6 +32,7 @@
 // internalAnswer is the answer to one statement of the proxy itself.
 type internalAnswer struct {
 	columns  []string
+	tag      string
 	failed   bool
 	sqlState string
 	txStatus byte
@@ -47,8 +49,11 @@
 		switch frame.Type {
 		case 'D':
 			answer.columns = parseRow(frame.Body())
+		case 'C':
+			answer.tag = string(bytes.TrimRight(frame.Body(), "\x00"))
 		case 'E':
 			answer.failed = true
+			answer.sqlState = errorField(frame.Body(), 'C')
 		case 'Z':
 			if len(frame.Body()) != 1 {
 				return answer, wire.ErrMalformed
@@ -59,6 +64,16 @@
 	}
 }
 
+// errorField returns one field of an ErrorResponse.
+func errorField(body []byte, kind byte) string {
+	for _, field := range bytes.Split(body, []byte{0}) {
+		if len(field) > 0 && field[0] == kind {
+			return string(field[1:])
+		}
+	}
+	return ""
+}
+
 // parseRow reads the text columns of a DataRow; null reads as empty.
 func parseRow(body []byte) []string {
 	if len(body) < 2 {
--- a/proxy/refusal_test.go
+++ b/proxy/refusal_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/jayloom/jayloom/api/controlpb"
@@ -81,11 +80,11 @@
 			if c.arrange != nil {
 				c.arrange(s, p)
 			}
-			for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
-				if mode == pgx.QueryExecModeExec && strings.Contains(c.sql, ";") {
+			for protocol, send := range protocols {
+				if protocol == "extended" && strings.Contains(c.sql, ";") {
 					continue
 				}
-				_, err := conn.Exec(context.Background(), c.sql, mode)
+				_, err := send(conn, c.sql)
 				wantCode(t, err, c.code)
 			}
 			if n := len(statements(s.primary, "marker")); n != 0 {
@@ -118,7 +117,7 @@
 
 // Guards against a refused statement in a transaction leaving a part that commits.
 func TestRefusalFailsTheTransaction(t *testing.T) {
-	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+	for _, send := range protocols {
 		s := newSystem(t, 0)
 		p := s.proxy()
 		conn := p.driver(t)
@@ -126,7 +125,7 @@
 		exec(t, conn, "BEGIN")
 		exec(t, conn, "INSERT INTO intake VALUES (1, 'x')")
 		p.tokens.withhold("driver", true)
-		_, err := conn.Exec(ctx, "INSERT INTO intake VALUES (2, 'x')", mode)
+		_, err := send(conn, "INSERT INTO intake VALUES (2, 'x')")
 		wantCode(t, err, rescode.RateExceeded)
 		p.tokens.withhold("driver", false)
 		tag, err := conn.Exec(ctx, "COMMIT")
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -77,6 +77,11 @@
 	if refused := plan(r); refused != nil {
 		return refused, nil
 	}
+	if r.identified() {
+		if refused := s.identityRefusal(r); refused != nil {
+			return refused, nil
+		}
+	}
 	deadline := r.plan.Deadline
 	if deadline == 0 {
 		deadline = time.Duration(s.server.settings.DefaultDeadlineMs) * time.Millisecond
--- a/proxy/writes_test.go
+++ b/proxy/writes_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/jackc/pgx/v5"
-
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/proxy/wire"
@@ -100,9 +98,9 @@
 		{"commit", false, []string{"BEGIN", "INSERT INTO intake VALUES (1, 'x')", "COMMIT /* marker */"}, rescode.WriteWithoutLease},
 		{"in transaction", false, []string{"BEGIN", "INSERT INTO intake VALUES (1, 'marker')"}, rescode.TransactionAborted},
 	}
-	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+	for protocol, send := range protocols {
 		for _, c := range cases {
-			t.Run(c.name, func(t *testing.T) {
+			t.Run(protocol+" "+c.name, func(t *testing.T) {
 				s := newSystem(t, 0)
 				var p *testProxy
 				p, d := s.faulty("marker", func(int64) bool {
@@ -112,7 +110,7 @@
 				conn := p.driver(t)
 				var err error
 				for _, sql := range c.sql {
-					_, err = conn.Exec(context.Background(), sql, mode)
+					_, err = send(conn, sql)
 				}
 				wantCode(t, err, c.code)
 				if !conn.IsClosed() {
@@ -134,11 +132,12 @@
 		runs  int64
 		code  rescode.Code
 	}{{"write", 1, rescode.AnswerLost}, {"upsert", 2, 0}}
-	for _, c := range cases {
+	for i := range 2 * len(cases) {
+		c, send := cases[i/2], protocols[[]string{"simple", "extended"}[i%2]]
 		s := newSystem(t, 0)
 		p, d := s.faulty("marker", func(hit int64) bool { return hit == 1 })
 		conn := p.driver(t, "jayloom.route="+c.route)
-		_, err := conn.Exec(context.Background(), "UPDATE intake SET note = 'marker'")
+		_, err := send(conn, "UPDATE intake SET note = 'marker'")
 		if codeOf(err) != c.code || err != nil && c.code == 0 {
 			t.Errorf("%s: got %v", c.route, err)
 		}
