Pass notifications to idle callers; end callers whose session state is lost

Cause: a listening caller got notifications with its next request only; a caller whose kept connection was lost went on without its settings; the proxy's own questions could run under a caller's search_path; a caller that left its answer unread held an upstream connection for ever. Change: a watcher for callers that ran LISTEN; fatal errors for lost session state; a reset in front of questions on connections with foreign settings; the setting caller_write_timeout_ms.

--- a/base/settings/check.go
+++ b/base/settings/check.go
@@ -120,6 +120,7 @@
 	c.positive("proxy.default_deadline_ms", s.DefaultDeadlineMs)
 	c.positive("proxy.queue_per_team", s.QueuePerTeam)
 	c.positive("proxy.drain_timeout_ms", s.DrainTimeoutMs)
+	c.positive("proxy.caller_write_timeout_ms", s.CallerWriteTimeoutMs)
 	if s.RequireTLS && s.CallerTLS.Empty() {
 		c.add("proxy.require_tls", "needs proxy.caller_tls")
 	}
--- a/base/settings/types.go
+++ b/base/settings/types.go
@@ -104,6 +104,8 @@
 	// RetryPercent of a team's requests may be retries.
 	RetryPercent   uint32 `json:"retry_percent"`
 	DrainTimeoutMs uint32 `json:"drain_timeout_ms"`
+	// CallerWriteTimeoutMs bounds how long a caller may leave its answer unread.
+	CallerWriteTimeoutMs uint32 `json:"caller_write_timeout_ms"`
 }
 
 // Default returns the values of fields that no file states.
@@ -128,6 +130,7 @@
 			MaxPinnedPercent:        50,
 			RetryPercent:            10,
 			DrainTimeoutMs:          60_000,
+			CallerWriteTimeoutMs:    30_000,
 		},
 	}
 }
--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -172,6 +172,8 @@
 		return wire.Frame{}, err
 	}
 	s.rd.Release()
+	watching := s.watch()
+	defer watching.stop()
 	s.enterIdle()
 	frame, err := s.rd.Next()
 	for err != nil && s.mayContinue(err) {
--- a/proxy/conclude.go
+++ b/proxy/conclude.go
@@ -1,9 +1,6 @@
 package proxy
 
 import (
-	"context"
-
-	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/jayloom/jayloom/api/rescode"
@@ -69,11 +66,14 @@
 		return nil, res.err
 	case resultUnsent:
 		s.drop(held)
+		// Only a connection with session state gets here; others are tried again.
 		return nil, errOr(s.endReason(), rescode.New(rescode.UpstreamLost, "upstream %s", held.target.pool.address))
 	}
 	code := s.lossCode(held, r, res)
+	hadState := s.kept == held
 	s.drop(held)
-	if closesConnection(code.Code) {
+	if hadState || closesConnection(code.Code) {
+		// Going on without the session state could mean something else.
 		return nil, code
 	}
 	return code, nil
@@ -109,9 +109,6 @@
 	if res.kind == resultUnleased {
 		return rescode.New(rescode.WriteWithoutLease, "group %q, term %d", held.target.group, held.target.term)
 	}
-	if errors.Is(res.err, context.Canceled) {
-		return rescode.New(rescode.ProxyInternal, "")
-	}
 	return rescode.New(rescode.AnswerLost, "upstream %s", address)
 }
 
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -37,6 +37,10 @@
 	// readOnly is what default_transaction_read_only was set to.
 	readOnly bool
 	pinned   bool
+	// tainted says that the session may have changed how statements are understood.
+	tainted bool
+	// listens says that LISTEN was run, so that notifications come at any time.
+	listens bool
 	// unsafe says that the connection must not be lent again.
 	unsafe bool
 
@@ -81,6 +85,8 @@
 func (c *upstreamConn) forgetSession() {
 	c.lastSession = 0
 	c.readOnly = false
+	c.listens = false
+	c.tainted = false
 	c.unnamed = nil
 	clear(c.prepared)
 }
--- a/proxy/errors.go
+++ b/proxy/errors.go
@@ -35,11 +35,6 @@
 	}
 }
 
-// fatal marks an error after which the caller's connection is closed.
-type fatal struct {
-	*rescode.Error
-}
-
 // closesConnection reports whether a code ends the caller's connection. After these
 // the caller and the proxy could disagree on the state of a transaction or session.
 func closesConnection(code rescode.Code) bool {
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -132,6 +132,7 @@
 		return &result{kind: resultRefused, refused: rescode.New(rescode.BadTag, "the upstream refuses a startup parameter")}
 	}
 	s.parametersTaken = true
+	x.conn.tainted = true
 	x.conn.lastSession = s.id
 	return nil
 }
@@ -175,6 +176,7 @@
 	}
 	if s.parameterSQL != "" {
 		x.parameters = true
+		conn.tainted = true
 		conn.query(s.parameterSQL)
 	}
 	conn.lastSession = s.id
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -172,6 +172,9 @@
 	case pinsByTag(tag) && !x.setsLocally():
 		x.tags.pins = true
 	}
+	if word == "LISTEN" {
+		x.conn.listens = true
+	}
 	switch word {
 	case "BEGIN", "START", "ROLLBACK", "SET", "RESET", "SHOW", "LISTEN", "UNLISTEN",
 		"DEALLOCATE", "PREPARE", "SAVEPOINT", "RELEASE", "CLOSE", "FETCH", "EXPLAIN":
--- a/proxy/isolation_test.go
+++ b/proxy/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"io"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/standin"
 )
 
@@ -95,11 +97,13 @@
 // connection, or not being there for its own.
 func TestSessionStateStaysWithItsCaller(t *testing.T) {
 	s := newSystem(t, 0)
-	p := s.proxy(oneConnection)
+	p := s.proxy(func(o *Options) { o.Shares = fakeShares(2) })
 	ctx := context.Background()
-	first := p.driver(t)
+	first, busy := p.driver(t), p.driver(t)
 	exec(t, first, "SET search_path TO hidden")
+	exec(t, busy, "SELECT 1")
 	exec(t, first, "CREATE TEMP TABLE scratch (id int)")
+	exec(t, busy, "SELECT 1")
 	exec(t, first, "INSERT INTO scratch VALUES (7)")
 	if _, err := first.Prepare(ctx, "jl1", "SELECT 'prepared'"); err != nil {
 		t.Fatal(err)
@@ -111,6 +115,8 @@
 		t.Errorf("the caller's own temporary table reads %q", got)
 	}
 	_ = first.Close(ctx)
+	// The next caller gets the connection that the first one has left.
+	exec(t, busy, "BEGIN")
 
 	next := p.connect(t, "sorter", keySorter)
 	if got := queryText(t, next, "SHOW search_path"); got == "hidden" {
@@ -201,6 +207,24 @@
 	}
 }
 
+// Guards against a cancel request that was taken up just before the connection went
+// to another caller.
+func TestCancelGuard(t *testing.T) {
+	var g cancelGuard
+	g.bind(1)
+	g.unbind()
+	if g.claim(1) {
+		t.Error("a cancel request reached a connection that nobody holds")
+	}
+	g.bind(2)
+	if g.claim(1) {
+		t.Error("a cancel request reached the next holder")
+	}
+	if !g.claim(2) || !g.unbind() {
+		t.Error("a cancel request of the holder left no trace")
+	}
+}
+
 // Guards against cancel requests that do nothing.
 func TestCancelEndsTheCallersStatement(t *testing.T) {
 	s := newSystem(t, 0)
@@ -220,3 +244,45 @@
 		t.Errorf("the statement was not cancelled: %v", err)
 	}
 }
+
+// peerFunc forwards cancel requests inside the test.
+type peerFunc func(address string, processID uint32, secret []byte) error
+
+func (f peerFunc) Cancel(_ context.Context, address string, processID uint32, secret []byte) error {
+	return f(address, processID, secret)
+}
+
+// Guards against cancel requests that reach another proxy than the one that issued
+// the key, and against foreign secrets.
+func TestCancelIsForwarded(t *testing.T) {
+	s := newSystem(t, 0)
+	second := s.proxy()
+	first := s.proxy(func(o *Options) {
+		o.Peers = peerFunc(func(address string, processID uint32, secret []byte) error {
+			if address != second.name {
+				t.Errorf("forwarded to %s", address)
+			}
+			_, err := (&PeeringServer{Server: second.Server}).Cancel(context.Background(),
+				&controlpb.CancelRequest{ProcessId: processID, Secret: secret})
+			return err
+		})
+	})
+	conn := second.driver(t)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "SELECT pg_sleep(9)")
+		failed <- err
+	}()
+	eventually(t, "the statement runs", func() bool { return len(statements(s.primary, "pg_sleep")) > 0 })
+	key := binary.BigEndian.Uint32(conn.PgConn().SecretKey())
+	first.cancelRequest(conn.PgConn().PID(), key+1)
+	select {
+	case err := <-failed:
+		t.Fatalf("a wrong secret ended the statement: %v", err)
+	default:
+	}
+	first.cancelRequest(conn.PgConn().PID(), key)
+	if err := <-failed; err == nil {
+		t.Error("the statement was not cancelled")
+	}
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -249,6 +249,7 @@
 	defer p.mu.Unlock()
 	if !conn.pinned {
 		conn.pinned = true
+		conn.tainted = true
 		p.pinned++
 		metricPins.Inc()
 	}
--- /dev/null
+++ b/proxy/pool_test.go
@@ -0,0 +1,141 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/policy/share"
+	"github.com/jayloom/jayloom/proxy/wire"
+)
+
+// pairDialer opens connections whose other end the test holds.
+type pairDialer struct {
+	t  *testing.T
+	mu sync.Mutex
+	// remote are the upstream's ends, in the order of opening.
+	remote []net.Conn
+}
+
+func (d *pairDialer) Dial(context.Context, string, string) (*upstreamConn, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = listener.Close() }()
+	ours, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	theirs, err := listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	d.remote = append(d.remote, theirs)
+	d.mu.Unlock()
+	d.t.Cleanup(func() { _ = ours.Close(); _ = theirs.Close() })
+	return &upstreamConn{net: ours, rd: wire.NewReader(ours, 1<<20), out: wire.NewWriter(ours), prepared: map[string]bool{}}, nil
+}
+
+func testPool(t *testing.T, allowed int) (*pool, *pairDialer) {
+	d := &pairDialer{t: t}
+	set := &poolSet{dialer: d, queuePerTeam: 100, maxPinnedPercent: 50, reportNow: func() {}, pools: map[string]*pool{},
+		holder: fakeShares(allowed), parameters: map[string]map[string]string{}}
+	return set.get("127.0.0.1:1", "wax"), d
+}
+
+func take(t *testing.T, p *pool, team string, session uint64) *upstreamConn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, err := p.acquire(ctx, borrower{team: team, session: session})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// Guards against a late answer on a connection being read by its next borrower.
+func TestConnectionWithUnreadDataIsNotLent(t *testing.T) {
+	cases := map[string]func(conn *upstreamConn, remote net.Conn){
+		"arrived before release": func(conn *upstreamConn, remote net.Conn) {
+			_, _ = remote.Write([]byte("C\x00\x00\x00\x0dSELECT 1\x00Z\x00\x00\x00\x05I"))
+			_, _ = conn.rd.Next()
+		},
+		"arrived while idle": func(conn *upstreamConn, remote net.Conn) {
+			conn.pool.release(conn)
+			_, _ = remote.Write([]byte("Z\x00\x00\x00\x05I"))
+		},
+		"closed while idle": func(conn *upstreamConn, remote net.Conn) {
+			conn.pool.release(conn)
+			_ = remote.Close()
+		},
+		"unsent data": func(conn *upstreamConn, _ net.Conn) { conn.query("SELECT 1") },
+	}
+	for name, arrange := range cases {
+		p, d := testPool(t, 1)
+		first := take(t, p, "driver", 1)
+		arrange(first, d.remote[0])
+		p.release(first)
+		// The peer's bytes or end have arrived once the socket is readable.
+		eventually(t, name, func() bool { return name == "unsent data" || !first.quiet() })
+		if next := take(t, p, "driver", 1); next == first {
+			t.Errorf("%s: the connection was lent again", name)
+		}
+	}
+}
+
+// Guards against connections above the share, and against waiting for a share that
+// is there.
+func TestPoolStaysWithinItsShare(t *testing.T) {
+	p, d := testPool(t, 2)
+	a, b := take(t, p, "driver", 1), take(t, p, "driver", 2)
+	got := make(chan *upstreamConn, 1)
+	go func() { got <- take(t, p, "sorter", 3) }()
+	eventually(t, "a request waits", func() bool { return p.demand(0) == share.Pool{Upstream: p.address, Open: 2, Wanted: 3} })
+	p.setAllowed(3, false)
+	c := <-got
+	p.setAllowed(1, false)
+	p.release(a)
+	p.release(b)
+	if open := p.demand(0).Open; open != 1 {
+		t.Errorf("%d connections are open under a share of 1", open)
+	}
+	// A lapsed share takes lent connections too.
+	p.setAllowed(0, false)
+	if _, err := c.net.Write([]byte("x")); err == nil {
+		t.Error("a connection outlived its share")
+	}
+	if len(d.remote) != 3 {
+		t.Errorf("%d connections were opened", len(d.remote))
+	}
+}
+
+// Guards against a waiter that gives up taking a connection with it.
+func TestAbandonedWaitLosesNoConnection(t *testing.T) {
+	p, _ := testPool(t, 1)
+	for range 200 {
+		held := take(t, p, "driver", 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if conn, err := p.acquire(ctx, borrower{team: "sorter", session: 2}); err == nil {
+				p.release(conn)
+			} else if err.Code != rescode.QueueTimeout {
+				t.Error(err)
+			}
+		}()
+		go cancel()
+		p.release(held)
+		<-done
+	}
+	if open := p.demand(0).Open; open > 1 {
+		t.Errorf("%d connections are open", open)
+	}
+	take(t, p, "driver", 1)
+}
--- a/proxy/position.go
+++ b/proxy/position.go
@@ -143,6 +143,24 @@
 	return readInternal(conn)
 }
 
+// askClean asks on a connection whose last borrower's settings, such as search_path,
+// could give the question another meaning.
+func askClean(conn *upstreamConn, sql string) (internalAnswer, error) {
+	if !conn.tainted {
+		return ask(conn, sql)
+	}
+	conn.query(sqlReset)
+	conn.forgetSession()
+	conn.query(sql)
+	if _, err := conn.out.Flush(); err != nil {
+		return internalAnswer{}, err
+	}
+	if answer, err := readInternal(conn); err != nil || answer.failed {
+		return answer, errors.CombineErrors(err, errors.New("the connection could not be reset"))
+	}
+	return readInternal(conn)
+}
+
 // askShared asks on a connection of the pool and gives it back.
 func askShared(ctx context.Context, p *pool, sql string) (internalAnswer, error) {
 	conn, refused := p.acquire(ctx, borrower{team: systemTeam})
@@ -150,7 +168,7 @@
 		return internalAnswer{}, refused
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.net.Close() })
-	answer, err := ask(conn, sql)
+	answer, err := askClean(conn, sql)
 	if !stop() || err != nil {
 		p.discard(conn)
 		return answer, errors.CombineErrors(err, ctx.Err())
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -179,6 +179,9 @@
 
 // runFree executes a request outside a transaction, with retries.
 func (s *caller) runFree(r *request) (*rescode.Error, error) {
+	if lost := s.lostState(); lost != nil {
+		return nil, lost
+	}
 	for {
 		onReplicas := !r.primaryOnly
 		held, refused := s.borrow(r)
@@ -199,6 +202,21 @@
 	}
 }
 
+// lostState is the error for session state on an upstream that was replaced, or that
+// gets no new work.
+func (s *caller) lostState() *rescode.Error {
+	if s.kept == nil {
+		return nil
+	}
+	snapshot := s.server.view.Current()
+	t := s.kept.target
+	group, ok := snapshot.Groups[t.group]
+	if ok && snapshot.Usable(t.pool.address) && (!t.primary || group.Term == t.term) {
+		return nil
+	}
+	return rescode.New(rescode.UpstreamLost, "the connection's session state is gone")
+}
+
 // borrow chooses where the request runs and gets a connection.
 func (s *caller) borrow(r *request) (*lease, *rescode.Error) {
 	t, refused := s.choose(r)
@@ -206,9 +224,6 @@
 		return nil, refused
 	}
 	if s.kept != nil && s.kept.target.pool == t.pool && s.kept.target.primary == t.primary {
-		if t.primary && s.kept.target.term != t.term {
-			return nil, rescode.New(rescode.UpstreamLost, "the connection's session state is gone")
-		}
 		s.kept.target = t
 		return s.kept, nil
 	}
--- a/proxy/startup.go
+++ b/proxy/startup.go
@@ -300,7 +300,9 @@
 
 // ready registers the session and sends what a caller waits for.
 func (h *handshake) ready(s *caller) (*caller, error) {
-	s.net, s.rd, s.out = h.net, h.rd, h.out
+	s.net, s.rd = h.net, h.rd
+	stall := time.Duration(h.server.settings.CallerWriteTimeoutMs) * time.Millisecond
+	s.out = wire.NewWriter(stallGuard{conn: h.net, limit: stall})
 	s.rd.SetLimit(int(h.server.settings.MaxMessageBytes))
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	h.server.registry.add(s, randomSecret)
@@ -328,6 +330,21 @@
 	return s, nil
 }
 
+// stallGuard ends a caller that does not read its answer: it would hold a scarce
+// upstream connection for as long.
+type stallGuard struct {
+	conn  net.Conn
+	limit time.Duration
+}
+
+// Write implements io.Writer.
+func (g stallGuard) Write(b []byte) (int, error) {
+	if err := g.conn.SetWriteDeadline(time.Now().Add(g.limit)); err != nil {
+		return 0, err
+	}
+	return g.conn.Write(b)
+}
+
 func randomSecret() uint32 {
 	var b [4]byte
 	// crypto/rand.Read never returns an error.
--- a/proxy/writes_test.go
+++ b/proxy/writes_test.go
@@ -229,3 +229,40 @@
 	})
 	exec(t, p.driver(t), "INSERT INTO intake VALUES (3, 'x')")
 }
+
+// Guards against a caller going on without its session state after that was lost.
+func TestLostSessionStateEndsTheCaller(t *testing.T) {
+	for name, lose := range map[string]func(s *system){
+		"leaving": func(s *system) {
+			s.change(func(state *controlpb.FleetState) {
+				state.Upstreams[s.primary.Addr()].State = controlpb.UpstreamState_UPSTREAM_STATE_LEAVING
+			})
+		},
+		"crashed": func(s *system) { s.primary.Crash() },
+	} {
+		s := newSystem(t, 0)
+		conn := s.proxy().driver(t)
+		exec(t, conn, "SET search_path TO mine")
+		lose(s)
+		_, err := conn.Exec(context.Background(), "SELECT 1")
+		if code := codeOf(err); code != rescode.UpstreamLost && code != rescode.AnswerLost || !conn.IsClosed() {
+			t.Errorf("%s: got %v, closed %v", name, err, conn.IsClosed())
+		}
+	}
+}
+
+// Guards against a setting of one caller changing the meaning of the proxy's own
+// questions.
+func TestQuestionsRunWithoutCallersSettings(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy(oneConnection)
+	conn := p.driver(t, "options='-c search_path=mine'")
+	exec(t, conn, "SELECT 1")
+	if _, err := p.barrierOf("wax-1").ask(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	audit := s.primary.Audit()
+	if before := audit[len(audit)-2].Statement; before != sqlReset {
+		t.Errorf("the question came behind %q", before)
+	}
+}
