--- a/policy/failover/machine_test.go
+++ b/policy/failover/machine_test.go
@@ -192,9 +192,13 @@
 // path to the primary is broken.
 func TestBrokenPathIsNoFailure(t *testing.T) {
 	s := newScripted(t)
+	s.probeAll(100, 100, 100)
 	for range 20 {
 		s.now += 200 * time.Millisecond
 		s.send(Probe{Address: "s0", Sent: s.now})
+		if s.proposed != nil {
+			t.Fatalf("proposed %v", s.proposed)
+		}
 		s.send(Probe{Address: "s1", Sent: s.now, Answered: true, InRecovery: true, LSN: 100, Timeline: 1,
 			ReceiverActive: true, ReceiverAge: 100 * time.Millisecond})
 		if s.proposed != nil {
--- a/policy/failover/world_test.go
+++ b/policy/failover/world_test.go
@@ -238,8 +238,9 @@
 	return result
 }
 
-// checkCommand guards against a term start above what the new primary holds, and
-// against the return of a server that does not replicate.
+// checkCommand guards against a term start above what the new primary holds, a
+// candidate with log that an earlier promotion left behind, and the return of a
+// server that does not replicate.
 func (w *world) checkCommand(before *controlpb.Group, c *controlpb.Command) {
 	if done := c.GetCompletePromotion(); done != nil {
 		s := w.server(done.Primary)
@@ -250,9 +251,16 @@
 			w.fail("%s became primary in recovery", s.address)
 		}
 	}
+	if begun := c.GetBeginPromotion(); begun != nil {
+		s, start := w.server(begun.Candidate), before.History[len(before.History)-1]
+		if s.timeline < start.Timeline && s.lsn > start.StartLsn {
+			w.fail("candidate %s holds log that term %d left behind", s.address, start.Term)
+		}
+	}
 	if gone := c.GetRemoveUpstream(); gone != nil {
-		if s := w.server(gone.Address); s.up && !s.inRecovery {
-			w.fail("%s was readmitted outside recovery", s.address)
+		s, primary := w.server(gone.Address), w.server(before.Primary)
+		if !s.inRecovery || s.timeline < primary.timeline {
+			w.fail("%s was readmitted on timeline %d, the primary is on %d", s.address, s.timeline, primary.timeline)
 		}
 		w.after(2*time.Second, func() { w.announce(gone.Address) })
 	}
