Keep servers on a reused timeline number out of promotions

Cause: the model found that a candidate from before the last promotion, or one given up, leaves two logs under one timeline number; a diverged server was then readmitted, or promoted, with log that the primary does not have. It also found that a term could start above what an unseen candidate held. Change: ReadmitUpstream replaces remove-and-announce and names the term; no readmission while the timeline number is reused; all other servers of a group diverge when its new primary missed the last term; the start of a term is 0 when the leader did not see the candidate in recovery. The model now tracks logs by unique branches.

--- a/policy/failover/group.go
+++ b/policy/failover/group.go
@@ -18,6 +18,9 @@
 	// startLSN and timeline are those of the newest entry of the term history.
 	startLSN uint64
 	timeline uint32
+	// timelineReused is set when servers that took no part in the term may carry its
+	// timeline number.
+	timelineReused bool
 
 	// since is when this leader first saw the present phase, term and candidate.
 	since    time.Duration
@@ -56,9 +59,7 @@
 	newTerm := g.term != pb.Term
 	g.term, g.primary, g.phase = pb.Term, pb.Primary, pb.Phase
 	g.candidate, g.candidateTerm = pb.Candidate, pb.CandidateTerm
-	if n := len(pb.History); n > 0 {
-		g.startLSN, g.timeline = pb.History[n-1].StartLsn, pb.History[n-1].Timeline
-	}
+	g.takeHistory(pb.History)
 	if same {
 		return
 	}
@@ -76,6 +77,22 @@
 	g.candidateLSN = m.replayed(g.candidate)
 }
 
+func (g *group) takeHistory(history []*controlpb.TermStart) {
+	if len(history) == 0 {
+		return
+	}
+	last := history[len(history)-1]
+	g.startLSN, g.timeline, g.timelineReused = last.StartLsn, last.Timeline, false
+	for _, earlier := range history[:len(history)-1] {
+		g.timelineReused = g.timelineReused || earlier.Timeline >= last.Timeline
+	}
+	// A skipped term belonged to a candidate that was given up. It was promoted from
+	// the same timeline as its successor, if it was, and then has the same number.
+	if n := len(history); n > 1 && last.Term > history[n-2].Term+1 {
+		g.timelineReused = true
+	}
+}
+
 // currentTimeline is the primary's timeline. The control file of a server shows a
 // new timeline only from the checkpoint after its promotion, so the primary may
 // report a later one than the term history holds.
--- a/policy/failover/machine_test.go
+++ b/policy/failover/machine_test.go
@@ -39,7 +39,7 @@
 }
 
 var faultNames = []string{"kill", "kill primary", "start", "cut control", "cut peers", "join",
-	"rejoin", "elect", "depose", "loss", "cut proxy", "restart proxy", "wait"}
+	"rejoin", "demote", "elect", "depose", "loss", "cut proxy", "restart proxy", "wait"}
 
 var faults = map[string]func(w *world, target int){
 	"kill":         func(w *world, i int) { w.servers[i].up = false },
@@ -49,11 +49,13 @@
 	"cut peers":    func(w *world, i int) { w.servers[i].cutPeers = true },
 	"join":         func(w *world, i int) { w.servers[i].cutControl, w.servers[i].cutPeers = false, false },
 	"rejoin":       func(w *world, i int) { w.rejoin(w.servers[i]) },
-	"elect":        func(w *world, _ int) { w.elect() },
-	"depose":       func(w *world, _ int) { w.depose() },
-	"loss":         func(w *world, i int) { w.loss = float64(i) * 0.2 },
-	"cut proxy":    func(w *world, i int) { w.processes[i].cut = !w.processes[i].cut },
-	"wait":         func(w *world, _ int) {},
+	// The server comes back in recovery with the log that it had.
+	"demote":    func(w *world, i int) { w.servers[i].inRecovery = true },
+	"elect":     func(w *world, _ int) { w.elect() },
+	"depose":    func(w *world, _ int) { w.depose() },
+	"loss":      func(w *world, i int) { w.loss = float64(i) * 0.2 },
+	"cut proxy": func(w *world, i int) { w.processes[i].cut = !w.processes[i].cut },
+	"wait":      func(w *world, _ int) {},
 	// The earlier process keeps its leases behind a partition.
 	"restart proxy": func(w *world, i int) {
 		w.processes[i].cut = true
--- a/policy/failover/promote.go
+++ b/policy/failover/promote.go
@@ -64,17 +64,28 @@
 	return a.lsn > b.lsn
 }
 
-// successor returns the best replica or, when there is none, the fenced term's own
-// primary if it answers again.
+// successor returns the best replica that took part in the fenced term; else the
+// term's own primary if it answers again, as it has lost nothing; else the best
+// replica that missed the term.
 func (m *Machine) successor(now time.Duration, g *group, from time.Duration) *upstream {
-	if u := m.best(now, g, from); u != nil {
-		return u
+	replica := m.best(now, g, from)
+	if replica != nil && replica.timeline >= g.timeline {
+		return replica
 	}
+	if primary := m.returned(now, g, from); primary != nil {
+		return primary
+	}
+	return replica
+}
+
+// returned returns the fenced term's primary if it answers again and may be
+// confirmed.
+func (m *Machine) returned(now time.Duration, g *group, from time.Duration) *upstream {
 	u, ok := m.upstreams[g.primary]
 	if !ok || u.address == g.candidate || u.sent < from || !m.answering(now, u) {
 		return nil
 	}
-	if u.inRecovery || u.state == controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED || u.timeline < g.timeline {
+	if u.inRecovery || u.timeline < g.timeline {
 		return nil
 	}
 	return u
@@ -138,8 +149,9 @@
 	case u.address != g.primary && g.candidateLSN > 0:
 		return g.candidateLSN
 	default:
-		// This leader did not see what the server held before it left recovery.
-		return g.startLSN
+		// This leader did not see what the server held before it left recovery, and
+		// that may be less than the start of the term.
+		return 0
 	}
 }
 
--- a/policy/failover/replica.go
+++ b/policy/failover/replica.go
@@ -39,25 +39,37 @@
 	u.follow.confirmed = true
 }
 
-// readmit removes the mark of a diverged server that replicates from the primary
-// again, by removing the server: its next announcement adds it as joining. An
-// announcement alone never removes the mark.
+// readmit ends the diverged state of servers that replicate from the primary again.
 func (m *Machine) readmit(now time.Duration, g *group) {
 	for _, u := range g.members {
 		if u.state != controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED || !m.replicates(now, g, u) {
 			continue
 		}
+		if g.timelineReused {
+			m.recordUnproven(g, u)
+			continue
+		}
 		if !u.readmission.due(now, m.cfg.CallRetry) {
 			continue
 		}
 		// Not through propose: a fence must not wait for this.
 		u.readmission = call{pending: true, at: now}
-		m.emit(Propose{Group: g.name, Command: &controlpb.Command{Change: &controlpb.Command_RemoveUpstream{
-			RemoveUpstream: &controlpb.RemoveUpstream{Address: u.address},
+		m.emit(Propose{Group: g.name, Command: &controlpb.Command{Change: &controlpb.Command_ReadmitUpstream{
+			ReadmitUpstream: &controlpb.ReadmitUpstream{Address: u.address, Term: g.term},
 		}}})
 	}
 }
 
+// recordUnproven tells operators once that a server stays diverged.
+func (m *Machine) recordUnproven(g *group, u *upstream) {
+	if u.unproven {
+		return
+	}
+	u.unproven = true
+	m.emit(Record{Subject: g.name, Text: u.address +
+		" stays diverged: its timeline number was used twice; rebuild it, then remove it from the state"})
+}
+
 // replicates tells whether a server is in recovery on the current timeline with a
 // receiver that was told to follow the primary.
 func (m *Machine) replicates(now time.Duration, g *group, u *upstream) bool {
--- a/policy/failover/upstream.go
+++ b/policy/failover/upstream.go
@@ -35,6 +35,8 @@
 	follow follow
 	// readmission is the proposal that ends the server's diverged state.
 	readmission call
+	// unproven is set once a record says why the server stays diverged.
+	unproven bool
 }
 
 // follow is the primary that a replica was told to follow.
@@ -121,7 +123,7 @@
 	if !m.answering(now, u) || !u.inRecovery {
 		return false
 	}
-	// On an earlier timeline above the start of the term, a replica cannot be told
-	// from one that holds writes which the last promotion left behind.
-	return u.timeline >= g.timeline || u.lsn <= g.startLSN
+	// On an earlier timeline and not below the start of the term, a replica cannot
+	// be told from one that holds writes which the last promotion left behind.
+	return u.timeline >= g.timeline || u.lsn < g.startLSN
 }
--- a/policy/failover/world_test.go
+++ b/policy/failover/world_test.go
@@ -31,6 +31,15 @@
 	heardAt    time.Duration
 	// switchLSN is where the server left recovery last.
 	switchLSN uint64
+	// branch numbers the promotion whose log the server holds; unlike a timeline
+	// number it is unique.
+	branch int
+}
+
+// branch is the log that began with one promotion.
+type branch struct {
+	parent int
+	start  uint64
 }
 
 // process is one start of a proxy. Its clock is slower than the leader's by drift.
@@ -77,6 +86,7 @@
 	leader    int // number of the leadership, 0 while there is none
 	elections int
 	servers   []*server
+	branches  []branch
 	processes []*process
 	// promoted maps a term to the address on which its promotion was executed.
 	promoted map[uint64]string
@@ -87,7 +97,7 @@
 func newWorld(seed int64, proxies int) *world {
 	w := &world{
 		rnd: rand.New(rand.NewSource(seed)), state: fleet.New(),
-		promoted: map[uint64]string{}, cfg: DefaultConfig(),
+		promoted: map[uint64]string{}, cfg: DefaultConfig(), branches: make([]branch, 1),
 	}
 	for i := range 3 {
 		s := &server{address: fmt.Sprintf("s%d", i), up: true, inRecovery: i > 0, lsn: 100, timeline: 1, follows: "s0"}
@@ -252,25 +262,18 @@
 		}
 	}
 	if begun := c.GetBeginPromotion(); begun != nil {
-		s, start := w.server(begun.Candidate), before.History[len(before.History)-1]
-		if s.timeline < start.Timeline && s.lsn > start.StartLsn {
-			w.fail("candidate %s holds log that term %d left behind", s.address, start.Term)
+		if s := w.server(begun.Candidate); !w.prefix(s, w.server(before.Primary)) {
+			w.fail("candidate %s holds log that %s does not have", s.address, before.Primary)
 		}
 	}
-	if gone := c.GetRemoveUpstream(); gone != nil {
+	if gone := c.GetReadmitUpstream(); gone != nil {
 		s, primary := w.server(gone.Address), w.server(before.Primary)
-		if !s.inRecovery || s.timeline < primary.timeline {
-			w.fail("%s was readmitted on timeline %d, the primary is on %d", s.address, s.timeline, primary.timeline)
+		if !s.inRecovery || !w.prefix(s, primary) {
+			w.fail("%s was readmitted with log that %s does not have", s.address, primary.address)
 		}
-		w.after(2*time.Second, func() { w.announce(gone.Address) })
 	}
 }
 
-func (w *world) announce(address string) {
-	w.commit(&controlpb.Command{Change: &controlpb.Command_AnnounceUpstream{AnnounceUpstream: &controlpb.AnnounceUpstream{
-		Service: "v", Upstream: &controlpb.Upstream{Address: address, Group: groupName}}}})
-}
-
 // checkPromote guards against a promotion that the replicated state does not name.
 func (w *world) checkPromote(e Promote) {
 	g := w.group()
@@ -313,17 +316,32 @@
 		if !s.up || !s.inRecovery || s.cutPeers || from == nil || !from.up || from.cutPeers || from.inRecovery {
 			continue
 		}
-		if from.timeline < s.timeline || (from.timeline > s.timeline && s.lsn > from.switchLSN) {
+		if from.timeline < s.timeline || (from.timeline > s.timeline && !w.prefix(s, from)) {
 			continue
 		}
 		s.heardAt = w.now
-		s.timeline = from.timeline
+		if from.timeline > s.timeline {
+			s.timeline, s.branch = from.timeline, from.branch
+		}
+		// Under one timeline number a server follows even a foreign branch.
 		if from.lsn > s.lsn {
 			s.lsn += uint64(w.rnd.Intn(int(from.lsn-s.lsn) + 1))
 		}
 	}
 }
 
+// prefix tells whether a server's log is the beginning of another's.
+func (w *world) prefix(s, of *server) bool {
+	at, limit := of.branch, of.lsn
+	for at != s.branch {
+		if at == 0 {
+			return false
+		}
+		at, limit = w.branches[at].parent, min(limit, w.branches[at].start)
+	}
+	return s.lsn <= limit
+}
+
 func (w *world) executePromote(e Promote, leader int) {
 	s := w.server(e.Address)
 	if !s.up || s.cutControl {
@@ -338,6 +356,8 @@
 		s.lsn += uint64(w.rnd.Intn(5)) // received and not replayed before
 		s.inRecovery, s.switchLSN = false, s.lsn
 		s.timeline++
+		w.branches = append(w.branches, branch{parent: s.branch, start: s.lsn})
+		s.branch = len(w.branches) - 1
 	}
 	w.ifLeader(leader, PromoteResult{Group: e.Group, Address: e.Address, Term: e.Term})
 }
@@ -349,7 +369,7 @@
 		return
 	}
 	s.up, s.inRecovery, s.timeline = true, true, primary.timeline
-	s.lsn = min(s.lsn, primary.lsn)
+	s.lsn, s.branch = min(s.lsn, primary.lsn), primary.branch
 	s.follows = primary.address
 }
 
--- a/policy/fleet/group.go
+++ b/policy/fleet/group.go
@@ -24,6 +24,8 @@
 		return s.beginPromotion(body.BeginPromotion)
 	case *controlpb.Command_CompletePromotion:
 		return s.completePromotion(body.CompletePromotion)
+	case *controlpb.Command_ReadmitUpstream:
+		return s.readmitUpstream(body.ReadmitUpstream)
 	default:
 		return "", "", rescode.New(rescode.InvalidCommand, "the command has no known change")
 	}
@@ -51,8 +53,7 @@
 }
 
 // announceable refuses what an announcement must not change. A diverged server
-// keeps its mark until the leader's watcher has seen it replicate again and
-// removed it; its next announcement then adds it afresh.
+// keeps its mark until the leader's watcher has seen it replicate again.
 func announceable(current, announced *controlpb.Upstream) *rescode.Error {
 	if current.Group != announced.Group {
 		return rescode.New(rescode.InvalidCommand,
@@ -64,6 +65,25 @@
 	return nil
 }
 
+func (s *State) readmitUpstream(c *controlpb.ReadmitUpstream) (string, string, *rescode.Error) {
+	u, ok := s.pb.Upstreams[c.Address]
+	if !ok {
+		return "", "", unknown("upstream", c.Address)
+	}
+	group, ok := s.pb.Groups[u.Group]
+	if !ok {
+		return "", "", unknown("group", u.Group)
+	}
+	if group.Term != c.Term || group.Phase != controlpb.GroupPhase_GROUP_PHASE_HEALTHY {
+		return "", "", termMismatch(group)
+	}
+	if u.State != controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED {
+		return "", "", rescode.New(rescode.InvalidCommand, "upstream %q has not diverged", c.Address)
+	}
+	u.State = controlpb.UpstreamState_UPSTREAM_STATE_JOINING
+	return "upstream replicates again and is joining", c.Address, nil
+}
+
 func stateName(state controlpb.UpstreamState) string {
 	switch state {
 	case controlpb.UpstreamState_UPSTREAM_STATE_LEAVING:
@@ -173,6 +193,9 @@
 	if replaced, ok := s.pb.Upstreams[group.Primary]; ok && group.Primary != c.Primary {
 		replaced.State = controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED
 	}
+	if n := len(group.History); n > 0 && c.StartLsn < group.History[n-1].StartLsn {
+		s.divergeAllBut(group, c.Primary)
+	}
 	group.Term = c.Term
 	group.Primary = c.Primary
 	group.Phase = controlpb.GroupPhase_GROUP_PHASE_HEALTHY
@@ -183,6 +206,16 @@
 	return fmt.Sprintf("%s is primary in term %d", c.Primary, c.Term), c.Group, nil
 }
 
+// divergeAllBut marks the other servers of a group whose new primary missed the
+// last term: they may hold log of that term, under the new term's timeline number.
+func (s *State) divergeAllBut(group *controlpb.Group, primary string) {
+	for _, u := range s.pb.Upstreams {
+		if u.Group == group.Name && u.Address != primary {
+			u.State = controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED
+		}
+	}
+}
+
 func termMismatch(g *controlpb.Group) *rescode.Error {
 	return rescode.New(rescode.TermMismatch, "group %q is in term %d, phase %s", g.Name, g.Term, g.Phase)
 }
