--- /dev/null
+++ b/policy/rate/holder.go
@@ -0,0 +1,164 @@
+package rate
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+)
+
+const (
+	// reportGap is the least time between reports, so that waiting requests do not
+	// send one report each.
+	reportGap = 10 * time.Millisecond
+	// exhaustedReportGap applies while the bucket is empty. A burst of a tenth of a
+	// second of rate then still lasts five reports.
+	exhaustedReportGap = 20 * time.Millisecond
+	// exhaustedFor bounds how long the owner's word is believed that a bucket is
+	// empty: two report intervals.
+	exhaustedFor = 500 * time.Millisecond
+	// notUrgent is the value of urgentAt while nothing is urgent.
+	notUrgent = math.MaxInt64
+)
+
+// Holder holds a proxy's tokens. It is safe for concurrent use.
+type Holder struct {
+	// teams is replaced as a whole when a team is added, so that Take reads it
+	// without a lock.
+	teams atomic.Pointer[map[string]*holding]
+	add   sync.Mutex
+	// urgentAt is the time from which a report is urgent.
+	urgentAt   atomic.Int64
+	reportedAt atomic.Int64
+	// streamAt is the start of the stream; grants for earlier reports are refused.
+	streamAt atomic.Int64
+}
+
+// NewHolder returns a Holder without tokens.
+func NewHolder() *Holder {
+	h := &Holder{}
+	h.teams.Store(&map[string]*holding{})
+	h.urgentAt.Store(notUrgent)
+	h.reportedAt.Store(int64(-time.Hour))
+	return h
+}
+
+// holding returns a team's tokens, and adds the team at its first use.
+func (h *Holder) holding(team string) *holding {
+	if t, ok := (*h.teams.Load())[team]; ok {
+		return t
+	}
+	h.add.Lock()
+	defer h.add.Unlock()
+	current := *h.teams.Load()
+	if t, ok := current[team]; ok {
+		return t
+	}
+	next := make(map[string]*holding, len(current)+1)
+	for name, t := range current {
+		next[name] = t
+	}
+	t := newHolding()
+	next[team] = t
+	h.teams.Store(&next)
+	return t
+}
+
+// Take uses one token and tells whether there was one.
+func (h *Holder) Take(now time.Duration, team string) bool {
+	t := h.holding(team)
+	t.mu.Lock()
+	taken, urgent, gap := t.take(now), t.urgent(), t.gap(now)
+	t.mu.Unlock()
+	if urgent {
+		h.raise(gap)
+	}
+	return taken
+}
+
+// raise makes the next report urgent once a gap since the last one has passed.
+func (h *Holder) raise(gap time.Duration) {
+	at := h.reportedAt.Load() + int64(gap)
+	for {
+		current := h.urgentAt.Load()
+		if current <= at || h.urgentAt.CompareAndSwap(current, at) {
+			return
+		}
+	}
+}
+
+// Exhausted tells whether the owner has said lately that the team's bucket is empty.
+func (h *Holder) Exhausted(now time.Duration, team string) bool {
+	t := h.holding(team)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isExhausted(now)
+}
+
+// Urgent tells whether a report is due at once: requests wait, little of a grant is
+// left, or unused tokens were recalled.
+func (h *Holder) Urgent(now time.Duration) bool {
+	return int64(now) >= h.urgentAt.Load()
+}
+
+// Waiting changes the number of requests that wait for a token.
+func (h *Holder) Waiting(team string, delta int) {
+	t := h.holding(team)
+	t.mu.Lock()
+	t.waiting = max(0, t.waiting+int64(delta))
+	t.mu.Unlock()
+	if delta > 0 {
+		h.raise(reportGap)
+	}
+}
+
+// Report returns what the proxy uses, returns and wants. It returns unused tokens,
+// so it must be sent, in order with other reports of the stream.
+func (h *Holder) Report(now time.Duration) []*controlpb.TokenDemand {
+	h.reportedAt.Store(int64(now))
+	h.urgentAt.Store(notUrgent)
+	var demands []*controlpb.TokenDemand
+	for name, t := range *h.teams.Load() {
+		t.mu.Lock()
+		if d := t.report(now); d != nil {
+			d.Team = name
+			demands = append(demands, d)
+		}
+		waiting, gap := t.waiting > 0, t.gap(now)
+		t.mu.Unlock()
+		if waiting {
+			h.raise(gap)
+		}
+	}
+	return demands
+}
+
+// Grant takes over a grant that answers the report sent at sentAt.
+func (h *Holder) Grant(now, sentAt time.Duration, g *controlpb.TokenGrant) {
+	if int64(sentAt) < h.streamAt.Load() {
+		// The report that started this stream has stated what the proxy holds.
+		return
+	}
+	t := h.holding(g.Team)
+	t.mu.Lock()
+	t.grant(now, sentAt+time.Duration(g.LifetimeMs)*time.Millisecond, int64(g.Tokens), g.Exhausted)
+	idle := g.Exhausted && t.held > t.keep(now)
+	t.mu.Unlock()
+	if idle {
+		h.raise(reportGap)
+	}
+}
+
+// StreamStarted begins a new stream: totals restart, and grants of the earlier
+// stream that arrive late are refused.
+func (h *Holder) StreamStarted(now time.Duration) {
+	h.streamAt.Store(int64(now))
+	for _, t := range *h.teams.Load() {
+		t.mu.Lock()
+		t.startStream(now)
+		t.mu.Unlock()
+	}
+	h.raise(0)
+}
--- /dev/null
+++ b/policy/rate/holding.go
@@ -0,0 +1,201 @@
+package rate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+)
+
+const (
+	// useSlot is the length of one count of use.
+	useSlot = 50 * time.Millisecond
+	// demandSlots cover the last 250 ms and the slot under way.
+	demandSlots = 6
+	// recentSlots cover the last 50 ms and the slot under way; a proxy keeps that
+	// much when the bucket is empty and others may need its tokens.
+	recentSlots = 2
+	// spareFor is how long after its last use a team keeps one token ready, so that
+	// rare requests need not wait for the owner.
+	spareFor = 2500 * time.Millisecond
+)
+
+// holding is what a proxy holds of one team's tokens. Its methods need mu.
+type holding struct {
+	mu sync.Mutex
+	// lots are consumed in the order in which they were granted.
+	lots []heldLot
+	held int64
+	// used, returned and heldAtStart are totals of the stream.
+	used, returned, heldAtStart int64
+	// reportedUsed and reportedReturned are the totals of the newest report.
+	reportedUsed, reportedReturned int64
+	reportedWanted                 int64
+	waiting                        int64
+	// missed is set when a request found no token since the last report.
+	missed      bool
+	exhausted   bool
+	exhaustedAt time.Duration
+	// afterGrant is what was held after the newest grant.
+	afterGrant int64
+	slots      [demandSlots]int64
+	slot       int64
+	lastUse    time.Duration
+}
+
+type heldLot struct {
+	tokens int64
+	until  time.Duration
+}
+
+func newHolding() *holding {
+	return &holding{lastUse: -spareFor}
+}
+
+func (t *holding) take(now time.Duration) bool {
+	t.expire(now)
+	if t.held == 0 {
+		t.missed = true
+		return false
+	}
+	t.consume(1)
+	t.used++
+	t.advance(now)
+	t.slots[t.slot%demandSlots]++
+	t.lastUse = now
+	return true
+}
+
+// consume takes tokens from the oldest lots.
+func (t *holding) consume(tokens int64) {
+	t.held -= tokens
+	for tokens > 0 {
+		part := min(tokens, t.lots[0].tokens)
+		t.lots[0].tokens -= part
+		tokens -= part
+		if t.lots[0].tokens == 0 {
+			// Copying keeps the array, so that grants do not allocate for ever.
+			t.lots = append(t.lots[:0], t.lots[1:]...)
+		}
+	}
+}
+
+// expire returns tokens whose lifetime has ended.
+func (t *holding) expire(now time.Duration) {
+	for len(t.lots) > 0 && t.lots[0].until <= now {
+		tokens := t.lots[0].tokens
+		t.consume(tokens)
+		t.returned += tokens
+	}
+}
+
+// advance clears the counts of slots that have passed.
+func (t *holding) advance(now time.Duration) {
+	slot := int64(now / useSlot)
+	if slot-t.slot >= demandSlots {
+		t.slots = [demandSlots]int64{}
+		t.slot = slot
+	}
+	for t.slot < slot {
+		t.slot++
+		t.slots[t.slot%demandSlots] = 0
+	}
+}
+
+// recentUse sums the newest slots.
+func (t *holding) recentUse(now time.Duration, slots int64) int64 {
+	t.advance(now)
+	sum := int64(0)
+	for i := range slots {
+		sum += t.slots[(t.slot+demandSlots-i)%demandSlots]
+	}
+	return sum
+}
+
+// urgent tells whether too little is left. While the bucket is empty, refill is
+// lost until use is reported, so a quarter used is reported; otherwise a quarter
+// left is.
+func (t *holding) urgent() bool {
+	if t.missed {
+		return true
+	}
+	unreported := t.used - t.reportedUsed
+	if unreported == 0 {
+		return false
+	}
+	if t.exhausted {
+		return 4*unreported >= t.afterGrant
+	}
+	return 4*t.held < t.afterGrant
+}
+
+func (t *holding) gap(now time.Duration) time.Duration {
+	if t.isExhausted(now) {
+		return exhaustedReportGap
+	}
+	return reportGap
+}
+
+func (t *holding) isExhausted(now time.Duration) bool {
+	return t.exhausted && now-t.exhaustedAt < exhaustedFor
+}
+
+// wanted is what the proxy would like to hold.
+func (t *holding) wanted(now time.Duration) int64 {
+	wanted := t.recentUse(now, demandSlots) + t.waiting
+	if t.missed {
+		wanted = max(wanted, 1)
+	}
+	if !t.isExhausted(now) && now-t.lastUse < spareFor {
+		wanted++
+	}
+	return wanted
+}
+
+// keep is how much of what it holds the proxy keeps.
+func (t *holding) keep(now time.Duration) int64 {
+	if t.isExhausted(now) {
+		return t.recentUse(now, recentSlots) + t.waiting
+	}
+	return 2*t.wanted(now) + 1
+}
+
+// report returns nil when there is nothing to say.
+func (t *holding) report(now time.Duration) *controlpb.TokenDemand {
+	t.expire(now)
+	if excess := t.held - t.keep(now); excess > 0 {
+		t.consume(excess)
+		t.returned += excess
+	}
+	wanted := t.wanted(now)
+	t.missed = false
+	changed := t.used != t.reportedUsed || t.returned != t.reportedReturned || wanted != t.reportedWanted
+	if !changed && t.held == 0 && wanted == 0 {
+		return nil
+	}
+	t.reportedUsed, t.reportedReturned, t.reportedWanted = t.used, t.returned, wanted
+	return &controlpb.TokenDemand{
+		UsedTotal:     float64(t.used),
+		ReturnedTotal: float64(t.returned),
+		HeldAtStart:   float64(t.heldAtStart),
+		Wanted:        float64(wanted),
+	}
+}
+
+func (t *holding) grant(now, until time.Duration, tokens int64, exhausted bool) {
+	t.exhausted, t.exhaustedAt = exhausted, now
+	if tokens > 0 {
+		t.lots = append(t.lots, heldLot{tokens: tokens, until: until})
+		t.held += tokens
+	}
+	t.expire(now)
+	t.afterGrant = t.held
+}
+
+func (t *holding) startStream(now time.Duration) {
+	t.expire(now)
+	t.used, t.returned, t.heldAtStart = 0, 0, t.held
+	t.reportedUsed, t.reportedReturned, t.reportedWanted = 0, 0, 0
+	t.exhausted = false
+	t.afterGrant = t.held
+}
--- /dev/null
+++ b/policy/rate/owner.go
@@ -0,0 +1,190 @@
+package rate
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+)
+
+// Owner divides the tokens of all teams. It is owned by one goroutine.
+type Owner struct {
+	cfg Config
+	// now is the newest time seen; times that arrive out of order count as this.
+	now    time.Duration
+	leadAt time.Duration
+	// unreported holds the registered proxies that have not reported to this leader.
+	// Until it is empty, or LapseAfter has passed, a whole burst of each team may be
+	// in their hands, and nothing is granted.
+	unreported map[string]bool
+	settled    bool
+	teams      map[string]*team
+	streams    map[string]stream
+	recalls    map[string][]*controlpb.TokenGrant
+}
+
+// stream identifies the newest stream of a proxy.
+type stream struct {
+	incarnation string
+	number      uint64
+}
+
+// Recall is an update to push to a proxy that holds tokens which others need.
+type Recall struct {
+	Proxy  string
+	Grants []*controlpb.TokenGrant
+}
+
+// NewOwner returns an Owner that grants nothing before Lead.
+func NewOwner(cfg Config) *Owner {
+	return &Owner{
+		cfg:     cfg,
+		teams:   map[string]*team{},
+		streams: map[string]stream{},
+		recalls: map[string][]*controlpb.TokenGrant{},
+	}
+}
+
+// Lead starts the worst case of a new leader. registeredProxies must hold every
+// proxy that an earlier leader could have granted to within LapseAfter, and one
+// name must stand for one living process.
+func (o *Owner) Lead(now time.Duration, registeredProxies []string) {
+	*o = *NewOwner(o.cfg)
+	o.now, o.leadAt = now, now
+	o.unreported = make(map[string]bool, len(registeredProxies))
+	for _, name := range registeredProxies {
+		o.unreported[name] = true
+	}
+	o.settle()
+}
+
+// tick takes over a time and the end of the worst case, if that is reached.
+func (o *Owner) tick(now time.Duration) {
+	o.now = max(o.now, now)
+	o.settle()
+}
+
+func (o *Owner) settle() {
+	if o.settled {
+		return
+	}
+	if len(o.unreported) > 0 && o.now-o.leadAt < o.cfg.LapseAfter {
+		return
+	}
+	o.settled = true
+	// The bucket starts empty and only the refill fills it: what an earlier leader
+	// had left is unknown, and its tokens may have been used a moment ago.
+	for _, t := range o.teams {
+		t.refilledAt = o.now
+	}
+}
+
+// SetTeam sets a team's rate and burst. A team that this leader has not known is
+// either new, or known to an earlier leader only; its bucket holds what has been
+// refilled since no grant of an earlier leader can be left.
+func (o *Owner) SetTeam(now time.Duration, name string, rate, burst float64) {
+	o.tick(now)
+	t, ok := o.teams[name]
+	if !ok {
+		t = newTeam(name, o.now)
+		t.bucket = min(burst, rate*max(0, (o.now-o.leadAt-o.cfg.LapseAfter).Seconds()))
+		o.teams[name] = t
+	}
+	o.refill(t)
+	t.rate, t.burst, t.removed = rate, burst, false
+	t.clamp()
+}
+
+// RemoveTeam ends grants to a team. Its account is kept until it cannot matter any
+// more, so that a team that is created again does not get a second burst.
+func (o *Owner) RemoveTeam(now time.Duration, name string) {
+	o.tick(now)
+	if t, ok := o.teams[name]; ok {
+		t.removed = true
+	}
+}
+
+// RemoveProxy forgets a proxy. What it held stays outstanding until it has lapsed.
+func (o *Owner) RemoveProxy(now time.Duration, name string) {
+	o.tick(now)
+	delete(o.unreported, name)
+	delete(o.streams, name)
+	for _, t := range o.teams {
+		o.refill(t)
+		t.abandon(name, o.cfg.LapseAfter)
+	}
+	o.settle()
+}
+
+// Report takes a proxy's report and returns its grants. stream grows with each
+// stream that the leader accepts; reports of a stream arrive in order, and its
+// first report names every team of which the proxy holds tokens.
+func (o *Owner) Report(
+	now time.Duration, proxy, incarnation string, streamNumber uint64, demands []*controlpb.TokenDemand,
+) []*controlpb.TokenGrant {
+	o.tick(now)
+	if !o.enterStream(proxy, stream{incarnation: incarnation, number: streamNumber}) {
+		return nil
+	}
+	delete(o.unreported, proxy)
+	known := demands[:0:0]
+	for _, d := range demands {
+		if t, ok := o.teams[d.Team]; ok {
+			o.refill(t)
+			t.report(proxy, o.now, d)
+			known = append(known, d)
+		}
+	}
+	o.settle()
+	grants := make([]*controlpb.TokenGrant, 0, len(known))
+	for _, d := range known {
+		grants = append(grants, o.grant(o.teams[d.Team], proxy))
+	}
+	return grants
+}
+
+// enterStream makes s the proxy's stream. It returns false for an earlier one.
+func (o *Owner) enterStream(proxy string, s stream) bool {
+	current, ok := o.streams[proxy]
+	if ok && s.number < current.number {
+		return false
+	}
+	if ok && s == current {
+		return true
+	}
+	o.streams[proxy] = s
+	for _, t := range o.teams {
+		o.refill(t)
+		if ok && s.incarnation == current.incarnation {
+			// The process reports what it still holds, and takes no grant of its
+			// earlier stream any more.
+			t.drop(proxy)
+		} else {
+			t.abandon(proxy, o.cfg.LapseAfter)
+		}
+	}
+	return true
+}
+
+// Recalls returns, once, which proxies should be told to return unused tokens.
+func (o *Owner) Recalls(now time.Duration) []Recall {
+	o.tick(now)
+	recalls := make([]Recall, 0, len(o.recalls))
+	for _, proxy := range slices.Sorted(maps.Keys(o.recalls)) {
+		recalls = append(recalls, Recall{Proxy: proxy, Grants: o.recalls[proxy]})
+	}
+	clear(o.recalls)
+	return recalls
+}
+
+// Expire ends what has lapsed. It is due every 100 ms or so.
+func (o *Owner) Expire(now time.Duration) {
+	o.tick(now)
+	for name, t := range o.teams {
+		o.refill(t)
+		if t.removed && t.outstanding() == 0 && t.bucket >= t.burst {
+			delete(o.teams, name)
+		}
+	}
+}
--- /dev/null
+++ b/policy/rate/team.go
@@ -0,0 +1,196 @@
+package rate
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+)
+
+// team is a bucket with the tokens granted from it. Tokens are whole, so their
+// counts are exact; only the bucket has a fraction.
+type team struct {
+	name        string
+	rate, burst float64
+	removed     bool
+	bucket      float64
+	refilledAt  time.Duration
+	accounts    map[string]*account
+	// abandoned holds what processes and streams that report no more may still use.
+	abandoned []abandoned
+	// granted counts the open tokens of all accounts and abandoned streams.
+	open int64
+	// wanted is the sum over all accounts, wanting and unmet count accounts.
+	wanted         int64
+	wanting, unmet int
+	recalledAt     time.Duration
+}
+
+// abandoned are tokens that lapse without a report.
+type abandoned struct {
+	tokens  int64
+	lapseAt time.Duration
+}
+
+func newTeam(name string, now time.Duration) *team {
+	return &team{name: name, refilledAt: now, recalledAt: -time.Hour, accounts: map[string]*account{}}
+}
+
+// outstanding counts the tokens that may still be used.
+func (t *team) outstanding() int64 {
+	return t.open
+}
+
+// refill adds what the time since the last refill gives, after ending what has
+// lapsed. Late lapses cost refill and never add any.
+func (o *Owner) refill(t *team) {
+	if !o.settled {
+		return
+	}
+	t.bucket += t.rate * max(0, (o.now-t.refilledAt).Seconds())
+	t.refilledAt = max(t.refilledAt, o.now)
+	t.clamp()
+	t.lapse(o.now, o.cfg.LapseAfter)
+}
+
+// clamp keeps bucket + outstanding <= burst.
+func (t *team) clamp() {
+	t.bucket = max(0, min(t.bucket, t.burst-float64(t.outstanding())))
+}
+
+// lapse ends tokens that no proxy can use any more. They count as used, because
+// their holder may have used them without a report.
+func (t *team) lapse(now, lapseAfter time.Duration) {
+	t.abandoned = slices.DeleteFunc(t.abandoned, func(a abandoned) bool {
+		if now < a.lapseAt {
+			return false
+		}
+		t.open -= a.tokens
+		return true
+	})
+	for _, a := range t.accounts {
+		t.open -= a.lapse(now, lapseAfter)
+		if now-a.reportedAt >= lapseAfter {
+			t.setDemand(a, 0, false)
+		}
+	}
+}
+
+// report takes a proxy's use and demand. What it returned goes back to the bucket.
+func (t *team) report(proxy string, now time.Duration, d *controlpb.TokenDemand) {
+	a, ok := t.accounts[proxy]
+	if !ok {
+		a = newAccount(now, int64(d.HeldAtStart))
+		t.accounts[proxy] = a
+		t.open += a.open()
+	}
+	a.reportedAt = now
+	before := a.open()
+	returned := a.report(int64(d.UsedTotal), int64(d.ReturnedTotal))
+	t.open -= before - a.open()
+	t.bucket += float64(returned)
+	t.clamp()
+	t.setDemand(a, max(0, int64(d.Wanted)), a.unmet)
+}
+
+func (t *team) setDemand(a *account, wanted int64, unmet bool) {
+	t.wanted += wanted - a.wanted
+	t.wanting += count(wanted > 0) - count(a.wanted > 0)
+	t.unmet += count(unmet) - count(a.unmet)
+	a.wanted, a.unmet = wanted, unmet
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// drop ends an account whose process reports anew what it holds.
+func (t *team) drop(proxy string) {
+	a, ok := t.accounts[proxy]
+	if !ok {
+		return
+	}
+	t.setDemand(a, 0, false)
+	t.open -= a.open()
+	delete(t.accounts, proxy)
+}
+
+// abandon ends an account whose process may still use what it holds.
+func (t *team) abandon(proxy string, lapseAfter time.Duration) {
+	a, ok := t.accounts[proxy]
+	if !ok {
+		return
+	}
+	open := a.open()
+	t.drop(proxy)
+	if open > 0 {
+		t.abandoned = append(t.abandoned, abandoned{tokens: open, lapseAt: a.newestGrant() + lapseAfter})
+		t.open += open
+	}
+}
+
+// grant gives a proxy what it wants, as far as bucket and fairness allow.
+func (o *Owner) grant(t *team, proxy string) *controlpb.TokenGrant {
+	a := t.accounts[proxy]
+	missing := a.wanted - a.open()
+	t.setDemand(a, a.wanted, missing > 0)
+	grant := &controlpb.TokenGrant{Team: t.name, LifetimeMs: uint32(o.cfg.Lifetime.Milliseconds())}
+	if !o.settled || t.removed {
+		return grant
+	}
+	tokens := min(missing, t.holdingLimit(a)-a.open(), t.fairPart(), int64(t.bucket))
+	if tokens > 0 {
+		t.bucket -= float64(tokens)
+		t.open += tokens
+		a.grant(o.now, tokens)
+		grant.Tokens = float64(tokens)
+		missing -= tokens
+	}
+	t.setDemand(a, a.wanted, missing > 0)
+	grant.Exhausted = t.bucket < 1
+	if missing > 0 && grant.Exhausted {
+		o.recall(t, proxy)
+	}
+	return grant
+}
+
+// holdingLimit bounds what one proxy may hold: its part of the burst by demand, or
+// an equal part if that is more. A proxy with little demand beside one with much
+// gets its equal part.
+func (t *team) holdingLimit(a *account) int64 {
+	if float64(t.wanted) <= t.burst {
+		return a.wanted
+	}
+	byDemand := t.burst * float64(a.wanted) / float64(t.wanted)
+	equal := t.burst / float64(t.wanting)
+	return max(1, int64(max(byDemand, equal)))
+}
+
+// fairPart bounds one grant while several proxies want more than they have: each
+// takes the same part of the bucket when its turn comes, so the order of reports
+// does not decide who is served.
+func (t *team) fairPart() int64 {
+	return max(1, int64(t.bucket)/int64(max(1, t.unmet)))
+}
+
+// recall asks the other holders to return what they do not use.
+func (o *Owner) recall(t *team, wanting string) {
+	if o.now-t.recalledAt < o.cfg.RecallGap {
+		return
+	}
+	t.recalledAt = o.now
+	for _, proxy := range slices.Sorted(maps.Keys(t.accounts)) {
+		a := t.accounts[proxy]
+		// A proxy that reports often returns what it does not use by itself.
+		if proxy == wanting || a.open() == 0 || o.now-a.reportedAt < o.cfg.RecallGap {
+			continue
+		}
+		o.recalls[proxy] = append(o.recalls[proxy], &controlpb.TokenGrant{
+			Team: t.name, LifetimeMs: uint32(o.cfg.Lifetime.Milliseconds()), Exhausted: true,
+		})
+	}
+}
