--- a/policy/failover/machine_test.go
+++ b/policy/failover/machine_test.go
@@ -39,7 +39,7 @@
 }
 
 var faultNames = []string{"kill", "kill primary", "start", "cut control", "cut peers", "join",
-	"rejoin", "elect", "depose", "loss", "cut proxy", "restart proxy", "wait"}
+	"rejoin", "demote", "elect", "depose", "loss", "cut proxy", "restart proxy", "wait"}
 
 var faults = map[string]func(w *world, target int){
 	"kill":         func(w *world, i int) { w.servers[i].up = false },
@@ -49,6 +49,7 @@
 	"cut peers":    func(w *world, i int) { w.servers[i].cutPeers = true },
 	"join":         func(w *world, i int) { w.servers[i].cutControl, w.servers[i].cutPeers = false, false },
 	"rejoin":       func(w *world, i int) { w.rejoin(w.servers[i]) },
+	"demote":       func(w *world, i int) { w.demote(w.servers[i]) },
 	"elect":        func(w *world, _ int) { w.elect() },
 	"depose":       func(w *world, _ int) { w.depose() },
 	"loss":         func(w *world, i int) { w.loss = float64(i) * 0.2 },
@@ -67,6 +68,13 @@
 	}
 }
 
+// demote brings a replaced server back in recovery with the log that it had.
+func (w *world) demote(s *server) {
+	if g := w.group(); s.address != g.Primary && s.address != g.Candidate {
+		s.inRecovery = true
+	}
+}
+
 // heal repairs everything but servers that are down, then lets them join.
 func (w *world) heal() {
 	w.loss = 0
@@ -192,9 +200,13 @@
 // path to the primary is broken.
 func TestBrokenPathIsNoFailure(t *testing.T) {
 	s := newScripted(t)
+	s.probeAll(100, 100, 100)
 	for range 20 {
 		s.now += 200 * time.Millisecond
 		s.send(Probe{Address: "s0", Sent: s.now})
+		if s.proposed != nil {
+			t.Fatalf("proposed %v", s.proposed)
+		}
 		s.send(Probe{Address: "s1", Sent: s.now, Answered: true, InRecovery: true, LSN: 100, Timeline: 1,
 			ReceiverActive: true, ReceiverAge: 100 * time.Millisecond})
 		if s.proposed != nil {
--- a/policy/failover/world_test.go
+++ b/policy/failover/world_test.go
@@ -31,6 +31,15 @@
 	heardAt    time.Duration
 	// switchLSN is where the server left recovery last.
 	switchLSN uint64
+	// branch numbers the promotion whose log the server holds; unlike a timeline
+	// number it is unique.
+	branch int
+}
+
+// branch is the log that began with one promotion.
+type branch struct {
+	parent int
+	start  uint64
 }
 
 // process is one start of a proxy. Its clock is slower than the leader's by drift.
@@ -77,6 +86,7 @@
 	leader    int // number of the leadership, 0 while there is none
 	elections int
 	servers   []*server
+	branches  []branch
 	processes []*process
 	// promoted maps a term to the address on which its promotion was executed.
 	promoted map[uint64]string
@@ -87,7 +97,7 @@
 func newWorld(seed int64, proxies int) *world {
 	w := &world{
 		rnd: rand.New(rand.NewSource(seed)), state: fleet.New(),
-		promoted: map[uint64]string{}, cfg: DefaultConfig(),
+		promoted: map[uint64]string{}, cfg: DefaultConfig(), branches: make([]branch, 1),
 	}
 	for i := range 3 {
 		s := &server{address: fmt.Sprintf("s%d", i), up: true, inRecovery: i > 0, lsn: 100, timeline: 1, follows: "s0"}
@@ -238,8 +248,9 @@
 	return result
 }
 
-// checkCommand guards against a term start above what the new primary holds, and
-// against the return of a server that does not replicate.
+// checkCommand guards against a term start above what the new primary holds, a
+// candidate with log that an earlier promotion left behind, and the return of a
+// server that does not replicate.
 func (w *world) checkCommand(before *controlpb.Group, c *controlpb.Command) {
 	if done := c.GetCompletePromotion(); done != nil {
 		s := w.server(done.Primary)
@@ -250,17 +261,17 @@
 			w.fail("%s became primary in recovery", s.address)
 		}
 	}
-	if gone := c.GetRemoveUpstream(); gone != nil {
-		if s := w.server(gone.Address); s.up && !s.inRecovery {
-			w.fail("%s was readmitted outside recovery", s.address)
+	if begun := c.GetBeginPromotion(); begun != nil {
+		if s := w.server(begun.Candidate); !w.prefix(s, w.server(before.Primary)) {
+			w.fail("candidate %s holds log that %s does not have", s.address, before.Primary)
+		}
+	}
+	if gone := c.GetReadmitUpstream(); gone != nil {
+		s, primary := w.server(gone.Address), w.server(before.Primary)
+		if !s.inRecovery || !w.prefix(s, primary) {
+			w.fail("%s was readmitted with log that %s does not have", s.address, primary.address)
 		}
-		w.after(2*time.Second, func() { w.announce(gone.Address) })
 	}
-}
-
-func (w *world) announce(address string) {
-	w.commit(&controlpb.Command{Change: &controlpb.Command_AnnounceUpstream{AnnounceUpstream: &controlpb.AnnounceUpstream{
-		Service: "v", Upstream: &controlpb.Upstream{Address: address, Group: groupName}}}})
 }
 
 // checkPromote guards against a promotion that the replicated state does not name.
@@ -305,17 +316,32 @@
 		if !s.up || !s.inRecovery || s.cutPeers || from == nil || !from.up || from.cutPeers || from.inRecovery {
 			continue
 		}
-		if from.timeline < s.timeline || (from.timeline > s.timeline && s.lsn > from.switchLSN) {
+		if from.timeline < s.timeline || (from.timeline > s.timeline && !w.prefix(s, from)) {
 			continue
 		}
 		s.heardAt = w.now
-		s.timeline = from.timeline
+		if from.timeline > s.timeline {
+			s.timeline, s.branch = from.timeline, from.branch
+		}
+		// Under one timeline number a server follows even a foreign branch.
 		if from.lsn > s.lsn {
 			s.lsn += uint64(w.rnd.Intn(int(from.lsn-s.lsn) + 1))
 		}
 	}
 }
 
+// prefix tells whether a server's log is the beginning of another's.
+func (w *world) prefix(s, of *server) bool {
+	at, limit := of.branch, of.lsn
+	for at != s.branch {
+		if at == 0 {
+			return false
+		}
+		at, limit = w.branches[at].parent, min(limit, w.branches[at].start)
+	}
+	return s.lsn <= limit
+}
+
 func (w *world) executePromote(e Promote, leader int) {
 	s := w.server(e.Address)
 	if !s.up || s.cutControl {
@@ -330,6 +356,8 @@
 		s.lsn += uint64(w.rnd.Intn(5)) // received and not replayed before
 		s.inRecovery, s.switchLSN = false, s.lsn
 		s.timeline++
+		w.branches = append(w.branches, branch{parent: s.branch, start: s.lsn})
+		s.branch = len(w.branches) - 1
 	}
 	w.ifLeader(leader, PromoteResult{Group: e.Group, Address: e.Address, Term: e.Term})
 }
@@ -341,7 +369,7 @@
 		return
 	}
 	s.up, s.inRecovery, s.timeline = true, true, primary.timeline
-	s.lsn = min(s.lsn, primary.lsn)
+	s.lsn, s.branch = min(s.lsn, primary.lsn), primary.branch
 	s.follows = primary.address
 }
 
