--- /dev/null
+++ b/cmd/internal/load/compare.go
@@ -0,0 +1,102 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+)
+
+// Bound limits one figure of a report, named by its path as in "worst.p99_ms".
+type Bound struct {
+	Path string   `json:"path"`
+	Min  *float64 `json:"min,omitempty"`
+	Max  *float64 `json:"max,omitempty"`
+	// MaxIncrease and MaxDecrease are relative to the old report, as in 0.1 for
+	// 10 %; Slack is allowed in addition, in the figure's own unit.
+	MaxIncrease *float64 `json:"max_increase,omitempty"`
+	MaxDecrease *float64 `json:"max_decrease,omitempty"`
+	Slack       float64  `json:"slack,omitempty"`
+}
+
+// Finding is the result of one bound.
+type Finding struct {
+	Path     string
+	Old, New float64
+	Problem  string // empty if the bound holds
+}
+
+// CompareFiles checks the bounds of a file on two reports.
+func CompareFiles(oldPath, newPath, boundsPath string) ([]Finding, error) {
+	var before, after any
+	var bounds []Bound
+	for path, target := range map[string]any{oldPath: &before, newPath: &after, boundsPath: &bounds} {
+		if err := readJSON(path, target); err != nil {
+			return nil, err
+		}
+	}
+	return compare(figures(before), figures(after), bounds), nil
+}
+
+// figures returns the numbers of a JSON document by path; elements of a list are
+// named by their position.
+func figures(document any) map[string]float64 {
+	all := map[string]float64{}
+	collect("", document, all)
+	return all
+}
+
+func collect(path string, v any, all map[string]float64) {
+	join := func(name string) string {
+		if path == "" {
+			return name
+		}
+		return path + "." + name
+	}
+	switch typed := v.(type) {
+	case float64:
+		all[path] = typed
+	case map[string]any:
+		for name, child := range typed {
+			collect(join(name), child, all)
+		}
+	case []any:
+		for i, child := range typed {
+			collect(join(strconv.Itoa(i)), child, all)
+		}
+	}
+}
+
+func compare(before, after map[string]float64, bounds []Bound) []Finding {
+	var findings []Finding
+	for _, b := range bounds {
+		f := Finding{Path: b.Path, Old: math.NaN(), New: math.NaN()}
+		if v, ok := before[b.Path]; ok {
+			f.Old = v
+		}
+		if v, ok := after[b.Path]; ok {
+			f.New = v
+		}
+		f.Problem = b.problem(f.Old, f.New)
+		findings = append(findings, f)
+	}
+	return findings
+}
+
+func (b Bound) problem(before, after float64) string {
+	relative := b.MaxIncrease != nil || b.MaxDecrease != nil
+	switch {
+	case math.IsNaN(after):
+		return "the new report has no such figure"
+	case b.Min != nil && after < *b.Min:
+		return fmt.Sprintf("is below %g", *b.Min)
+	case b.Max != nil && after > *b.Max:
+		return fmt.Sprintf("is above %g", *b.Max)
+	case relative && math.IsNaN(before):
+		return "the old report has no such figure"
+	case b.MaxIncrease != nil && after > before*(1+*b.MaxIncrease)+b.Slack:
+		return fmt.Sprintf("grew from %g by more than %g %%", before, 100**b.MaxIncrease)
+	case b.MaxDecrease != nil && after < before*(1-*b.MaxDecrease)-b.Slack:
+		return fmt.Sprintf("fell from %g by more than %g %%", before, 100**b.MaxDecrease)
+	}
+	return ""
+}
--- /dev/null
+++ b/cmd/internal/load/idle.go
@@ -0,0 +1,80 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// warmConnections are opened before the first reading, so that what a process
+// allocates once does not count.
+const warmConnections = 16
+
+// IdleReport is the memory of idle client connections.
+type IdleReport struct {
+	Connections        int     `json:"connections"`
+	ResidentBefore     int64   `json:"resident_before_bytes"`
+	ResidentAfter      int64   `json:"resident_after_bytes"`
+	BytesPerConnection float64 `json:"bytes_per_connection"`
+}
+
+// Idle opens connections, leaves them idle, and reports by how much the resident
+// memory of the process pid grew.
+func Idle(ctx context.Context, config *pgconn.Config, connections, pid int) (*IdleReport, error) {
+	var conns []*pgconn.PgConn
+	defer func() {
+		for _, c := range conns {
+			c.Close(ctx)
+		}
+	}()
+	open := func(count int) error {
+		for range count {
+			c, err := pgconn.ConnectConfig(ctx, config)
+			if err != nil {
+				return errors.Wrapf(err, "connection %d", len(conns)+1)
+			}
+			conns = append(conns, c)
+		}
+		return nil
+	}
+	if err := open(warmConnections); err != nil {
+		return nil, err
+	}
+	before, err := resident(pid)
+	if err != nil {
+		return nil, err
+	}
+	if err := open(connections); err != nil {
+		return nil, err
+	}
+	after, err := resident(pid)
+	if err != nil {
+		return nil, err
+	}
+	return &IdleReport{
+		Connections: connections, ResidentBefore: before, ResidentAfter: after,
+		BytesPerConnection: float64(after-before) / float64(connections),
+	}, nil
+}
+
+// resident reads the second field of statm, the resident size in pages.
+func resident(pid int) (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "resident memory")
+	}
+	fields := bytes.Fields(data)
+	if len(fields) < 2 {
+		return 0, errors.Newf("statm of process %d has no second field", pid)
+	}
+	pages, err := strconv.ParseInt(string(fields[1]), 10, 64)
+	if err != nil {
+		return 0, errors.Wrapf(err, "statm of process %d", pid)
+	}
+	return pages * int64(os.Getpagesize()), nil
+}
--- /dev/null
+++ b/cmd/internal/load/report.go
@@ -0,0 +1,305 @@
+package load
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+// Range and precision of latency histograms, in microseconds.
+const (
+	lowestMicros  = 1
+	highestMicros = 120_000_000
+	digits        = 3
+)
+
+// Report is the result of a run.
+type Report struct {
+	Profile   string  `json:"profile"`
+	Run       string  `json:"run"`
+	Seed      uint64  `json:"seed"`
+	DurationS float64 `json:"duration_s"`
+	Rate      float64 `json:"rate"`
+	Targets   int     `json:"targets"`
+
+	Total    Counts         `json:"total"`
+	Latency  Latency        `json:"latency"`
+	Teams    []TeamReport   `json:"teams"`
+	Refusals map[string]int `json:"refusals"`
+	// States counts the SQLSTATEs of errors without a result code.
+	States map[string]int `json:"states"`
+
+	Worst            Worst          `json:"worst"`
+	WrongfulRefusals Wrongful       `json:"wrongful_refusals"`
+	Overshoot        float64        `json:"overshoot"`
+	Failovers        []Failover     `json:"failovers"`
+	WorstFailoverMs  float64        `json:"worst_failover_ms"`
+	ReplicaReads     []ReplicaShare `json:"replica_reads"`
+	Events           []EventResult  `json:"events"`
+	// Checks is missing when no upstreams were given to read.
+	Checks *Checks `json:"checks,omitempty"`
+}
+
+// Counts are requests by their end.
+type Counts struct {
+	Scheduled int `json:"scheduled"`
+	Answered  int `json:"answered"`
+	OnTime    int `json:"on_time"` // answered within the deadline
+	Refused   int `json:"refused"`
+	Failed    int `json:"failed"`
+	Unknown   int `json:"unknown"`
+	Unsent    int `json:"unsent"`
+}
+
+// Latency holds percentiles of answered requests, from the scheduled arrival.
+type Latency struct {
+	P50Ms float64 `json:"p50_ms"`
+	P90Ms float64 `json:"p90_ms"`
+	P99Ms float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	MaxMs float64 `json:"max_ms"`
+}
+
+// TeamReport is one team's part.
+type TeamReport struct {
+	Team    string                `json:"team"`
+	Counts  Counts                `json:"counts"`
+	Latency Latency               `json:"latency"`
+	Kinds   map[string]KindReport `json:"kinds"`
+	// Refusals counts result codes by name.
+	Refusals map[string]int `json:"refusals"`
+	// OnTimeShare is the share of its requests that were answered within the deadline.
+	OnTimeShare float64  `json:"on_time_share"`
+	Wrongful    Wrongful `json:"wrongful_refusals"`
+	Overshoot   float64  `json:"overshoot"`
+}
+
+// KindReport is one kind of request of a team.
+type KindReport struct {
+	Counts  Counts  `json:"counts"`
+	Latency Latency `json:"latency"`
+}
+
+// Worst compares the worst-served team with the median one; a team that sends
+// above its rate on purpose is left out.
+type Worst struct {
+	Team        string  `json:"team"`
+	OnTimeShare float64 `json:"on_time_share"`
+	SlowestTeam string  `json:"slowest_team"`
+	P99Ms       float64 `json:"p99_ms"`
+	MedianP99Ms float64 `json:"median_p99_ms"`
+	// P99Ratio is the slowest team's p99 over the median team's.
+	P99Ratio float64 `json:"p99_ratio"`
+}
+
+// Wrongful counts refusals of requests inside the rate.
+type Wrongful struct {
+	Count       int     `json:"count"`
+	PerThousand float64 `json:"per_thousand"`
+}
+
+// Failover is a change of primary as clients saw it.
+type Failover struct {
+	Group        int `json:"group"`
+	FromTimeline int `json:"from_timeline"`
+	ToTimeline   int `json:"to_timeline"`
+	// GapMs is from the last write acknowledged on the old primary to the first
+	// on the new one.
+	GapMs float64 `json:"gap_ms"`
+	// OldAfterNew counts writes that were sent after the new primary had
+	// acknowledged one, and that the old one acknowledged.
+	OldAfterNew int `json:"old_after_new"`
+}
+
+// tally collects counts and latencies.
+type tally struct {
+	counts    Counts
+	histogram *hdrhistogram.Histogram
+}
+
+func newTally() *tally {
+	return &tally{histogram: hdrhistogram.New(lowestMicros, highestMicros, digits)}
+}
+
+func (t *tally) add(r *record, deadline time.Duration) {
+	t.counts.Scheduled++
+	switch r.outcome {
+	case Answered:
+		t.counts.Answered++
+		if r.latency() <= deadline {
+			t.counts.OnTime++
+		}
+		// Latencies are bounded by the time to give up, far below the range's end.
+		_ = t.histogram.RecordValue(min(max(r.latency().Microseconds(), lowestMicros), highestMicros))
+	case Refused:
+		t.counts.Refused++
+	case Failed:
+		t.counts.Failed++
+	case Unknown:
+		t.counts.Unknown++
+	case Unsent:
+		t.counts.Unsent++
+	}
+}
+
+func (t *tally) latency() Latency {
+	at := func(q float64) float64 { return float64(t.histogram.ValueAtQuantile(q)) / 1000 }
+	return Latency{P50Ms: at(50), P90Ms: at(90), P99Ms: at(99), P999: at(99.9), MaxMs: float64(t.histogram.Max()) / 1000}
+}
+
+func (r *run) report(events []EventResult) *Report {
+	records := r.recorder.records
+	report := &Report{
+		Profile: r.profile.Name, Run: r.id, Seed: r.config.Seed,
+		DurationS: r.config.Duration.Seconds(), Rate: r.config.Rate, Targets: len(r.config.Targets),
+		Refusals: map[string]int{}, States: map[string]int{}, Events: events,
+	}
+	all := newTally()
+	for i := range records {
+		rec := &records[i]
+		all.add(rec, r.config.Deadline)
+		if rec.code != rescode.OK {
+			report.Refusals[rec.code.String()]++
+		} else if rec.state != "" {
+			report.States[rec.state]++
+		}
+	}
+	report.Total, report.Latency = all.counts, all.latency()
+	for _, t := range r.teams {
+		report.Teams = append(report.Teams, r.teamReport(t, records))
+	}
+	report.summarize(r.config.BurstTeam)
+	report.Failovers = failovers(records)
+	for _, f := range report.Failovers {
+		report.WorstFailoverMs = max(report.WorstFailoverMs, f.GapMs)
+	}
+	return report
+}
+
+func (r *run) teamReport(t *teamState, records []record) TeamReport {
+	all := newTally()
+	byKind := map[Kind]*tally{}
+	report := TeamReport{Team: t.Name, Kinds: map[string]KindReport{}, Refusals: map[string]int{}}
+	for i := range records {
+		rec := &records[i]
+		if rec.team != t.index {
+			continue
+		}
+		if byKind[rec.kind] == nil {
+			byKind[rec.kind] = newTally()
+		}
+		all.add(rec, r.config.Deadline)
+		byKind[rec.kind].add(rec, r.config.Deadline)
+		if rec.code != rescode.OK {
+			report.Refusals[rec.code.String()]++
+		}
+	}
+	for k, tally := range byKind {
+		report.Kinds[k.String()] = KindReport{Counts: tally.counts, Latency: tally.latency()}
+	}
+	report.Counts, report.Latency = all.counts, all.latency()
+	report.OnTimeShare = share(all.counts.OnTime, all.counts.Scheduled)
+	if t.Rate > 0 {
+		list := uses(records, t.index, r.config.TransactionCost)
+		report.Wrongful.Count = wrongful(list, t.Rate, t.Burst)
+		report.Wrongful.PerThousand = 1000 * share(report.Wrongful.Count, len(list))
+		report.Overshoot = overshoot(list, t.Rate, t.Burst)
+	}
+	return report
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
+
+func (r *Report) summarize(burstTeam string) {
+	var p99s []float64
+	requests := 0
+	for _, t := range r.Teams {
+		r.WrongfulRefusals.Count += t.Wrongful.Count
+		requests += t.Counts.Scheduled
+		r.Overshoot = max(r.Overshoot, t.Overshoot)
+		if t.Team == burstTeam || t.Counts.Scheduled == 0 {
+			continue
+		}
+		p99s = append(p99s, t.Latency.P99Ms)
+		if r.Worst.Team == "" || t.OnTimeShare < r.Worst.OnTimeShare {
+			r.Worst.Team, r.Worst.OnTimeShare = t.Team, t.OnTimeShare
+		}
+		if t.Latency.P99Ms >= r.Worst.P99Ms {
+			r.Worst.SlowestTeam, r.Worst.P99Ms = t.Team, t.Latency.P99Ms
+		}
+	}
+	if requests > 0 {
+		r.WrongfulRefusals.PerThousand = 1000 * share(r.WrongfulRefusals.Count, requests)
+	}
+	r.Worst.MedianP99Ms = median(p99s)
+	if r.Worst.MedianP99Ms > 0 {
+		r.Worst.P99Ratio = r.Worst.P99Ms / r.Worst.MedianP99Ms
+	}
+}
+
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
+}
+
+// failovers finds the changes of timeline in the acknowledged writes of each group.
+func failovers(records []record) []Failover {
+	type span struct{ first, last time.Duration }
+	groups := map[int]map[int]*span{}
+	for i := range records {
+		r := &records[i]
+		if r.outcome != Answered || r.timeline == 0 {
+			continue
+		}
+		if groups[r.group] == nil {
+			groups[r.group] = map[int]*span{}
+		}
+		s, ok := groups[r.group][r.timeline]
+		if !ok {
+			s = &span{first: r.done, last: r.done}
+			groups[r.group][r.timeline] = s
+		}
+		s.first, s.last = min(s.first, r.done), max(s.last, r.done)
+	}
+	var list []Failover
+	for _, group := range sortedKeys(groups) {
+		timelines := sortedKeys(groups[group])
+		for i := 1; i < len(timelines); i++ {
+			from, to := timelines[i-1], timelines[i]
+			gap := groups[group][to].first - groups[group][from].last
+			list = append(list, Failover{
+				Group: group, FromTimeline: from, ToTimeline: to,
+				GapMs:       float64(gap.Microseconds()) / 1000,
+				OldAfterNew: sentAfter(records, group, from, groups[group][to].first),
+			})
+		}
+	}
+	return list
+}
+
+// sentAfter counts acknowledged writes of a timeline that were sent after a time.
+func sentAfter(records []record, group, timeline int, at time.Duration) int {
+	count := 0
+	for i := range records {
+		r := &records[i]
+		if r.outcome == Answered && r.group == group && r.timeline == timeline && r.sent > at {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/cmd/internal/load/run_test.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/jayloom/jayloom/standin"
+	"github.com/jayloom/jayloom/standin/wire"
+)
+
+const (
+	testUser     = "jayloom"
+	testPassword = "secret"
+)
+
+func startStandin(t *testing.T, follow string) *standin.Server {
+	t.Helper()
+	s, err := standin.Start(t.Context(), standin.Config{
+		User: testUser, Password: testPassword, Auth: wire.Cleartext, ConnectionLimit: 200, Follow: follow,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	if follow == "" {
+		if err := s.Exec(t.Context(), onePair().Schema()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+// onePair is a profile of one group and two teams.
+func onePair() Profile {
+	p := Profiles()["litbrot"]
+	p.Groups = 1
+	p.Teams = []Team{{Name: "drivers", Weight: 0.7, Rate: 1e6, Burst: 1e6}, {Name: "lab", Weight: 0.3}}
+	return p
+}
+
+func testConfig(targets ...string) Config {
+	return Config{
+		Profile: onePair(), Targets: targets, User: testUser, Password: testPassword,
+		Duration: 300 * time.Millisecond, Rate: 600, Sessions: 4, Seed: 7, BurstFactor: 1,
+		Tokens: true, Roam: 0.02, Deadline: time.Minute, GiveUp: time.Minute, TransactionCost: 1,
+		UpstreamUser: testUser, UpstreamPassword: testPassword, ReadsMetric: DefaultReadsMetric,
+	}
+}
+
+// Guards against a load that reports faults, or loses requests, on a sound server.
+func TestRunOnSoundServerFindsNoFault(t *testing.T) {
+	s := startStandin(t, "")
+	c := testConfig(s.Addr())
+	c.Groups = [][]string{{s.Addr()}}
+	report, err := Run(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Total.Scheduled < 50 || report.Total.Answered != report.Total.Scheduled {
+		t.Fatalf("counts are %+v, SQLSTATEs %v", report.Total, report.States)
+	}
+	checks := *report.Checks
+	if checks.Faults() != 0 || checks.Lost != 0 || checks.UnreportedLosses != 0 || checks.Acknowledged == 0 {
+		t.Fatalf("checks are %+v", checks)
+	}
+	if report.WrongfulRefusals.Count != 0 || report.Overshoot != 0 || len(report.Failovers) != 0 {
+		t.Fatalf("report is %+v", report)
+	}
+	var text strings.Builder
+	if err := report.WriteText(&text); err != nil || !strings.Contains(text.String(), "drivers") {
+		t.Fatalf("%v: %s", err, text.String())
+	}
+}
+
+// Guards against a check that misses writes lost at a failover, a schedule that is
+// not followed, and a gap that is not found.
+func TestRunFindsLossAndGapOfFailover(t *testing.T) {
+	primary := startStandin(t, "")
+	replica := startStandin(t, primary.Addr())
+	if err := replica.WaitFor(t.Context(), primary.Position()); err != nil {
+		t.Fatal(err)
+	}
+	replica.SetLag(time.Hour) // nothing that the run writes gets to the replica
+	failover := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		primary.Crash()
+		if err := replica.Promote(); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer failover.Close()
+	c := testConfig(primary.Addr(), replica.Addr())
+	c.Groups = [][]string{{primary.Addr(), replica.Addr()}}
+	c.Pins = map[string]int{"drivers": 0, "lab": 0}
+	c.Schedule = []Event{
+		{AtMs: 100, Post: failover.URL},
+		{AtMs: 100, Move: "drivers", Target: 1},
+		{AtMs: 100, Move: "lab", Target: 1},
+	}
+	report, err := Run(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(report.Events) != 3 || report.Events[0].Error != "" {
+		t.Fatalf("events are %+v", report.Events)
+	}
+	if len(report.Failovers) != 1 || report.Failovers[0].ToTimeline != 2 || report.WorstFailoverMs <= 0 {
+		t.Fatalf("failovers are %+v", report.Failovers)
+	}
+	if report.Failovers[0].OldAfterNew != 0 || report.Checks.Lost == 0 || report.Checks.Doubled != 0 {
+		t.Fatalf("failovers are %+v, checks %+v", report.Failovers, report.Checks)
+	}
+}
+
+// Guards against a configuration that would run and measure something else.
+func TestConfigIsChecked(t *testing.T) {
+	for name, change := range map[string]func(*Config){
+		"no target":        func(c *Config) { c.Targets = nil },
+		"no rate":          func(c *Config) { c.Rate = 0 },
+		"wrong groups":     func(c *Config) { c.Groups = [][]string{{"a"}, {"b"}} },
+		"unknown team":     func(c *Config) { c.BurstTeam = "nobody" },
+		"unknown target":   func(c *Config) { c.Pins = map[string]int{"lab": 1} },
+		"unordered events": func(c *Config) { c.Schedule = []Event{{AtMs: 5, Post: "x"}, {AtMs: 1, Post: "x"}} },
+		"signal to init":   func(c *Config) { c.Schedule = []Event{{Signal: "KILL", PID: 1}} },
+		"unknown signal":   func(c *Config) { c.Schedule = []Event{{Signal: "HUP", PID: 2}} },
+		"empty event":      func(c *Config) { c.Schedule = []Event{{}} },
+	} {
+		c := testConfig("127.0.0.1:1")
+		if err := c.Check(); err != nil {
+			t.Fatal(err)
+		}
+		change(&c)
+		if c.Check() == nil {
+			t.Errorf("%s is accepted", name)
+		}
+	}
+}
+
+// Guards against a cost that is not measured on both ways.
+func TestCostAndIdle(t *testing.T) {
+	s := startStandin(t, "")
+	config, err := pgconn.ParseConfig("postgres://" + testUser + ":" + testPassword + "@" + s.Addr() + "/wax?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cost, err := Cost(t.Context(), CostConfig{
+		Proxy: config, Direct: config, ProxyStatement: "SELECT 1 /*route='x'*/", DirectStatement: "SELECT 1",
+		Rounds: 2, Block: 10, Clients: 2, Span: 5 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cost.Statements != 40 || cost.DirectMedianUs <= 0 || cost.ProxyMedianUs <= 0 || cost.ThroughputRatio <= 0 {
+		t.Fatalf("cost is %+v", cost)
+	}
+	idle, err := Idle(t.Context(), config, 5, os.Getpid())
+	if err != nil || idle.Connections != 5 || idle.ResidentAfter <= 0 {
+		t.Fatalf("%+v, %v", idle, err)
+	}
+}
--- /dev/null
+++ b/cmd/internal/load/statement.go
@@ -0,0 +1,35 @@
+package load
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// tag is the sqlcommenter tag that names a request's route.
+func tag(route string, slot int, request string) string {
+	text := " /*route='" + route + "',slot='" + strconv.Itoa(slot) + "'"
+	if request != "" {
+		text += ",request='" + request + "'"
+	}
+	return text + "*/"
+}
+
+func (p Profile) lookupStatement(code string, slot int) string {
+	return "SELECT code, label FROM " + p.Lookup + " WHERE code = '" + code + "'" + tag(p.Lookup, slot, "")
+}
+
+func (p Profile) ownReadStatement(slot int) string {
+	return "SELECT request FROM " + p.Ledger + " WHERE id = $1" + tag(p.readRoute(), slot, "")
+}
+
+// insertStatement returns the timeline with the row, so that the client knows
+// which primary acknowledged it.
+func (p Profile) insertStatement(w *writeIntent) string {
+	return fmt.Sprintf("INSERT INTO %s (request, team, session, n, timeline) VALUES ('%s', '%s', '%s', %d, "+
+		"(SELECT timeline_id FROM pg_control_checkpoint())) RETURNING id, timeline",
+		p.Ledger, w.request, w.team, w.session, w.number)
+}
+
+func (p Profile) lineStatement(w *writeIntent) string {
+	return fmt.Sprintf("INSERT INTO %s (request, team) VALUES ('%s', '%s')", p.Lines, w.request, w.team)
+}
--- /dev/null
+++ b/cmd/jayloom-load/main.go
@@ -0,0 +1,86 @@
+// Command jayloom-load puts open-loop load on proxies, checks what they
+// acknowledged, measures their cost and compares reports.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/jayloom/jayloom/cmd/internal/flagfile"
+)
+
+// command is one use of jayloom-load.
+type command interface {
+	common() *flagfile.Common
+	check(args []string) error
+	run(ctx context.Context) error
+}
+
+const usage = "[OPTIONS] [cost|idle|profile]"
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "jayloom-load:", err)
+		os.Exit(1)
+	}
+}
+
+// pick returns the command that args name, and the rest of args.
+func pick(args []string) (command, []string) {
+	if len(args) > 0 {
+		switch args[0] {
+		case "cost":
+			return &costCommand{}, args[1:]
+		case "idle":
+			return &idleCommand{}, args[1:]
+		case "profile":
+			return &profileCommand{}, args[1:]
+		}
+	}
+	return &loadCommand{}, args
+}
+
+func run(args []string) error {
+	c, args := pick(args)
+	parser := flags.NewParser(c, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Usage = usage
+	rest, err := flagfile.Parse(parser, args)
+	if flagfile.Wanted(err) {
+		fmt.Println(err)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if c.common().Version {
+		fmt.Println("jayloom-load", flagfile.Version)
+		return nil
+	}
+	if err := c.check(rest); err != nil || c.common().Check {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return c.run(ctx)
+}
+
+// writeJSON writes v to a file, "-" for standard output.
+func writeJSON(path string, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode report")
+	}
+	data = append(data, '\n')
+	if path == "-" {
+		_, err = os.Stdout.Write(data)
+		return err
+	}
+	return errors.Wrap(os.WriteFile(path, data, 0o644), "write report")
+}
