Harden the stand-in and show the load's own waiting

Cause: a stand-in that crashes on odd input, or applies commits while frozen, would fail tests of other modules for the wrong reason; pinned connections need session state to be tested with.

--- a/cmd/internal/load/record.go
+++ b/cmd/internal/load/record.go
@@ -45,6 +45,7 @@
 	code     rescode.Code
 	state    string // SQLSTATE of an error
 	at       time.Duration
+	taken    time.Duration // by a session
 	sent     time.Duration
 	done     time.Duration
 	intent   *writeIntent // set for writes
--- a/cmd/internal/load/report.go
+++ b/cmd/internal/load/report.go
@@ -25,10 +25,13 @@
 	Rate      float64 `json:"rate"`
 	Targets   int     `json:"targets"`
 
-	Total    Counts         `json:"total"`
-	Latency  Latency        `json:"latency"`
-	Teams    []TeamReport   `json:"teams"`
-	Refusals map[string]int `json:"refusals"`
+	Total   Counts  `json:"total"`
+	Latency Latency `json:"latency"`
+	// ClientWaitP99Ms is how long requests waited for a session of the load itself;
+	// it is part of the latency. A high value asks for more sessions.
+	ClientWaitP99Ms float64        `json:"client_wait_p99_ms"`
+	Teams           []TeamReport   `json:"teams"`
+	Refusals        map[string]int `json:"refusals"`
 	// States counts the SQLSTATEs of errors without a result code.
 	States map[string]int `json:"states"`
 
@@ -132,8 +135,7 @@
 		if r.latency() <= deadline {
 			t.counts.OnTime++
 		}
-		// Latencies are bounded by the time to give up, far below the range's end.
-		_ = t.histogram.RecordValue(min(max(r.latency().Microseconds(), lowestMicros), highestMicros))
+		t.observe(r.latency())
 	case Refused:
 		t.counts.Refused++
 	case Failed:
@@ -145,6 +147,11 @@
 	}
 }
 
+func (t *tally) observe(d time.Duration) {
+	// Values are cut to the range, so recording cannot fail.
+	_ = t.histogram.RecordValue(min(max(d.Microseconds(), lowestMicros), highestMicros))
+}
+
 func (t *tally) latency() Latency {
 	at := func(q float64) float64 { return float64(t.histogram.ValueAtQuantile(q)) / 1000 }
 	return Latency{P50Ms: at(50), P90Ms: at(90), P99Ms: at(99), P999: at(99.9), MaxMs: float64(t.histogram.Max()) / 1000}
@@ -157,10 +164,11 @@
 		DurationS: r.config.Duration.Seconds(), Rate: r.config.Rate, Targets: len(r.config.Targets),
 		Refusals: map[string]int{}, States: map[string]int{}, Events: events,
 	}
-	all := newTally()
+	all, wait := newTally(), newTally()
 	for i := range records {
 		rec := &records[i]
 		all.add(rec, r.config.Deadline)
+		wait.observe(rec.taken - rec.at)
 		if rec.code != rescode.OK {
 			report.Refusals[rec.code.String()]++
 		} else if rec.state != "" {
@@ -168,6 +176,7 @@
 		}
 	}
 	report.Total, report.Latency = all.counts, all.latency()
+	report.ClientWaitP99Ms = wait.latency().P99Ms
 	for _, t := range r.teams {
 		report.Teams = append(report.Teams, r.teamReport(t, records))
 	}
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -182,7 +182,7 @@
 		select {
 		case t.queue <- a:
 		default:
-			r.recorder.add(record{team: t.index, kind: a.kind, outcome: Unsent, at: a.at, sent: a.at, done: a.at})
+			r.recorder.add(record{team: t.index, kind: a.kind, outcome: Unsent, at: a.at, taken: a.at, sent: a.at, done: a.at})
 		}
 	}
 }
--- a/cmd/internal/load/session.go
+++ b/cmd/internal/load/session.go
@@ -56,6 +56,7 @@
 
 func (s *session) request(ctx context.Context, a arrival) record {
 	rec := record{team: s.team.index, kind: a.kind, group: s.run.profile.groupOf(s.slot), at: a.at}
+	rec.taken = s.run.elapsed()
 	ctx, cancel := context.WithDeadline(ctx, s.run.start.Add(a.at+s.run.config.GiveUp))
 	defer cancel()
 	rec.sent = s.run.elapsed()
--- a/cmd/internal/load/text.go
+++ b/cmd/internal/load/text.go
@@ -45,6 +45,7 @@
 	for _, state := range sortedKeys(r.States) {
 		p.line("SQLSTATE %s: %d", state, r.States[state])
 	}
+	p.line("wait for a session of the load: p99 %.2f ms", r.ClientWaitP99Ms)
 	p.line("worst-served team: %s, %.2f %% on time; slowest: %s, p99 %.2f ms, %.2f times the median team's",
 		r.Worst.Team, 100*r.Worst.OnTimeShare, r.Worst.SlowestTeam, r.Worst.P99Ms, r.Worst.P99Ratio)
 	p.line("wrongful refusals: %d (%.3f in 1,000); overshoot: %.2f requests",
--- /dev/null
+++ b/cmd/jayloom-standin/options_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/jayloom/jayloom/cmd/internal/flagfile"
+)
+
+func parse(t *testing.T, args ...string) *options {
+	t.Helper()
+	var o options
+	if _, err := flagfile.Parse(flags.NewParser(&o, flags.None), args); err != nil {
+		t.Fatal(err)
+	}
+	return &o
+}
+
+// Guards against an announcement that control cannot use: without names, without
+// a credential, or of an address that nobody can connect to.
+func TestFlagsAreChecked(t *testing.T) {
+	sound := []string{"--password=p", "--announce=http://127.0.0.1:1", "--announce-credential=c", "--service=s", "--group=g"}
+	if err := parse(t, sound...).load(); err != nil {
+		t.Fatal(err)
+	}
+	for _, wrong := range []string{
+		"--service=", "--group=", "--announce-credential=", "--listen=0.0.0.0:1", "--listen=localhost:1",
+		"--password=", "--lag=-1s", "--log-level=loud", "--password-file=/does/not/exist",
+	} {
+		if parse(t, append(sound, wrong)...).load() == nil {
+			t.Errorf("%s is accepted", wrong)
+		}
+	}
+}
+
+// Guards against a password whose file ends in a line break, with which nobody
+// could log in.
+func TestSecretFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "password")
+	if err := os.WriteFile(path, []byte("secret\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	o := parse(t, "--password-file="+path)
+	if err := o.load(); err != nil || o.config().Password != "secret" {
+		t.Fatalf("%q, %v", o.Password, err)
+	}
+}
--- a/standin/engine/copy.go
+++ b/standin/engine/copy.go
@@ -148,7 +148,7 @@
 }
 
 func (c *CopyIn) add(ctx context.Context, given []bool, values []any) error {
-	if err := complete(c.table, given, values); err != nil {
+	if err := c.session.complete(c.table, given, values); err != nil {
 		return err
 	}
 	added, err := c.session.tx.Insert(ctx, c.table, values)
--- a/standin/engine/function.go
+++ b/standin/engine/function.go
@@ -45,9 +45,13 @@
 		}},
 		"current_schema": {value.Text, func(*env, []any) (any, error) { return "public", nil }},
 		"current_setting": {value.Text, func(e *env, args []any) (any, error) {
-			return e.session.settings.show(value.Format(first(args)))
+			return e.session.show(value.Format(first(args)))
 		}},
-		"set_config": {value.Text, (*env).setConfig},
+		"pg_advisory_lock":       {value.Text, (*env).advisoryLock},
+		"pg_advisory_unlock":     {value.Bool, (*env).advisoryUnlock},
+		"pg_advisory_unlock_all": {value.Text, (*env).advisoryUnlockAll},
+		"lastval":                {value.Int8, (*env).lastValue},
+		"set_config":             {value.Text, (*env).setConfig},
 		"length": {value.Int4, func(_ *env, args []any) (any, error) {
 			return int64(len([]rune(value.Format(first(args))))), nil
 		}},
--- a/standin/engine/session.go
+++ b/standin/engine/session.go
@@ -78,6 +78,9 @@
 	// some commands are refused as in a transaction.
 	Multiple bool
 	entries  []*audit.Entry
+
+	advisory   *store.Holder
+	lastSerial int64
 }
 
 // NewSession returns a session in its initial state.
@@ -115,6 +118,7 @@
 	if err != nil {
 		return nil, s.fail(entry, err)
 	}
+	statementsOK.Inc()
 	if len(s.entries) > 0 {
 		s.Audit.Result(entry, r.Tag, "")
 	}
@@ -179,6 +183,7 @@
 // fail ends the transaction's work after an error.
 func (s *Session) fail(entry *audit.Entry, err error) error {
 	if entry != nil {
+		statementsFailed.Inc()
 		s.Audit.Result(entry, "", sqlerr.From(err).Code)
 	}
 	s.rollback()
@@ -193,6 +198,7 @@
 func (s *Session) Close() {
 	s.rollback()
 	s.explicit, s.failed = false, false
+	s.dropAdvisory()
 }
 
 // EndImplicit commits the work of statements outside an explicit transaction.
@@ -206,6 +212,7 @@
 	if s.tx == nil {
 		return
 	}
+	commits.Inc()
 	position := s.tx.Commit()
 	s.tx = nil
 	s.settings.commit()
@@ -215,6 +222,7 @@
 
 func (s *Session) rollback() {
 	if s.tx != nil {
+		rollbacks.Inc()
 		s.tx.Rollback()
 		s.tx = nil
 		s.settings.rollback()
--- a/standin/engine/settings.go
+++ b/standin/engine/settings.go
@@ -25,6 +25,7 @@
 	"default_transaction_read_only":       "off",
 	"extra_float_digits":                  "1",
 	"idle_in_transaction_session_timeout": "0",
+	"in_hot_standby":                      "off",
 	"integer_datetimes":                   "on",
 	"intervalstyle":                       "postgres",
 	"is_superuser":                        "on",
@@ -49,6 +50,7 @@
 	"client_encoding":               "client_encoding",
 	"datestyle":                     "DateStyle",
 	"default_transaction_read_only": "default_transaction_read_only",
+	"in_hot_standby":                "in_hot_standby",
 	"integer_datetimes":             "integer_datetimes",
 	"intervalstyle":                 "IntervalStyle",
 	"is_superuser":                  "is_superuser",
@@ -137,10 +139,7 @@
 		if err != nil {
 			return "", sqlerr.New(sqlerr.InvalidParameter, "parameter %q requires a Boolean value", name)
 		}
-		if on == true {
-			return "on", nil
-		}
-		return "off", nil
+		return onOff(on == true), nil
 	case "statement_timeout":
 		_, err := parseTimeout(text)
 		return text, err
@@ -206,6 +205,8 @@
 
 // Report returns the reported settings that changed since the last call.
 func (s *Session) Report() map[string]string {
+	// A promotion changes it without a SET.
+	s.settings.current["in_hot_standby"] = onOff(s.Server.InRecovery())
 	var changed map[string]string
 	for name, shown := range reported {
 		text := s.settings.current[name]
--- a/standin/engine/statement.go
+++ b/standin/engine/statement.go
@@ -48,8 +48,10 @@
 	case *sql.Reset:
 		return &Result{Tag: "RESET"}, s.settings.reset(typed.Name)
 	case *sql.Show:
-		text, err := s.settings.show(typed.Name)
+		text, err := s.show(typed.Name)
 		return &Result{Tag: "SHOW", Fields: []Field{{typed.Name, value.Text}}, Rows: [][]any{{text}}}, err
+	case *sql.Listen:
+		return &Result{Tag: typed.Command}, nil
 	case *sql.Deallocate:
 		return s.deallocate(typed.Name)
 	case *sql.DiscardAll:
@@ -105,6 +107,8 @@
 	}
 	s.prepared = map[string]*Prepared{}
 	s.tables.DropTemporary()
+	s.dropAdvisory()
+	s.lastSerial = 0
 	return &Result{Tag: "DISCARD ALL"}, s.settings.reset("all")
 }
 
@@ -113,6 +117,14 @@
 	return s.explicit || s.Multiple || len(s.entries) > 1
 }
 
+// show returns a setting; the access mode is the current transaction's.
+func (s *Session) show(name string) (string, error) {
+	if name == "transaction_read_only" {
+		return onOff(s.readOnly), nil
+	}
+	return s.settings.show(name)
+}
+
 // allowWrite refuses a write in a read-only transaction.
 func (s *Session) allowWrite(command string) error {
 	if !s.readOnly {
--- a/standin/engine/write.go
+++ b/standin/engine/write.go
@@ -34,7 +34,7 @@
 	}
 	var written []store.Visible
 	for _, row := range s.Rows {
-		values, err := e.newRow(t, targets, row)
+		values, err := e.newRow(t, targets, len(s.Columns) > 0, row)
 		if err != nil {
 			return nil, err
 		}
@@ -70,10 +70,13 @@
 	return targets, nil
 }
 
-func (e *env) newRow(t *store.Table, targets []int, row []sql.Expr) ([]any, error) {
+func (e *env) newRow(t *store.Table, targets []int, named bool, row []sql.Expr) ([]any, error) {
 	if len(row) > len(targets) {
 		return nil, sqlerr.New(sqlerr.SyntaxError, "INSERT has more expressions than target columns")
 	}
+	if named && len(row) < len(targets) {
+		return nil, sqlerr.New(sqlerr.SyntaxError, "INSERT has more target columns than expressions")
+	}
 	given := make([]bool, len(t.Columns))
 	values := make([]any, len(t.Columns))
 	for i, x := range row {
@@ -87,14 +90,14 @@
 		given[targets[i]] = true
 		values[targets[i]] = v
 	}
-	return values, complete(t, given, values)
+	return values, e.session.complete(t, given, values)
 }
 
 // complete fills in defaults and checks types and NOT NULL.
-func complete(t *store.Table, given []bool, values []any) error {
+func (s *Session) complete(t *store.Table, given []bool, values []any) error {
 	for i, c := range t.Columns {
 		if !given[i] {
-			values[i] = defaultValue(t, c)
+			values[i] = s.defaultValue(t, c)
 		}
 		v, err := value.Convert(values[i], c.Type)
 		if err != nil {
@@ -109,10 +112,11 @@
 	return nil
 }
 
-func defaultValue(t *store.Table, c commitlog.Column) any {
+func (s *Session) defaultValue(t *store.Table, c commitlog.Column) any {
 	switch {
 	case c.Serial:
-		return t.NextSerial()
+		s.lastSerial = t.NextSerial()
+		return s.lastSerial
 	case c.DefaultNow:
 		return time.Now()
 	}
@@ -160,7 +164,7 @@
 		}
 		values[i] = v
 	}
-	return values, complete(t, given, values)
+	return values, e.session.complete(t, given, values)
 }
 
 func (e *env) delete(s *sql.Delete) (*Result, error) {
--- a/standin/node/node.go
+++ b/standin/node/node.go
@@ -28,6 +28,8 @@
 	Account Account
 	Lag     time.Duration
 	Logger  *logrus.Entry
+	// Gate, if set, holds back what is received while the server is frozen.
+	Gate func()
 }
 
 // Node is the role and the data of one server.
@@ -40,6 +42,7 @@
 	recovering atomic.Bool
 	wasReplica bool
 	lag        *lag
+	gate       func()
 	// lastMessage is the time of the last message from the primary in Unix
 	// nanoseconds, 0 while none streams.
 	lastMessage atomic.Int64
@@ -52,7 +55,10 @@
 
 // New returns a node; a replica begins to follow its primary at once.
 func New(c Config) *Node {
-	n := &Node{account: c.Account, logger: c.Logger, lag: newLag(c.Lag), stop: func() {}}
+	n := &Node{account: c.Account, logger: c.Logger, lag: newLag(c.Lag), gate: c.Gate, stop: func() {}}
+	if n.gate == nil {
+		n.gate = func() {}
+	}
 	if c.Follow == "" {
 		n.log = commitlog.New()
 		n.Store = store.New(n.log)
--- a/standin/node/receiver.go
+++ b/standin/node/receiver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/gob"
+	"net"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	retryInterval = 200 * time.Millisecond
 	// connectTimeout bounds an attempt to connect to the primary.
 	connectTimeout = 2 * time.Second
+	// receiveTimeout ends a stream on which nothing arrives (wal_receiver_timeout).
+	receiveTimeout = 60 * time.Second
 )
 
 // startReceiver follows the primary of conninfo until the returned function is
@@ -53,11 +56,13 @@
 
 // receive streams from the primary until the stream ends; the error is never nil.
 func (n *Node) receive(ctx context.Context, conninfo string) error {
-	frontend, closeStream, err := n.connect(ctx, conninfo)
+	frontend, conn, err := n.connect(ctx, conninfo)
 	if err != nil {
 		return err
 	}
-	defer closeStream()
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
 	position := n.log.End()
 	command, err := requestText(position, n.log.History())
 	if err != nil {
@@ -70,10 +75,10 @@
 	if err := awaitStream(frontend); err != nil {
 		return err
 	}
-	return n.readStream(ctx, frontend)
+	return n.readStream(ctx, frontend, conn)
 }
 
-func (n *Node) connect(ctx context.Context, conninfo string) (*pgproto3.Frontend, func(), error) {
+func (n *Node) connect(ctx context.Context, conninfo string) (*pgproto3.Frontend, net.Conn, error) {
 	config, err := pgconn.ParseConfig(conninfo + " sslmode=disable")
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "primary_conninfo")
@@ -91,11 +96,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { hijacked.Conn.Close() })
-	return hijacked.Frontend, func() {
-		stop()
-		hijacked.Conn.Close()
-	}, nil
+	return hijacked.Frontend, hijacked.Conn, nil
 }
 
 // awaitStream waits for the answer to START_REPLICATION.
@@ -114,9 +115,9 @@
 	}
 }
 
-func (n *Node) readStream(ctx context.Context, frontend *pgproto3.Frontend) error {
+func (n *Node) readStream(ctx context.Context, frontend *pgproto3.Frontend, conn net.Conn) error {
 	defer n.lastMessage.Store(0)
-	decoder := gob.NewDecoder(&copyReader{frontend: frontend, heard: n.heard})
+	decoder := gob.NewDecoder(&copyReader{frontend: frontend, conn: conn, heard: n.heard})
 	var first message
 	if err := decoder.Decode(&first); err != nil {
 		return errors.Wrap(err, "read the primary's history")
@@ -145,7 +146,10 @@
 	}
 }
 
-func (n *Node) heard() { n.lastMessage.Store(time.Now().UnixNano()) }
+func (n *Node) heard() {
+	n.gate()
+	n.lastMessage.Store(time.Now().UnixNano())
+}
 
 func (n *Node) apply(ctx context.Context, q *queue, primary commitlog.History) {
 	for {
@@ -153,6 +157,10 @@
 		if err != nil || n.lag.wait(ctx, r.CommittedAt) != nil {
 			return
 		}
+		n.gate()
+		if ctx.Err() != nil {
+			return
+		}
 		n.Store.Apply(r, primary)
 	}
 }
@@ -160,12 +168,16 @@
 // copyReader reads the content of CopyData messages.
 type copyReader struct {
 	frontend *pgproto3.Frontend
+	conn     net.Conn
 	heard    func()
 	rest     []byte
 }
 
 func (r *copyReader) Read(p []byte) (int, error) {
 	for len(r.rest) == 0 {
+		if err := r.conn.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
+			return 0, err
+		}
 		m, err := r.frontend.Receive()
 		if err != nil {
 			return 0, err
--- a/standin/replication_test.go
+++ b/standin/replication_test.go
@@ -174,6 +174,22 @@
 	}
 }
 
+// Guards against a frozen replica that goes on applying commits, and against one
+// that never catches up again.
+func TestFrozenReplicaStandsStill(t *testing.T) {
+	p := startWith(t, trays)
+	frozen, other := replica(t, p), replica(t, p)
+	frozen.Freeze()
+	before := frozen.Position()
+	run(t, p, "INSERT INTO trays (station) VALUES ('a')")
+	caughtUp(t, other, p)
+	if frozen.Position() != before {
+		t.Fatal("a frozen replica applied a commit")
+	}
+	frozen.Unfreeze()
+	caughtUp(t, frozen, p)
+}
+
 // Guards against a crash that leaves clients waiting.
 func TestCrashDropsConnections(t *testing.T) {
 	s := start(t, nil)
--- a/standin/server.go
+++ b/standin/server.go
@@ -64,6 +64,7 @@
 		Account: node.Account{User: c.User, Password: c.Password},
 		Lag:     c.Lag,
 		Logger:  c.Logger.WithField("address", s.Addr()),
+		Gate:    s.gate.wait,
 	})
 	s.options = s.wireOptions()
 	ctx, s.cancel = context.WithCancelCause(ctx)
--- a/standin/session_test.go
+++ b/standin/session_test.go
@@ -330,6 +330,31 @@
 	}
 }
 
+// Guards against session state that a proxy must notice: advisory locks that do not
+// exclude others or outlive the session, and the last number of another session.
+func TestSessionState(t *testing.T) {
+	s := startWith(t, trays)
+	holder, waiter := connect(t, s), connect(t, s)
+	mustExec(t, holder, "SELECT pg_advisory_lock(7)")
+	mustExec(t, waiter, "SET statement_timeout = 1")
+	_, err := waiter.Exec(t.Context(), "SELECT pg_advisory_lock(7)")
+	wantState(t, err, "57014")
+	mustExec(t, holder, "INSERT INTO trays (station) VALUES ('a')")
+	if got := queryInt(t, holder, "SELECT lastval()"); got != 1 {
+		t.Fatalf("lastval is %d, want 1", got)
+	}
+	_, err = waiter.Exec(t.Context(), "SELECT lastval()")
+	wantState(t, err, "55000")
+	mustExec(t, holder, "DISCARD ALL")
+	mustExec(t, waiter, "SELECT pg_advisory_lock(7)")
+	mustExec(t, waiter, "SELECT pg_advisory_unlock(7)")
+	mustExec(t, holder, "SELECT pg_advisory_lock(7)")
+	mustExec(t, holder, "LISTEN changes")
+	holder.Close(t.Context())
+	mustExec(t, waiter, "RESET statement_timeout")
+	mustExec(t, waiter, "SELECT pg_advisory_lock(7)")
+}
+
 // Guards against startup settings that are dropped, which drivers send.
 func TestStartupOptions(t *testing.T) {
 	s := start(t, nil)
--- a/standin/sql/ast.go
+++ b/standin/sql/ast.go
@@ -90,6 +90,8 @@
 	Deallocate struct{ Name string }
 	// DiscardAll returns the session to its initial state.
 	DiscardAll struct{}
+	// Listen is LISTEN, UNLISTEN or NOTIFY; nothing is ever delivered.
+	Listen struct{ Command, Channel string }
 	// AlterSystem changes a setting of the server.
 	AlterSystem struct{ Name, Value string }
 	// Copy moves rows between the client and a table or query.
@@ -118,6 +120,7 @@
 func (*Execute) statement()     {}
 func (*Deallocate) statement()  {}
 func (*DiscardAll) statement()  {}
+func (*Listen) statement()      {}
 func (*AlterSystem) statement() {}
 func (*Copy) statement()        {}
 
--- a/standin/sql/command.go
+++ b/standin/sql/command.go
@@ -202,7 +202,9 @@
 		p.symbol(")")
 	}
 	p.expect("as")
+	p.enter()
 	s.Body = p.one()
+	p.leave()
 	p.params = 0
 	return s
 }
@@ -225,6 +227,18 @@
 	return &DiscardAll{}
 }
 
+func (p *parser) listen(command string) Statement {
+	s := &Listen{Command: command}
+	if p.acceptSymbol("*") {
+		return s
+	}
+	s.Channel = p.plainIdentifier()
+	if p.acceptSymbol(",") {
+		p.primary()
+	}
+	return s
+}
+
 func (p *parser) alter() Statement {
 	p.expect("system")
 	if p.accept("reset") {
--- a/standin/sql/expr.go
+++ b/standin/sql/expr.go
@@ -3,9 +3,25 @@
 import (
 	"strconv"
 	"strings"
+
+	"github.com/jayloom/jayloom/standin/sqlerr"
 )
 
+// maxDepth bounds nested expressions. A Go stack that overflows ends the process.
+const maxDepth = 1000
+
+func (p *parser) enter() {
+	p.depth++
+	if p.depth > maxDepth {
+		panic(sqlerr.New(sqlerr.StatementTooComplex, "stack depth limit exceeded"))
+	}
+}
+
+func (p *parser) leave() { p.depth-- }
+
 func (p *parser) expression() Expr {
+	p.enter()
+	defer p.leave()
 	left := p.conjunction()
 	for p.accept("or") {
 		left = &Binary{Op: "or", Left: left, Right: p.conjunction()}
@@ -22,6 +38,8 @@
 }
 
 func (p *parser) negation() Expr {
+	p.enter()
+	defer p.leave()
 	if p.accept("not") {
 		return &Not{Value: p.negation()}
 	}
@@ -86,6 +104,8 @@
 }
 
 func (p *parser) unary() Expr {
+	p.enter()
+	defer p.leave()
 	if p.acceptSymbol("-") {
 		return &Binary{Op: "-", Left: &Literal{Value: int64(0)}, Right: p.unary()}
 	}
--- a/standin/sql/parse.go
+++ b/standin/sql/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/jayloom/jayloom/standin/sqlerr"
 )
@@ -21,6 +22,7 @@
 	tokens []token
 	at     int
 	params int
+	depth  int
 }
 
 func (p *parser) all() (list []*Parsed, err error) {
@@ -40,13 +42,25 @@
 		if p.peek().kind == tokenEnd {
 			return list, nil
 		}
-		list = append(list, p.one())
+		list = append(list, p.withComments())
 		if p.peek().kind != tokenEnd {
 			p.symbol(";")
 		}
 	}
 }
 
+// withComments parses a statement and keeps the comments around it in its text,
+// so that the audit shows the tags that came with it.
+func (p *parser) withComments() *Parsed {
+	start := 0
+	if p.at > 0 {
+		start = p.tokens[p.at-1].end
+	}
+	parsed := p.one()
+	parsed.Text = strings.TrimSpace(p.source[start:p.peek().start])
+	return parsed
+}
+
 func (p *parser) one() *Parsed {
 	start := p.peek().start
 	p.params = 0
@@ -90,6 +104,9 @@
 		"discard":    (*parser).discard,
 		"alter":      (*parser).alter,
 		"copy":       (*parser).copy,
+		"listen":     func(p *parser) Statement { return p.listen("LISTEN") },
+		"unlisten":   func(p *parser) Statement { return p.listen("UNLISTEN") },
+		"notify":     func(p *parser) Statement { return p.listen("NOTIFY") },
 	}
 }
 
--- a/standin/sqlerr/sqlerr.go
+++ b/standin/sqlerr/sqlerr.go
@@ -23,6 +23,7 @@
 	FailedTransaction    = "25P02"
 	ActiveTransaction    = "25001"
 	ReadOnly             = "25006"
+	StatementTooComplex  = "54001"
 	InvalidText          = "22P02"
 	InvalidParameter     = "22023"
 	DivisionByZero       = "22012"
--- a/standin/wire/simple.go
+++ b/standin/wire/simple.go
@@ -103,23 +103,32 @@
 			line.Values[i] = data
 		}
 		k.backend.Send(line)
-		if n%flushRows == flushRows-1 {
-			if err := k.backend.Flush(); err != nil {
-				return err
-			}
+		if err := k.flushAfter(n); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// flushAfter sends what is collected after every flushRows rows.
+func (k *conn) flushAfter(row int) error {
+	if row%flushRows != flushRows-1 {
+		return nil
+	}
+	return k.backend.Flush()
+}
+
 func (k *conn) copyOut(r *engine.Result) error {
 	k.backend.Send(&pgproto3.CopyOutResponse{ColumnFormatCodes: make([]uint16, len(r.Fields))})
-	for _, row := range r.Rows {
+	for n, row := range r.Rows {
 		line, err := engine.CopyLine(row, r.Fields)
 		if err != nil {
 			return err
 		}
 		k.backend.Send(&pgproto3.CopyData{Data: line})
+		if err := k.flushAfter(n); err != nil {
+			return err
+		}
 	}
 	k.backend.Send(&pgproto3.CopyDone{})
 	k.complete(r.Tag)
