End stand-in sessions with 57P01 and fix the comparison of one report with itself

Cause: a proxy must tell an upstream's shutdown from a lost connection; a comparison of a report with itself lost the old figures, because the files were kept in a map by path.

--- a/cmd/internal/load/check_test.go
+++ b/cmd/internal/load/check_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -216,6 +218,31 @@
 	}
 }
 
+// Guards against reports that are confused with each other or not read at all.
+func TestCompareFiles(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"old": `{"a": 1}`, "new": `{"a": 2}`, "bounds": `[{"path": "a", "max_increase": 0.5}] /* comment */`,
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	path := func(name string) string { return filepath.Join(dir, name) }
+	for _, test := range []struct {
+		before, after string
+		holds         bool
+	}{{"old", "new", false}, {"new", "old", true}, {"old", "old", true}} {
+		findings, err := CompareFiles(path(test.before), path(test.after), path("bounds"))
+		if err != nil || len(findings) != 1 || (findings[0].Problem == "") != test.holds {
+			t.Errorf("%s to %s: %+v, %v", test.before, test.after, findings, err)
+		}
+	}
+	if _, err := CompareFiles(path("old"), path("missing"), path("bounds")); err == nil {
+		t.Error("a missing report is accepted")
+	}
+}
+
 // Guards against a share that mixes kinds of reads, or counts what was there before.
 func TestReplicaShares(t *testing.T) {
 	read := func(text string) map[string]float64 {
--- a/cmd/internal/load/compare.go
+++ b/cmd/internal/load/compare.go
@@ -29,8 +29,11 @@
 func CompareFiles(oldPath, newPath, boundsPath string) ([]Finding, error) {
 	var before, after any
 	var bounds []Bound
-	for path, target := range map[string]any{oldPath: &before, newPath: &after, boundsPath: &bounds} {
-		if err := readJSON(path, target); err != nil {
+	for _, file := range []struct {
+		path   string
+		target any
+	}{{oldPath, &before}, {newPath, &after}, {boundsPath, &bounds}} {
+		if err := readJSON(file.path, file.target); err != nil {
 			return nil, err
 		}
 	}
--- a/cmd/internal/load/record.go
+++ b/cmd/internal/load/record.go
@@ -1,13 +1,13 @@
 package load
 
 import (
-	"errors"
 	"regexp"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/jayloom/jayloom/api/rescode"
--- a/cmd/internal/load/session.go
+++ b/cmd/internal/load/session.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/jayloom/jayloom/api/rescode"
--- a/cmd/jayloom-load/load.go
+++ b/cmd/jayloom-load/load.go
@@ -112,6 +112,9 @@
 			return err
 		}
 	}
+	if report.Total.Answered == 0 {
+		return errors.New("no request was answered")
+	}
 	if report.Checks != nil && report.Checks.Faults() > 0 {
 		return errors.Newf("%d faults in acknowledged work", report.Checks.Faults())
 	}
--- a/standin/node/sender.go
+++ b/standin/node/sender.go
@@ -77,7 +77,7 @@
 				return err
 			}
 		case <-ctx.Done():
-			return ctx.Err()
+			return context.Cause(ctx)
 		}
 	}
 }
--- a/standin/replication_test.go
+++ b/standin/replication_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/jayloom/jayloom/standin"
 	"github.com/jayloom/jayloom/standin/value"
@@ -190,6 +191,25 @@
 	caughtUp(t, frozen, p)
 }
 
+// Guards against a shutdown that clients cannot tell from a lost connection, while
+// idle or in a statement.
+func TestCloseTellsClients(t *testing.T) {
+	s := start(t, nil)
+	idle, busy := connect(t, s), connect(t, s)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := busy.Exec(context.Background(), "SELECT pg_sleep(3600)")
+		ended <- err
+	}()
+	await(t, func() bool { return len(s.Audit()) > 0 })
+	s.Close()
+	wantState(t, <-ended, "57P01")
+	m, err := idle.PgConn().Frontend().Receive()
+	if e, ok := m.(*pgproto3.ErrorResponse); !ok || e.Code != "57P01" || e.Severity != "FATAL" {
+		t.Fatalf("an idle client got %v, %v", m, err)
+	}
+}
+
 // Guards against a crash that leaves clients waiting.
 func TestCrashDropsConnections(t *testing.T) {
 	s := start(t, nil)
--- a/standin/server.go
+++ b/standin/server.go
@@ -67,8 +67,8 @@
 		Gate:    s.gate.wait,
 	})
 	s.options = s.wireOptions()
-	ctx, s.cancel = context.WithCancelCause(ctx)
 	context.AfterFunc(ctx, func() { s.shut(false) })
+	ctx, s.cancel = context.WithCancelCause(ctx)
 	s.running.Go(func() { s.accept(ctx) })
 	return s, nil
 }
@@ -148,11 +148,38 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Close ends all connections and waits for them.
+// closeGrace is how long clients have to take the message that ends their session.
+const closeGrace = time.Second
+
+// Close tells the clients that the server ends, as PostgreSQL's fast shutdown does,
+// ends all connections and waits for them.
 func (s *Server) Close() {
+	s.listener.Close()
+	s.gate.unfreeze()
 	s.cancel(sqlerr.New(sqlerr.AdminShutdown, "terminating connection due to administrator command"))
+	s.interruptReads()
+	ended := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(closeGrace):
+	}
 	s.shut(false)
-	s.running.Wait()
+	<-ended
+}
+
+// interruptReads makes sessions that wait for a message notice the end.
+func (s *Server) interruptReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		// It fails only on a connection that is closed already.
+		_ = c.SetReadDeadline(time.Now())
+	}
 }
 
 // Crash drops all connections at once, as a killed process does. Nothing that is
--- a/standin/wire/conn.go
+++ b/standin/wire/conn.go
@@ -146,6 +146,9 @@
 	defer session.Close()
 	k.welcome(session.Report())
 	_ = k.net.SetDeadline(time.Time{})
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
 	return k.loop(ctx)
 }
 
@@ -203,7 +206,7 @@
 	for {
 		m, err := k.backend.Receive()
 		if err != nil {
-			return nil
+			return context.Cause(ctx) // nil unless the server ends
 		}
 		if _, ends := m.(*pgproto3.Terminate); ends {
 			return nil
@@ -211,6 +214,9 @@
 		if err := k.handle(ctx, m); err != nil {
 			return nil
 		}
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
 	}
 }
 
