Commit DISCARD ALL at once inside a pipeline

Cause: behind DISCARD ALL in one flush, work still ran in the transaction that began under the old settings, and was refused as read-only; PostgreSQL commits such commands at once.

Change: DISCARD ALL and ALTER SYSTEM end their transaction immediately.

Conclusion: a connection can change hands behind DISCARD ALL in one flush.

--- a/standin/engine/statement.go
+++ b/standin/engine/statement.go
@@ -109,7 +109,18 @@
 	s.tables.DropTemporary()
 	s.dropAdvisory()
 	s.lastSerial = 0
-	return &Result{Tag: "DISCARD ALL"}, s.settings.reset("all")
+	if err := s.settings.reset("all"); err != nil {
+		return nil, err
+	}
+	return s.commitNow("DISCARD ALL"), nil
+}
+
+// commitNow ends the transaction of a command that PostgreSQL commits at once,
+// even inside a pipeline; what follows runs under the settings it left.
+func (s *Session) commitNow(tag string) *Result {
+	s.Audit.Result(s.entries[len(s.entries)-1], tag, "")
+	s.commit()
+	return &Result{Tag: tag}
 }
 
 // inBlock reports whether other statements belong to the current transaction.
@@ -144,7 +155,7 @@
 		return nil, unknownSetting(a.Name)
 	}
 	e.session.Server.SetPrimaryConninfo(a.Value)
-	return &Result{Tag: "ALTER SYSTEM"}, nil
+	return e.session.commitNow("ALTER SYSTEM"), nil
 }
 
 func count(command string, n int) string {
--- a/standin/session_test.go
+++ b/standin/session_test.go
@@ -147,6 +147,13 @@
 		t.Fatalf("application_name is still reported as %q", got)
 	}
 	mustExec(t, c, "INSERT INTO trays (station) VALUES ('a')")
+	mustExec(t, c, "SET default_transaction_read_only = on")
+	batch := &pgconn.Batch{}
+	batch.ExecParams("DISCARD ALL", nil, nil, nil, nil)
+	batch.ExecParams("INSERT INTO trays (station) VALUES ('b')", nil, nil, nil, nil)
+	if err := c.PgConn().ExecBatch(t.Context(), batch).Close(); err != nil {
+		t.Fatalf("the work behind DISCARD ALL ran under the old settings: %v", err)
+	}
 }
 
 // Guards against a read route that writes on a primary. As in PostgreSQL, the
