Report wrong answers of every load

Cause: a run on tables without the clock row showed no fault, because wrong answers were counted only when upstreams were given to read.

Change: wrong answers are counted by kind in every report and fail the run.

Conclusion: a missing or foreign row can no longer pass.

--- a/cmd/internal/load/check.go
+++ b/cmd/internal/load/check.go
@@ -21,8 +21,6 @@
 	// UnreportedLosses are own reads that did not see a write which is lost,
 	// although no error had told the session.
 	UnreportedLosses int `json:"unreported_losses"`
-	// WrongAnswers belong to another request.
-	WrongAnswers int `json:"wrong_answers"`
 	// Examples name some of the requests at fault.
 	Examples []string `json:"examples,omitempty"`
 }
@@ -32,7 +30,7 @@
 
 // Faults is the number of findings that no failover explains.
 func (c *Checks) Faults() int {
-	return c.Doubled + c.Mixed + c.FalselyNotRun + c.StaleOwnReads + c.WrongAnswers
+	return c.Doubled + c.Mixed + c.FalselyNotRun + c.StaleOwnReads
 }
 
 func (c *Checks) note(count *int, what, request string) {
@@ -54,9 +52,6 @@
 	sent := map[string]bool{}
 	for i := range records {
 		r := &records[i]
-		if r.wrong {
-			c.note(&c.WrongAnswers, "wrong answer", r.kind.String())
-		}
 		if r.intent != nil {
 			sent[r.intent.request] = true
 			c.checkWrite(r, rows[r.intent.request], s.lines[r.intent.request])
--- a/cmd/internal/load/check_test.go
+++ b/cmd/internal/load/check_test.go
@@ -54,7 +54,6 @@
 		"failed":     {records: []record{writeOf("r-1", Failed, false)}, rows: []storedRow{rowOf("r-1")}, want: Checks{Writes: 1, FalselyNotRun: 1}},
 		"stale":      {records: []record{lookedFor, missed}, rows: []storedRow{rowOf("r-1")}, want: Checks{Writes: 1, Acknowledged: 1, StaleOwnReads: 1}},
 		"unreported": {records: []record{lookedFor, missed}, want: Checks{Writes: 1, Acknowledged: 1, Lost: 1, UnreportedLosses: 1}},
-		"wrong":      {records: []record{{kind: TolerantRead, wrong: true}}, want: Checks{WrongAnswers: 1}},
 	} {
 		got := check("r", test.records, &stored{rows: test.rows, lines: test.lines})
 		got.Examples = nil
--- a/cmd/internal/load/report.go
+++ b/cmd/internal/load/report.go
@@ -35,14 +35,16 @@
 	// States counts the SQLSTATEs of errors without a result code.
 	States map[string]int `json:"states"`
 
-	Worst            Worst          `json:"worst"`
-	WrongfulRefusals Wrongful       `json:"wrongful_refusals"`
-	Overshoot        float64        `json:"overshoot"`
-	Failovers        []Failover     `json:"failovers"`
-	WorstFailoverMs  float64        `json:"worst_failover_ms"`
-	ReplicaReads     []ReplicaShare `json:"replica_reads"`
-	Ages             Ages           `json:"ages"`
-	Events           []EventResult  `json:"events"`
+	Worst            Worst    `json:"worst"`
+	WrongfulRefusals Wrongful `json:"wrongful_refusals"`
+	Overshoot        float64  `json:"overshoot"`
+	// WrongAnswers counts answers by kind of request that do not belong to it.
+	WrongAnswers    map[string]int `json:"wrong_answers"`
+	Failovers       []Failover     `json:"failovers"`
+	WorstFailoverMs float64        `json:"worst_failover_ms"`
+	ReplicaReads    []ReplicaShare `json:"replica_reads"`
+	Ages            Ages           `json:"ages"`
+	Events          []EventResult  `json:"events"`
 	// Checks is missing when no upstreams were given to read.
 	Checks *Checks `json:"checks,omitempty"`
 }
@@ -163,13 +165,16 @@
 	report := &Report{
 		Profile: r.profile.Name, Run: r.id, Seed: r.config.Seed,
 		DurationS: r.config.Duration.Seconds(), Rate: r.config.Rate, Targets: len(r.config.Targets),
-		Refusals: map[string]int{}, States: map[string]int{}, Events: events,
+		Refusals: map[string]int{}, States: map[string]int{}, WrongAnswers: map[string]int{}, Events: events,
 	}
 	all, wait := newTally(), newTally()
 	for i := range records {
 		rec := &records[i]
 		all.add(rec, r.config.Deadline)
 		wait.observe(rec.taken - rec.at)
+		if rec.wrong {
+			report.WrongAnswers[rec.kind.String()]++
+		}
 		if rec.code != rescode.OK {
 			report.Refusals[rec.code.String()]++
 		} else if rec.state != "" {
--- a/cmd/internal/load/run_test.go
+++ b/cmd/internal/load/run_test.go
@@ -72,7 +72,7 @@
 	if report.Ages.Checked == 0 || report.Ages.TooOld != 0 {
 		t.Fatalf("ages are %+v", report.Ages)
 	}
-	if report.WrongfulRefusals.Count != 0 || report.Overshoot != 0 || len(report.Failovers) != 0 {
+	if report.WrongfulRefusals.Count != 0 || report.Overshoot != 0 || len(report.Failovers) != 0 || len(report.WrongAnswers) != 0 {
 		t.Fatalf("report is %+v", report)
 	}
 	var text strings.Builder
@@ -81,6 +81,22 @@
 	}
 }
 
+// Guards against answers to other requests that go unnoticed: here every label of
+// the lookup table is another one's.
+func TestRunFindsWrongAnswers(t *testing.T) {
+	s := startStandin(t, "")
+	if err := s.Exec(t.Context(), "UPDATE colour SET label = 'swapped'"); err != nil {
+		t.Fatal(err)
+	}
+	report, err := Run(t.Context(), testConfig(s.Addr()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.WrongAnswers[TolerantRead.String()] == 0 || report.WrongAnswers[OwnRead.String()] != 0 {
+		t.Fatalf("wrong answers are %v", report.WrongAnswers)
+	}
+}
+
 // Guards against a check that misses writes lost at a failover, a schedule that is
 // not followed, and a gap that is not found.
 func TestRunFindsLossAndGapOfFailover(t *testing.T) {
--- a/cmd/internal/load/text.go
+++ b/cmd/internal/load/text.go
@@ -53,6 +53,9 @@
 	for _, s := range r.ReplicaReads {
 		p.line("reads by replicas (%s): %.2f %% of %.0f", s.Kind, 100*s.Share, s.Replica+s.Primary)
 	}
+	for _, kind := range sortedKeys(r.WrongAnswers) {
+		p.line("wrong answers to %s: %d", kind, r.WrongAnswers[kind])
+	}
 	p.line("reads of a stated age: %d checked, %d too old", r.Ages.Checked, r.Ages.TooOld)
 	for _, f := range r.Failovers {
 		p.line("failover of group %d, timeline %d to %d: gap %.0f ms, %d writes acknowledged by the old primary afterwards",
@@ -68,8 +71,7 @@
 	c := r.Checks
 	p.line("writes: %d sent, %d acknowledged, %d lost, %d doubled, %d mixed, %d falsely reported as not run",
 		c.Writes, c.Acknowledged, c.Lost, c.Doubled, c.Mixed, c.FalselyNotRun)
-	p.line("reads: %d stale own reads, %d unreported losses, %d wrong answers",
-		c.StaleOwnReads, c.UnreportedLosses, c.WrongAnswers)
+	p.line("reads: %d stale own reads, %d unreported losses", c.StaleOwnReads, c.UnreportedLosses)
 	for _, example := range c.Examples {
 		p.line("  %s", example)
 	}
--- a/cmd/jayloom-load/load.go
+++ b/cmd/jayloom-load/load.go
@@ -115,6 +115,9 @@
 	if report.Total.Answered == 0 {
 		return errors.New("no request was answered")
 	}
+	if len(report.WrongAnswers) > 0 {
+		return errors.Newf("answers that do not belong to their request: %v", report.WrongAnswers)
+	}
 	if report.Ages.TooOld > 0 {
 		return errors.Newf("%d reads were older than their route allows", report.Ages.TooOld)
 	}
