--- a/standin/replication_test.go
+++ b/standin/replication_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/jayloom/jayloom/standin"
 	"github.com/jayloom/jayloom/standin/value"
@@ -49,7 +50,8 @@
 
 // Guards against a replica that differs from its primary, or takes writes.
 func TestReplicaFollows(t *testing.T) {
-	p := startWith(t, trays+"; INSERT INTO trays (station, n) VALUES ('a', NULL), ('b', 2), ('c', 3)")
+	p := startWith(t, trays+"; INSERT INTO trays (station, n) VALUES ('a', NULL), ('b', 2), ('c', 3); "+
+		`CREATE TABLE kinds (y bytea, l pg_lsn, t timestamptz, f numeric); INSERT INTO kinds VALUES ('\x00ff', '0/1', now(), 1.5)`)
 	r := replica(t, p)
 	run(t, p, "UPDATE trays SET n = 5 WHERE station = 'b'; DELETE FROM trays WHERE station = 'c'")
 	caughtUp(t, r, p)
@@ -57,6 +59,9 @@
 	if got := queryInt(t, c, "SELECT sum(n) + count(*) FROM trays"); got != 7 {
 		t.Fatalf("the replica reads %d, want 7", got)
 	}
+	if got := queryInt(t, c, `SELECT count(*) FROM kinds WHERE y = '\x00ff' AND l = '0/1' AND t < now() AND f = 1.5`); got != 1 {
+		t.Fatal("values changed on their way to the replica")
+	}
 	_, err := c.Exec(t.Context(), "INSERT INTO trays (station) VALUES ('x')")
 	wantState(t, err, "25006")
 	_, err = c.Exec(t.Context(), "SELECT pg_current_wal_insert_lsn()")
@@ -174,6 +179,41 @@
 	}
 }
 
+// Guards against a frozen replica that goes on applying commits, and against one
+// that never catches up again.
+func TestFrozenReplicaStandsStill(t *testing.T) {
+	p := startWith(t, trays)
+	frozen, other := replica(t, p), replica(t, p)
+	frozen.Freeze()
+	before := frozen.Position()
+	run(t, p, "INSERT INTO trays (station) VALUES ('a')")
+	caughtUp(t, other, p)
+	if frozen.Position() != before {
+		t.Fatal("a frozen replica applied a commit")
+	}
+	frozen.Unfreeze()
+	caughtUp(t, frozen, p)
+}
+
+// Guards against a shutdown that clients cannot tell from a lost connection, while
+// idle or in a statement.
+func TestCloseTellsClients(t *testing.T) {
+	s := start(t, nil)
+	idle, busy := connect(t, s), connect(t, s)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := busy.Exec(context.Background(), "SELECT pg_sleep(3600)")
+		ended <- err
+	}()
+	await(t, func() bool { return len(s.Audit()) > 0 })
+	s.Close()
+	wantState(t, <-ended, "57P01")
+	m, err := idle.PgConn().Frontend().Receive()
+	if e, ok := m.(*pgproto3.ErrorResponse); !ok || e.Code != "57P01" || e.Severity != "FATAL" {
+		t.Fatalf("an idle client got %v, %v", m, err)
+	}
+}
+
 // Guards against a crash that leaves clients waiting.
 func TestCrashDropsConnections(t *testing.T) {
 	s := start(t, nil)
--- a/standin/sql/command.go
+++ b/standin/sql/command.go
@@ -3,6 +3,9 @@
 import "strings"
 
 func (p *parser) create() Statement {
+	if p.accept("index") {
+		return p.createIndex()
+	}
 	s := &CreateTable{Temporary: p.accept("temp") || p.accept("temporary")}
 	p.expect("table")
 	s.IfNotExists = p.accept("if", "not", "exists")
@@ -25,6 +28,17 @@
 	return s
 }
 
+func (p *parser) createIndex() Statement {
+	p.accept("if", "not", "exists")
+	if !p.isWord("on") {
+		p.identifier()
+	}
+	p.expect("on")
+	p.identifier()
+	p.identifiers()
+	return &CreateIndex{}
+}
+
 func (p *parser) tablePrimaryKey(s *CreateTable) {
 	for _, name := range p.identifiers() {
 		for i := range s.Columns {
@@ -202,7 +216,9 @@
 		p.symbol(")")
 	}
 	p.expect("as")
+	p.enter()
 	s.Body = p.one()
+	p.leave()
 	p.params = 0
 	return s
 }
@@ -225,6 +241,18 @@
 	return &DiscardAll{}
 }
 
+func (p *parser) listen(command string) Statement {
+	s := &Listen{Command: command}
+	if p.acceptSymbol("*") {
+		return s
+	}
+	s.Channel = p.plainIdentifier()
+	if p.acceptSymbol(",") {
+		p.primary()
+	}
+	return s
+}
+
 func (p *parser) alter() Statement {
 	p.expect("system")
 	if p.accept("reset") {
