Send a team's salt to operators and announce to base addresses

Cause: keys made by jayloomctl were refused as wrong, because Show left out the salt that their verifiers are derived with, and the stand-ins announced to a path that does not exist. Change: ForOperators keeps the salt, which every client is sent anyway; the local script passes base addresses.

--- a/policy/fleet/fleet.go
+++ b/policy/fleet/fleet.go
@@ -157,12 +157,12 @@
 	}
 }
 
-// ForOperators returns a copy without secrets.
+// ForOperators returns a copy without secrets. A team's salt stays: it is sent to
+// every client that starts to authenticate, and jayloomctl derives verifiers with it.
 func (s *State) ForOperators() *controlpb.FleetState {
 	public := s.ForProxies()
 	public.TokenKey = nil
 	for _, team := range public.Teams {
-		team.ScramSalt = nil
 		for _, key := range team.Keys {
 			key.StoredKey = nil
 			key.ServerKey = nil
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -63,15 +63,15 @@
     --overlay "deploy/local/control$i.jsonc" --overlay local/secrets.jsonc
 done
 
-announce=(--announce http://127.0.0.1:7411/v1/upstreams --announce http://127.0.0.1:7412/v1/upstreams
-  --announce http://127.0.0.1:7413/v1/upstreams
+announce=(--announce http://127.0.0.1:7411 --announce http://127.0.0.1:7412
+  --announce http://127.0.0.1:7413
   --announce-credential-file local/announcement.credential)
 for i in 1 2 3; do
   follow=()
   [ "$i" = 1 ] || follow=(--follow 127.0.0.1:7501)
   start "standin$i" bin/jayloom-standin --listen "127.0.0.1:750$i" --http "127.0.0.1:751$i" \
     --user jayloom --password upstream-password --service wax --group wax-1 --place local \
-    --lag-ms 2000 --connect-delay-ms 10 --connection-limit 25 "${follow[@]}" "${announce[@]}"
+    --lag 2s --connect-delay 10ms --connection-limit 25 "${follow[@]}" "${announce[@]}"
 done
 
 for i in 1 2; do
