--- a/proxy/keys_test.go
+++ b/proxy/keys_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
+	"math/big"
 	"net"
 	"strings"
 	"testing"
@@ -252,3 +258,53 @@
 		t.Errorf("a refused statement ran %d times", n)
 	}
 }
+
+// testCertificate is a certificate for 127.0.0.1 that signs itself.
+func testCertificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(parsed)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, pool
+}
+
+// Guards against callers that use TLS not being served, or not being ended when
+// their key is withdrawn.
+func TestServesCallersInTLS(t *testing.T) {
+	s := newSystem(t, 0)
+	certificate, pool := testCertificate(t)
+	p := s.proxy(func(o *Options) {
+		o.Settings.RequireTLS = true
+		o.TLS = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}}
+	})
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://driver:%s@%s/wax?sslmode=verify-full", keyDriver, p.address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	config.TLSConfig.RootCAs = pool
+	conn, err := pgx.ConnectConfig(context.Background(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	long := strings.Repeat("x", 300_000)
+	if got := queryText(t, conn, "SELECT $1::text", long); got != long {
+		t.Errorf("a long answer has %d bytes", len(got))
+	}
+	s.change(func(state *controlpb.FleetState) { delete(state.Teams, "driver") })
+	if _, err := conn.PgConn().ReceiveMessage(context.Background()); codeOf(err) != rescode.KeyWithdrawn && !conn.IsClosed() {
+		t.Errorf("got %v", err)
+	}
+}
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -49,11 +49,17 @@
 	if !ok {
 		p = newPool(s, address, service)
 		p.allowed = s.allowed(clock.Now(), address)
+		p.retired = s.retired(address)
 		s.pools[address] = p
 	}
 	return p
 }
 
+// retired reports whether an upstream gets no new work; the caller holds mu.
+func (s *poolSet) retired(address string) bool {
+	return s.config != nil && !s.config.Usable(address)
+}
+
 func (s *poolSet) allowed(now time.Duration, address string) int {
 	s.holderMu.Lock()
 	defer s.holderMu.Unlock()
@@ -127,7 +133,7 @@
 
 func (s *poolSet) apply(now time.Duration, p *pool) {
 	s.mu.Lock()
-	retired := s.config != nil && !s.config.Usable(p.address)
+	retired := s.retired(p.address)
 	s.mu.Unlock()
 	p.setAllowed(s.allowed(now, p.address), retired)
 }
