--- a/standin/engine/statement.go
+++ b/standin/engine/statement.go
@@ -22,6 +22,8 @@
 		return e.copy(typed)
 	case *sql.CreateTable:
 		return e.createTable(typed)
+	case *sql.CreateIndex:
+		return &Result{Tag: "CREATE INDEX"}, e.session.allowWrite("CREATE INDEX")
 	case *sql.DropTable:
 		return e.dropTable(typed)
 	case *sql.Prepare:
@@ -48,8 +50,10 @@
 	case *sql.Reset:
 		return &Result{Tag: "RESET"}, s.settings.reset(typed.Name)
 	case *sql.Show:
-		text, err := s.settings.show(typed.Name)
+		text, err := s.show(typed.Name)
 		return &Result{Tag: "SHOW", Fields: []Field{{typed.Name, value.Text}}, Rows: [][]any{{text}}}, err
+	case *sql.Listen:
+		return &Result{Tag: typed.Command}, nil
 	case *sql.Deallocate:
 		return s.deallocate(typed.Name)
 	case *sql.DiscardAll:
@@ -105,7 +109,20 @@
 	}
 	s.prepared = map[string]*Prepared{}
 	s.tables.DropTemporary()
-	return &Result{Tag: "DISCARD ALL"}, s.settings.reset("all")
+	s.dropAdvisory()
+	s.lastSerial = 0
+	if err := s.settings.reset("all"); err != nil {
+		return nil, err
+	}
+	return s.commitNow("DISCARD ALL"), nil
+}
+
+// commitNow ends the transaction of a command that PostgreSQL commits at once,
+// even inside a pipeline; what follows runs under the settings it left.
+func (s *Session) commitNow(tag string) *Result {
+	s.Audit.Result(s.entries[len(s.entries)-1], tag, "")
+	s.commit()
+	return &Result{Tag: tag}
 }
 
 // inBlock reports whether other statements belong to the current transaction.
@@ -113,6 +130,14 @@
 	return s.explicit || s.Multiple || len(s.entries) > 1
 }
 
+// show returns a setting; the access mode is the current transaction's.
+func (s *Session) show(name string) (string, error) {
+	if name == "transaction_read_only" {
+		return onOff(s.readOnly), nil
+	}
+	return s.settings.show(name)
+}
+
 // allowWrite refuses a write in a read-only transaction.
 func (s *Session) allowWrite(command string) error {
 	if !s.readOnly {
@@ -132,7 +157,7 @@
 		return nil, unknownSetting(a.Name)
 	}
 	e.session.Server.SetPrimaryConninfo(a.Value)
-	return &Result{Tag: "ALTER SYSTEM"}, nil
+	return e.session.commitNow("ALTER SYSTEM"), nil
 }
 
 func count(command string, n int) string {
--- a/standin/session_test.go
+++ b/standin/session_test.go
@@ -147,6 +147,13 @@
 		t.Fatalf("application_name is still reported as %q", got)
 	}
 	mustExec(t, c, "INSERT INTO trays (station) VALUES ('a')")
+	mustExec(t, c, "SET default_transaction_read_only = on")
+	batch := &pgconn.Batch{}
+	batch.ExecParams("DISCARD ALL", nil, nil, nil, nil)
+	batch.ExecParams("INSERT INTO trays (station) VALUES ('b')", nil, nil, nil, nil)
+	if err := c.PgConn().ExecBatch(t.Context(), batch).Close(); err != nil {
+		t.Fatalf("the work behind DISCARD ALL ran under the old settings: %v", err)
+	}
 }
 
 // Guards against a read route that writes on a primary. As in PostgreSQL, the
@@ -330,6 +337,31 @@
 	}
 }
 
+// Guards against session state that a proxy must notice: advisory locks that do not
+// exclude others or outlive the session, and the last number of another session.
+func TestSessionState(t *testing.T) {
+	s := startWith(t, trays)
+	holder, waiter := connect(t, s), connect(t, s)
+	mustExec(t, holder, "SELECT pg_advisory_lock(7)")
+	mustExec(t, waiter, "SET statement_timeout = 1")
+	_, err := waiter.Exec(t.Context(), "SELECT pg_advisory_lock(7)")
+	wantState(t, err, "57014")
+	mustExec(t, holder, "INSERT INTO trays (station) VALUES ('a')")
+	if got := queryInt(t, holder, "SELECT lastval()"); got != 1 {
+		t.Fatalf("lastval is %d, want 1", got)
+	}
+	_, err = waiter.Exec(t.Context(), "SELECT lastval()")
+	wantState(t, err, "55000")
+	mustExec(t, holder, "DISCARD ALL")
+	mustExec(t, waiter, "SELECT pg_advisory_lock(7)")
+	mustExec(t, waiter, "SELECT pg_advisory_unlock(7)")
+	mustExec(t, holder, "SELECT pg_advisory_lock(7)")
+	mustExec(t, holder, "LISTEN changes")
+	holder.Close(t.Context())
+	mustExec(t, waiter, "RESET statement_timeout")
+	mustExec(t, waiter, "SELECT pg_advisory_lock(7)")
+}
+
 // Guards against startup settings that are dropped, which drivers send.
 func TestStartupOptions(t *testing.T) {
 	s := start(t, nil)
--- a/standin/sql/ast.go
+++ b/standin/sql/ast.go
@@ -53,6 +53,8 @@
 		IfNotExists bool
 		Columns     []ColumnDef
 	}
+	// CreateIndex is accepted and has no effect.
+	CreateIndex struct{}
 	// DropTable drops a table.
 	DropTable struct {
 		Table    string
@@ -90,6 +92,8 @@
 	Deallocate struct{ Name string }
 	// DiscardAll returns the session to its initial state.
 	DiscardAll struct{}
+	// Listen is LISTEN, UNLISTEN or NOTIFY; nothing is ever delivered.
+	Listen struct{ Command, Channel string }
 	// AlterSystem changes a setting of the server.
 	AlterSystem struct{ Name, Value string }
 	// Copy moves rows between the client and a table or query.
@@ -107,6 +111,7 @@
 func (*Update) statement()      {}
 func (*Delete) statement()      {}
 func (*CreateTable) statement() {}
+func (*CreateIndex) statement() {}
 func (*DropTable) statement()   {}
 func (*Begin) statement()       {}
 func (*Commit) statement()      {}
@@ -118,6 +123,7 @@
 func (*Execute) statement()     {}
 func (*Deallocate) statement()  {}
 func (*DiscardAll) statement()  {}
+func (*Listen) statement()      {}
 func (*AlterSystem) statement() {}
 func (*Copy) statement()        {}
 
