Keep the environment's account out of replication

Cause: with PGPASSWORD set, a replica logged in to its primary as the process's user and was refused.

Change: the server's own account is used unless primary_conninfo states a user.

Figures: none; seen in a trial with three processes, and the new test fails without the change.

--- a/standin/node/receiver.go
+++ b/standin/node/receiver.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/gob"
 	"net"
+	"regexp"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	receiveTimeout = 60 * time.Second
 )
 
+var statesUser = regexp.MustCompile(`(^|\s)user\s*=`)
+
 // startReceiver follows the primary of conninfo until the returned function is
 // called, which returns once nothing more is applied.
 func (n *Node) startReceiver(conninfo string) func() {
@@ -83,7 +86,9 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "primary_conninfo")
 	}
-	if config.Password == "" {
+	// Without a user in the setting, ParseConfig takes one from the environment,
+	// which has nothing to do with the primary.
+	if !statesUser.MatchString(conninfo) {
 		config.User, config.Password = n.account.User, n.account.Password
 	}
 	config.ConnectTimeout = connectTimeout
--- a/standin/replication_test.go
+++ b/standin/replication_test.go
@@ -68,6 +68,13 @@
 	wantState(t, err, "55000")
 }
 
+// Guards against a replica that logs in to its primary by the environment's account.
+func TestReplicaIgnoresEnvironment(t *testing.T) {
+	t.Setenv("PGUSER", "someone")
+	t.Setenv("PGPASSWORD", "else")
+	replica(t, startWith(t, trays))
+}
+
 // Guards against a lag that is ignored, and against commits inside it that
 // survive a promotion although they were not replicated.
 func TestLagHoldsBackAndPromotionLoses(t *testing.T) {
