--- a/cmd/jayloomctl/show.go
+++ b/cmd/jayloomctl/show.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/policy/failover"
 )
 
 type show struct{}
@@ -125,12 +126,19 @@
 	for _, address := range slices.Sorted(maps.Keys(reply.State.Upstreams)) {
 		u := reply.State.Upstreams[address]
 		h := health[address]
-		t.row("%s\t%s\t%s\t%s\t%t\t%t\t%X/%X\t%d\t%d ms", address, u.Group, u.Place, upstreamState(u.State),
-			h.GetReachable(), h.GetInRecovery(), h.GetLsn()>>32, uint32(h.GetLsn()), h.GetTimeline(), h.GetAgeMs())
+		t.row("%s\t%s\t%s\t%s\t%t\t%t\t%X/%X\t%d\t%s", address, u.Group, u.Place, upstreamState(u.State),
+			h.GetReachable(), h.GetInRecovery(), h.GetLsn()>>32, uint32(h.GetLsn()), h.GetTimeline(), ageText(h.GetAgeMs()))
 	}
 	t.end()
 }
 
+func ageText(ms uint32) string {
+	if ms == failover.AgeUnknown {
+		return "unknown"
+	}
+	return fmt.Sprintf("%d ms", ms)
+}
+
 func upstreamState(state controlpb.UpstreamState) string {
 	switch state {
 	case controlpb.UpstreamState_UPSTREAM_STATE_LEAVING:
