--- /dev/null
+++ b/cmd/internal/e2e/deploy/build.go
@@ -0,0 +1,36 @@
+// Package deploy runs a few of the system's processes for tests: control
+// processes, proxies and stand-in databases on loopback. Every connection between
+// two of them passes a relay of its own, so that one link can be cut alone.
+package deploy
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// binaries is the folder of the programs, set by Main.
+var binaries string
+
+// Main builds the programs, runs the tests and removes the programs.
+func Main(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "jayloom-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	build := exec.Command("go", "build", "-o", folder+string(filepath.Separator),
+		"github.com/jayloom/jayloom/cmd/jayloom-control",
+		"github.com/jayloom/jayloom/cmd/jayloom-proxy",
+		"github.com/jayloom/jayloom/cmd/jayloom-standin",
+		"github.com/jayloom/jayloom/cmd/jayloomctl")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	binaries = folder
+	return m.Run()
+}
--- /dev/null
+++ b/cmd/internal/e2e/deploy/deploy.go
@@ -0,0 +1,345 @@
+package deploy
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jayloom/jayloom/control"
+	"github.com/jayloom/jayloom/standin/announce"
+	"github.com/jayloom/jayloom/standin/relay"
+)
+
+// Names that every deployment uses.
+const (
+	Service = "wax"
+	Group   = "wax-1"
+	Team    = "driver"
+
+	upstreamUser     = "jayloom"
+	upstreamPassword = "upstream-password"
+)
+
+const (
+	// patience bounds the wait for a condition. It is far above what any
+	// condition takes, so that only a fault reaches it.
+	patience = 60 * time.Second
+	// pollInterval is how often a condition is looked at.
+	pollInterval = 20 * time.Millisecond
+	// logTail is how much of each log is printed after a failure.
+	logTail = 3000
+)
+
+// Options describe a deployment; zero values mean the defaults beside them.
+type Options struct {
+	Controls int // 3
+	Proxies  int // 2
+	StandIns int // 3
+	// Lag of replicas.
+	Lag time.Duration
+	// SnapshotEntries between snapshots of control.
+	SnapshotEntries uint64
+	// ConnectionLimit of each stand-in, 25.
+	ConnectionLimit int
+	// Rate and Burst of the team, 100,000 each.
+	Rate, Burst float64
+	// Identity returns the settings tls.identity of a process.
+	Identity func(name string) map[string]string
+	// WithoutTeam leaves the service and the team to the test.
+	WithoutTeam bool
+}
+
+func (o Options) withDefaults() Options {
+	o.Controls = orDefault(o.Controls, 3)
+	o.Proxies = orDefault(o.Proxies, 2)
+	o.StandIns = orDefault(o.StandIns, 3)
+	o.SnapshotEntries = orDefault(o.SnapshotEntries, 1000)
+	o.ConnectionLimit = orDefault(o.ConnectionLimit, 25)
+	o.Rate = orDefault(o.Rate, 100_000)
+	o.Burst = orDefault(o.Burst, 100_000)
+	return o
+}
+
+func orDefault[T comparable](value, otherwise T) T {
+	var zero T
+	if value == zero {
+		return otherwise
+	}
+	return value
+}
+
+// Control is a control process.
+type Control struct {
+	*Process
+	// Address is what other processes use, Direct what the test uses.
+	Address, Direct, HTTP string
+	DataFolder            string
+}
+
+// Proxy is a proxy.
+type Proxy struct {
+	*Process
+	// Address is where callers connect.
+	Address string
+}
+
+// StandIn is a stand-in database.
+type StandIn struct {
+	*Process
+	// Address is what other processes use, Direct what the test uses.
+	Address, Direct string
+	Announcer       *announce.Announcer
+	stopAnnouncing  context.CancelFunc
+	audit           string
+}
+
+// Deployment is a running system.
+type Deployment struct {
+	t       testing.TB
+	o       Options
+	ctx     context.Context
+	folder  string
+	network *network
+
+	processes map[string]*Process
+
+	Controls []*Control
+	Proxies  []*Proxy
+	StandIns []*StandIn
+	// Key is the team's key.
+	Key string
+
+	operatorCredential, announcementCredential string
+}
+
+// Start starts everything and waits until the proxies serve the group.
+func Start(t testing.TB, o Options) *Deployment {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Deployment{t: t, o: o.withDefaults(), ctx: ctx, folder: t.TempDir(), processes: map[string]*Process{}}
+	d.network = newNetwork(ctx, t, func() map[string]*Process { return d.processes })
+	t.Cleanup(func() {
+		cancel()
+		for _, p := range d.processes {
+			p.Kill()
+		}
+		if t.Failed() {
+			d.printLogs()
+		}
+	})
+	d.define()
+	for _, c := range d.Controls {
+		c.Start()
+	}
+	for _, s := range d.StandIns {
+		s.Start()
+	}
+	for _, p := range d.Proxies {
+		p.Start()
+	}
+	d.Until("a control leader", func() bool { return d.Show() != nil })
+	if d.o.WithoutTeam {
+		return d
+	}
+	d.Ctl("service", "set", Service, "--slot-group", Group)
+	d.Ctl("team", "set", Team, "--rate", fmt.Sprint(d.o.Rate), "--burst", fmt.Sprint(d.o.Burst))
+	d.Key = strings.TrimSpace(d.Ctl("key", "give", Team))
+	for _, s := range d.StandIns {
+		d.announce(s)
+	}
+	d.UntilSettled()
+	return d
+}
+
+// define chooses all addresses and writes all settings. Every process is known
+// before the first one starts.
+func (d *Deployment) define() {
+	d.operatorCredential, d.announcementCredential = rand.Text(), rand.Text()
+	for i := range d.o.Controls {
+		d.defineControl(fmt.Sprintf("control%d", i+1))
+	}
+	var voters []string
+	for _, c := range d.Controls {
+		voters = append(voters, c.Address)
+	}
+	account := object{"upstream": object{"user": upstreamUser, "password": upstreamPassword}}
+	d.writeJSON("base.jsonc", object{
+		"cluster": object{"name": "e2e", "voters": voters},
+		"vm":      object{"place": "local"},
+		"control": account,
+		"proxy":   account,
+	})
+	d.writeJSON("secrets.jsonc", object{"control": object{
+		"operator_credential_hash":     control.HashCredential([]byte(rand.Text()), d.operatorCredential),
+		"announcement_credential_hash": control.HashCredential([]byte(rand.Text()), d.announcementCredential),
+	}})
+	d.writeFile("operator.credential", []byte(d.operatorCredential))
+	for i := range d.o.Proxies {
+		d.defineProxy(fmt.Sprintf("proxy%d", i+1))
+	}
+	for i := range d.o.StandIns {
+		d.defineStandIn(fmt.Sprintf("standin%d", i+1))
+	}
+}
+
+func (d *Deployment) addProcess(name, binary string, args ...string) *Process {
+	p := newProcess(d.t, name, binary, d.folder, args)
+	d.processes[name] = p
+	return p
+}
+
+// overlayArgs are the flags of a process that reads settings.
+func (d *Deployment) overlayArgs(name string, overlay object) []string {
+	overlay["vm"] = object{"name": name}
+	if d.o.Identity != nil {
+		if files := d.o.Identity(name); files != nil {
+			overlay["tls"] = object{"identity": files}
+		}
+	}
+	path := d.writeJSON(name+".jsonc", overlay)
+	return []string{"--settings", filepath.Join(d.folder, "base.jsonc"), "--overlay", path}
+}
+
+func (d *Deployment) defineControl(name string) {
+	c := &Control{Direct: freeAddress(d.t), HTTP: freeAddress(d.t), DataFolder: filepath.Join(d.folder, name)}
+	c.Address = d.network.expose(name, c.Direct)
+	args := d.overlayArgs(name, object{"control": object{
+		"listen_grpc":      c.Direct,
+		"advertise_grpc":   c.Address,
+		"listen_http":      c.HTTP,
+		"data_folder":      c.DataFolder,
+		"snapshot_entries": d.o.SnapshotEntries,
+	}})
+	args = append(args, "--overlay", filepath.Join(d.folder, "secrets.jsonc"))
+	c.Process = d.addProcess(name, "jayloom-control", args...)
+	d.Controls = append(d.Controls, c)
+}
+
+func (d *Deployment) defineProxy(name string) {
+	p := &Proxy{Address: freeAddress(d.t)}
+	peering := freeAddress(d.t)
+	args := d.overlayArgs(name, object{"proxy": object{
+		"listen":            p.Address,
+		"listen_peering":    peering,
+		"advertise_peering": d.network.expose(name, peering),
+	}})
+	p.Process = d.addProcess(name, "jayloom-proxy", args...)
+	d.Proxies = append(d.Proxies, p)
+}
+
+func (d *Deployment) defineStandIn(name string) {
+	s := &StandIn{Direct: freeAddress(d.t), audit: filepath.Join(d.folder, name+".audit")}
+	s.Address = d.network.expose(name, s.Direct)
+	args := []string{"--listen", s.Direct, "--user", upstreamUser, "--password", upstreamPassword,
+		"--lag", d.o.Lag.String(), "--connection-limit", fmt.Sprint(d.o.ConnectionLimit), "--audit", s.audit}
+	if len(d.StandIns) > 0 {
+		args = append(args, "--follow", d.StandIns[0].Address)
+	}
+	s.Process = d.addProcess(name, "jayloom-standin", args...)
+	d.StandIns = append(d.StandIns, s)
+}
+
+// announce repeats the announcement of a stand-in, as the platform's script does.
+func (d *Deployment) announce(s *StandIn) {
+	var urls []string
+	for _, c := range d.Controls {
+		urls = append(urls, "http://"+c.HTTP)
+	}
+	s.Announcer = d.AnnouncerTo(s, urls...)
+	ctx, cancel := context.WithCancel(d.ctx)
+	s.stopAnnouncing = cancel
+	go s.Announcer.Run(ctx)
+}
+
+// StopAnnouncing ends the repeated announcement of a stand-in.
+func (s *StandIn) StopAnnouncing() { s.stopAnnouncing() }
+
+// AnnouncerTo returns an announcer of a stand-in that sends nothing yet.
+func (d *Deployment) AnnouncerTo(s *StandIn, urls ...string) *announce.Announcer {
+	silent := logrus.New()
+	silent.SetLevel(logrus.PanicLevel)
+	return announce.New(urls, d.announcementCredential, announce.Upstream{
+		Service:         Service,
+		Group:           Group,
+		Address:         s.Address,
+		Place:           "local",
+		ConnectionLimit: uint32(d.o.ConnectionLimit),
+	}, logrus.NewEntry(silent))
+}
+
+// Cut stops all data between two processes without closing a connection.
+func (d *Deployment) Cut(source, target string) { d.CutDirection(source, target, relay.Both) }
+
+// CutDirection stops data in one direction; relay.Up is towards target.
+func (d *Deployment) CutDirection(source, target string, direction relay.Direction) {
+	if r := d.network.relay(link{source, target}); r != nil {
+		// Only an unknown direction is an error.
+		_ = r.Cut(direction)
+	}
+}
+
+// Heal ends the cuts of a link.
+func (d *Deployment) Heal(source, target string) {
+	if r := d.network.relay(link{source, target}); r != nil {
+		r.Heal()
+	}
+}
+
+// links calls f for every link of a process, in both directions, but not for
+// those that share it with one of the processes in except.
+func (d *Deployment) links(name string, f func(source, target string), except ...string) {
+	for other := range d.processes {
+		if other == name || slices.Contains(except, other) {
+			continue
+		}
+		f(name, other)
+		f(other, name)
+	}
+}
+
+// Isolate cuts a process silently from all others but those named.
+func (d *Deployment) Isolate(name string, except ...string) { d.links(name, d.Cut, except...) }
+
+// Rejoin ends the cuts between a process and all others.
+func (d *Deployment) Rejoin(name string) { d.links(name, d.Heal) }
+
+// Until waits until a condition holds and fails the test if it never does.
+func (d *Deployment) Until(what string, condition func() bool) {
+	d.t.Helper()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	deadline := time.After(patience)
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-deadline:
+			d.t.Fatalf("gave up waiting for %s", what)
+		}
+	}
+}
+
+func (d *Deployment) printLogs() {
+	for name, p := range d.processes {
+		text := p.Log()
+		if len(text) > logTail {
+			text = text[len(text)-logTail:]
+		}
+		d.t.Logf("end of the log of %s:\n%s", name, text)
+	}
+}
+
+// RemoveDataFolder deletes all files of a control process that is not running.
+func (d *Deployment) RemoveDataFolder(c *Control) {
+	d.t.Helper()
+	if err := os.RemoveAll(c.DataFolder); err != nil {
+		d.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/cmd/internal/e2e/deploy/network.go
@@ -0,0 +1,174 @@
+package deploy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jayloom/jayloom/standin/relay"
+)
+
+// network is the set of addresses under which processes reach each other. A
+// connection to one of them is passed on through the relay of its two ends.
+type network struct {
+	t         testing.TB
+	ctx       context.Context
+	processes func() map[string]*Process
+
+	mu    sync.Mutex
+	links map[link]*relay.Relay
+	// targets are the addresses that processes listen on.
+	targets map[string]string
+}
+
+// link is the way from one process to another.
+type link struct{ source, target string }
+
+func newNetwork(ctx context.Context, t testing.TB, processes func() map[string]*Process) *network {
+	return &network{
+		t:         t,
+		ctx:       ctx,
+		processes: processes,
+		links:     map[link]*relay.Relay{},
+		targets:   map[string]string{},
+	}
+}
+
+// expose returns an address for target, behind which the process listens on address.
+func (n *network) expose(target, address string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.mu.Lock()
+	n.targets[target] = address
+	n.mu.Unlock()
+	context.AfterFunc(n.ctx, func() { listener.Close() })
+	go n.accept(listener, target)
+	return listener.Addr().String()
+}
+
+func (n *network) accept(listener net.Listener, target string) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return // the listener was closed
+		}
+		go n.serve(conn, target)
+	}
+}
+
+func (n *network) serve(conn net.Conn, target string) {
+	defer conn.Close()
+	stop := context.AfterFunc(n.ctx, func() { conn.Close() })
+	defer stop()
+	source := n.owner(conn)
+	if source == "" {
+		return // the process has ended
+	}
+	r := n.relay(link{source, target})
+	if r == nil {
+		return
+	}
+	onward, err := net.Dial("tcp", r.Addr())
+	if err != nil {
+		return
+	}
+	defer onward.Close()
+	var both sync.WaitGroup
+	both.Go(func() { pass(onward, conn) })
+	both.Go(func() { pass(conn, onward) })
+	both.Wait()
+}
+
+// pass copies until the source ends, and passes on that it has ended. A sink that
+// has gone ends the source too.
+func pass(sink, source net.Conn) {
+	_, err := io.Copy(sink, source)
+	if err != nil {
+		source.Close()
+	}
+	if tcp, ok := sink.(*net.TCPConn); ok {
+		// It fails only if the connection has ended, which is what it is for.
+		_ = tcp.CloseWrite()
+	}
+}
+
+func (n *network) relay(l link) *relay.Relay {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r, ok := n.links[l]; ok {
+		return r
+	}
+	if n.ctx.Err() != nil {
+		return nil
+	}
+	r, err := relay.Start(n.ctx, "127.0.0.1:0", n.targets[l.target])
+	if err != nil {
+		return nil
+	}
+	n.links[l] = r
+	return r
+}
+
+// owner returns the name of the process that holds the other end of conn. All
+// processes share the address 127.0.0.1, so the socket's inode tells them apart.
+func (n *network) owner(conn net.Conn) string {
+	inode := socketInode(conn.RemoteAddr().(*net.TCPAddr).Port, conn.LocalAddr().(*net.TCPAddr).Port)
+	if inode == "" {
+		return ""
+	}
+	for name, process := range n.processes() {
+		if pid := process.pid(); pid != 0 && holds(pid, inode) {
+			return name
+		}
+	}
+	return ""
+}
+
+// Columns of /proc/net/tcp.
+const (
+	columnLocal  = 1
+	columnRemote = 2
+	columnInode  = 9
+	columns      = 10
+)
+
+// socketInode returns the inode of the loopback socket with these ports.
+func socketInode(local, remote int) string {
+	data, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	from, to := fmt.Sprintf(":%04X", local), fmt.Sprintf(":%04X", remote)
+	for line := range strings.Lines(string(data)) {
+		fields := strings.Fields(line)
+		if len(fields) >= columns && strings.HasSuffix(fields[columnLocal], from) &&
+			strings.HasSuffix(fields[columnRemote], to) {
+			return fields[columnInode]
+		}
+	}
+	return ""
+}
+
+// holds reports whether one of the test's own processes has the socket open.
+func holds(pid int, inode string) bool {
+	folder := filepath.Join("/proc", strconv.Itoa(pid), "fd")
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return false
+	}
+	for _, entry := range entries {
+		if name, err := os.Readlink(filepath.Join(folder, entry.Name())); err == nil && name == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/internal/e2e/history_test.go
@@ -0,0 +1,243 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+	"github.com/jayloom/jayloom/standin/audit"
+)
+
+const (
+	createTable = "CREATE TABLE lot (id int PRIMARY KEY, proxy text)"
+	// writePace keeps the number of writes of a test in the thousands.
+	writePace = 4 * time.Millisecond
+	// reconnectPace is the pause of a writer whose connection was refused.
+	reconnectPace = 20 * time.Millisecond
+	// answerLimit is far above any deadline, so that only a hanging answer reaches it.
+	answerLimit = 40 * time.Second
+)
+
+// write is one INSERT and its end as the caller saw it.
+type write struct {
+	id             int64
+	proxy          string
+	started, ended time.Time
+	err            error
+}
+
+// history records the writes of all callers.
+type history struct {
+	next   atomic.Int64
+	mu     sync.Mutex
+	writes []write
+	acked  map[string]int
+}
+
+func newHistory() *history { return &history{acked: map[string]int{}} }
+
+func (h *history) add(w write) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.writes = append(h.writes, w)
+	if w.err == nil {
+		h.acked[w.proxy]++
+	}
+}
+
+func (h *history) all() []write {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]write(nil), h.writes...)
+}
+
+// acknowledged returns the number of writes that a proxy has acknowledged.
+func (h *history) acknowledged(proxy string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.acked[proxy]
+}
+
+// insert writes one row and records how that ended.
+func (h *history) insert(ctx context.Context, conn *pgx.Conn, proxy string) write {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	w := write{id: h.next.Add(1), proxy: proxy, started: time.Now()}
+	_, w.err = conn.Exec(ctx, fmt.Sprintf("INSERT INTO lot VALUES (%d, '%s')", w.id, proxy))
+	w.ended = time.Now()
+	h.add(w)
+	return w
+}
+
+// load keeps writers busy until stop is called.
+func (h *history) load(d *deploy.Deployment, writers int, proxies ...*deploy.Proxy) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, p := range proxies {
+		for range writers {
+			running.Go(func() { h.writeUntil(ctx, d, p) })
+		}
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+func (h *history) writeUntil(ctx context.Context, d *deploy.Deployment, p *deploy.Proxy) {
+	for pause(ctx, reconnectPace) {
+		conn, err := d.Connect(ctx, p)
+		if err != nil {
+			continue
+		}
+		for pause(ctx, writePace) && !conn.IsClosed() {
+			h.insert(ctx, conn, p.Name)
+		}
+		closeConn(conn)
+	}
+}
+
+// pause waits and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func closeConn(conn *pgx.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	// The connection is given up either way.
+	_ = conn.Close(ctx)
+}
+
+func connect(t *testing.T, d *deploy.Deployment, p *deploy.Proxy, options ...string) *pgx.Conn {
+	t.Helper()
+	var conn *pgx.Conn
+	d.Until("a connection to "+p.Name, func() bool {
+		var err error
+		conn, err = d.Connect(t.Context(), p, options...)
+		return err == nil
+	})
+	t.Cleanup(func() { closeConn(conn) })
+	return conn
+}
+
+func exec(t *testing.T, conn *pgx.Conn, sql string) {
+	t.Helper()
+	if _, err := conn.Exec(t.Context(), sql); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+}
+
+var (
+	insertPattern = regexp.MustCompile(`INSERT INTO lot VALUES \((\d+),`)
+	codePattern   = regexp.MustCompile(`jayloom code (\d+)`)
+)
+
+// insertedID returns the id of an INSERT that was committed.
+func insertedID(e audit.Entry) (int64, bool) {
+	match := insertPattern.FindStringSubmatch(e.Statement)
+	if match == nil || e.Outcome != audit.Committed || e.SQLState != "" && e.SQLState != "00000" {
+		return 0, false
+	}
+	id, err := strconv.ParseInt(match[1], 10, 64)
+	return id, err == nil
+}
+
+// committedOn returns the ids of the writes that a stand-in committed itself.
+func committedOn(d *deploy.Deployment, s *deploy.StandIn) map[int64]int {
+	ids := map[int64]int{}
+	for _, e := range d.Audit(s) {
+		if id, ok := insertedID(e); ok {
+			ids[id]++
+		}
+	}
+	return ids
+}
+
+// codeOf returns the result code of a refusal, 0 when the error has none.
+func codeOf(err error) int {
+	var refused *pgconn.PgError
+	if !errors.As(err, &refused) {
+		return 0
+	}
+	match := codePattern.FindStringSubmatch(refused.Detail)
+	if match == nil {
+		return 0
+	}
+	code, _ := strconv.Atoi(match[1])
+	return code
+}
+
+// saysNotRun reports whether a refusal promises that the request did not run.
+func saysNotRun(err error) bool {
+	var refused *pgconn.PgError
+	return errors.As(err, &refused) && strings.Contains(refused.Detail, "(not run)")
+}
+
+// termStart returns when the promotion to a term was complete.
+func termStart(t *testing.T, d *deploy.Deployment, term uint64) time.Time {
+	t.Helper()
+	for _, e := range d.Events(deploy.Group) {
+		if strings.HasSuffix(e.Text, fmt.Sprintf("is primary in term %d", term)) {
+			return time.UnixMilli(e.UnixMs)
+		}
+	}
+	t.Fatalf("no event tells when term %d began", term)
+	return time.Time{}
+}
+
+// checkNoAcknowledgementAfter fails for each write that is only on a replaced
+// primary and was acknowledged after the next term had begun.
+func checkNoAcknowledgementAfter(t *testing.T, d *deploy.Deployment, h *history, replaced *deploy.StandIn, began time.Time) {
+	t.Helper()
+	ids := committedOn(d, replaced)
+	violations := 0
+	for _, w := range h.all() {
+		if w.err == nil && ids[w.id] > 0 && w.ended.After(began) {
+			violations++
+			if violations <= 5 {
+				t.Errorf("%s acknowledged write %d of replaced %s %v after the next term began",
+					w.proxy, w.id, replaced.Name, w.ended.Sub(began))
+			}
+		}
+	}
+	if violations > 0 {
+		t.Errorf("%d writes of replaced %s were acknowledged after the next term began", violations, replaced.Name)
+	}
+}
+
+// checkAcknowledged fails for acknowledged writes that no stand-in committed, and
+// for writes said to have not run that one did commit.
+func checkAcknowledged(t *testing.T, d *deploy.Deployment, h *history) {
+	t.Helper()
+	runs := map[int64]int{}
+	for _, s := range d.StandIns {
+		for id, n := range committedOn(d, s) {
+			runs[id] += n
+		}
+	}
+	for _, w := range h.all() {
+		switch {
+		case w.err == nil && runs[w.id] != 1:
+			t.Errorf("write %d was acknowledged by %s and ran %d times", w.id, w.proxy, runs[w.id])
+		case saysNotRun(w.err) && runs[w.id] != 0:
+			t.Errorf("write %d ran although %s refused it as not run: %v", w.id, w.proxy, w.err)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/internal/e2e/replaced_test.go
@@ -0,0 +1,140 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+	"github.com/jayloom/jayloom/standin/relay"
+)
+
+// enoughWrites is how many acknowledgements show that a proxy serves writes.
+const enoughWrites = 30
+
+// untilWriting waits until each proxy has acknowledged more writes.
+func untilWriting(d *deploy.Deployment, h *history, proxies ...*deploy.Proxy) {
+	for _, p := range proxies {
+		wanted := h.acknowledged(p.Name) + enoughWrites
+		d.Until("writes through "+p.Name, func() bool { return h.acknowledged(p.Name) >= wanted })
+	}
+}
+
+// Guards against acknowledgements by a primary that is cut silently from control
+// and from its replicas and that one proxy still reaches: first by a proxy that
+// control reaches, then by a proxy that is cut from control as well.
+func TestCutPrimaryAcknowledgesNothingAfterReplacement(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{})
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	h := newHistory()
+	stop := h.load(d, 4, d.Proxies...)
+	untilWriting(d, h, d.Proxies...)
+
+	first := d.Primary()
+	term := d.Group().Term
+	d.Isolate(first.Name, d.Proxies[0].Name)
+	second := d.UntilTerm(term + 1)
+	untilWriting(d, h, d.Proxies...)
+	began := []time.Time{termStart(t, d, term+1)}
+
+	// The second proxy keeps its way to the primary and loses control.
+	cutOff := d.Proxies[1]
+	for _, c := range d.Controls {
+		d.Cut(cutOff.Name, c.Name)
+	}
+	d.Isolate(second.Name, cutOff.Name)
+	d.UntilTerm(term + 2)
+	untilWriting(d, h, d.Proxies[0])
+	began = append(began, termStart(t, d, term+2))
+	for _, c := range d.Controls {
+		d.Heal(cutOff.Name, c.Name)
+	}
+	untilWriting(d, h, cutOff)
+	stop()
+
+	checkNoAcknowledgementAfter(t, d, h, first, began[0])
+	checkNoAcknowledgementAfter(t, d, h, second, began[1])
+	checkAcknowledged(t, d, h)
+}
+
+// freezeWithAnswer makes a proxy freeze after the primary has committed a write and
+// before the proxy has read the answer, and returns the end of that write.
+func freezeWithAnswer(t *testing.T, d *deploy.Deployment, h *history, p *deploy.Proxy, primary *deploy.StandIn) <-chan write {
+	t.Helper()
+	conn := connect(t, d, p)
+	if w := h.insert(t.Context(), conn, p.Name); w.err != nil {
+		t.Fatal(w.err)
+	}
+	d.CutDirection(p.Name, primary.Name, relay.Down)
+	ended := make(chan write, 1)
+	id := h.next.Load() + 1
+	go func() { ended <- h.insert(t.Context(), conn, p.Name) }()
+	d.Until("the commit of the last write", func() bool { return committedOn(d, primary)[id] == 1 })
+	p.Freeze()
+	// The answer now waits in the proxy's socket.
+	d.Heal(p.Name, primary.Name)
+	return ended
+}
+
+// checkLate fails if the answer that a frozen proxy found was passed on as an
+// acknowledgement.
+func checkLate(t *testing.T, w write) {
+	t.Helper()
+	switch code := rescode.Code(codeOf(w.err)); code {
+	case rescode.WriteWithoutLease, rescode.PrimaryReplaced:
+	default:
+		t.Errorf("write %d on the replaced primary ended with code %d, error %v", w.id, code, w.err)
+	}
+}
+
+// Guards against acknowledgements by a proxy that was stopped for longer than its
+// lease, with the answer of a committed write waiting in its socket, and goes on
+// after another server was promoted. Twice in a row.
+func TestFrozenProxyAcknowledgesNothingAfterReplacement(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{})
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	h := newHistory()
+	frozen, other := d.Proxies[0], d.Proxies[1]
+	for range 2 {
+		primary, term := d.Primary(), d.Group().Term
+		ended := freezeWithAnswer(t, d, h, frozen, primary)
+		stop := h.load(d, 2, other)
+		primary.Kill()
+		d.UntilTerm(term + 1)
+		untilWriting(d, h, other)
+		frozen.Continue()
+		checkLate(t, <-ended)
+		stop()
+		checkNoAcknowledgementAfter(t, d, h, primary, termStart(t, d, term+1))
+		d.Until("writes through the proxy that was frozen", func() bool {
+			conn := connect(t, d, frozen)
+			return h.insert(t.Context(), conn, frozen.Name).err == nil
+		})
+	}
+	checkAcknowledged(t, d, h)
+}
+
+// Guards against acknowledgements when both occur together: the primary is cut
+// from control and its replicas, and the one proxy that reaches it is stopped and
+// goes on after the promotion, with callers that keep writing. Twice in a row.
+func TestFrozenProxyOfCutPrimaryAcknowledgesNothing(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{})
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	h := newHistory()
+	stop := h.load(d, 4, d.Proxies...)
+	untilWriting(d, h, d.Proxies...)
+	for i := range 2 {
+		frozen, other := d.Proxies[i], d.Proxies[1-i]
+		primary, term := d.Primary(), d.Group().Term
+		ended := freezeWithAnswer(t, d, h, frozen, primary)
+		d.Isolate(primary.Name, frozen.Name)
+		d.UntilTerm(term + 1)
+		untilWriting(d, h, other)
+		frozen.Continue()
+		checkLate(t, <-ended)
+		untilWriting(d, h, frozen)
+		checkNoAcknowledgementAfter(t, d, h, primary, termStart(t, d, term+1))
+	}
+	stop()
+	checkAcknowledged(t, d, h)
+}
