Send a full copy to a proxy that asks with revision 0

Cause: a proxy whose state a change did not fit reports revision 0 to get a full copy, but while all changes since revision 1 were still kept it got those, skipped them as old and stayed behind. Ruled out: the leader ignoring the 0 (it resets the revision sent).

--- a/control/store.go
+++ b/control/store.go
@@ -115,7 +115,9 @@
 }
 
 // Since returns what brings a proxy from revision to the newest one: either the
-// changes in between or, when those are no longer kept, a full copy.
+// changes in between or, when those are no longer kept, a full copy. Revision 0
+// always gets a full copy, because a proxy whose state a change did not fit asks
+// with it and would skip changes up to the revision that it has.
 func (s *Store) Since(revision uint64) (changes []*controlpb.Change, full *controlpb.FleetState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -124,7 +126,7 @@
 		return nil, nil
 	}
 	kept := s.mu.changes
-	if revision > newest || len(kept) == 0 || kept[0].Revision > revision+1 {
+	if revision == 0 || revision > newest || len(kept) == 0 || kept[0].Revision > revision+1 {
 		return nil, s.mu.state.ForProxies()
 	}
 	first := revision + 1 - kept[0].Revision
