--- a/policy/failover/machine_test.go
+++ b/policy/failover/machine_test.go
@@ -32,7 +32,8 @@
 		if len(w.failures) > 0 {
 			t.Fatal(w.failures[0])
 		}
-		if g := w.group(); g.Phase != controlpb.GroupPhase_GROUP_PHASE_HEALTHY || w.server(g.Primary).inRecovery {
+		g := w.group()
+		if s := w.server(g.Primary); s == nil || s.inRecovery || g.Phase != controlpb.GroupPhase_GROUP_PHASE_HEALTHY {
 			t.Fatalf("no primary after all faults were repaired: %v", g)
 		}
 	})
@@ -70,7 +71,7 @@
 
 // demote brings a replaced server back in recovery with the log that it had.
 func (w *world) demote(s *server) {
-	if g := w.group(); s.address != g.Primary && s.address != g.Candidate {
+	if g := w.group(); g.Primary != "" && s.address != g.Primary && s.address != g.Candidate {
 		s.inRecovery = true
 	}
 }
@@ -196,6 +197,22 @@
 	}
 }
 
+// TestUnseenCandidateKeepsNoPosition guards against a term start above what the
+// new primary held, when the leader changed during the promotion: positions of
+// earlier terms must then all count as lost.
+func TestUnseenCandidateKeepsNoPosition(t *testing.T) {
+	s := newScripted(t)
+	s.apply(&controlpb.Command{Change: &controlpb.Command_FenceGroup{FenceGroup: &controlpb.FenceGroup{Group: groupName, Term: 1}}})
+	s.apply(&controlpb.Command{Change: &controlpb.Command_BeginPromotion{BeginPromotion: &controlpb.BeginPromotion{
+		Group: groupName, Candidate: "s1", Term: 2}}})
+	s.send(Elected{State: s.state.Proto()})
+	s.send(Probe{Address: "s1", Sent: s.now, Answered: true, LSN: 500, Timeline: 2})
+	done := s.proposed.GetCompletePromotion()
+	if done.GetPrimary() != "s1" || done.GetStartLsn() != 0 {
+		t.Fatalf("proposed %v", s.proposed)
+	}
+}
+
 // TestBrokenPathIsNoFailure guards against a promotion when only the leader's own
 // path to the primary is broken.
 func TestBrokenPathIsNoFailure(t *testing.T) {
--- a/policy/rate/account.go
+++ b/policy/rate/account.go
@@ -17,7 +17,9 @@
 	lots               []lot
 	wanted             int64
 	unmet              bool
-	reportedAt         time.Duration
+	// served is the account's place in the fairness of its team while unmet.
+	served     float64
+	reportedAt time.Duration
 }
 
 // lot is one grant: its tokens end at a count.
--- a/policy/rate/config.go
+++ b/policy/rate/config.go
@@ -9,6 +9,10 @@
 	// LapseAfter is the time after granting until the owner may assume that a
 	// grant has expired: the lifetime plus the drift bound of 5 %.
 	LapseAfter time.Duration
+	// RecoveryLimit bounds the time after an election in which the owner does not
+	// call a bucket empty, so that requests that waited for an owner are not refused
+	// because they waited.
+	RecoveryLimit time.Duration
 	// RecallGap is the least time between recalls of one team's unused tokens.
 	RecallGap time.Duration
 }
@@ -16,8 +20,9 @@
 // DefaultConfig returns the limits of the design page, section 3.10.
 func DefaultConfig() Config {
 	return Config{
-		Lifetime:   2500 * time.Millisecond,
-		LapseAfter: 2625 * time.Millisecond,
-		RecallGap:  20 * time.Millisecond,
+		Lifetime:      2500 * time.Millisecond,
+		LapseAfter:    2625 * time.Millisecond,
+		RecoveryLimit: 30 * time.Second,
+		RecallGap:     20 * time.Millisecond,
 	}
 }
--- a/policy/rate/holder.go
+++ b/policy/rate/holder.go
@@ -17,8 +17,8 @@
 	// second of rate then still lasts five reports.
 	exhaustedReportGap = 20 * time.Millisecond
 	// exhaustedFor bounds how long the owner's word is believed that a bucket is
-	// empty: two report intervals.
-	exhaustedFor = 500 * time.Millisecond
+	// empty. While requests wait, reports leave every 20 ms and renew it.
+	exhaustedFor = 150 * time.Millisecond
 	// notUrgent is the value of urgentAt while nothing is urgent.
 	notUrgent = math.MaxInt64
 )
--- a/policy/rate/owner.go
+++ b/policy/rate/owner.go
@@ -77,6 +77,7 @@
 	// had left is unknown, and its tokens may have been used a moment ago.
 	for _, t := range o.teams {
 		t.refilledAt = o.now
+		t.recovering = true
 	}
 }
 
--- a/policy/rate/team.go
+++ b/policy/rate/team.go
@@ -8,6 +8,10 @@
 	"github.com/jayloom/jayloom/api/controlpb"
 )
 
+// staleAfter is the silence after which a proxy's demand no longer counts: two
+// report intervals. What it holds still counts until it lapses.
+const staleAfter = 500 * time.Millisecond
+
 // team is a bucket with the tokens granted from it. Tokens are whole, so their
 // counts are exact; only the bucket has a fraction.
 type team struct {
@@ -24,7 +28,12 @@
 	// wanted is the sum over all accounts, wanting and unmet count accounts.
 	wanted         int64
 	wanting, unmet int
-	recalledAt     time.Duration
+	// fair divides the refill among the accounts that want more than they have.
+	fair       fairness
+	recalledAt time.Duration
+	// recovering is set from a new leader's start until the requests that waited for
+	// it are served. The bucket is then empty for no fault of the team.
+	recovering bool
 }
 
 // abandoned are tokens that lapse without a report.
@@ -48,9 +57,11 @@
 	if !o.settled {
 		return
 	}
+	before := t.bucket
 	t.bucket += t.rate * max(0, (o.now-t.refilledAt).Seconds())
 	t.refilledAt = max(t.refilledAt, o.now)
 	t.clamp()
+	t.fair.refilled(t.bucket-before, t.unmet)
 	t.lapse(o.now, o.cfg.LapseAfter)
 }
 
@@ -71,7 +82,7 @@
 	})
 	for _, a := range t.accounts {
 		t.open -= a.lapse(now, lapseAfter)
-		if now-a.reportedAt >= lapseAfter {
+		if now-a.reportedAt >= staleAfter {
 			t.setDemand(a, 0, false)
 		}
 	}
@@ -98,6 +109,12 @@
 	t.wanted += wanted - a.wanted
 	t.wanting += count(wanted > 0) - count(a.wanted > 0)
 	t.unmet += count(unmet) - count(a.unmet)
+	if unmet && !a.unmet {
+		t.fair.join(a)
+	}
+	if a.unmet && !unmet {
+		t.fair.leave(a, t.unmet)
+	}
 	a.wanted, a.unmet = wanted, unmet
 }
 
@@ -142,19 +159,24 @@
 	if !o.settled || t.removed {
 		return grant
 	}
-	tokens := min(missing, t.holdingLimit(a)-a.open(), t.fairPart(), int64(t.bucket))
+	tokens := min(missing, t.holdingLimit(a)-a.open(), t.fair.part(a, t.bucket, t.unmet), int64(t.bucket))
 	if tokens > 0 {
 		t.bucket -= float64(tokens)
 		t.open += tokens
 		a.grant(o.now, tokens)
+		t.fair.granted(a, tokens)
 		grant.Tokens = float64(tokens)
 		missing -= tokens
 	}
 	t.setDemand(a, a.wanted, missing > 0)
-	grant.Exhausted = t.bucket < 1
-	if missing > 0 && grant.Exhausted {
+	empty := t.bucket < 1
+	if empty && missing > 0 {
 		o.recall(t, proxy)
 	}
+	if (!empty && t.unmet == 0) || o.now-o.leadAt >= o.cfg.RecoveryLimit {
+		t.recovering = false
+	}
+	grant.Exhausted = empty && !t.recovering
 	return grant
 }
 
@@ -170,13 +192,6 @@
 	return max(1, int64(max(byDemand, equal)))
 }
 
-// fairPart bounds one grant while several proxies want more than they have: each
-// takes the same part of the bucket when its turn comes, so the order of reports
-// does not decide who is served.
-func (t *team) fairPart() int64 {
-	return max(1, int64(t.bucket)/int64(max(1, t.unmet)))
-}
-
 // recall asks the other holders to return what they do not use.
 func (o *Owner) recall(t *team, wanting string) {
 	if o.now-t.recalledAt < o.cfg.RecallGap {
