--- a/policy/rate/rate_test.go
+++ b/policy/rate/rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -32,8 +33,11 @@
 		for range rapid.IntRange(1, 15).Draw(t, "steps") {
 			fault := rapid.SampledFrom(faultNames).Draw(t, "fault")
 			faults[fault](w, w.rnd.Intn(len(w.nodes)))
-			heavy := rapid.Bool().Draw(t, "heavy")
-			w.run(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms"))*time.Millisecond, func() { w.takeAnywhere(heavy) })
+			use := rapid.SampledFrom([]int{1, 20, 200}).Draw(t, "use")
+			w.run(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms"))*time.Millisecond, func() { w.takeAnywhere(use) })
+			if rapid.Bool().Draw(t, "drain") {
+				w.takeAll()
+			}
 			if w.overshoot > 0 {
 				t.Fatalf("%d tokens above rate and burst at %v, after %s", w.overshoot, w.now, fault)
 			}
@@ -41,23 +45,53 @@
 	})
 }
 
-// takeAnywhere uses tokens on every process, also on those without control.
-func (w *world) takeAnywhere(heavy bool) {
-	for _, n := range append(w.nodes, w.zombies...) {
-		if heavy || w.rnd.Intn(200) == 0 {
+// takeAnywhere uses tokens on every process, also on those without control. Quiet
+// processes keep theirs for a while and then use all of them at once.
+func (w *world) takeAnywhere(use int) {
+	for _, n := range w.processes() {
+		switch {
+		case w.now < n.quietUntil:
+		case n.quietUntil > 0:
+			n.quietUntil = 0
+			w.drain(n)
+		case w.rnd.Intn(use) == 0:
 			w.take(n)
 		}
 	}
 }
 
-var faultNames = []string{"none", "cut", "restart", "leave a process behind", "lose stream", "change owner",
+func (w *world) processes() []*node {
+	return slices.Concat(w.nodes, w.zombies)
+}
+
+func (w *world) takeAll() {
+	for _, n := range w.processes() {
+		w.drain(n)
+	}
+}
+
+func (w *world) drain(n *node) {
+	for w.take(n) {
+	}
+}
+
+// quiet makes a process keep its tokens, most often until about their end.
+func (w *world) quiet(n *node) {
+	n.quietUntil = w.now + time.Duration(w.rnd.Intn(2700))*time.Millisecond
+	if w.rnd.Intn(2) == 0 {
+		n.quietUntil = w.now + time.Duration(2200+w.rnd.Intn(450))*time.Millisecond
+	}
+}
+
+var faultNames = []string{"none", "cut", "cut", "quiet", "restart", "leave a process behind", "lose stream", "change owner",
 	"no owner", "limits", "recreate team", "remove proxy"}
 
 var faults = map[string]func(w *world, target int){
 	"none":                   func(*world, int) {},
-	"cut":                    func(w *world, i int) { w.nodes[i].cut = !w.nodes[i].cut; w.nodes[i].disconnect(w.now) },
+	"cut":                    func(w *world, i int) { w.cut(w.nodes[i]) },
+	"quiet":                  func(w *world, i int) { w.quiet(w.nodes[i]) },
 	"restart":                func(w *world, i int) { w.restart(i, false) },
-	"leave a process behind": func(w *world, i int) { w.restart(i, true) },
+	"leave a process behind": func(w *world, i int) { w.quiet(w.nodes[i]); w.restart(i, true) },
 	"lose stream":            func(w *world, i int) { w.nodes[i].disconnect(w.now) },
 	"no owner":               func(w *world, _ int) { w.depose() },
 	"limits": func(w *world, i int) {
@@ -72,6 +106,14 @@
 	},
 }
 
+func (w *world) cut(n *node) {
+	n.cut = !n.cut
+	n.disconnect(w.now)
+	if n.cut && w.rnd.Intn(4) > 0 {
+		w.quiet(n)
+	}
+}
+
 func (w *world) setLimits(rate, burst float64) {
 	if w.owner == nil || w.now < w.meter.wideUntil {
 		return
@@ -117,21 +159,16 @@
 	}
 }
 
-// TestLapsedTokensAreNotReturned guards against a report that comes after its
-// tokens have lapsed: they may have been replaced already.
+// TestLapsedTokensAreNotReturned guards against a report that comes after some of
+// its returned tokens have lapsed: they may have been replaced already.
 func TestLapsedTokensAreNotReturned(t *testing.T) {
-	o := NewOwner(DefaultConfig())
-	o.Lead(0, nil)
-	o.SetTeam(0, teamName, 0, 0)
-	o.SetTeam(time.Hour, teamName, 1, 100)
-	o.teams[teamName].bucket = 100
-	demand := &controlpb.TokenDemand{Team: teamName, Wanted: 100}
-	granted := o.Report(time.Hour, "p", "1", 1, []*controlpb.TokenDemand{demand})[0].Tokens
-	later := time.Hour + 3*time.Second
-	o.Expire(later)
-	o.Report(later, "p", "1", 1, []*controlpb.TokenDemand{{Team: teamName, UsedTotal: granted - 10, ReturnedTotal: 10}})
-	if left := o.teams[teamName].bucket; granted != 100 || left > 3 {
-		t.Errorf("granted %g, bucket %g after 3 s at 1/s", granted, left)
+	a := newAccount(0, 50)
+	a.grant(2*time.Second, 50)
+	if lapsed := a.lapse(3*time.Second, 2625*time.Millisecond); lapsed != 50 {
+		t.Fatalf("%d tokens lapsed, want 50", lapsed)
+	}
+	if back := a.report(50, 50); back != 0 || a.open() != 0 {
+		t.Errorf("%d tokens came back, %d are open", back, a.open())
 	}
 }
 
--- a/policy/rate/world_test.go
+++ b/policy/rate/world_test.go
@@ -89,6 +89,7 @@
 	reportAt    time.Duration
 	sent        time.Duration
 	waiting     []time.Duration
+	quietUntil  time.Duration
 }
 
 // world runs an owner and proxies in virtual time.
@@ -158,7 +159,7 @@
 	n := w.nodes[i]
 	n.incarnation++
 	n.holder = NewHolder()
-	n.waiting, n.late = nil, nil
+	n.waiting, n.late, n.quietUntil = nil, nil, 0
 	n.stream = 0
 	n.disconnect(w.now)
 }
