Give no revision to a command that changes nothing

Cause: an upstream that announced itself to three control VMs at once, and a proxy whose first two reports came before its registration was applied, were each written several times; every proxy was sent changes without content. Ruled out: repeated announcements after the first, which are not proposed. Change: a command whose result is already in the state returns the current revision and no event.

--- a/control/operator_test.go
+++ b/control/operator_test.go
@@ -150,3 +150,33 @@
 		}
 	}
 }
+
+// Guards against revisions that grow although nothing changed: two control VMs that
+// hear of an upstream at once both propose it.
+func TestAnnouncementOfWhatIsKnownChangesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.attend("p1")
+	h.announce("127.0.0.1:1", "joining")
+	announced := &controlpb.AnnounceUpstream{Service: "s", Upstream: &controlpb.Upstream{
+		Address: "127.0.0.1:1", Group: "g1", ConnectionLimit: 25,
+	}}
+	var results []*controlpb.CommandResult
+	for range 2 {
+		result, err := h.replica.Propose(h.ctx, &controlpb.Command{
+			Change: &controlpb.Command_AnnounceUpstream{AnnounceUpstream: announced},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		results = append(results, result)
+	}
+	events := 0
+	for _, e := range h.store.View().Events {
+		if e.Subject == "127.0.0.1:1" {
+			events++
+		}
+	}
+	if events != 1 || results[0].Code != 0 {
+		t.Errorf("%d events about the upstream, want 1; result %v", events, results[0])
+	}
+}
--- a/policy/fleet/change.go
+++ b/policy/fleet/change.go
@@ -10,7 +10,8 @@
 	"github.com/jayloom/jayloom/api/rescode"
 )
 
-// change applies the body of a command and returns what explain shows for it.
+// change applies the body of a command and returns what explain shows for it; an
+// empty text means that nothing changed.
 func (s *State) change(c *controlpb.Command) (text, subject string, err *rescode.Error) {
 	switch body := c.Change.(type) {
 	case *controlpb.Command_InitializeCluster:
@@ -141,6 +142,9 @@
 	member := proto.Clone(p).(*controlpb.ProxyMember)
 	if current, ok := s.pb.Proxies[p.Name]; ok {
 		member.Number = current.Number
+		if proto.Equal(member, current) {
+			return "", p.Name, nil
+		}
 	} else {
 		member.Number = s.freeProxyNumber()
 	}
--- a/policy/fleet/fleet.go
+++ b/policy/fleet/fleet.go
@@ -103,6 +103,10 @@
 	if err != nil {
 		return s.refused(c, err)
 	}
+	if text == "" {
+		// The state holds what the command asks for.
+		return &controlpb.CommandResult{RequestId: c.RequestId, Revision: s.pb.Revision}
+	}
 	s.pb.Revision++
 	s.record(c, subject, text)
 	return &controlpb.CommandResult{RequestId: c.RequestId, Revision: s.pb.Revision}
--- a/policy/fleet/group.go
+++ b/policy/fleet/group.go
@@ -44,6 +44,9 @@
 		if err := announceable(current, u); err != nil {
 			return "", "", err
 		}
+		if proto.Equal(current, u) {
+			return "", u.Address, nil
+		}
 	}
 	if _, ok := s.pb.Groups[u.Group]; !ok {
 		s.pb.Groups[u.Group] = &controlpb.Group{Name: u.Group, Service: c.Service}
