--- a/wal/log_test.go
+++ b/wal/log_test.go
@@ -177,25 +177,71 @@
 	}
 }
 
-// TestMissingFiles guards against a start without a segment, or without the snapshot
-// that the log continues.
+// TestMissingFiles guards against a start without a segment in the middle, without the
+// snapshot that the log continues, without the log, or with a damaged snapshot.
 func TestMissingFiles(t *testing.T) {
-	for _, missing := range []string{segmentName(2), snapshotName(10)} {
+	flip := func(path string) error {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		content[len(content)-1] ^= 1
+		return os.WriteFile(path, content, fileMode)
+	}
+	for _, c := range []struct {
+		name string
+		harm func(string) error
+	}{
+		{segmentName(3), os.Remove},
+		{segmentName(2), os.Remove},
+		{snapshotName(10), os.Remove},
+		{snapshotName(10), flip},
+	} {
 		l, _ := mustOpen(t, t.TempDir())
-		must(t, l.Append(consensus.HardState{Term: 2}, entries(2, 1, 20)))
+		hard := consensus.HardState{Term: 2}
+		must(t, l.Append(hard, entries(2, 1, 10)))
 		must(t, l.SaveSnapshot(snapshot(10, 2)))
-		must(t, l.SaveSnapshot(snapshot(20, 2)))
+		must(t, l.Append(hard, entries(2, 11, 12)))
+		must(t, l.startSegment(false))
+		must(t, l.Append(hard, entries(2, 13, 14)))
 		must(t, l.startSegment(false))
 		must(t, l.Close())
-		if missing == snapshotName(10) {
-			missing = snapshotName(20)
-		} else {
-			missing = segmentName(l.segments[0].number)
-			must(t, os.Remove(filepath.Join(l.folder, segmentName(l.segments[1].number))))
-		}
-		must(t, os.Remove(filepath.Join(l.folder, missing)))
+		must(t, c.harm(filepath.Join(l.folder, c.name)))
 		_, _, err := Open(l.folder)
-		checkDamaged(t, err)
+		checkDamaged(t, err, l.folder)
+	}
+}
+
+// TestLogIsLost guards against a member that keeps its snapshot, loses its log, and
+// could vote a second time under its old identity.
+func TestLogIsLost(t *testing.T) {
+	l, before := mustOpen(t, t.TempDir())
+	must(t, l.Append(consensus.HardState{Term: 2}, entries(2, 1, 10)))
+	must(t, l.Close())
+	must(t, os.Remove(l.segmentPath(1)))
+	_, after := mustOpen(t, l.folder)
+	if after.Identity == before.Identity {
+		t.Error("the identity outlived the log")
+	}
+	folder := t.TempDir()
+	must(t, writeSnapshot(folder, "x", snapshot(10, 2)))
+	_, _, err := Open(folder)
+	checkDamaged(t, err, folder)
+}
+
+// TestFailedWriteIsFinal guards against an Append that is reported durable after an
+// earlier one failed.
+func TestFailedWriteIsFinal(t *testing.T) {
+	l, _ := mustOpen(t, t.TempDir())
+	must(t, l.file.Close())
+	for range 2 {
+		if err := l.Append(consensus.HardState{Term: 1}, nil); err == nil {
+			t.Fatal("Append on a closed file succeeded")
+		}
+	}
+	l.file = nil
+	if err := l.Append(consensus.HardState{Term: 1}, nil); !errors.Is(err, ErrFailed) {
+		t.Fatalf("error is %v, want ErrFailed", err)
 	}
 }
 
