End jayloomctl at once when a credential is refused

Cause: jayloomctl repeated a call that every control VM refuses with PermissionDenied until its time was over. Change: a refused credential is final; ReadmitUpstream is reserved for the control leader like the other commands about groups.

--- a/cmd/jayloomctl/client.go
+++ b/cmd/jayloomctl/client.go
@@ -10,7 +10,9 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/jayloom/jayloom/api/controlpb"
@@ -34,8 +36,7 @@
 		var last error
 		for _, address := range global.Control {
 			last = callOne(ctx, address, f)
-			var refused *rescode.Error
-			if last == nil || (errors.As(last, &refused) && !unsettled(refused.Code)) {
+			if final(last) {
 				return last
 			}
 		}
@@ -47,6 +48,15 @@
 	}
 }
 
+// final reports whether asking another control VM would change nothing.
+func final(err error) bool {
+	if err == nil || status.Code(err) == codes.PermissionDenied {
+		return true
+	}
+	var refused *rescode.Error
+	return errors.As(err, &refused) && !unsettled(refused.Code)
+}
+
 // unsettled reports whether the command has to be sent again, under the same
 // request identity, to learn its result.
 func unsettled(code rescode.Code) bool {
--- a/control/operator.go
+++ b/control/operator.go
@@ -46,7 +46,8 @@
 			return nil
 		}
 	case *controlpb.Command_InitializeCluster, *controlpb.Command_RegisterProxy, *controlpb.Command_AdoptPrimary,
-		*controlpb.Command_FenceGroup, *controlpb.Command_BeginPromotion, *controlpb.Command_CompletePromotion:
+		*controlpb.Command_FenceGroup, *controlpb.Command_BeginPromotion, *controlpb.Command_CompletePromotion,
+		*controlpb.Command_ReadmitUpstream:
 		refusals(rescode.InvalidCommand).Inc()
 		return rescode.New(rescode.InvalidCommand, "the command is reserved for the control leader")
 	}
