--- /dev/null
+++ b/cmd/internal/e2e/configuration_test.go
@@ -0,0 +1,400 @@
+package e2e
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+)
+
+// Metrics of a control process: consensus messages sent, and how often it ceased to
+// lead.
+const (
+	sentMetric = "jayloom_replica_messages_sent_total"
+	lostMetric = "jayloom_replica_leadership_lost_total"
+)
+
+// identityPattern finds the identity of a control process in its log lines.
+var identityPattern = regexp.MustCompile(`member=([A-Za-z0-9]+)`)
+
+// putRoute is a change that leaves a trace of its own in the state.
+func putRoute(name string, maxAge uint32) *controlpb.Command_PutRoute {
+	return &controlpb.Command_PutRoute{PutRoute: &controlpb.Route{
+		Name: name, Service: deploy.Service, Read: true, Idempotent: true, MaxAgeMs: maxAge,
+	}}
+}
+
+// change proposes until a control process confirms, under one request identity.
+func change(d *deploy.Deployment, id string, command *controlpb.Command, among ...*deploy.Control) *controlpb.CommandResult {
+	command.RequestId = id
+	var result *controlpb.CommandResult
+	d.Until("the change "+id, func() bool {
+		for _, c := range among {
+			if !c.Running() {
+				continue
+			}
+			r, err := d.Propose(c, command)
+			if err == nil && rescode.Code(r.Code) != rescode.NotLeader && rescode.Code(r.Code) != rescode.ControlUnavailable {
+				result = r
+				return true
+			}
+		}
+		return false
+	})
+	return result
+}
+
+// changeMany makes count accepted changes of one route and returns the last revision.
+func changeMany(t *testing.T, d *deploy.Deployment, prefix string, count int, among ...*deploy.Control) uint64 {
+	t.Helper()
+	var revision uint64
+	for i := range count {
+		command := &controlpb.Command{Change: putRoute("counted", uint32(i+1))}
+		result := change(d, fmt.Sprintf("%s-%d", prefix, i), command, among...)
+		if result.Code != 0 {
+			t.Fatalf("change %d was refused: %s", i, result.Message)
+		}
+		if result.Revision <= revision {
+			t.Fatalf("change %d produced revision %d after %d", i, result.Revision, revision)
+		}
+		revision = result.Revision
+	}
+	return revision
+}
+
+// untilProxiesHold waits until the leader has heard from each proxy that it holds
+// at least a revision.
+func untilProxiesHold(d *deploy.Deployment, revision uint64) {
+	d.Until(fmt.Sprintf("revision %d on all proxies", revision), func() bool {
+		reply := d.Show()
+		held := map[string]uint64{}
+		for _, p := range reply.GetProxies() {
+			held[p.Name] = p.AppliedRevision
+		}
+		for _, p := range d.Proxies {
+			if held[p.Name] < revision {
+				return false
+			}
+		}
+		return reply != nil
+	})
+}
+
+func routeAge(d *deploy.Deployment, name string) uint32 {
+	return d.Show().GetState().GetRoutes()[name].GetMaxAgeMs()
+}
+
+// Guards against two operators' changes that are both accepted under one expected
+// revision, and against a resent change that is applied twice.
+func TestEqualRevisionsAndResends(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{Proxies: 1, StandIns: 1})
+	for round := range 10 {
+		revision := d.Show().State.Revision
+		const operators = 4
+		var accepted []string
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		for i := range operators {
+			name := fmt.Sprintf("race-%d-%d", round, i)
+			all.Go(func() {
+				output, err := d.TryCtl("--expected-revision", fmt.Sprint(revision), "route", "set", name, "--service", deploy.Service)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err == nil:
+					accepted = append(accepted, name)
+				case !strings.Contains(output, "revision"):
+					t.Errorf("the refusal does not name the revision: %s", output)
+				}
+			})
+		}
+		all.Wait()
+		state := d.Show().State
+		if len(accepted) != 1 {
+			t.Fatalf("accepted under revision %d: %v", revision, accepted)
+		}
+		for i := range operators {
+			name := fmt.Sprintf("race-%d-%d", round, i)
+			if _, ok := state.Routes[name]; ok != (name == accepted[0]) {
+				t.Errorf("route %s exists: %v, accepted was %v", name, ok, accepted)
+			}
+		}
+		if state.Revision != revision+1 {
+			t.Errorf("revision %d after one change of revision %d", state.Revision, revision)
+		}
+	}
+
+	// A resend meets the leader and followers, with later changes in between.
+	first := change(d, "resent", &controlpb.Command{Change: putRoute("resent", 1)}, d.Controls[0])
+	change(d, "later", &controlpb.Command{Change: putRoute("resent", 2)}, d.Controls[1])
+	for _, c := range d.Controls {
+		again := change(d, "resent", &controlpb.Command{Change: putRoute("resent", 1)}, c)
+		if again.Revision != first.Revision || again.Code != 0 {
+			t.Errorf("resent to %s: revision %d, code %d; first %d", c.Name, again.Revision, again.Code, first.Revision)
+		}
+	}
+	if age := routeAge(d, "resent"); age != 2 {
+		t.Errorf("a resent change reverted a later one: age %d", age)
+	}
+}
+
+// Guards against a control VM that returns from a long silent cut, believes that
+// it leads, and serves a proxy from its old state. One proxy shares the cut, and the
+// control VM is stopped meanwhile, so that it has not noticed the time that passed.
+func TestReturningLeaderServesNoOldState(t *testing.T) {
+	const changes = 400
+	d := deploy.Start(t, deploy.Options{SnapshotEntries: 50})
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	old := d.Leader()
+	shares := d.Proxies[1]
+	others := without(d.Controls, old)
+	withdrawn := strings.TrimSpace(d.Ctl("key", "give", deploy.Team))
+	untilProxiesHold(d, d.Show().State.Revision)
+
+	d.Isolate(old.Name, shares.Name)
+	for _, c := range others {
+		d.Cut(shares.Name, c.Name)
+	}
+	old.Freeze()
+	command := &controlpb.Command{Change: &controlpb.Command_WithdrawKey{WithdrawKey: &controlpb.WithdrawKey{
+		Team: deploy.Team, KeyId: keyID(withdrawn),
+	}}}
+	if r := change(d, "withdraw", command, others...); r.Code != 0 {
+		t.Fatalf("withdraw: %s", r.Message)
+	}
+	last := changeMany(t, d, "away", changes, others...)
+
+	refused := func() bool {
+		conn, err := d.ConnectAs(t.Context(), shares, deploy.Team, withdrawn)
+		if err == nil {
+			closeConn(conn)
+		}
+		return err != nil
+	}
+	d.Until("the proxy without control to stop serving", refused)
+	// The proxy reaches only the replaced leader, which must give it no lease.
+	old.Continue()
+	d.Until("the replaced leader to notice", func() bool {
+		if !refused() {
+			t.Fatal("the proxy serves a withdrawn key from the state of the replaced leader")
+		}
+		return d.Metric(old, lostMetric) >= 1
+	})
+	if reply := d.ShowOf(old); reply != nil {
+		t.Errorf("the cut-off control VM answers as leader: %s, term %d", reply.Leader, reply.LeaderTerm)
+	}
+	if r, err := d.Propose(old, &controlpb.Command{RequestId: "lost", Change: putRoute("lost", 1)}); err == nil && r.Code == 0 {
+		t.Error("the cut-off control VM accepted a change")
+	}
+
+	d.Rejoin(old.Name)
+	for _, c := range others {
+		d.Heal(shares.Name, c.Name)
+	}
+	untilProxiesHold(d, last)
+	untilActive(d, old)
+	for _, p := range d.Proxies {
+		if conn, err := d.ConnectAs(t.Context(), p, deploy.Team, withdrawn); err == nil {
+			closeConn(conn)
+			t.Errorf("%s accepts the withdrawn key", p.Name)
+		}
+	}
+	if age := routeAge(d, "counted"); age != changes {
+		t.Errorf("the last change left age %d, want %d", age, changes)
+	}
+	if d.Show().State.Revision < last {
+		t.Errorf("revision %d after %d", d.Show().State.Revision, last)
+	}
+}
+
+func without(controls []*deploy.Control, one *deploy.Control) []*deploy.Control {
+	var others []*deploy.Control
+	for _, c := range controls {
+		if c != one {
+			others = append(others, c)
+		}
+	}
+	return others
+}
+
+func keyID(key string) string { return strings.Split(key, "_")[1] }
+
+// untilActive waits until the leader hears from a control process that has
+// everything.
+func untilActive(d *deploy.Deployment, c *deploy.Control) {
+	d.Until(c.Name+" to be current", func() bool {
+		reply := d.Show()
+		if reply.GetLeader() == c.Address {
+			return true
+		}
+		var newest uint64
+		for _, v := range reply.GetVoters() {
+			newest = max(newest, v.MatchIndex)
+		}
+		for _, v := range reply.GetVoters() {
+			if v.Address == c.Address && v.Active && v.MatchIndex == newest {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Guards against changes that are lost or revert when all control processes are
+// killed and start again, from snapshots and the log behind them.
+func TestRestartOfAllControlKeepsEveryChange(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{SnapshotEntries: 20, Proxies: 1, StandIns: 1})
+	for round := range 3 {
+		const changes = 45
+		last := changeMany(t, d, fmt.Sprintf("round%d", round), changes, d.Controls...)
+		key := strings.TrimSpace(d.Ctl("key", "give", deploy.Team))
+		d.Ctl("key", "withdraw", deploy.Team, key)
+		before := d.Show().State
+		for _, c := range d.Controls {
+			c.Kill()
+		}
+		for _, c := range d.Controls {
+			c.Start()
+		}
+		d.Until("a control leader", func() bool { return d.Show() != nil })
+		after := d.Show().State
+		if after.Revision < before.Revision || before.Revision < last {
+			t.Fatalf("revision %d after the restart, %d before, %d confirmed", after.Revision, before.Revision, last)
+		}
+		if age := after.Routes["counted"].GetMaxAgeMs(); age != changes {
+			t.Errorf("round %d: age %d, want %d", round, age, changes)
+		}
+		if _, ok := after.Teams[deploy.Team].Keys[keyID(key)]; ok {
+			t.Errorf("round %d: a withdrawn key is back", round)
+		}
+		again := change(d, fmt.Sprintf("round%d-0", round), &controlpb.Command{Change: putRoute("counted", 1)}, d.Controls...)
+		if again.Code != 0 || routeAge(d, "counted") != changes {
+			t.Errorf("round %d: a resend after the restart was applied again", round)
+		}
+		untilProxiesHold(d, after.Revision)
+		if _, err := d.ConnectAs(t.Context(), d.Proxies[0], deploy.Team, key); err == nil {
+			t.Errorf("round %d: the proxy accepts the withdrawn key", round)
+		}
+		d.UntilSettled()
+		exec(t, connect(t, d, d.Proxies[0]), "SELECT 1")
+	}
+}
+
+// identityOf returns the identity under which a control process is a member.
+func identityOf(d *deploy.Deployment, c *deploy.Control) string {
+	for _, v := range d.Show().GetVoters() {
+		if v.Address == c.Address {
+			return v.Identity
+		}
+	}
+	return ""
+}
+
+// ownIdentity reads from the log of a control process the identity that it started
+// with last.
+func ownIdentity(t *testing.T, d *deploy.Deployment, c *deploy.Control, not string) string {
+	t.Helper()
+	var identity string
+	d.Until("the new identity of "+c.Name, func() bool {
+		for _, match := range identityPattern.FindAllStringSubmatch(c.Log(), -1) {
+			identity = match[1]
+		}
+		return identity != "" && identity != not
+	})
+	return identity
+}
+
+// replace makes a control process whose files are lost a voter again, as
+// docs/operations.md says.
+func replace(t *testing.T, d *deploy.Deployment, c *deploy.Control) {
+	t.Helper()
+	lost := identityOf(d, c)
+	c.Kill()
+	d.RemoveDataFolder(c)
+	c.Start()
+	fresh := ownIdentity(t, d, c, lost)
+	if identityOf(d, c) == fresh {
+		t.Fatalf("%s became a member by itself", c.Name)
+	}
+	d.Ctl("member", "remove", lost)
+	d.Ctl("member", "add-learner", fresh, "--address", c.Address)
+	var promoted bool
+	d.Until("the promotion of the learner", func() bool {
+		_, err := d.TryCtl("member", "promote", fresh)
+		promoted = err == nil
+		return promoted
+	})
+}
+
+// Guards against a control VM without its files that votes under its old identity
+// or joins by itself, and against the loss of confirmed changes when a second VM is
+// lost right after the promotion of a replacement was reported finished.
+func TestSecondControlLostRightAfterReplacement(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{SnapshotEntries: 20, Proxies: 1, StandIns: 1})
+	for round := range 3 {
+		replaced := d.Controls[round]
+		second := d.Controls[(round+1)%len(d.Controls)]
+		last := changeMany(t, d, fmt.Sprintf("before%d", round), 30, d.Controls...)
+		replace(t, d, replaced)
+		second.Kill()
+		d.Until("a leader without the second VM", func() bool { return d.Show() != nil })
+		if revision := d.Show().State.Revision; revision < last {
+			t.Fatalf("round %d: revision %d after %d was confirmed", round, revision, last)
+		}
+		if age := routeAge(d, "counted"); age != 30 {
+			t.Errorf("round %d: age %d, want 30", round, age)
+		}
+		changeMany(t, d, fmt.Sprintf("after%d", round), 5, d.Controls...)
+		second.Start()
+		untilActive(d, second)
+	}
+}
+
+// Guards against a control VM that takes part in votes without being a member: with
+// its files deleted it must not help a minority to a quorum.
+func TestControlWithoutFilesIsNoMember(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{Proxies: 1, StandIns: 1})
+	changeMany(t, d, "before", 10, d.Controls...)
+	lost, second := d.Controls[2], d.Controls[1]
+	old := identityOf(d, lost)
+	lost.Kill()
+	second.Kill()
+	d.RemoveDataFolder(lost)
+	lost.Start()
+	fresh := ownIdentity(t, d, lost, old)
+	// One voter of three is no quorum, whoever else answers. It asks for votes again
+	// and again, and the VM without files hears it.
+	asked := d.Metric(d.Controls[0], sentMetric)
+	d.Until("several attempts at an election", func() bool {
+		return d.Metric(d.Controls[0], sentMetric) >= asked+10
+	})
+	result, err := d.Propose(d.Controls[0], &controlpb.Command{RequestId: "minority", Change: putRoute("minority", 1)})
+	if err == nil && result.Code == 0 {
+		t.Error("a minority with a VM that is no member confirmed a change")
+	}
+	if d.ShowOf(d.Controls[0]) != nil || d.ShowOf(lost) != nil {
+		t.Error("a minority with a VM that is no member has a leader")
+	}
+	second.Start()
+	d.Until("a leader", func() bool { return d.Show() != nil })
+	if identityOf(d, lost) == fresh {
+		t.Error("the VM without files became a member by itself")
+	}
+	if age := routeAge(d, "counted"); age != 10 {
+		t.Errorf("age %d, want 10", age)
+	}
+	d.Ctl("member", "add-learner", fresh, "--address", lost.Address)
+	d.Until("the learner in the membership", func() bool {
+		for _, v := range d.Show().GetVoters() {
+			if v.Identity == fresh {
+				return v.Learner && v.Active
+			}
+		}
+		return false
+	})
+}
--- a/cmd/internal/e2e/deploy/operator.go
+++ b/cmd/internal/e2e/deploy/operator.go
@@ -1,10 +1,13 @@
 package deploy
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -204,3 +207,26 @@
 	})
 	return reply.Events
 }
+
+// Metric returns one metric of a control process, 0 when it cannot be read.
+func (d *Deployment) Metric(c *Control, name string) float64 {
+	client := http.Client{Timeout: callTimeout}
+	response, err := client.Get("http://" + c.HTTP + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		text, ok := strings.CutPrefix(lines.Text(), name+" ")
+		if !ok {
+			continue
+		}
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return 0
+		}
+		return value
+	}
+	return 0
+}
