Test withdrawn keys, rates and leaving upstreams over the fleet

Cause: these invariants were tested inside single processes only. Change: tests with real processes for withdrawn keys (idle, in a transaction, queued, on a cut-off proxy), for rate and burst (load moved, leader killed, proxy cut off with a grant) and for leaving upstreams (leader changes, proxy missed it). The test of a cut primary commits transactions that were open before the cut.

--- a/cmd/internal/e2e/configuration_test.go
+++ b/cmd/internal/e2e/configuration_test.go
@@ -183,7 +183,7 @@
 		if !refused() {
 			t.Fatal("the proxy serves a withdrawn key from the state of the replaced leader")
 		}
-		return d.Metric(old, lostMetric) >= 1
+		return d.Metric(old.HTTP, lostMetric) >= 1
 	})
 	if reply := d.ShowOf(old); reply != nil {
 		t.Errorf("the cut-off control VM answers as leader: %s, term %d", reply.Leader, reply.LeaderTerm)
@@ -369,9 +369,9 @@
 	fresh := ownIdentity(t, d, lost, old)
 	// One voter of three is no quorum, whoever else answers. It asks for votes again
 	// and again, and the VM without files hears it.
-	asked := d.Metric(d.Controls[0], sentMetric)
+	asked := d.Metric(d.Controls[0].HTTP, sentMetric)
 	d.Until("several attempts at an election", func() bool {
-		return d.Metric(d.Controls[0], sentMetric) >= asked+10
+		return d.Metric(d.Controls[0].HTTP, sentMetric) >= asked+10
 	})
 	result, err := d.Propose(d.Controls[0], &controlpb.Command{RequestId: "minority", Change: putRoute("minority", 1)})
 	if err == nil && result.Code == 0 {
--- a/cmd/internal/e2e/deploy/deploy.go
+++ b/cmd/internal/e2e/deploy/deploy.go
@@ -53,8 +53,8 @@
 	Rate, Burst float64
 	// Identity returns the settings tls.identity of a process.
 	Identity func(name string) map[string]string
-	// WithoutTeam leaves the service and the team to the test.
-	WithoutTeam bool
+	// Later names processes that the test starts itself.
+	Later []string
 }
 
 func (o Options) withDefaults() Options {
@@ -88,7 +88,7 @@
 type Proxy struct {
 	*Process
 	// Address is where callers connect.
-	Address string
+	Address, HTTP string
 }
 
 // StandIn is a stand-in database.
@@ -136,19 +136,12 @@
 		}
 	})
 	d.define()
-	for _, c := range d.Controls {
-		c.Start()
-	}
-	for _, s := range d.StandIns {
-		s.Start()
-	}
-	for _, p := range d.Proxies {
-		p.Start()
+	for name, p := range d.processes {
+		if !slices.Contains(d.o.Later, name) {
+			p.Start()
+		}
 	}
 	d.Until("a control leader", func() bool { return d.Show() != nil })
-	if d.o.WithoutTeam {
-		return d
-	}
 	d.Ctl("service", "set", Service, "--slot-group", Group)
 	d.Ctl("team", "set", Team, "--rate", fmt.Sprint(d.o.Rate), "--burst", fmt.Sprint(d.o.Burst))
 	d.Key = strings.TrimSpace(d.Ctl("key", "give", Team))
@@ -224,10 +217,11 @@
 }
 
 func (d *Deployment) defineProxy(name string) {
-	p := &Proxy{Address: freeAddress(d.t)}
+	p := &Proxy{Address: freeAddress(d.t), HTTP: freeAddress(d.t)}
 	peering := freeAddress(d.t)
 	args := d.overlayArgs(name, object{"proxy": object{
 		"listen":            p.Address,
+		"listen_http":       p.HTTP,
 		"listen_peering":    peering,
 		"advertise_peering": d.network.expose(name, peering),
 	}})
@@ -311,6 +305,22 @@
 // Rejoin ends the cuts between a process and all others.
 func (d *Deployment) Rejoin(name string) { d.links(name, d.Heal) }
 
+// OpenConnections returns the connections from source to target that are open now.
+// The source "proxy" stands for all proxies.
+func (d *Deployment) OpenConnections(source, target string) int {
+	d.network.mu.Lock()
+	defer d.network.mu.Unlock()
+	return d.network.open[link{source, target}]
+}
+
+// MostConnections returns the most connections that all proxies ever had open to
+// a stand-in at one time.
+func (d *Deployment) MostConnections(target string) int {
+	d.network.mu.Lock()
+	defer d.network.mu.Unlock()
+	return d.network.most[link{"proxy", target}]
+}
+
 // Until waits until a condition holds and fails the test if it never does.
 func (d *Deployment) Until(what string, condition func() bool) {
 	d.t.Helper()
--- a/cmd/internal/e2e/deploy/network.go
+++ b/cmd/internal/e2e/deploy/network.go
@@ -26,6 +26,8 @@
 	links map[link]*relay.Relay
 	// targets are the addresses that processes listen on.
 	targets map[string]string
+	// open and most count the connections to a target from processes of a kind.
+	open, most map[link]int
 }
 
 // link is the way from one process to another.
@@ -38,6 +40,8 @@
 		processes: processes,
 		links:     map[link]*relay.Relay{},
 		targets:   map[string]string{},
+		open:      map[link]int{},
+		most:      map[link]int{},
 	}
 }
 
@@ -77,17 +81,41 @@
 	if r == nil {
 		return
 	}
+	closed := n.count(source, target)
 	onward, err := net.Dial("tcp", r.Addr())
 	if err != nil {
+		closed()
 		return
 	}
 	defer onward.Close()
 	var both sync.WaitGroup
-	both.Go(func() { pass(onward, conn) })
+	both.Go(func() {
+		pass(onward, conn)
+		closed()
+	})
 	both.Go(func() { pass(conn, onward) })
 	both.Wait()
 }
 
+// count counts an open connection until the function that it returns is called.
+func (n *network) count(source, target string) (closed func()) {
+	kind := link{kindOf(source), target}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.open[kind]++
+	n.open[link{source, target}]++
+	n.most[kind] = max(n.most[kind], n.open[kind])
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.open[kind]--
+		n.open[link{source, target}]--
+	}
+}
+
+// kindOf returns the name of a process without its number.
+func kindOf(name string) string { return strings.TrimRight(name, "0123456789") }
+
 // pass copies until the source ends, and passes on that it has ended. A sink that
 // has gone ends the source too.
 func pass(sink, source net.Conn) {
--- a/cmd/internal/e2e/deploy/operator.go
+++ b/cmd/internal/e2e/deploy/operator.go
@@ -208,10 +208,11 @@
 	return reply.Events
 }
 
-// Metric returns one metric of a control process, 0 when it cannot be read.
-func (d *Deployment) Metric(c *Control, name string) float64 {
+// Metric returns one metric of a process that serves HTTP at address, 0 when it
+// cannot be read.
+func (d *Deployment) Metric(address, name string) float64 {
 	client := http.Client{Timeout: callTimeout}
-	response, err := client.Get("http://" + c.HTTP + "/metrics")
+	response, err := client.Get("http://" + address + "/metrics")
 	if err != nil {
 		return 0
 	}
--- a/cmd/internal/e2e/history_test.go
+++ b/cmd/internal/e2e/history_test.go
@@ -80,6 +80,26 @@
 	return w
 }
 
+// begin writes one row in a transaction that stays open, and returns its id.
+func (h *history) begin(t *testing.T, conn *pgx.Conn, proxy string) int64 {
+	t.Helper()
+	id := h.next.Add(1)
+	exec(t, conn, "BEGIN")
+	exec(t, conn, fmt.Sprintf("INSERT INTO lot VALUES (%d, '%s')", id, proxy))
+	return id
+}
+
+// commit ends such a transaction and records how that ended.
+func (h *history) commit(ctx context.Context, conn *pgx.Conn, proxy string, id int64) write {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	w := write{id: id, proxy: proxy, started: time.Now()}
+	_, w.err = conn.Exec(ctx, "COMMIT")
+	w.ended = time.Now()
+	h.add(w)
+	return w
+}
+
 // load keeps writers busy until stop is called.
 func (h *history) load(d *deploy.Deployment, writers int, proxies ...*deploy.Proxy) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -151,8 +171,14 @@
 
 // insertedID returns the id of an INSERT that was committed.
 func insertedID(e audit.Entry) (int64, bool) {
+	id, ok := insertID(e)
+	return id, ok && e.Outcome == audit.Committed && (e.SQLState == "" || e.SQLState == "00000")
+}
+
+// insertID returns the id of an INSERT, whatever became of it.
+func insertID(e audit.Entry) (int64, bool) {
 	match := insertPattern.FindStringSubmatch(e.Statement)
-	if match == nil || e.Outcome != audit.Committed || e.SQLState != "" && e.SQLState != "00000" {
+	if match == nil {
 		return 0, false
 	}
 	id, err := strconv.ParseInt(match[1], 10, 64)
--- /dev/null
+++ b/cmd/internal/e2e/keys_test.go
@@ -0,0 +1,174 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+)
+
+const (
+	// attendanceLease is the limit after which a proxy without control serves nothing.
+	attendanceLease = 5 * time.Second
+	// queuedMetric counts the requests of a proxy that waited for a connection.
+	queuedMetric = "jayloom_proxy_pool_queued_total"
+)
+
+func connectWith(t *testing.T, d *deploy.Deployment, p *deploy.Proxy, key string) *pgx.Conn {
+	t.Helper()
+	conn, err := d.ConnectAs(t.Context(), p, deploy.Team, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { closeConn(conn) })
+	return conn
+}
+
+// wantWithdrawn fails unless a caller was ended because of its key.
+func wantWithdrawn(t *testing.T, what string, conn *pgx.Conn, err error) {
+	t.Helper()
+	if code := rescode.Code(codeOf(err)); code != rescode.KeyWithdrawn && !conn.IsClosed() {
+		t.Errorf("%s: %v", what, err)
+	}
+}
+
+// Guards against a withdrawn key that goes on working for callers that are
+// connected: idle, in a transaction, and queued for a connection.
+func TestWithdrawnKeyEndsConnectedCallers(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{ConnectionLimit: 6, StandIns: 1})
+	d.Ctl("route", "set", "patient", "--service", deploy.Service, "--deadline-ms", "60000")
+	d.Ctl("route", "set", "hasty", "--service", deploy.Service, "--deadline-ms", "200")
+	withdrawn := strings.TrimSpace(d.Ctl("key", "give", deploy.Team))
+	untilProxiesHold(d, d.Show().State.Revision)
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	ended := make([]chan error, len(d.Proxies))
+	var idle, inside, queued []*pgx.Conn
+	for i, p := range d.Proxies {
+		idle = append(idle, connectWith(t, d, p, withdrawn))
+		inside = append(inside, connectWith(t, d, p, withdrawn))
+		queued = append(queued, connectWith(t, d, p, withdrawn))
+		exec(t, inside[i], "BEGIN")
+		exec(t, inside[i], fmt.Sprintf("INSERT INTO lot VALUES (%d, 'inside')", 100+i))
+	}
+	for i, p := range d.Proxies {
+		holdAll(t, d, p)
+		ended[i] = make(chan error, 1)
+		before := d.Metric(p.HTTP, queuedMetric)
+		go func() {
+			_, err := queued[i].Exec(context.Background(), fmt.Sprintf("INSERT INTO lot VALUES (%d, 'queued') /*route='patient'*/", 200+i))
+			ended[i] <- err
+		}()
+		d.Until("a queued request", func() bool { return d.Metric(p.HTTP, queuedMetric) > before })
+	}
+
+	d.Ctl("key", "withdraw", deploy.Team, withdrawn)
+	for i, p := range d.Proxies {
+		wantWithdrawn(t, "queued on "+p.Name, queued[i], <-ended[i])
+		d.Until("the end of the idle caller", func() bool {
+			_, err := idle[i].Exec(t.Context(), "SELECT 1 /*route='hasty'*/")
+			return err != nil && idle[i].IsClosed()
+		})
+		d.Until("the end of the caller in a transaction", func() bool {
+			_, err := inside[i].Exec(t.Context(), "COMMIT")
+			if err == nil {
+				t.Fatalf("%s: a transaction was committed under a withdrawn key", p.Name)
+			}
+			return inside[i].IsClosed()
+		})
+		if _, err := d.ConnectAs(t.Context(), p, deploy.Team, withdrawn); rescode.Code(codeOf(err)) != rescode.WrongKey {
+			t.Errorf("%s: connecting with a withdrawn key: %v", p.Name, err)
+		}
+	}
+	for _, e := range d.Audit(d.StandIns[0]) {
+		if strings.Contains(e.Statement, "'queued'") {
+			t.Errorf("a queued request ran under a withdrawn key: %s", e.Statement)
+		}
+	}
+	for _, id := range rowIDs(t, d) {
+		t.Errorf("row %d was written under a withdrawn key", id)
+	}
+}
+
+// holdAll opens transactions until a proxy has no connection left to lend.
+func holdAll(t *testing.T, d *deploy.Deployment, p *deploy.Proxy) {
+	t.Helper()
+	d.Until("all connections of "+p.Name+" to be in use", func() bool {
+		conn := connect(t, d, p)
+		_, err := conn.Exec(t.Context(), "BEGIN /*route='hasty'*/")
+		return rescode.Code(codeOf(err)) == rescode.QueueTimeout
+	})
+}
+
+// rowIDs returns the ids of all rows on the primary, read past the proxies.
+func rowIDs(t *testing.T, d *deploy.Deployment) []int64 {
+	t.Helper()
+	conn, err := d.ConnectDirectly(t.Context(), d.Primary())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeConn(conn)
+	rows, err := conn.Query(t.Context(), "SELECT id FROM lot")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ids, err := pgx.CollectRows(rows, pgx.RowTo[int64])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ids
+}
+
+// Guards against a proxy that is cut from control and serves a withdrawn key for
+// longer than its attendance lease. It has to stop by itself.
+func TestCutOffProxyStopsServingWithdrawnKey(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{StandIns: 1})
+	withdrawn := strings.TrimSpace(d.Ctl("key", "give", deploy.Team))
+	untilProxiesHold(d, d.Show().State.Revision)
+	cutOff := d.Proxies[1]
+	idle, inside := connectWith(t, d, cutOff, withdrawn), connectWith(t, d, cutOff, withdrawn)
+	exec(t, inside, "BEGIN")
+	for _, c := range d.Controls {
+		d.Cut(cutOff.Name, c.Name)
+	}
+	d.Ctl("key", "withdraw", deploy.Team, withdrawn)
+	cut, last := time.Now(), time.Now()
+	d.Until("the proxy to stop", func() bool {
+		_, idleErr := idle.Exec(t.Context(), "SELECT 1")
+		if idleErr == nil {
+			last = time.Now()
+		}
+		_, insideErr := inside.Exec(t.Context(), "SELECT 2")
+		if insideErr == nil {
+			last = time.Now()
+		}
+		return idleErr != nil && insideErr != nil
+	})
+	// The factor covers a machine that is slow to run the proxy's timer.
+	if served := last.Sub(cut); served > 2*attendanceLease {
+		t.Errorf("the withdrawn key was served for %v after the cut", served)
+	}
+	if _, err := d.ConnectAs(t.Context(), cutOff, deploy.Team, withdrawn); err == nil {
+		t.Error("the proxy without control accepts a withdrawn key")
+	}
+	for _, c := range d.Controls {
+		d.Heal(cutOff.Name, c.Name)
+	}
+	d.Until("the proxy to serve again", func() bool {
+		conn, err := d.Connect(t.Context(), cutOff)
+		if err != nil {
+			return false
+		}
+		defer closeConn(conn)
+		_, err = conn.Exec(t.Context(), "SELECT 1")
+		return err == nil
+	})
+	if _, err := d.ConnectAs(t.Context(), cutOff, deploy.Team, withdrawn); err == nil {
+		t.Error("the proxy accepts a withdrawn key after its return")
+	}
+}
--- /dev/null
+++ b/cmd/internal/e2e/leaving_test.go
@@ -0,0 +1,225 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+)
+
+// readLoad reads through proxies from replicas until stop is called.
+type readLoad struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func (l *readLoad) answered(proxy string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count[proxy]
+}
+
+// readTag is in the text of each read, so that the audit tells the proxy.
+func readTag(proxy string) string { return "reader " + proxy }
+
+func startReads(d *deploy.Deployment, readers int, proxies ...*deploy.Proxy) (*readLoad, func()) {
+	l := &readLoad{count: map[string]int{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, p := range proxies {
+		for range readers {
+			running.Go(func() { l.readUntil(ctx, d, p) })
+		}
+	}
+	return l, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+func (l *readLoad) readUntil(ctx context.Context, d *deploy.Deployment, p *deploy.Proxy) {
+	statement := fmt.Sprintf("SELECT id FROM lot WHERE proxy = '%s' /*route='old'*/", readTag(p.Name))
+	for pause(ctx, reconnectPace) {
+		conn, err := d.Connect(ctx, p)
+		if err != nil {
+			continue
+		}
+		for pause(ctx, writePace) && !conn.IsClosed() {
+			if _, err := conn.Exec(ctx, statement); err == nil {
+				l.mu.Lock()
+				l.count[p.Name]++
+				l.mu.Unlock()
+			}
+		}
+		closeConn(conn)
+	}
+}
+
+// readsAfter returns how many reads of a proxy began on a stand-in after a time.
+func readsAfter(d *deploy.Deployment, s *deploy.StandIn, proxy string, after time.Time) int {
+	count := 0
+	for _, e := range d.Audit(s) {
+		if strings.Contains(e.Statement, readTag(proxy)) && e.At.After(after) {
+			count++
+		}
+	}
+	return count
+}
+
+func untilReads(d *deploy.Deployment, l *readLoad, p *deploy.Proxy) {
+	wanted := l.answered(p.Name) + enoughWrites
+	d.Until("reads through "+p.Name, func() bool { return l.answered(p.Name) >= wanted })
+}
+
+// startForLeaving starts a deployment whose replicas serve the reads of a route.
+func startForLeaving(t *testing.T) *deploy.Deployment {
+	t.Helper()
+	d := deploy.Start(t, deploy.Options{})
+	d.Ctl("route", "set", "old", "--service", deploy.Service, "--read", "--max-age-ms", "60000")
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	return d
+}
+
+func isLeaving(d *deploy.Deployment, s *deploy.StandIn) bool {
+	u := d.Show().GetState().GetUpstreams()[s.Address]
+	return u.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_LEAVING
+}
+
+// Guards against new work on an upstream that announced that it is leaving to only
+// one control VM, which does not lead, while the leader changes. A transaction that
+// runs there is finished.
+func TestLeavingAnnouncedDuringChangeOfLeader(t *testing.T) {
+	d := startForLeaving(t)
+	leaving := d.StandIns[2]
+	load, stop := startReads(d, 3, d.Proxies...)
+	defer stop()
+	for _, p := range d.Proxies {
+		d.Until("reads on the replica", func() bool { return readsAfter(d, leaving, p.Name, time.Time{}) > 0 })
+	}
+	running := transactionOn(t, d, leaving)
+
+	leader := d.Leader()
+	told := without(d.Controls, leader)[0]
+	leaving.StopAnnouncing()
+	announcer := d.AnnouncerTo(leaving, "http://"+told.HTTP)
+	leader.Kill()
+	announcer.Leave(t.Context())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go announcer.Run(ctx)
+	d.Until("the upstream to be leaving", func() bool { return isLeaving(d, leaving) })
+	untilProxiesHold(d, d.Show().State.Revision)
+	from := time.Now()
+	for _, p := range d.Proxies {
+		untilReads(d, load, p)
+	}
+	exec(t, running, "SELECT id FROM lot WHERE proxy = 'in the transaction'")
+	exec(t, running, "COMMIT")
+	stop()
+	for _, p := range d.Proxies {
+		if n := readsAfter(d, leaving, p.Name, from); n > 0 {
+			t.Errorf("%s began %d reads on the leaving upstream after it had the change", p.Name, n)
+		}
+	}
+	if !ranOn(d, leaving, "in the transaction") {
+		t.Error("the transaction did not go on where it began")
+	}
+}
+
+// Guards against a proxy that was cut from control before an upstream announced
+// that it is leaving, and that goes on using it.
+func TestProxyThatMissedLeavingStops(t *testing.T) {
+	d := startForLeaving(t)
+	leaving, missed := d.StandIns[2], d.Proxies[1]
+	load, stop := startReads(d, 3, d.Proxies...)
+	defer stop()
+	d.Until("reads on the replica", func() bool { return readsAfter(d, leaving, missed.Name, time.Time{}) > 0 })
+	for _, c := range d.Controls {
+		d.Cut(missed.Name, c.Name)
+	}
+	leaving.Announcer.Leave(t.Context())
+	d.Until("the upstream to be leaving", func() bool { return isLeaving(d, leaving) })
+	left := time.Now()
+	d.Until("the proxy that missed it to stop", func() bool {
+		conn, err := d.Connect(t.Context(), missed)
+		if err != nil {
+			return true
+		}
+		defer closeConn(conn)
+		_, err = conn.Exec(t.Context(), "SELECT 1")
+		return err != nil
+	})
+	stopped := time.Now()
+	untilReads(d, load, d.Proxies[0])
+	// The factor covers a machine that is slow to run the proxy's timer.
+	if lasted := stopped.Sub(left); lasted > 2*attendanceLease {
+		t.Errorf("the proxy without control served for %v", lasted)
+	}
+	for _, c := range d.Controls {
+		d.Heal(missed.Name, c.Name)
+	}
+	untilReads(d, load, missed)
+	stop()
+	if n := readsAfter(d, leaving, missed.Name, stopped); n > 0 {
+		t.Errorf("%d reads began on the leaving upstream after the proxy had stopped", n)
+	}
+}
+
+// transactionOn returns a connection with an open transaction that reads from s.
+func transactionOn(t *testing.T, d *deploy.Deployment, s *deploy.StandIn) *pgx.Conn {
+	t.Helper()
+	var found *pgx.Conn
+	for i := 0; found == nil; i++ {
+		conn := connect(t, d, d.Proxies[0])
+		exec(t, conn, "BEGIN /*route='old'*/")
+		mark := fmt.Sprintf("probe %d", i)
+		exec(t, conn, fmt.Sprintf("SELECT id FROM lot WHERE proxy = '%s'", mark))
+		// The audit file names a statement once its transaction has ended.
+		if openOn(t, d, s, mark) {
+			found = conn
+			break
+		}
+		exec(t, conn, "COMMIT")
+	}
+	return found
+}
+
+// openOn asks a stand-in whether it runs a statement with this text.
+func openOn(t *testing.T, d *deploy.Deployment, s *deploy.StandIn, text string) bool {
+	t.Helper()
+	conn, err := d.ConnectDirectly(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeConn(conn)
+	rows, err := conn.Query(t.Context(), "SELECT statement FROM standin_audit WHERE outcome = 'open'")
+	if err != nil {
+		t.Fatal(err)
+	}
+	statements, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, statement := range statements {
+		if strings.Contains(statement, "'"+text+"'") {
+			return true
+		}
+	}
+	return false
+}
+
+func ranOn(d *deploy.Deployment, s *deploy.StandIn, text string) bool {
+	for _, e := range d.Audit(s) {
+		if strings.Contains(e.Statement, text) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/internal/e2e/rate_test.go
@@ -0,0 +1,140 @@
+package e2e
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+)
+
+const (
+	teamRate  = 150
+	teamBurst = 60
+	// greedyWriters ask for far more than the rate.
+	greedyWriters = 12
+)
+
+// greedy keeps writers busy that never pause.
+func (h *history) greedy(d *deploy.Deployment, proxies ...*deploy.Proxy) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, p := range proxies {
+		for range greedyWriters {
+			running.Go(func() {
+				for pause(ctx, reconnectPace) {
+					conn, err := d.Connect(ctx, p)
+					if err != nil {
+						continue
+					}
+					for ctx.Err() == nil && !conn.IsClosed() {
+						h.insert(ctx, conn, p.Name)
+					}
+					closeConn(conn)
+				}
+			})
+		}
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// run is when a request was sent and when a stand-in ran it. It was admitted in between.
+type run struct{ sent, ran time.Time }
+
+// runsOf returns the requests that any stand-in ran, refused by it or not.
+func runsOf(d *deploy.Deployment, h *history) []run {
+	ranAt := map[int64]time.Time{}
+	for _, s := range d.StandIns {
+		for _, e := range d.Audit(s) {
+			if id, ok := insertID(e); ok {
+				ranAt[id] = e.At
+			}
+		}
+	}
+	var runs []run
+	for _, w := range h.all() {
+		if at, ok := ranAt[w.id]; ok {
+			runs = append(runs, run{w.started, at})
+		}
+	}
+	return runs
+}
+
+// checkRate fails if more requests were admitted in any window than rate and burst
+// allow. A request was admitted after it was sent and before it ran, so all requests
+// that were sent and ran within a window were admitted in it.
+func checkRate(t *testing.T, runs []run, rate, burst float64) {
+	t.Helper()
+	slices.SortFunc(runs, func(a, b run) int { return a.sent.Compare(b.sent) })
+	// highest is the largest part of what a window allows that was used.
+	worst, worstWindow, highest := 0.0, time.Duration(0), 0.0
+	for i := range runs {
+		ends := make([]time.Time, 0, len(runs)-i)
+		for _, r := range runs[i:] {
+			ends = append(ends, r.ran)
+		}
+		slices.SortFunc(ends, time.Time.Compare)
+		for n, end := range ends {
+			window := end.Sub(runs[i].sent)
+			allowed := rate*window.Seconds() + burst
+			highest = max(highest, float64(n+1)/allowed)
+			if excess := float64(n+1) - allowed; excess > worst {
+				worst, worstWindow = excess, window
+			}
+		}
+	}
+	t.Logf("%d requests ran, at most %.3f of what a window allows", len(runs), highest)
+	if worst > 0 {
+		t.Errorf("%.1f requests above rate x window + burst in a window of %v", worst, worstWindow)
+	}
+}
+
+// untilMore waits until so many more writes were acknowledged by a proxy.
+func untilMore(d *deploy.Deployment, h *history, p *deploy.Proxy, more int) {
+	wanted := h.acknowledged(p.Name) + more
+	d.Until("admitted writes through "+p.Name, func() bool { return h.acknowledged(p.Name) >= wanted })
+}
+
+// Guards against a team that gets more than its rate and burst over the fleet: with
+// all its load on one proxy, after the load has moved to the other, when the control
+// leader is killed, and when a proxy is cut off while it holds a grant.
+func TestRateHoldsOverTheFleet(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{StandIns: 1})
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	d.Ctl("team", "set", deploy.Team, "--rate", "150", "--burst", "60")
+	untilProxiesHold(d, d.Show().State.Revision)
+	first, second := d.Proxies[0], d.Proxies[1]
+	h := newHistory()
+
+	stop := h.greedy(d, first)
+	untilMore(d, h, first, 200)
+	stop()
+	stop = h.greedy(d, second)
+	untilMore(d, h, second, 200)
+	stop()
+
+	stop = h.greedy(d, first, second)
+	untilMore(d, h, first, 50)
+	leader := d.Leader()
+	leader.Kill()
+	untilMore(d, h, first, 100)
+	leader.Start()
+
+	for _, c := range d.Controls {
+		d.Cut(first.Name, c.Name)
+	}
+	untilMore(d, h, second, 300)
+	for _, c := range d.Controls {
+		d.Heal(first.Name, c.Name)
+	}
+	untilMore(d, h, first, 50)
+	stop()
+
+	checkRate(t, runsOf(d, h), teamRate, teamBurst)
+	checkAcknowledged(t, d, h)
+}
--- a/cmd/internal/e2e/replaced_test.go
+++ b/cmd/internal/e2e/replaced_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
+
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 	"github.com/jayloom/jayloom/standin/relay"
@@ -20,36 +22,69 @@
 	}
 }
 
+// heldTransactions is how many transactions a test keeps open over a promotion.
+const heldTransactions = 5
+
+// openTransactions opens transactions with a write each and returns a function that
+// commits them and fails for each that is acknowledged.
+func openTransactions(t *testing.T, d *deploy.Deployment, h *history, p *deploy.Proxy) (commit func()) {
+	t.Helper()
+	conns := make([]*pgx.Conn, heldTransactions)
+	ids := make([]int64, heldTransactions)
+	for i := range conns {
+		conns[i] = connect(t, d, p)
+		ids[i] = h.begin(t, conns[i], p.Name)
+	}
+	return func() {
+		t.Helper()
+		for i, conn := range conns {
+			if w := h.commit(t.Context(), conn, p.Name, ids[i]); w.err == nil {
+				t.Errorf("%s acknowledged transaction %d of a replaced primary", p.Name, w.id)
+			}
+		}
+	}
+}
+
 // Guards against acknowledgements by a primary that is cut silently from control
 // and from its replicas and that one proxy still reaches: first by a proxy that
-// control reaches, then by a proxy that is cut from control as well.
+// control reaches, then by a proxy that is cut from control as well. Transactions that
+// were open before the cut are committed after the promotion, because a proxy that is
+// cut from control has few tokens for new ones.
 func TestCutPrimaryAcknowledgesNothingAfterReplacement(t *testing.T) {
 	d := deploy.Start(t, deploy.Options{})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	h := newHistory()
-	stop := h.load(d, 4, d.Proxies...)
+	stop := h.load(d, 4, d.Proxies[0])
+	stopCutOff := h.load(d, 4, d.Proxies[1])
 	untilWriting(d, h, d.Proxies...)
 
 	first := d.Primary()
 	term := d.Group().Term
+	commitOld := openTransactions(t, d, h, d.Proxies[0])
 	d.Isolate(first.Name, d.Proxies[0].Name)
 	second := d.UntilTerm(term + 1)
+	commitOld()
 	untilWriting(d, h, d.Proxies...)
 	began := []time.Time{termStart(t, d, term+1)}
 
 	// The second proxy keeps its way to the primary and loses control.
 	cutOff := d.Proxies[1]
+	stopCutOff()
+	commitOld = openTransactions(t, d, h, cutOff)
 	for _, c := range d.Controls {
 		d.Cut(cutOff.Name, c.Name)
 	}
 	d.Isolate(second.Name, cutOff.Name)
 	d.UntilTerm(term + 2)
+	commitOld()
 	untilWriting(d, h, d.Proxies[0])
 	began = append(began, termStart(t, d, term+2))
 	for _, c := range d.Controls {
 		d.Heal(cutOff.Name, c.Name)
 	}
+	stopCutOff = h.load(d, 4, cutOff)
 	untilWriting(d, h, cutOff)
+	stopCutOff()
 	stop()
 
 	checkNoAcknowledgementAfter(t, d, h, first, began[0])
