--- /dev/null
+++ b/cmd/internal/e2e/abandoned_test.go
@@ -0,0 +1,103 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+)
+
+// Rows that abandoned work has written.
+const (
+	abandonedRow = 7001
+	copiedRow    = 7002
+)
+
+// abandonedWork is a transaction and a COPY that are under way.
+func abandonedWork(t *testing.T, d *deploy.Deployment, p *deploy.Proxy) (transaction, copying *pgx.Conn) {
+	t.Helper()
+	transaction, copying = connect(t, d, p), connect(t, d, p)
+	exec(t, transaction, "BEGIN")
+	exec(t, transaction, "SET statement_timeout = 12345")
+	exec(t, transaction, fmt.Sprintf("INSERT INTO lot VALUES (%d, 'abandoned')", abandonedRow))
+	reader, writer := io.Pipe()
+	go func() {
+		// It ends with an error when the proxy or the caller is gone.
+		_, _ = copying.PgConn().CopyFrom(context.Background(), reader, "COPY lot FROM STDIN")
+		reader.Close()
+	}()
+	// The second write returns once the first was taken over for sending.
+	for i := range 2 {
+		if _, err := fmt.Fprintf(writer, "%d\tcopied\n", copiedRow+i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.Until("the COPY on the primary", func() bool {
+		return openOn(t, d, d.Primary(), "COPY lot FROM STDIN")
+	})
+	return transaction, copying
+}
+
+// checkNoTrace fails if callers after the abandoned work see any of it. They run on
+// every connection that the proxy may lend, several times over.
+func checkNoTrace(t *testing.T, d *deploy.Deployment, p *deploy.Proxy, fresh int64) {
+	t.Helper()
+	for range 20 {
+		conn := connect(t, d, p)
+		var timeout string
+		if err := conn.QueryRow(t.Context(), "SHOW statement_timeout").Scan(&timeout); err != nil {
+			t.Fatal(err)
+		}
+		if timeout == "12345" || timeout == "12345ms" {
+			t.Errorf("%s: the next caller has a setting of the last one", p.Name)
+		}
+		if status := conn.PgConn().TxStatus(); status != 'I' {
+			t.Errorf("%s: the next caller begins with transaction status %c", p.Name, status)
+		}
+	}
+	if ids := rowIDs(t, d); len(ids) != 0 {
+		t.Errorf("%s: rows of abandoned work: %v", p.Name, ids)
+	}
+	// A transaction that was left open would hold these keys.
+	conn := connect(t, d, p)
+	for _, id := range []int64{abandonedRow, copiedRow, fresh} {
+		exec(t, conn, fmt.Sprintf("INSERT INTO lot VALUES (%d, 'next')", id))
+	}
+	exec(t, conn, "DELETE FROM lot")
+}
+
+// Guards against work that stays visible, or state that passes to the next caller,
+// after a proxy was killed inside a transaction and a COPY.
+func TestKilledProxyLeavesNoTrace(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{StandIns: 1})
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	killed, other := d.Proxies[0], d.Proxies[1]
+	transaction, copying := abandonedWork(t, d, killed)
+	killed.Kill()
+	d.Until("the end of both callers", func() bool {
+		_, err := transaction.Exec(t.Context(), "COMMIT")
+		return err != nil && copying.IsClosed()
+	})
+	checkNoTrace(t, d, other, 7100)
+	killed.Start()
+	checkNoTrace(t, d, killed, 7200)
+}
+
+// Guards against a connection that passes to the next caller with the transaction,
+// the COPY or the settings of a caller that has vanished.
+func TestVanishedCallerLeavesNoTrace(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{StandIns: 1})
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	transaction, copying := abandonedWork(t, d, d.Proxies[0])
+	transaction.PgConn().Conn().Close()
+	copying.PgConn().Conn().Close()
+	d.Until("the end of the abandoned work", func() bool {
+		primary := d.Primary()
+		return !openOn(t, d, primary, "COPY lot FROM STDIN") && !openOn(t, d, primary, "'abandoned'")
+	})
+	checkNoTrace(t, d, d.Proxies[0], 7100)
+}
--- /dev/null
+++ b/cmd/internal/e2e/share_test.go
@@ -0,0 +1,74 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+)
+
+const (
+	// shareLimit is the connection limit of the stand-in, shareReserve what control
+	// keeps of it for itself.
+	shareLimit   = 8
+	shareReserve = 2
+	// busyCallers want more connections than there are, through each proxy.
+	busyCallers = 10
+)
+
+// keepBusy runs transactions that keep their connection for a while.
+func keepBusy(d *deploy.Deployment, h *history, p *deploy.Proxy) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for range busyCallers {
+		running.Go(func() {
+			for pause(ctx, reconnectPace) {
+				conn, err := d.Connect(ctx, p)
+				if err != nil {
+					continue
+				}
+				for ctx.Err() == nil && !conn.IsClosed() {
+					id := h.next.Add(1)
+					_, err := conn.Exec(ctx, fmt.Sprintf("BEGIN; INSERT INTO lot VALUES (%d, 'busy'); SELECT pg_sleep(0.02); COMMIT", id))
+					h.add(write{id: id, proxy: p.Name, err: err})
+				}
+				closeConn(conn)
+			}
+		})
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// Guards against more connections to an upstream than its limit less the reserve
+// while the share of a proxy that was cut off is lent again, and after its return.
+func TestSharesOfCutOffProxyAreLentWithinTheLimit(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{StandIns: 1, ConnectionLimit: shareLimit})
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	h := newHistory()
+	first, second, primary := d.Proxies[0], d.Proxies[1], d.StandIns[0]
+	stopFirst, stopSecond := keepBusy(d, h, first), keepBusy(d, h, second)
+	defer stopFirst()
+	defer stopSecond()
+	untilWriting(d, h, first, second)
+	for range 2 {
+		for _, c := range d.Controls {
+			d.Cut(second.Name, c.Name)
+		}
+		d.Until("the share of the cut-off proxy to be lent to the other", func() bool {
+			return d.OpenConnections(first.Name, primary.Name) == shareLimit-shareReserve
+		})
+		untilWriting(d, h, first)
+		for _, c := range d.Controls {
+			d.Heal(second.Name, c.Name)
+		}
+		untilWriting(d, h, second, first)
+	}
+	if most := d.MostConnections(primary.Name); most > shareLimit-shareReserve {
+		t.Errorf("%d connections of proxies to a server that has %d for them", most, shareLimit-shareReserve)
+	}
+}
--- /dev/null
+++ b/cmd/internal/e2e/shutdown_test.go
@@ -0,0 +1,201 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+)
+
+const (
+	// drainCallers are in the middle of transactions when a proxy is stopped.
+	drainCallers = 200
+	// drainConnections lets one proxy hold the transactions of all callers.
+	drainConnections = drainCallers + 50
+	// callerPace keeps the work of all callers to a few thousand requests per second.
+	callerPace = 100 * time.Millisecond
+)
+
+// drainTest is a set of callers that run transactions and single writes, and move to
+// another proxy when theirs ends them between two requests.
+type drainTest struct {
+	t    *testing.T
+	d    *deploy.Deployment
+	next atomic.Int64
+
+	mu sync.Mutex
+	// committed and refused hold the first id of each piece of work; a transaction
+	// writes this id and the one after it.
+	committed, refused []int64
+	// inside counts callers that wait in the middle of a transaction.
+	inside map[string]int
+	// release lets them go on; nil while nobody is to wait.
+	release chan struct{}
+}
+
+func (x *drainTest) hold() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.release = make(chan struct{})
+}
+
+func (x *drainTest) letGo() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	close(x.release)
+	x.release = nil
+}
+
+func (x *drainTest) insideOf(proxy string) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.inside[proxy]
+}
+
+func (x *drainTest) meetHold(proxy string) {
+	x.mu.Lock()
+	release := x.release
+	if release == nil {
+		x.mu.Unlock()
+		return
+	}
+	x.inside[proxy]++
+	x.mu.Unlock()
+	<-release
+	x.mu.Lock()
+	x.inside[proxy]--
+	x.mu.Unlock()
+}
+
+// caller works until ctx ends, on its own proxy whenever that accepts it.
+func (x *drainTest) caller(ctx context.Context, home int) {
+	for pause(ctx, reconnectPace) {
+		p := x.d.Proxies[home]
+		conn, err := x.d.Connect(ctx, p)
+		if err != nil {
+			p = x.d.Proxies[1-home]
+			if conn, err = x.d.Connect(ctx, p); err != nil {
+				continue
+			}
+		}
+		for pause(ctx, callerPace) && !conn.IsClosed() && x.work(conn, p) && p == x.d.Proxies[home] {
+		}
+		closeConn(conn)
+	}
+}
+
+// work runs one transaction and one single write, and reports whether the
+// connection is still good.
+func (x *drainTest) work(conn *pgx.Conn, p *deploy.Proxy) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
+	defer cancel()
+	id := x.next.Add(3)
+	if !x.first(ctx, conn, p, id, "BEGIN") {
+		return false
+	}
+	for i, statement := range []string{insertRow(id, p), "", insertRow(id+1, p), "COMMIT"} {
+		if statement == "" {
+			x.meetHold(p.Name)
+			continue
+		}
+		if _, err := conn.Exec(ctx, statement); err != nil {
+			x.t.Errorf("%s cut a transaction at step %d: %v", p.Name, i, err)
+			return false
+		}
+	}
+	x.note(&x.committed, id, id+1)
+	if !x.first(ctx, conn, p, id+2, insertRow(id+2, p)) {
+		return false
+	}
+	x.note(&x.committed, id+2)
+	return true
+}
+
+// first sends a request outside a transaction. It may only be refused as not run
+// because the proxy shuts down.
+func (x *drainTest) first(ctx context.Context, conn *pgx.Conn, p *deploy.Proxy, id int64, statement string) bool {
+	_, err := conn.Exec(ctx, statement)
+	if err == nil {
+		return true
+	}
+	if rescode.Code(codeOf(err)) != rescode.ProxyDraining {
+		x.t.Errorf("%s ended a request outside a transaction: %v", p.Name, err)
+	}
+	x.note(&x.refused, id)
+	return false
+}
+
+func (x *drainTest) note(list *[]int64, ids ...int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	*list = append(*list, ids...)
+}
+
+func insertRow(id int64, p *deploy.Proxy) string {
+	return fmt.Sprintf("INSERT INTO lot VALUES (%d, '%s')", id, p.Name)
+}
+
+// Guards against a graceful shutdown that cuts a transaction, loses a request or
+// refuses one as not run that did run: 200 callers in the middle of transactions
+// while the two proxies are restarted in turn.
+func TestRestartOfProxiesCutsNothing(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{StandIns: 1, ConnectionLimit: drainConnections})
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	x := &drainTest{t: t, d: d, inside: map[string]int{}}
+	x.hold()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var callers sync.WaitGroup
+	for i := range drainCallers {
+		callers.Go(func() { x.caller(ctx, i%2) })
+	}
+	for _, p := range d.Proxies {
+		d.Until("all callers of "+p.Name+" to be in transactions", func() bool {
+			return x.insideOf(p.Name) >= drainCallers/2
+		})
+		p.Terminate()
+		d.Until(p.Name+" to accept nobody", func() bool {
+			conn, err := d.Connect(t.Context(), p)
+			if err == nil {
+				closeConn(conn)
+			}
+			return err != nil
+		})
+		if n := x.insideOf(p.Name); n < drainCallers/2 {
+			t.Errorf("%s has %d callers in transactions after SIGTERM", p.Name, n)
+		}
+		x.letGo()
+		p.Wait()
+		p.Start()
+		x.hold()
+	}
+	x.letGo()
+	stop()
+	callers.Wait()
+
+	found := map[int64]bool{}
+	for _, id := range rowIDs(t, d) {
+		found[id] = true
+	}
+	for _, id := range x.committed {
+		if !found[id] {
+			t.Errorf("row %d was acknowledged and is not there", id)
+		}
+	}
+	for _, id := range x.refused {
+		if found[id] {
+			t.Errorf("row %d was refused as not run and is there", id)
+		}
+	}
+	if len(found) != len(x.committed) {
+		t.Errorf("%d rows, %d acknowledged", len(found), len(x.committed))
+	}
+	t.Logf("%d rows acknowledged, %d requests refused as not run", len(x.committed), len(x.refused))
+}
