Report the session token that a SET takes over

Cause: a driver keeps the value of jayloom.session that was reported last. After SET jayloom.session that was the one of the startup, a new identity without positions; a session that roams by SET and reads lost its floor with it, and got older data after a failover without an error. A test with sessions that roam between two proxies, replicas 10 s behind and a failover.

--- /dev/null
+++ b/cmd/internal/e2e/session_test.go
@@ -0,0 +1,186 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+)
+
+const (
+	replicaLag = 10 * time.Second
+	// roamingSessions run at a time of each kind, with a token and without.
+	roamingSessions = 4
+	// roamingRounds is how often each moves to the other proxy.
+	roamingRounds = 25
+	tokenName     = "jayloom.session"
+)
+
+// roamer is a session that moves to another proxy after every write. It counts up
+// one row and knows the number that it wrote last.
+type roamer struct {
+	d     *deploy.Deployment
+	id    int
+	token bool
+	shown string
+	value int
+}
+
+// on runs f on a fresh connection to a proxy that shows the session's newest token.
+func (r *roamer) on(ctx context.Context, p *deploy.Proxy, f func(conn *pgx.Conn) error) error {
+	conn, err := r.d.Connect(ctx, p)
+	if err != nil {
+		return err
+	}
+	defer closeConn(conn)
+	if r.token && r.shown != "" {
+		if _, err := conn.Exec(ctx, fmt.Sprintf("SET %s = '%s'", tokenName, r.shown)); err != nil {
+			return err
+		}
+	}
+	err = f(conn)
+	if shown := conn.PgConn().ParameterStatus(tokenName); shown != "" {
+		r.shown = shown
+	}
+	return err
+}
+
+// write writes the next number; the row exists from the first one on.
+func (r *roamer) write(ctx context.Context, p *deploy.Proxy) error {
+	next := r.value + 1
+	statement := fmt.Sprintf("UPDATE tray SET n = %d WHERE id = %d", next, r.id)
+	if next == 1 {
+		statement = fmt.Sprintf("INSERT INTO tray VALUES (%d, 1)", r.id)
+	}
+	err := r.on(ctx, p, func(conn *pgx.Conn) error {
+		_, err := conn.Exec(ctx, statement)
+		return err
+	})
+	if err == nil {
+		r.value = next
+	}
+	return err
+}
+
+// read returns the number that a read-your-writes read finds, 0 without a row.
+func (r *roamer) read(ctx context.Context, p *deploy.Proxy) (int, error) {
+	found := 0
+	err := r.on(ctx, p, func(conn *pgx.Conn) error {
+		rows, err := conn.Query(ctx, fmt.Sprintf("SELECT n FROM tray WHERE id = %d /*route='own'*/", r.id))
+		if err != nil {
+			return err
+		}
+		all, err := pgx.CollectRows(rows, pgx.RowTo[int])
+		if len(all) > 0 {
+			found = all[0]
+		}
+		return err
+	})
+	return found, err
+}
+
+// roam writes and reads in turn on both proxies.
+func (r *roamer) roam(t *testing.T, rounds int) {
+	for i := range rounds {
+		if err := r.write(t.Context(), r.d.Proxies[i%2]); err != nil {
+			t.Errorf("session %d: write %d: %v", r.id, r.value+1, err)
+			return
+		}
+		found, err := r.read(t.Context(), r.d.Proxies[(i+1)%2])
+		if err != nil || found != r.value {
+			t.Errorf("session %d (token %v) wrote %d and read %d on the other proxy, error %v", r.id, r.token, r.value, found, err)
+			return
+		}
+	}
+}
+
+func eachRoamer(roamers []*roamer, f func(r *roamer)) {
+	var all sync.WaitGroup
+	for _, r := range roamers {
+		all.Go(func() { f(r) })
+	}
+	all.Wait()
+}
+
+// readUntilAnswered reads until the answer is a row, none, or a lost position.
+func (r *roamer) readUntilAnswered(t *testing.T, p *deploy.Proxy) (found int, lost bool) {
+	t.Helper()
+	r.d.Until(fmt.Sprintf("an answer to session %d", r.id), func() bool {
+		var err error
+		found, err = r.read(t.Context(), p)
+		lost = rescode.Code(codeOf(err)) == rescode.SessionPositionLost
+		return err == nil || lost
+	})
+	return found, lost
+}
+
+// Guards against reads that do not show a session's own writes while it roams
+// between two proxies and replicas are 10 s behind, through a proxy that has just
+// started, and after a failover that lost writes: then a session with a token has to
+// learn that, and never gets older data silently.
+func TestRoamingSessionsReadTheirWrites(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{Lag: replicaLag})
+	d.Ctl("route", "set", "own", "--service", deploy.Service, "--read")
+	exec(t, connect(t, d, d.Proxies[0]), "CREATE TABLE tray (id int PRIMARY KEY, n int)")
+	var roamers []*roamer
+	for i := range 2 * roamingSessions {
+		roamers = append(roamers, &roamer{d: d, id: i + 1, token: i < roamingSessions})
+	}
+	eachRoamer(roamers, func(r *roamer) { r.roam(t, roamingRounds) })
+
+	d.Proxies[1].Kill()
+	d.Proxies[1].Start()
+	eachRoamer(roamers, func(r *roamer) {
+		if found, lost := r.readUntilAnswered(t, d.Proxies[1]); lost || found != r.value {
+			t.Errorf("session %d wrote %d and read %d through a proxy that has just started, lost %v", r.id, r.value, found, lost)
+		}
+	})
+
+	// The replicas have the rows as they were, and none of the writes after that.
+	d.Until("the rows on a replica", func() bool { return rowsOn(t, d, d.StandIns[1]) == len(roamers) })
+	eachRoamer(roamers, func(r *roamer) { r.roam(t, roamingRounds) })
+	primary, term := d.Primary(), d.Group().Term
+	primary.Kill()
+	d.UntilTerm(term + 1)
+	eachRoamer(roamers[:roamingSessions], func(r *roamer) {
+		for _, p := range d.Proxies {
+			found, lost := r.readUntilAnswered(t, p)
+			if !lost && found < r.value {
+				t.Errorf("session %d wrote %d and read %d after the failover, without an error", r.id, r.value, found)
+			}
+			if lost {
+				return
+			}
+		}
+		t.Errorf("session %d was not told that its position is lost", r.id)
+	})
+	if t.Failed() {
+		return
+	}
+	// A session that was told goes on from what is there.
+	eachRoamer(roamers, func(r *roamer) {
+		r.shown = ""
+		r.value, _ = r.readUntilAnswered(t, d.Proxies[0])
+		r.roam(t, roamingRounds)
+	})
+}
+
+func rowsOn(t *testing.T, d *deploy.Deployment, s *deploy.StandIn) int {
+	t.Helper()
+	conn, err := d.ConnectDirectly(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeConn(conn)
+	var count int
+	if err := conn.QueryRow(t.Context(), "SELECT count(*) FROM tray").Scan(&count); err != nil {
+		return 0 // the replica has no table yet
+	}
+	return count
+}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -121,7 +121,13 @@
 		}
 		return s.defaults.SetSlot(value)
 	default:
-		return s.setSession(value)
+		refused := s.setSession(value)
+		if refused == nil {
+			// Drivers keep the value reported last, as for every reported setting. Without
+			// this it would be that of the startup, which has no positions.
+			s.out.Message(&pgproto3.ParameterStatus{Name: nameSession, Value: s.tokenText()})
+		}
+		return refused
 	}
 }
 
