--- a/proxy/attend/client_test.go
+++ b/proxy/attend/client_test.go
@@ -128,7 +128,7 @@
 }
 
 func group(phase controlpb.GroupPhase, term uint64) map[string]*controlpb.Group {
-	return map[string]*controlpb.Group{"g": {Name: "g", Term: term, Phase: phase, Primary: "a:1"}}
+	return map[string]*controlpb.Group{"g": {Name: "g", Service: "s", Term: term, Phase: phase, Primary: "a:1"}}
 }
 
 const (
@@ -264,12 +264,22 @@
 	store := view.NewStore()
 	a := newApplier("p1", store)
 	a.sends.reset()
-	a.apply(&controlpb.Update{Full: &controlpb.FleetState{Revision: 1, Groups: group(healthy, 1)}})
+	a.apply(&controlpb.Update{Full: &controlpb.FleetState{Revision: 1, Groups: group(healthy, 1),
+		Upstreams: map[string]*controlpb.Upstream{"a:1": {Address: "a:1", Group: "g"}}}})
 	before := store.Current()
-	a.apply(&controlpb.Update{Changes: []*controlpb.Change{{Revision: 2, Command: &controlpb.Command{
-		Change: &controlpb.Command_FenceGroup{FenceGroup: &controlpb.FenceGroup{Group: "g", Term: 1}}}}}})
-	if !before.Groups["g"].Healthy || store.Current().Groups["g"].Healthy {
-		t.Error("a published snapshot changed, or the new one did not")
+	a.apply(&controlpb.Update{Changes: []*controlpb.Change{
+		{Revision: 2, Command: &controlpb.Command{
+			Change: &controlpb.Command_FenceGroup{FenceGroup: &controlpb.FenceGroup{Group: "g", Term: 1}}}},
+		{Revision: 3, Command: &controlpb.Command{
+			Change: &controlpb.Command_AnnounceUpstream{AnnounceUpstream: &controlpb.AnnounceUpstream{Service: "s",
+				Upstream: &controlpb.Upstream{Address: "a:2", Group: "g"}}}}},
+	}})
+	after := store.Current()
+	if !before.Groups["g"].Healthy || after.Groups["g"].Healthy {
+		t.Error("the fence is not in the new snapshot only")
+	}
+	if before.Usable("a:2") || !after.Usable("a:2") {
+		t.Error("the new upstream is not in the new snapshot only")
 	}
 }
 
