Prove that a cancel request on its way reaches nobody else

Cause: with the closing of cancelled connections taken out, no test failed. Change: a test that holds a cancel request between its acceptance and its sending. Conclusion: none.

--- a/proxy/isolation_test.go
+++ b/proxy/isolation_test.go
@@ -225,6 +225,40 @@
 	}
 }
 
+// Guards against a cancel request that is on its way to the upstream when the
+// statement ends: it may take effect on what the connection runs next.
+func TestCancelOnItsWayReachesNobodyElse(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy(oneConnection)
+	ctx := context.Background()
+	first, next := p.driver(t), p.connect(t, "sorter", keySorter)
+	done := make(chan error, 2)
+	go func() {
+		_, err := first.Exec(ctx, "SELECT pg_sleep(0.1)")
+		done <- err
+	}()
+	eventually(t, "the statement runs", func() bool { return len(statements(s.primary, "pg_sleep(0.1)")) > 0 })
+	victim := p.registry.find(binary.BigEndian.Uint32(first.PgConn().SecretKey()))
+	conn := victim.running.Load()
+	if !conn.cancel.claim(victim.id) {
+		t.Fatal("the statement cannot be cancelled")
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_, err := next.Exec(ctx, "SELECT pg_sleep(0.3)")
+		done <- err
+	}()
+	eventually(t, "the next statement runs", func() bool { return len(statements(s.primary, "pg_sleep(0.3)")) > 0 })
+	if err := sendCancel(ctx, conn); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Errorf("the next caller got %v", err)
+	}
+}
+
 // Guards against cancel requests that do nothing.
 func TestCancelEndsTheCallersStatement(t *testing.T) {
 	s := newSystem(t, 0)
