--- a/policy/fleet/fleet.go
+++ b/policy/fleet/fleet.go
@@ -103,6 +103,10 @@
 	if err != nil {
 		return s.refused(c, err)
 	}
+	if text == "" {
+		// The state holds what the command asks for.
+		return &controlpb.CommandResult{RequestId: c.RequestId, Revision: s.pb.Revision}
+	}
 	s.pb.Revision++
 	s.record(c, subject, text)
 	return &controlpb.CommandResult{RequestId: c.RequestId, Revision: s.pb.Revision}
@@ -157,12 +161,12 @@
 	}
 }
 
-// ForOperators returns a copy without secrets.
+// ForOperators returns a copy without secrets. A team's salt stays: it is sent to
+// every client that starts to authenticate, and jayloomctl derives verifiers with it.
 func (s *State) ForOperators() *controlpb.FleetState {
 	public := s.ForProxies()
 	public.TokenKey = nil
 	for _, team := range public.Teams {
-		team.ScramSalt = nil
 		for _, key := range team.Keys {
 			key.StoredKey = nil
 			key.ServerKey = nil
