Read the share at the moment of opening a connection

Cause: a pool kept the share of its last report, up to 100 ms after the share's end. Change: a connection is counted as open first and compared with the share as it is now, as the holder of shares asks for.

--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/policy/fairq"
 	"github.com/jayloom/jayloom/policy/share"
 )
@@ -27,8 +28,7 @@
 	address string
 	service string
 
-	mu      sync.Mutex
-	allowed int
+	mu sync.Mutex
 	// open counts connections that are open or being opened.
 	open   int
 	idle   []*upstreamConn
@@ -99,8 +99,7 @@
 		if conn := p.takeIdle(b.session); conn != nil {
 			return nil, handover{conn: conn}, nil
 		}
-		if p.open < p.allowed {
-			p.open++
+		if p.permit() {
 			p.notePeak()
 			return nil, handover{}, nil
 		}
@@ -114,6 +113,23 @@
 	return w, handover{}, nil
 }
 
+// allowed is the share as it is now; it can lapse at any moment.
+func (p *pool) allowed() int {
+	return p.set.allowed(clock.Now(), p.address)
+}
+
+// permit counts a connection as open if the share allows it. It is counted before
+// the share is read, so that no report can miss a connection that an earlier share
+// allowed.
+func (p *pool) permit() bool {
+	p.open++
+	if p.open <= p.allowed() {
+		return true
+	}
+	p.open--
+	return false
+}
+
 // takeIdle prefers the connection that the session used last, which needs no reset.
 // Connections that the upstream closed, or that have unread data, are dropped.
 func (p *pool) takeIdle(session uint64) *upstreamConn {
@@ -201,7 +217,7 @@
 		return
 	}
 	delete(p.busy, conn)
-	if !reusable || p.retired || p.open > p.allowed {
+	if !reusable || p.retired || p.open > p.allowed() {
 		p.drop(conn)
 	} else {
 		p.idle = append(p.idle, conn)
@@ -233,8 +249,7 @@
 			if got.conn = p.takeIdle(0); got.conn == nil {
 				continue
 			}
-		case p.open < p.allowed:
-			p.open++
+		case p.permit():
 		default:
 			return
 		}
@@ -273,16 +288,18 @@
 func (p *pool) mayPin() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return (p.pinned+1)*100 <= p.allowed*p.set.maxPinnedPercent || p.pinned == 0
+	return (p.pinned+1)*100 <= p.allowed()*p.set.maxPinnedPercent || p.pinned == 0
 }
 
-// setAllowed takes over the share. Connections above a share that has lapsed are
-// closed even if they are lent, because control lends them to others soon after.
-func (p *pool) setAllowed(allowed int, retired bool) {
+// adjust follows a change of the share or of the upstream's state. Connections above
+// a share that has lapsed are closed even if they are lent, because control lends
+// them to others soon after.
+func (p *pool) adjust(retired bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.allowed, p.retired = allowed, retired
-	for len(p.idle) > 0 && (p.open > p.allowed || retired) {
+	p.retired = retired
+	allowed := p.allowed()
+	for len(p.idle) > 0 && (p.open > allowed || retired) {
 		conn := p.idle[0]
 		p.idle = p.idle[1:]
 		p.drop(conn)
@@ -335,5 +352,5 @@
 func (p *pool) load() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return float64(len(p.busy)+p.queue.Len()) / float64(max(p.allowed, 1))
+	return float64(len(p.busy)+p.queue.Len()) / float64(max(p.allowed(), 1))
 }
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,8 +15,9 @@
 
 // pairDialer opens connections whose other end the test holds.
 type pairDialer struct {
-	t  *testing.T
-	mu sync.Mutex
+	t      *testing.T
+	mu     sync.Mutex
+	shares *changingShares
 	// remote are the upstream's ends, in the order of opening.
 	remote []net.Conn
 }
@@ -41,10 +43,19 @@
 	return &upstreamConn{net: ours, rd: wire.NewReader(ours, 1<<20), out: wire.NewWriter(ours), prepared: map[string]bool{}}, nil
 }
 
+// changingShares is a share that a test changes.
+type changingShares struct {
+	fakeShares
+	now atomic.Int64
+}
+
+func (c *changingShares) Allowed(time.Duration, string) int { return int(c.now.Load()) }
+
 func testPool(t *testing.T, allowed int) (*pool, *pairDialer) {
-	d := &pairDialer{t: t}
+	d := &pairDialer{t: t, shares: &changingShares{}}
+	d.shares.now.Store(int64(allowed))
 	set := &poolSet{dialer: d, queuePerTeam: 100, maxPinnedPercent: 50, reportNow: func() {}, pools: map[string]*pool{},
-		holder: fakeShares(allowed), parameters: map[string]map[string]string{}}
+		holder: d.shares, parameters: map[string]map[string]string{}}
 	return set.get("127.0.0.1:1", "wax"), d
 }
 
@@ -97,16 +108,19 @@
 	got := make(chan *upstreamConn, 1)
 	go func() { got <- take(t, p, "sorter", 3) }()
 	eventually(t, "a request waits", func() bool { return p.demand(0) == share.Pool{Upstream: p.address, Open: 2, Wanted: 3} })
-	p.setAllowed(3, false)
+	d.shares.now.Store(3)
+	p.adjust(false)
 	c := <-got
-	p.setAllowed(1, false)
+	d.shares.now.Store(1)
+	p.adjust(false)
 	p.release(a)
 	p.release(b)
 	if open := p.demand(0).Open; open != 1 {
 		t.Errorf("%d connections are open under a share of 1", open)
 	}
 	// A lapsed share takes lent connections too.
-	p.setAllowed(0, false)
+	d.shares.now.Store(0)
+	p.adjust(false)
 	if _, err := c.net.Write([]byte("x")); err == nil {
 		t.Error("a connection outlived its share")
 	}
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -48,7 +48,6 @@
 	p, ok := s.pools[address]
 	if !ok {
 		p = newPool(s, address, service)
-		p.allowed = s.allowed(clock.Now(), address)
 		p.retired = s.retired(address)
 		s.pools[address] = p
 	}
@@ -113,7 +112,7 @@
 	p, ok := s.pools[grant.Upstream]
 	s.mu.Unlock()
 	if ok {
-		s.apply(now, p)
+		s.apply(p)
 	}
 }
 
@@ -125,17 +124,17 @@
 }
 
 // enforce applies shares that lapse without a message; a timer calls it.
-func (s *poolSet) enforce(now time.Duration) {
+func (s *poolSet) enforce() {
 	for _, p := range s.list() {
-		s.apply(now, p)
+		s.apply(p)
 	}
 }
 
-func (s *poolSet) apply(now time.Duration, p *pool) {
+func (s *poolSet) apply(p *pool) {
 	s.mu.Lock()
 	retired := s.retired(p.address)
 	s.mu.Unlock()
-	p.setAllowed(s.allowed(now, p.address), retired)
+	p.adjust(retired)
 }
 
 // follow reacts to a new snapshot: upstreams that leave get no new work, those that
@@ -155,13 +154,12 @@
 }
 
 func (s *poolSet) followConfig(old, next *view.Config) {
-	now := clock.Now()
 	for _, p := range s.list() {
 		_, known := next.Upstreams[p.address]
 		if !known || replacedPrimary(old, next, p.address) {
 			p.cut()
 		}
-		s.apply(now, p)
+		s.apply(p)
 	}
 }
 
@@ -225,5 +223,5 @@
 	set.NewGauge("jayloom_proxy_pool_idle", sum(func(p *pool) int { return len(p.idle) }))
 	set.NewGauge("jayloom_proxy_pool_waiting", sum(func(p *pool) int { return p.queue.Len() }))
 	set.NewGauge("jayloom_proxy_pool_pinned", sum(func(p *pool) int { return p.pinned }))
-	set.NewGauge("jayloom_proxy_pool_allowed", sum(func(p *pool) int { return p.allowed }))
+	set.NewGauge("jayloom_proxy_pool_allowed", sum((*pool).allowed))
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -125,7 +125,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			s.pools.enforce(clock.Now())
+			s.pools.enforce()
 		case <-s.stop:
 			return
 		}
