Name reads by target in one counter and document every metric and setting

Cause: the load tool reads the replica share from jayloom_proxy_reads_total{target}, which the proxy did not have, and the operators' page listed neither metrics nor a test that keeps them current. Change: one counter with target and reason; the page lists every metric and setting, and a test compares it with the code in both directions.

--- /dev/null
+++ b/cmd/internal/docs/docs_test.go
@@ -0,0 +1,87 @@
+package docs
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/jayloom/jayloom/base/settings"
+)
+
+const (
+	root       = "../../.."
+	operations = root + "/docs/operations.md"
+)
+
+func readFile(t *testing.T, path string) string {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// Guards against a metric that operators cannot look up, and against a documented
+// one that no process has.
+func TestOperationsPageListsTheMetrics(t *testing.T) {
+	page := readFile(t, operations)
+	name := regexp.MustCompile(`jayloom_(?:proxy|control|replica)_[a-z_]+`)
+	quoted := regexp.MustCompile("[\"`](jayloom_(?:proxy|control|replica)_[a-z_]+)")
+	inCode := map[string]bool{}
+	for _, module := range []string{"control", "proxy"} {
+		err := filepath.WalkDir(filepath.Join(root, module), func(path string, _ os.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			for _, match := range quoted.FindAllStringSubmatch(readFile(t, path), -1) {
+				inCode[match[1]] = true
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	onPage := map[string]bool{}
+	for _, metric := range name.FindAllString(page, -1) {
+		onPage[metric] = true
+	}
+	for metric := range inCode {
+		if !onPage[metric] {
+			t.Errorf("metric %s is not on %s", metric, operations)
+		}
+	}
+	for metric := range onPage {
+		if !inCode[metric] {
+			t.Errorf("metric %s on %s is in no package", metric, operations)
+		}
+	}
+}
+
+// Guards against a setting that operators cannot look up.
+func TestOperationsPageListsTheSettings(t *testing.T) {
+	page := readFile(t, operations)
+	for _, field := range fields(reflect.TypeFor[settings.Settings]()) {
+		if !strings.Contains(page, "`"+field+"`") && !strings.Contains(page, "."+field+"`") {
+			t.Errorf("setting %s is not on %s", field, operations)
+		}
+	}
+}
+
+// fields returns the names of all scalar settings, without their sections.
+func fields(t reflect.Type) []string {
+	var names []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		if field.Type.Kind() == reflect.Struct {
+			names = append(names, fields(field.Type)...)
+			continue
+		}
+		names = append(names, field.Tag.Get("json"))
+	}
+	return names
+}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -50,11 +50,18 @@
 )
 
 var (
-	metricReadsReplica = labelled("jayloom_proxy_reads_replica_total", "reason", readFloor, readAge, readPinned)
-	metricReadsPrimary = labelled("jayloom_proxy_reads_primary_total", "reason",
-		readNoReplica, readNotReached, readFellBehind, readReplicaLost, readPinned)
+	metricReadsReplica = reads("replica", readFloor, readAge, readPinned)
+	metricReadsPrimary = reads("primary", readNoReplica, readNotReached, readFellBehind, readReplicaLost, readPinned)
 )
 
+func reads(target string, reasons ...readReason) map[readReason]*metrics.Counter {
+	m := make(map[readReason]*metrics.Counter, len(reasons))
+	for _, reason := range reasons {
+		m[reason] = metrics.NewCounter(fmt.Sprintf("jayloom_proxy_reads_total{target=%q,reason=%q}", target, string(reason)))
+	}
+	return m
+}
+
 func labelled[L ~string](name, label string, values ...L) map[L]*metrics.Counter {
 	m := make(map[L]*metrics.Counter, len(values))
 	for _, value := range values {
