--- a/policy/rate/owner.go
+++ b/policy/rate/owner.go
@@ -89,6 +89,7 @@
 	t, ok := o.teams[name]
 	if !ok {
 		t = newTeam(name, o.now)
+		t.rate, t.burst = rate, burst
 		t.bucket = min(burst, rate*max(0, (o.now-o.leadAt-o.cfg.LapseAfter).Seconds()))
 		o.teams[name] = t
 	}
@@ -106,16 +107,16 @@
 	}
 }
 
-// RemoveProxy forgets a proxy. What it held stays outstanding until it has lapsed.
+// RemoveProxy ends the stream of a proxy. What it held stays outstanding until it has
+// lapsed; a proxy that has not reported to this leader may hold anything until then.
 func (o *Owner) RemoveProxy(now time.Duration, name string) {
 	o.tick(now)
-	delete(o.unreported, name)
-	delete(o.streams, name)
+	// Later reports of the stream are ignored.
+	o.streams[name] = stream{number: o.streams[name].number + 1}
 	for _, t := range o.teams {
 		o.refill(t)
 		t.abandon(name, o.cfg.LapseAfter)
 	}
-	o.settle()
 }
 
 // Report takes a proxy's report and returns its grants. stream grows with each
--- a/policy/share/owner.go
+++ b/policy/share/owner.go
@@ -94,11 +94,12 @@
 	}
 }
 
-// RemoveProxy forgets a proxy. What was lent to it stays lent until it has lapsed.
+// RemoveProxy ends the stream of a proxy. What was lent to it stays lent until it has
+// lapsed; a proxy that has not reported to this leader may have any share until then.
 func (o *Owner) RemoveProxy(now time.Duration, name string) {
-	delete(o.unreported, name)
 	o.tick(now)
-	delete(o.streams, name)
+	// Later reports of the stream are ignored.
+	o.streams[name] = stream{number: o.streams[name].number + 1}
 	for _, u := range o.upstreams {
 		u.abandon(name, o.now, o.cfg.LapseAfter)
 	}
@@ -187,7 +188,8 @@
 
 // Pushes returns shares that changed without a report: smaller ones of proxies that
 // have more than their part while others lack some, and larger ones of those others.
-// They must be sent at once, because their time counts from this call.
+// They must be sent at once, because their time counts from this call, and on the
+// stream whose report was handled last, with the sequence of that report.
 func (o *Owner) Pushes(now time.Duration) []Push {
 	o.tick(now)
 	shares := map[string][]*controlpb.ShareGrant{}
