--- /dev/null
+++ b/cmd/internal/experiment/plan_test.go
@@ -0,0 +1,87 @@
+package experiment
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/jayloom/jayloom/cmd/internal/load"
+)
+
+// Guards against deployments whose processes share a port, and against a replica
+// that follows another group's primary or bypasses the relays.
+func TestPlan(t *testing.T) {
+	for name, profile := range load.Profiles() {
+		p := Plan{Profile: profile, Folder: t.TempDir(), BasePort: 20000, Limit: 100, BurstSeconds: 1,
+			RelayControl: true, RelayUpstreams: true, RelayProxies: true}
+		if err := p.Write(); err != nil {
+			t.Fatal(err)
+		}
+		data, err := os.ReadFile(filepath.Join(p.Folder, "processes"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+		want := 2 * (voters + profile.Proxies + p.upstreams())
+		if len(lines) != want {
+			t.Errorf("%s: %d processes, want %d", name, len(lines), want)
+		}
+		checkPorts(t, string(data))
+		checkFollowing(t, &p, lines)
+	}
+}
+
+func checkPorts(t *testing.T, text string) {
+	t.Helper()
+	used := map[string]bool{}
+	for _, match := range regexp.MustCompile(`--(?:listen|http) (\S+)`).FindAllStringSubmatch(text, -1) {
+		if used[match[1]] {
+			t.Errorf("%s is used twice", match[1])
+		}
+		used[match[1]] = true
+	}
+}
+
+func checkFollowing(t *testing.T, p *Plan, lines []string) {
+	t.Helper()
+	replicas := 0
+	for _, line := range lines {
+		_, primary, ok := strings.Cut(line, " --follow ")
+		if !ok {
+			continue
+		}
+		replicas++
+		group := regexp.MustCompile(`--group \S+`).FindString(line)
+		found := false
+		for _, other := range lines {
+			found = found || strings.Contains(other, "--advertise "+primary+" ") && strings.Contains(other, group+" ") && !strings.Contains(other, "--follow")
+		}
+		if !found {
+			t.Errorf("%s is not the announced address of a primary of %s", primary, group)
+		}
+	}
+	if want := p.Profile.Groups * (p.Profile.ServersPerGroup - 1); replicas != want {
+		t.Errorf("%d replicas, want %d", replicas, want)
+	}
+}
+
+// Guards against ports beyond the range and roles that overlap.
+func TestPlanCheck(t *testing.T) {
+	good := Plan{Profile: load.Profiles()["small"], BasePort: 20000, Limit: 1, BurstSeconds: 1}
+	if err := good.Check(); err != nil {
+		t.Fatal(err)
+	}
+	for name, change := range map[string]func(*Plan){
+		"port":    func(p *Plan) { p.BasePort = 65400 },
+		"proxies": func(p *Plan) { p.Profile.Proxies = 20 },
+		"limit":   func(p *Plan) { p.Limit = 0 },
+	} {
+		bad := good
+		change(&bad)
+		if bad.Check() == nil {
+			t.Errorf("a plan with a bad %s is accepted", name)
+		}
+	}
+}
--- a/cmd/internal/load/idle.go
+++ b/cmd/internal/load/idle.go
@@ -21,11 +21,13 @@
 	ResidentBefore     int64   `json:"resident_before_bytes"`
 	ResidentAfter      int64   `json:"resident_after_bytes"`
 	BytesPerConnection float64 `json:"bytes_per_connection"`
+	// Prepared is the number of statements prepared on each connection.
+	Prepared int `json:"prepared"`
 }
 
-// Idle opens connections, leaves them idle, and reports by how much the resident
-// memory of the process pid grew.
-func Idle(ctx context.Context, config *pgconn.Config, connections, pid int) (*IdleReport, error) {
+// Idle opens connections, prepares a number of statements on each, leaves them
+// idle, and reports by how much the resident memory of the process pid grew.
+func Idle(ctx context.Context, config *pgconn.Config, connections, prepared, pid int) (*IdleReport, error) {
 	var conns []*pgconn.PgConn
 	defer func() {
 		for _, c := range conns {
@@ -39,6 +41,9 @@
 				return errors.Wrapf(err, "connection %d", len(conns)+1)
 			}
 			conns = append(conns, c)
+			if err := prepare(ctx, c, prepared); err != nil {
+				return err
+			}
 		}
 		return nil
 	}
@@ -59,9 +64,21 @@
 	return &IdleReport{
 		Connections: connections, ResidentBefore: before, ResidentAfter: after,
 		BytesPerConnection: float64(after-before) / float64(connections),
+		Prepared:           prepared,
 	}, nil
 }
 
+// prepare prepares different statements of about 60 bytes.
+func prepare(ctx context.Context, c *pgconn.PgConn, count int) error {
+	for i := range count {
+		text := fmt.Sprintf("SELECT code, label FROM colour WHERE code = $1 /* %08d */", i)
+		if _, err := c.Prepare(ctx, fmt.Sprintf("statement%d", i), text, nil); err != nil {
+			return errors.Wrapf(err, "prepared statement %d", i)
+		}
+	}
+	return nil
+}
+
 // resident reads the second field of statm, the resident size in pages.
 func resident(pid int) (int64, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
--- a/cmd/internal/load/profile.go
+++ b/cmd/internal/load/profile.go
@@ -84,7 +84,8 @@
 // lookupRows is the number of rows of a lookup table.
 const lookupRows = 64
 
-// Profiles returns the profiles of the two users.
+// Profiles returns the profiles of the two users, and small: the first one's load
+// on one group and two proxies, for runs that fail servers again and again.
 func Profiles() map[string]Profile {
 	litbrot := Profile{
 		Name: "litbrot", Service: "wax", Lookup: "colour", Ledger: "intake", Lines: "intake_line",
@@ -111,6 +112,9 @@
 		}
 		profiles[p.Name] = p
 	}
+	small := profiles[litbrot.Name]
+	small.Name, small.Proxies, small.Groups = "small", 2, 1
+	profiles[small.Name] = small
 	return profiles
 }
 
--- a/cmd/internal/load/run_test.go
+++ b/cmd/internal/load/run_test.go
@@ -177,7 +177,7 @@
 	if cost.Statements != 40 || cost.DirectMedianUs <= 0 || cost.ProxyMedianUs <= 0 || cost.ThroughputRatio <= 0 {
 		t.Fatalf("cost is %+v", cost)
 	}
-	idle, err := Idle(t.Context(), config, 5, os.Getpid())
+	idle, err := Idle(t.Context(), config, 5, 0, os.Getpid())
 	if err != nil || idle.Connections != 5 || idle.ResidentAfter <= 0 {
 		t.Fatalf("%+v, %v", idle, err)
 	}
--- a/cmd/jayloom-load/load.go
+++ b/cmd/jayloom-load/load.go
@@ -17,7 +17,7 @@
 type loadCommand struct {
 	flagfile.Common
 
-	Profile     string         `long:"profile" default:"litbrot" choice:"litbrot" choice:"paplate" description:"Load to put on the targets."`
+	Profile     string         `long:"profile" default:"litbrot" choice:"litbrot" choice:"paplate" choice:"small" description:"Load to put on the targets."`
 	Targets     []string       `long:"target" value-name:"HOST:PORT" description:"Proxy; may be given several times."`
 	Teams       string         `long:"teams" value-name:"FILE" description:"Teams as JSON: a list of objects with name, key, weight, rate and burst. Without it the profile's teams connect with --user."`
 	User        string         `long:"user" default:"jayloom" description:"User of teams without a key."`
--- a/cmd/jayloom-load/main.go
+++ b/cmd/jayloom-load/main.go
@@ -23,7 +23,7 @@
 	run(ctx context.Context) error
 }
 
-const usage = "[OPTIONS] [cost|idle|profile]"
+const usage = "[OPTIONS] [cost|experiment|idle|profile]"
 
 func main() {
 	if err := run(os.Args[1:]); err != nil {
@@ -38,6 +38,8 @@
 		switch args[0] {
 		case "cost":
 			return &costCommand{}, args[1:]
+		case "experiment":
+			return &experimentCommand{}, args[1:]
 		case "idle":
 			return &idleCommand{}, args[1:]
 		case "profile":
--- a/cmd/jayloom-load/measure.go
+++ b/cmd/jayloom-load/measure.go
@@ -69,6 +69,7 @@
 	Proxy       string `long:"proxy" value-name:"URL" required:"true" description:"Connection string of the proxy, as of libpq."`
 	PID         int    `long:"pid" required:"true" description:"Process id of the proxy."`
 	Connections int    `long:"connections" default:"2000" description:"Connections to open."`
+	Prepared    int    `long:"prepared" default:"0" description:"Statements to prepare on each connection; the profile litbrot has their table."`
 	JSON        string `long:"json" default:"-" value-name:"FILE" description:"Where to write the report."`
 
 	config *pgconn.Config
@@ -77,7 +78,7 @@
 func (c *idleCommand) common() *flagfile.Common { return &c.Common }
 
 func (c *idleCommand) check(args []string) (err error) {
-	if len(args) > 0 || c.Connections < 1 {
+	if len(args) > 0 || c.Connections < 1 || c.Prepared < 0 {
 		return errors.New("connections must be above 0, and there are no arguments")
 	}
 	c.config, err = pgconn.ParseConfig(c.Proxy)
@@ -85,7 +86,7 @@
 }
 
 func (c *idleCommand) run(ctx context.Context) error {
-	report, err := load.Idle(ctx, c.config, c.Connections, c.PID)
+	report, err := load.Idle(ctx, c.config, c.Connections, c.Prepared, c.PID)
 	if err != nil {
 		return err
 	}
@@ -96,7 +97,7 @@
 type profileCommand struct {
 	flagfile.Common
 
-	Profile string `long:"profile" default:"litbrot" choice:"litbrot" choice:"paplate" description:"Profile to print."`
+	Profile string `long:"profile" default:"litbrot" choice:"litbrot" choice:"paplate" choice:"small" description:"Profile to print."`
 	Schema  bool   `long:"schema" description:"Print the statements that create a group's tables, for jayloom-standin --init."`
 }
 
--- a/cmd/jayloom-relay/main.go
+++ b/cmd/jayloom-relay/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -22,9 +23,10 @@
 type options struct {
 	flagfile.Common
 
-	Listen string `long:"listen" description:"Address to listen on."`
-	Target string `long:"target" description:"Address to forward to."`
-	HTTP   string `long:"http" description:"Address that takes POST /cut, /delay?ms=…, /heal and /drop, and serves /metrics."`
+	Listen string        `long:"listen" description:"Address to listen on."`
+	Target string        `long:"target" description:"Address to forward to."`
+	Delay  time.Duration `long:"delay" default:"0s" description:"One-way delay in both directions."`
+	HTTP   string        `long:"http" description:"Address that takes POST /cut, /delay?ms=…, /heal and /drop, and serves /metrics."`
 }
 
 func main() {
@@ -75,6 +77,9 @@
 		return err
 	}
 	defer r.Close()
+	if err := r.Delay(relay.Both, o.Delay); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", o.HTTP)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", o.HTTP)
--- a/cmd/jayloom-standin/options.go
+++ b/cmd/jayloom-standin/options.go
@@ -20,6 +20,7 @@
 	flagfile.Common
 
 	Listen          string        `long:"listen" default:"127.0.0.1:5432" description:"Address to listen on, and to announce."`
+	Advertise       string        `long:"advertise" description:"Address to announce if it is not --listen, as behind a relay."`
 	HTTP            string        `long:"http" description:"Address that serves /metrics."`
 	User            string        `long:"user" default:"jayloom" description:"Name of the one account."`
 	Password        string        `long:"password" description:"Password of the account."`
@@ -76,12 +77,16 @@
 	if o.Service == "" || o.Group == "" || o.AnnounceCredential == "" {
 		return errors.New("--announce needs --service, --group and --announce-credential")
 	}
-	host, _, err := net.SplitHostPort(o.Listen)
+	name, address := "--listen", o.Listen
+	if o.Advertise != "" {
+		name, address = "--advertise", o.Advertise
+	}
+	host, _, err := net.SplitHostPort(address)
 	if err != nil {
-		return errors.Wrap(err, "--listen")
+		return errors.Wrap(err, name)
 	}
 	if ip := net.ParseIP(host); ip == nil || ip.IsUnspecified() {
-		return errors.New("--announce needs a --listen address with the IP address that others connect to")
+		return errors.Newf("--announce needs a %s address with the IP address that others connect to", name)
 	}
 	return nil
 }
@@ -120,6 +125,9 @@
 }
 
 func (o *options) upstream(address string) announce.Upstream {
+	if o.Advertise != "" {
+		address = o.Advertise
+	}
 	return announce.Upstream{
 		Service:         o.Service,
 		Group:           o.Group,
