Take a late write's id before other writers can

The test guessed the id of its own insert as the next free one while other writers took ids, so it froze the proxy behind another writer's commit and its own insert could run on the new primary. Ruled out: an acknowledgement by the replaced primary; checkNoAcknowledgementAfter, which compares by server, found none. Change: the id is reserved first and passed to the insert; the check itself is unchanged.

--- a/cmd/internal/e2e/replaced_test.go
+++ b/cmd/internal/e2e/replaced_test.go
@@ -67,8 +67,9 @@
 	}
 	d.CutDirection(p.Name, primary.Name, relay.Down)
 	ended := make(chan write, 1)
-	id := h.next.Load() + 1
-	go func() { ended <- h.insert(t.Context(), conn, p.Name) }()
+	// The id is taken first, because other writers may be taking theirs.
+	id := h.next.Add(1)
+	go func() { ended <- h.insertAs(t.Context(), conn, p.Name, id) }()
 	d.Until("the commit of the last write", func() bool { return committedOn(d, primary)[id] == 1 })
 	p.Freeze()
 	// The answer now waits in the proxy's socket.
