--- a/control/replica/cluster_test.go
+++ b/control/replica/cluster_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -24,19 +25,22 @@
 	mu sync.Mutex
 	// Order holds the requests in the order of their first application.
 	Order   []string
+	known   map[string]uint64
 	leading bool
 }
 
 func (m *memory) Apply(_ uint64, c *controlpb.Command) *controlpb.CommandResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for i, id := range m.Order {
-		if id == c.RequestId {
-			return &controlpb.CommandResult{RequestId: id, Revision: uint64(i + 1)}
-		}
+	if m.known[c.RequestId] == 0 {
+		m.add(c.RequestId)
 	}
-	m.Order = append(m.Order, c.RequestId)
-	return &controlpb.CommandResult{RequestId: c.RequestId, Revision: uint64(len(m.Order))}
+	return &controlpb.CommandResult{RequestId: c.RequestId, Revision: m.known[c.RequestId]}
+}
+
+func (m *memory) add(id string) {
+	m.Order = append(m.Order, id)
+	m.known[id] = uint64(len(m.Order))
 }
 
 func (m *memory) Snapshot() ([]byte, error) {
@@ -48,8 +52,13 @@
 func (m *memory) Restore(data []byte) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.Order = nil
-	return json.Unmarshal(data, &m.Order)
+	m.Order, m.known = nil, map[string]uint64{}
+	var order []string
+	err := json.Unmarshal(data, &order)
+	for _, id := range order {
+		m.add(id)
+	}
+	return err
 }
 
 func (m *memory) LeadershipChanged(leading bool, _ uint64) {
@@ -75,14 +84,21 @@
 
 // cluster runs replicas over loopback with real files.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	addresses []string
 	folders   []string
 	processes []*process
+	links     *links
+	// snapshotEntries is small, so that tests see many snapshots.
+	snapshotEntries uint64
 }
 
-func newCluster(t *testing.T, size int) *cluster {
-	c := &cluster{t: t, processes: make([]*process, size)}
+func newCluster(t testing.TB, size int) *cluster {
+	return newClusterWithSnapshots(t, size, 20)
+}
+
+func newClusterWithSnapshots(t testing.TB, size int, snapshotEntries uint64) *cluster {
+	c := &cluster{t: t, processes: make([]*process, size), links: newLinks(), snapshotEntries: snapshotEntries}
 	var listeners []net.Listener
 	for range size {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -117,11 +133,14 @@
 	c.t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	state := &memory{}
+	state := &memory{known: map[string]uint64{}}
 	r, err := Open(Config{
-		Folder: c.folders[i], Address: c.addresses[i], Voters: c.addresses, SnapshotEntries: 20,
-		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
-		Log:         logrus.NewEntry(logger),
+		Folder: c.folders[i], Address: c.addresses[i], Voters: c.addresses, SnapshotEntries: c.snapshotEntries,
+		DialOptions: []grpc.DialOption{
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(c.links.dialer(c.addresses[i])),
+		},
+		Log: logrus.NewEntry(logger),
 	}, state)
 	if err != nil {
 		c.t.Fatal(err)
@@ -171,6 +190,10 @@
 	return nil
 }
 
+func (c *cluster) position(p *process) int {
+	return slices.Index(c.processes, p)
+}
+
 func (c *cluster) awaitLeader() *process {
 	c.t.Helper()
 	var p *process
@@ -197,11 +220,30 @@
 	return result
 }
 
+// proposeMany sends the commands that the leader does not hold.
 func (c *cluster) proposeMany(prefix string, count int) {
 	c.t.Helper()
 	for i := range count {
-		c.propose(fmt.Sprint(prefix, i))
+		id := fmt.Sprint(prefix, i)
+		if !slices.Contains(c.awaitLeader().state.order(), id) {
+			c.propose(id)
+		}
+	}
+}
+
+// proposeTogether sends commands at the same time, which share syncs.
+func (c *cluster) proposeTogether(prefix string, count int) {
+	c.t.Helper()
+	leader := c.awaitLeader()
+	var senders sync.WaitGroup
+	for i := range count {
+		senders.Go(func() {
+			_, _ = leader.Propose(c.t.Context(), &controlpb.Command{RequestId: fmt.Sprint(prefix, i)})
+		})
 	}
+	senders.Wait()
+	// Those that failed are sent again.
+	c.proposeMany(prefix, count)
 }
 
 // awaitEqual waits until all running replicas hold the same requests.
--- /dev/null
+++ b/control/replica/fake_test.go
@@ -0,0 +1,28 @@
+package replica
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+// TestFake guards against a fake that behaves unlike a replica: a command applied
+// without leadership, or a lease that outlasts it.
+func TestFake(t *testing.T) {
+	state := &memory{known: map[string]uint64{}}
+	f := NewFake(state)
+	if !state.leading || !f.LeaseValid(0) || !f.Status().Leading {
+		t.Error("the fake does not lead at first")
+	}
+	if result, err := f.Propose(t.Context(), &controlpb.Command{RequestId: "a"}); err != nil || result.Revision != 1 {
+		t.Errorf("result is %v, %v", result, err)
+	}
+	f.SetLeading(false)
+	_, err := f.Propose(t.Context(), &controlpb.Command{RequestId: "b"})
+	var coded *rescode.Error
+	if !errors.As(err, &coded) || coded.Code != rescode.NotLeader || f.LeaseValid(0) || state.leading {
+		t.Errorf("without leadership the error is %v", err)
+	}
+}
--- /dev/null
+++ b/control/replica/links_test.go
@@ -0,0 +1,83 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// links cuts connections between replicas silently: reads and writes stand still
+// until the cut is healed, and no connection ends by itself.
+type links struct {
+	mu       sync.Mutex
+	isolated map[string]bool
+	// changed is closed and replaced with each change.
+	changed chan struct{}
+}
+
+func newLinks() *links {
+	return &links{isolated: map[string]bool{}, changed: make(chan struct{})}
+}
+
+// isolate cuts or heals all links of the replica at an address.
+func (l *links) isolate(address string, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isolated[address] = cut
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// wait returns once the link is not cut, or when done is closed.
+func (l *links) wait(from, to string, done <-chan struct{}) {
+	for {
+		l.mu.Lock()
+		cut, changed := l.isolated[from] || l.isolated[to], l.changed
+		l.mu.Unlock()
+		if !cut {
+			return
+		}
+		select {
+		case <-changed:
+		case <-done:
+			return
+		}
+	}
+}
+
+// dialer connects from the replica at an address.
+func (l *links) dialer(from string) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		l.wait(from, to, ctx.Done())
+		connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", to)
+		if err != nil {
+			return nil, err
+		}
+		return &link{Conn: connection, links: l, from: from, to: to, closed: make(chan struct{})}, nil
+	}
+}
+
+// link is one connection.
+type link struct {
+	net.Conn
+	links    *links
+	from, to string
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (c *link) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.links.wait(c.from, c.to, c.closed)
+	return n, err
+}
+
+func (c *link) Write(b []byte) (int, error) {
+	c.links.wait(c.from, c.to, c.closed)
+	return c.Conn.Write(b)
+}
+
+func (c *link) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
--- a/control/replica/replica_test.go
+++ b/control/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -33,15 +34,9 @@
 func TestLeaderChange(t *testing.T) {
 	c := newCluster(t, 3)
 	c.proposeMany("a", 10)
-	first := c.awaitLeader()
-	var stopped int
-	for i, p := range c.processes {
-		if p == first {
-			stopped = i
-		}
-	}
+	stopped := c.position(c.awaitLeader())
 	c.stop(stopped)
-	c.proposeMany("b", 600)
+	c.proposeTogether("b", 600)
 	c.start(stopped)
 	c.awaitEqual(610)
 }
@@ -57,6 +52,12 @@
 	for range 3 {
 		_, _ = leader.Propose(gone, command)
 	}
+	c.until("a follower names the leader", func() bool {
+		follower := c.processes[(c.position(c.awaitLeader())+1)%3]
+		_, err := follower.Propose(t.Context(), command)
+		var coded *rescode.Error
+		return errors.As(err, &coded) && coded.Code == rescode.NotLeader && follower.Status().LeaderAddress != ""
+	})
 	first := c.propose("once")
 	again := c.propose("once")
 	if first.Revision != again.Revision {
@@ -65,6 +66,27 @@
 	c.awaitEqual(1)
 }
 
+// TestSilentPartition guards against a leader behind a silent partition that keeps its
+// lease or confirms commands, and against one that does not catch up on return.
+func TestSilentPartition(t *testing.T) {
+	c := newCluster(t, 3)
+	c.proposeMany("a", 5)
+	old := c.awaitLeader()
+	at := c.position(old)
+	c.links.isolate(c.addresses[at], true)
+	result, err := old.Propose(t.Context(), &controlpb.Command{RequestId: "b0"})
+	if err == nil {
+		t.Errorf("a leader without a quorum confirmed %v", result)
+	}
+	c.until("the old leader knows that it does not lead", func() bool { return !old.Status().Leading })
+	if old.LeaseValid(0) {
+		t.Error("the old leader holds a lease")
+	}
+	c.proposeTogether("b", 600)
+	c.links.isolate(c.addresses[at], false)
+	c.awaitEqual(605)
+}
+
 // TestReplacedVoter guards against a VM that lost its disk and goes on under its old
 // identity, and against a replacement that is reported finished too early.
 func TestReplacedVoter(t *testing.T) {
