--- a/consensus/election.go
+++ b/consensus/election.go
@@ -56,7 +56,7 @@
 }
 
 func (n *Node) campaign() {
-	n.resetElectionTimer()
+	n.electionDue = n.now + n.randomBetween(VoteRetryMin, VoteRetryMax)
 	n.role = Candidate
 	n.hard = HardState{Term: n.hard.Term + 1, Vote: n.id}
 	n.askForVotes(MsgVote, n.hard.Term)
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -18,6 +18,11 @@
 	// than the candidate gives no answer to the first one.
 	PreVoteRetryMin = HeartbeatInterval
 	PreVoteRetryMax = 3 * HeartbeatInterval
+	// VoteRetryMin and VoteRetryMax bound the random time after which a candidate gives
+	// up an election, as when votes were split. They leave time for a slow sync of the
+	// voters and are shorter than the election timeout, since no leader is known.
+	VoteRetryMin = 200 * time.Millisecond
+	VoteRetryMax = 600 * time.Millisecond
 	// VoteRefusal is how long a member grants no vote after it heard from a leader
 	// and after its own start. A restarted member does not remember when it last
 	// heard from a leader, so it assumes that this was just before the restart.
