--- a/policy/failover/machine_test.go
+++ b/policy/failover/machine_test.go
@@ -213,6 +213,25 @@
 	}
 }
 
+// TestSilentCandidateIsGivenUp guards against a group that waits for a candidate
+// which does not answer.
+func TestSilentCandidateIsGivenUp(t *testing.T) {
+	s := newScripted(t)
+	s.apply(&controlpb.Command{Change: &controlpb.Command_FenceGroup{FenceGroup: &controlpb.FenceGroup{Group: groupName, Term: 1}}})
+	s.apply(&controlpb.Command{Change: &controlpb.Command_BeginPromotion{BeginPromotion: &controlpb.BeginPromotion{
+		Group: groupName, Candidate: "s1", Term: 2}}})
+	s.now += 1900 * time.Millisecond
+	s.probeAll(0, 0, 100)
+	if s.proposed != nil {
+		t.Fatalf("given up too early: %v", s.proposed)
+	}
+	s.now += 200 * time.Millisecond
+	s.send(Tick{})
+	if next := s.proposed.GetBeginPromotion(); next.GetCandidate() != "s2" || next.GetTerm() != 3 {
+		t.Fatalf("proposed %v", s.proposed)
+	}
+}
+
 // TestBrokenPathIsNoFailure guards against a promotion when only the leader's own
 // path to the primary is broken.
 func TestBrokenPathIsNoFailure(t *testing.T) {
