Test that a new stream keeps the tokens that are held

Change: a unit test of that case. Figures: with HeldAtStart ignored, go test ./rate -run Stream fails: 100 tokens granted beside 100 of a burst of 100.

--- a/policy/rate/rate_test.go
+++ b/policy/rate/rate_test.go
@@ -187,6 +187,23 @@
 	}
 }
 
+// TestNewStreamKeepsWhatIsHeld guards against tokens that are granted a second time
+// because their holder reports on a new stream.
+func TestNewStreamKeepsWhatIsHeld(t *testing.T) {
+	o, h := NewOwner(DefaultConfig()), NewHolder()
+	o.Lead(0, nil)
+	o.SetTeam(time.Hour, teamName, 100, 100)
+	wish := &controlpb.TokenDemand{Team: teamName, Wanted: 100}
+	h.Grant(time.Hour, time.Hour, o.Report(time.Hour, "p", "1", 1, []*controlpb.TokenDemand{wish})[0])
+	h.Waiting(teamName, 200)
+	h.StreamStarted(time.Hour)
+	o.Report(time.Hour, "p", "1", 2, h.Report(time.Hour))
+	later := time.Hour + 2*time.Second
+	if more := o.Report(later, "p", "1", 2, h.Report(later))[0].Tokens; more != 0 {
+		t.Errorf("%g tokens granted beside 100 of a burst of 100", more)
+	}
+}
+
 // TestLapsedTokensAreNotReturned guards against a report that comes after some of
 // its returned tokens have lapsed: they may have been replaced already.
 func TestLapsedTokensAreNotReturned(t *testing.T) {
