Keep callers on their connections; pause after a refused one

Change: the connection that was idle for longest is taken; 100 ms pass before another attempt while the pool has other connections. The counter of reads carries target and reason.

--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -33,7 +33,7 @@
 	retryRefused     retryReason = "budget_exhausted"
 )
 
-var metricRetries = labelled("jayloom_proxy_retries_total", "reason",
+var metricRetries = labelled("jayloom_proxy_retries_total{", "reason",
 	retryNotSent, retryAnswerLost, retryWithoutTerm, retryRefused)
 
 // readReason says why a read went to its target.
@@ -50,15 +50,17 @@
 )
 
 var (
-	metricReadsReplica = labelled("jayloom_proxy_reads_replica_total", "reason", readFloor, readAge, readPinned)
-	metricReadsPrimary = labelled("jayloom_proxy_reads_primary_total", "reason",
+	metricReadsReplica = labelled(`jayloom_proxy_reads_total{target="replica",`, "reason", readFloor, readAge, readPinned)
+	metricReadsPrimary = labelled(`jayloom_proxy_reads_total{target="primary",`, "reason",
 		readNoReplica, readNotReached, readFellBehind, readReplicaLost, readPinned)
 )
 
+// labelled makes one counter for each value of a label. name ends with the opening
+// brace, or with labels that all counters have.
 func labelled[L ~string](name, label string, values ...L) map[L]*metrics.Counter {
 	m := make(map[L]*metrics.Counter, len(values))
 	for _, value := range values {
-		m[value] = metrics.NewCounter(fmt.Sprintf("%s{%s=%q}", name, label, string(value)))
+		m[value] = metrics.NewCounter(fmt.Sprintf("%s%s=%q}", name, label, string(value)))
 	}
 	return m
 }
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -14,6 +14,8 @@
 const (
 	// demandMemory is how long a pool keeps asking for connections that it used.
 	demandMemory = 5 * time.Second
+	// dialPause keeps a pool from asking a full server again for each request.
+	dialPause = 100 * time.Millisecond
 )
 
 // borrower is who asks for a connection.
@@ -35,6 +37,9 @@
 	busy   map[*upstreamConn]struct{}
 	queue  *fairq.Queue[*waiter]
 	pinned int
+	// dialAfter is when another connection may be opened after one was refused, as
+	// long as the pool has others to wait for.
+	dialAfter time.Duration
 	// retired says that the upstream gets no new work.
 	retired bool
 	// peak is the largest use since peakAt, and keeps the demand from following
@@ -122,6 +127,9 @@
 // the share is read, so that no report can miss a connection that an earlier share
 // allowed.
 func (p *pool) permit() bool {
+	if p.open > 0 && clock.Now() < p.dialAfter {
+		return false
+	}
 	p.open++
 	if p.open <= p.allowed() {
 		return true
@@ -130,16 +138,11 @@
 	return false
 }
 
-// takeIdle prefers the connection that the session used last, which needs no reset.
-// Connections that the upstream closed, or that have unread data, are dropped.
+// takeIdle takes an idle connection. Those that the upstream closed, or that have
+// unread data, are dropped.
 func (p *pool) takeIdle(session uint64) *upstreamConn {
 	for len(p.idle) > 0 {
-		at := len(p.idle) - 1
-		for i, conn := range p.idle {
-			if conn.lastSession == session {
-				at = i
-			}
-		}
+		at := p.bestIdle(session)
 		conn := p.idle[at]
 		p.idle = append(p.idle[:at], p.idle[at+1:]...)
 		if !conn.quiet() {
@@ -154,6 +157,22 @@
 	return nil
 }
 
+// bestIdle prefers the connection that the session used last, which needs no reset,
+// then one that nobody has used, then the one that was idle for longest: its last
+// session is the least likely to come back for it.
+func (p *pool) bestIdle(session uint64) int {
+	best := 0
+	for i, conn := range p.idle {
+		if conn.lastSession == session {
+			return i
+		}
+		if conn.lastSession == 0 {
+			best = i
+		}
+	}
+	return best
+}
+
 func (p *pool) await(ctx context.Context, w *waiter) (handover, *rescode.Error) {
 	select {
 	case got := <-w.ready:
@@ -185,6 +204,9 @@
 	conn, err := p.set.dialer.Dial(ctx, p.address, p.service)
 	if err != nil {
 		metricDialFailures.Inc()
+		p.mu.Lock()
+		p.dialAfter = clock.Now() + dialPause
+		p.mu.Unlock()
 		p.permitUnused()
 		return nil, rescode.New(rescode.UpstreamConnectFailed, "upstream %s", p.address)
 	}
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -18,11 +18,18 @@
 	t      *testing.T
 	mu     sync.Mutex
 	shares *changingShares
+	refuse atomic.Bool
+	// refused counts the attempts that failed.
+	refused atomic.Int64
 	// remote are the upstream's ends, in the order of opening.
 	remote []net.Conn
 }
 
 func (d *pairDialer) Dial(context.Context, string, string) (*upstreamConn, error) {
+	if d.refuse.Load() {
+		d.refused.Add(1)
+		return nil, net.ErrClosed
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -129,6 +136,51 @@
 	}
 }
 
+// Guards against callers taking each other's connections while there are enough,
+// which costs a reset and the prepared statements each time.
+func TestCallersKeepTheirConnections(t *testing.T) {
+	p, _ := testPool(t, 3)
+	var conns []*upstreamConn
+	for session := range uint64(3) {
+		conn := take(t, p, "driver", session+1)
+		conn.lastSession = session + 1
+		conns = append(conns, conn)
+	}
+	for _, conn := range conns {
+		p.release(conn)
+	}
+	for _, session := range []uint64{2, 1, 3, 1} {
+		conn := take(t, p, "driver", session)
+		if conn.lastSession != session {
+			t.Errorf("session %d got the connection of %d", session, conn.lastSession)
+		}
+		p.release(conn)
+	}
+	if conn := take(t, p, "driver", 9); conn.lastSession != 2 {
+		t.Errorf("a new session got the connection of %d, that of 2 was idle for longest", conn.lastSession)
+	}
+}
+
+// Guards against asking a server that refuses connections again for each request.
+func TestRefusedConnectionsAreNotAskedForAgain(t *testing.T) {
+	p, d := testPool(t, 5)
+	held := take(t, p, "driver", 1)
+	d.refuse.Store(true)
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+		_, err := p.acquire(ctx, borrower{team: "driver", session: 2})
+		cancel()
+		if err == nil {
+			t.Fatal("a connection was lent")
+		}
+	}
+	if n := d.refused.Load(); n != 1 {
+		t.Errorf("asked %d times", n)
+	}
+	p.release(held)
+	take(t, p, "driver", 2)
+}
+
 // Guards against a waiter that gives up taking a connection with it.
 func TestAbandonedWaitLosesNoConnection(t *testing.T) {
 	p, _ := testPool(t, 1)
