Check the primary lease right before a write is acknowledged

Cause: the lease was checked when the answer of a write arrived, and then the write's position was read, which can take a round trip. Ruled out: the caller reading an old acknowledgement late, since the promotion waits 2.6 s. Change: the lease is checked again behind everything that is waited for, and the answer is written in the same step.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -210,11 +210,24 @@
 		if err := x.acknowledgeWrite(); err != nil {
 			return err
 		}
+		return x.acknowledgeUnderLease()
 	}
 	x.s.out.Message(&pgproto3.ReadyForQuery{TxStatus: x.s.tx})
 	return nil
 }
 
+// acknowledgeUnderLease writes the held answer. The lease is checked last, right
+// before the write: the position behind the answer may have come much later than the
+// answer, and a process that was stopped in between must not go on as if nothing had
+// happened.
+func (x *exchange) acknowledgeUnderLease() error {
+	x.s.out.Message(&pgproto3.ReadyForQuery{TxStatus: x.s.tx})
+	if x.completed > 0 && !x.s.server.leaseValid(x.target) {
+		return errUnleased
+	}
+	return x.flush()
+}
+
 func (x *exchange) acknowledgeWrite() error {
 	if x.completed > 0 && !x.s.server.leaseValid(x.target) {
 		return errUnleased
@@ -253,10 +266,6 @@
 		if err := x.s.server.confirmerOf(x.target.group).wait(x.r.ctx, position); err != nil {
 			return rescode.New(rescode.ReplicaWaitTimeout, "group %q", x.target.group)
 		}
-		// The wait took time in which the primary may have been replaced.
-		if !x.s.server.leaseValid(x.target) {
-			return errUnleased
-		}
 	}
 	if x.s.raiseFloor(position) {
 		x.s.out.Message(&pgproto3.ParameterStatus{Name: nameSession, Value: x.s.tokenText()})
--- a/proxy/writes_test.go
+++ b/proxy/writes_test.go
@@ -124,6 +124,26 @@
 	}
 }
 
+// Guards against acknowledging a write under a lease that was valid when the answer
+// came and has ended while the write's position was asked for: a proxy that is
+// stopped in between goes on after another server was promoted.
+func TestLeaseThatEndsBehindTheAnswerAcknowledgesNothing(t *testing.T) {
+	s := newSystem(t, 0)
+	var p *testProxy
+	p, d := s.faulty("pg_current_wal_insert_lsn", func(int64) bool {
+		s.expireLease(p, false)
+		return false
+	})
+	conn := p.driver(t)
+	// Two statements in one query take a round trip of their own for the position.
+	_, err := conn.PgConn().Exec(t.Context(),
+		"INSERT INTO intake VALUES (1, 'x'); INSERT INTO intake VALUES (2, 'x')").ReadAll()
+	wantCode(t, err, rescode.WriteWithoutLease)
+	if d.hits.Load() != 1 {
+		t.Errorf("the position was asked for %d times", d.hits.Load())
+	}
+}
+
 // Guards against a lost answer leading to a second run of what may run only once,
 // and against an idempotent one not being retried.
 func TestLostAnswer(t *testing.T) {
