--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/policy/fairq"
 	"github.com/jayloom/jayloom/policy/share"
 )
@@ -13,6 +14,8 @@
 const (
 	// demandMemory is how long a pool keeps asking for connections that it used.
 	demandMemory = 5 * time.Second
+	// dialPause keeps a pool from asking a full server again for each request.
+	dialPause = 100 * time.Millisecond
 )
 
 // borrower is who asks for a connection.
@@ -27,14 +30,16 @@
 	address string
 	service string
 
-	mu      sync.Mutex
-	allowed int
+	mu sync.Mutex
 	// open counts connections that are open or being opened.
 	open   int
 	idle   []*upstreamConn
 	busy   map[*upstreamConn]struct{}
 	queue  *fairq.Queue[*waiter]
 	pinned int
+	// dialAfter is when another connection may be opened after one was refused, as
+	// long as the pool has others to wait for.
+	dialAfter time.Duration
 	// retired says that the upstream gets no new work.
 	retired bool
 	// peak is the largest use since peakAt, and keeps the demand from following
@@ -99,8 +104,7 @@
 		if conn := p.takeIdle(b.session); conn != nil {
 			return nil, handover{conn: conn}, nil
 		}
-		if p.open < p.allowed {
-			p.open++
+		if p.permit() {
 			p.notePeak()
 			return nil, handover{}, nil
 		}
@@ -114,16 +118,31 @@
 	return w, handover{}, nil
 }
 
-// takeIdle prefers the connection that the session used last, which needs no reset.
-// Connections that the upstream closed, or that have unread data, are dropped.
+// allowed is the share as it is now; it can lapse at any moment.
+func (p *pool) allowed() int {
+	return p.set.allowed(clock.Now(), p.address)
+}
+
+// permit counts a connection as open if the share allows it. It is counted before
+// the share is read, so that no report can miss a connection that an earlier share
+// allowed.
+func (p *pool) permit() bool {
+	if p.open > 0 && clock.Now() < p.dialAfter {
+		return false
+	}
+	p.open++
+	if p.open <= p.allowed() {
+		return true
+	}
+	p.open--
+	return false
+}
+
+// takeIdle takes an idle connection. Those that the upstream closed, or that have
+// unread data, are dropped.
 func (p *pool) takeIdle(session uint64) *upstreamConn {
 	for len(p.idle) > 0 {
-		at := len(p.idle) - 1
-		for i, conn := range p.idle {
-			if conn.lastSession == session {
-				at = i
-			}
-		}
+		at := p.bestIdle(session)
 		conn := p.idle[at]
 		p.idle = append(p.idle[:at], p.idle[at+1:]...)
 		if !conn.quiet() {
@@ -138,6 +157,22 @@
 	return nil
 }
 
+// bestIdle prefers the connection that the session used last, which needs no reset,
+// then one that nobody has used, then the one that was idle for longest: its last
+// session is the least likely to come back for it.
+func (p *pool) bestIdle(session uint64) int {
+	best := 0
+	for i, conn := range p.idle {
+		if conn.lastSession == session {
+			return i
+		}
+		if conn.lastSession == 0 {
+			best = i
+		}
+	}
+	return best
+}
+
 func (p *pool) await(ctx context.Context, w *waiter) (handover, *rescode.Error) {
 	select {
 	case got := <-w.ready:
@@ -169,6 +204,9 @@
 	conn, err := p.set.dialer.Dial(ctx, p.address, p.service)
 	if err != nil {
 		metricDialFailures.Inc()
+		p.mu.Lock()
+		p.dialAfter = clock.Now() + dialPause
+		p.mu.Unlock()
 		p.permitUnused()
 		return nil, rescode.New(rescode.UpstreamConnectFailed, "upstream %s", p.address)
 	}
@@ -201,7 +239,7 @@
 		return
 	}
 	delete(p.busy, conn)
-	if !reusable || p.retired || p.open > p.allowed {
+	if !reusable || p.retired || p.open > p.allowed() {
 		p.drop(conn)
 	} else {
 		p.idle = append(p.idle, conn)
@@ -233,8 +271,7 @@
 			if got.conn = p.takeIdle(0); got.conn == nil {
 				continue
 			}
-		case p.open < p.allowed:
-			p.open++
+		case p.permit():
 		default:
 			return
 		}
@@ -273,16 +310,18 @@
 func (p *pool) mayPin() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return (p.pinned+1)*100 <= p.allowed*p.set.maxPinnedPercent || p.pinned == 0
+	return (p.pinned+1)*100 <= p.allowed()*p.set.maxPinnedPercent || p.pinned == 0
 }
 
-// setAllowed takes over the share. Connections above a share that has lapsed are
-// closed even if they are lent, because control lends them to others soon after.
-func (p *pool) setAllowed(allowed int, retired bool) {
+// adjust follows a change of the share or of the upstream's state. Connections above
+// a share that has lapsed are closed even if they are lent, because control lends
+// them to others soon after.
+func (p *pool) adjust(retired bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.allowed, p.retired = allowed, retired
-	for len(p.idle) > 0 && (p.open > p.allowed || retired) {
+	p.retired = retired
+	allowed := p.allowed()
+	for len(p.idle) > 0 && (p.open > allowed || retired) {
 		conn := p.idle[0]
 		p.idle = p.idle[1:]
 		p.drop(conn)
@@ -335,5 +374,5 @@
 func (p *pool) load() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return float64(len(p.busy)+p.queue.Len()) / float64(max(p.allowed, 1))
+	return float64(len(p.busy)+p.queue.Len()) / float64(max(p.allowed(), 1))
 }
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,13 +15,21 @@
 
 // pairDialer opens connections whose other end the test holds.
 type pairDialer struct {
-	t  *testing.T
-	mu sync.Mutex
+	t      *testing.T
+	mu     sync.Mutex
+	shares *changingShares
+	refuse atomic.Bool
+	// refused counts the attempts that failed.
+	refused atomic.Int64
 	// remote are the upstream's ends, in the order of opening.
 	remote []net.Conn
 }
 
 func (d *pairDialer) Dial(context.Context, string, string) (*upstreamConn, error) {
+	if d.refuse.Load() {
+		d.refused.Add(1)
+		return nil, net.ErrClosed
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -41,10 +50,19 @@
 	return &upstreamConn{net: ours, rd: wire.NewReader(ours, 1<<20), out: wire.NewWriter(ours), prepared: map[string]bool{}}, nil
 }
 
+// changingShares is a share that a test changes.
+type changingShares struct {
+	fakeShares
+	now atomic.Int64
+}
+
+func (c *changingShares) Allowed(time.Duration, string) int { return int(c.now.Load()) }
+
 func testPool(t *testing.T, allowed int) (*pool, *pairDialer) {
-	d := &pairDialer{t: t}
+	d := &pairDialer{t: t, shares: &changingShares{}}
+	d.shares.now.Store(int64(allowed))
 	set := &poolSet{dialer: d, queuePerTeam: 100, maxPinnedPercent: 50, reportNow: func() {}, pools: map[string]*pool{},
-		holder: fakeShares(allowed), parameters: map[string]map[string]string{}}
+		holder: d.shares, parameters: map[string]map[string]string{}}
 	return set.get("127.0.0.1:1", "wax"), d
 }
 
@@ -97,16 +115,19 @@
 	got := make(chan *upstreamConn, 1)
 	go func() { got <- take(t, p, "sorter", 3) }()
 	eventually(t, "a request waits", func() bool { return p.demand(0) == share.Pool{Upstream: p.address, Open: 2, Wanted: 3} })
-	p.setAllowed(3, false)
+	d.shares.now.Store(3)
+	p.adjust(false)
 	c := <-got
-	p.setAllowed(1, false)
+	d.shares.now.Store(1)
+	p.adjust(false)
 	p.release(a)
 	p.release(b)
 	if open := p.demand(0).Open; open != 1 {
 		t.Errorf("%d connections are open under a share of 1", open)
 	}
 	// A lapsed share takes lent connections too.
-	p.setAllowed(0, false)
+	d.shares.now.Store(0)
+	p.adjust(false)
 	if _, err := c.net.Write([]byte("x")); err == nil {
 		t.Error("a connection outlived its share")
 	}
@@ -115,6 +136,51 @@
 	}
 }
 
+// Guards against callers taking each other's connections while there are enough,
+// which costs a reset and the prepared statements each time.
+func TestCallersKeepTheirConnections(t *testing.T) {
+	p, _ := testPool(t, 3)
+	var conns []*upstreamConn
+	for session := range uint64(3) {
+		conn := take(t, p, "driver", session+1)
+		conn.lastSession = session + 1
+		conns = append(conns, conn)
+	}
+	for _, conn := range conns {
+		p.release(conn)
+	}
+	for _, session := range []uint64{2, 1, 3, 1} {
+		conn := take(t, p, "driver", session)
+		if conn.lastSession != session {
+			t.Errorf("session %d got the connection of %d", session, conn.lastSession)
+		}
+		p.release(conn)
+	}
+	if conn := take(t, p, "driver", 9); conn.lastSession != 2 {
+		t.Errorf("a new session got the connection of %d, that of 2 was idle for longest", conn.lastSession)
+	}
+}
+
+// Guards against asking a server that refuses connections again for each request.
+func TestRefusedConnectionsAreNotAskedForAgain(t *testing.T) {
+	p, d := testPool(t, 5)
+	held := take(t, p, "driver", 1)
+	d.refuse.Store(true)
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+		_, err := p.acquire(ctx, borrower{team: "driver", session: 2})
+		cancel()
+		if err == nil {
+			t.Fatal("a connection was lent")
+		}
+	}
+	if n := d.refused.Load(); n != 1 {
+		t.Errorf("asked %d times", n)
+	}
+	p.release(held)
+	take(t, p, "driver", 2)
+}
+
 // Guards against a waiter that gives up taking a connection with it.
 func TestAbandonedWaitLosesNoConnection(t *testing.T) {
 	p, _ := testPool(t, 1)
