Freeze the proxy behind an open transaction's commit

Cause: TestFrozenProxyOfCutPrimaryAcknowledgesNothing gave up in 1 of 6 runs waiting for its own insert: other writers held the pooled connections, whose answers were cut, so the insert was refused for want of a new connection and never ran. Change: the test commits a transaction that holds its connection from before the cut; the checks are the same.

--- a/cmd/internal/e2e/history_test.go
+++ b/cmd/internal/e2e/history_test.go
@@ -71,14 +71,9 @@
 
 // insert writes one row and records how that ended.
 func (h *history) insert(ctx context.Context, conn *pgx.Conn, proxy string) write {
-	return h.insertAs(ctx, conn, proxy, h.next.Add(1))
-}
-
-// insertAs writes a row of a given id, so that the caller knows it beforehand.
-func (h *history) insertAs(ctx context.Context, conn *pgx.Conn, proxy string, id int64) write {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
-	w := write{id: id, proxy: proxy, started: time.Now()}
+	w := write{id: h.next.Add(1), proxy: proxy, started: time.Now()}
 	_, w.err = conn.Exec(ctx, fmt.Sprintf("INSERT INTO lot VALUES (%d, '%s')", w.id, proxy))
 	w.ended = time.Now()
 	h.add(w)
--- a/cmd/internal/e2e/replaced_test.go
+++ b/cmd/internal/e2e/replaced_test.go
@@ -97,14 +97,12 @@
 func freezeWithAnswer(t *testing.T, d *deploy.Deployment, h *history, p *deploy.Proxy, primary *deploy.StandIn) <-chan write {
 	t.Helper()
 	conn := connect(t, d, p)
-	if w := h.insert(t.Context(), conn, p.Name); w.err != nil {
-		t.Fatal(w.err)
-	}
+	// An open transaction keeps its upstream connection: a new one could not be made
+	// while the answers of the primary are held back.
+	id := h.begin(t, conn, p.Name)
 	d.CutDirection(p.Name, primary.Name, relay.Down)
 	ended := make(chan write, 1)
-	// The id is taken first, because other writers may be taking theirs.
-	id := h.next.Add(1)
-	go func() { ended <- h.insertAs(t.Context(), conn, p.Name, id) }()
+	go func() { ended <- h.commit(t.Context(), conn, p.Name, id) }()
 	d.Until("the commit of the last write", func() bool { return committedOn(d, primary)[id] == 1 })
 	p.Freeze()
 	// The answer now waits in the proxy's socket.
