Compare a candidate with the starts of all later timelines

Change: a replica counts as left behind when its position is not below the start of every term on a later timeline. Conclusion: fixed for what was found.

--- a/policy/failover/group.go
+++ b/policy/failover/group.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jayloom/jayloom/api/controlpb"
@@ -15,8 +16,8 @@
 	phase         controlpb.GroupPhase
 	candidate     string
 	candidateTerm uint64
-	// startLSN and timeline are those of the newest entry of the term history.
-	startLSN uint64
+	// history holds the start of each completed term, timeline is the newest one's.
+	history  []*controlpb.TermStart
 	timeline uint32
 	// timelineReused is set when servers that took no part in the term may carry its
 	// timeline number.
@@ -82,7 +83,7 @@
 		return
 	}
 	last := history[len(history)-1]
-	g.startLSN, g.timeline, g.timelineReused = last.StartLsn, last.Timeline, false
+	g.history, g.timeline, g.timelineReused = slices.Clone(history), last.Timeline, false
 	for _, earlier := range history[:len(history)-1] {
 		g.timelineReused = g.timelineReused || earlier.Timeline >= last.Timeline
 	}
@@ -93,6 +94,18 @@
 	}
 }
 
+// leftBehind tells whether a replica may hold log that a promotion left behind: on a
+// timeline before a promotion and not below its start, it cannot be told from one
+// that does.
+func (g *group) leftBehind(u *upstream) bool {
+	for _, start := range g.history {
+		if u.timeline < start.Timeline && u.lsn >= start.StartLsn {
+			return true
+		}
+	}
+	return false
+}
+
 // currentTimeline is the primary's timeline. The control file of a server shows a
 // new timeline only from the checkpoint after its promotion, so the primary may
 // report a later one than the term history holds.
--- a/policy/failover/machine_test.go
+++ b/policy/failover/machine_test.go
@@ -213,6 +213,24 @@
 	}
 }
 
+// TestLeftBehindByAnyPromotion guards against a candidate with log that an earlier
+// promotion than the last one left behind.
+func TestLeftBehindByAnyPromotion(t *testing.T) {
+	g := &group{history: []*controlpb.TermStart{
+		{Term: 1, StartLsn: 137, Timeline: 1}, {Term: 2, StartLsn: 278, Timeline: 2}, {Term: 3, StartLsn: 288, Timeline: 3}}}
+	for u, want := range map[upstream]bool{
+		{timeline: 1, lsn: 277}: false,
+		{timeline: 1, lsn: 287}: true,
+		{timeline: 2, lsn: 287}: false,
+		{timeline: 2, lsn: 288}: true,
+		{timeline: 3, lsn: 500}: false,
+	} {
+		if got := g.leftBehind(&u); got != want {
+			t.Errorf("timeline %d, LSN %d: %t, want %t", u.timeline, u.lsn, got, want)
+		}
+	}
+}
+
 // TestSilentCandidateIsGivenUp guards against a group that waits for a candidate
 // which does not answer.
 func TestSilentCandidateIsGivenUp(t *testing.T) {
--- a/policy/failover/upstream.go
+++ b/policy/failover/upstream.go
@@ -123,7 +123,5 @@
 	if !m.answering(now, u) || !u.inRecovery {
 		return false
 	}
-	// On an earlier timeline and not below the start of the term, a replica cannot
-	// be told from one that holds writes which the last promotion left behind.
-	return u.timeline >= g.timeline || u.lsn < g.startLSN
+	return !g.leftBehind(u)
 }
