Check the lease at a Sync that commits earlier parts of a batch

Cause: a write sent with Flush, or a COPY by the extended protocol, is committed by a later Sync; that Sync's answer was acknowledged without a lease and without a position. A notice during COPY ended the copying, and the end of a COPY by the extended protocol was waited for without asking for it. Change: a batch remembers what its parts completed; CommandComplete in front of the Sync is checked too; messages of the upstream during COPY are passed on; answers of pipelined requests are written together.

--- a/proxy/batch.go
+++ b/proxy/batch.go
@@ -23,6 +23,10 @@
 	failed bool
 	// mayCommit says that a part that was sent could have committed.
 	mayCommit bool
+	// completed and writes are what the parts before the Sync have executed, which
+	// the Sync commits.
+	completed int
+	writes    bool
 }
 
 func (b *batch) open() bool {
@@ -277,6 +281,10 @@
 		if err := x.copyIn(frame); err != nil {
 			return false, err
 		}
+		if x.copyFailed {
+			x.s.batch.failed = true
+			return false, nil
+		}
 		return false, x.afterCopy()
 	default:
 		return false, x.pass(frame)
@@ -285,6 +293,11 @@
 
 // afterCopy reads the end of a COPY that was started by Execute.
 func (x *exchange) afterCopy() error {
+	// Without Sync the upstream sends the end of the COPY only when told to.
+	x.conn.out.Raw(flushMessage)
+	if err := x.flushCopy(); err != nil {
+		return err
+	}
 	for {
 		frame, err := x.read()
 		if err != nil {
--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -168,6 +168,11 @@
 
 // next waits for a message of the caller.
 func (s *caller) next() (wire.Frame, error) {
+	if s.rd.NextComplete() && s.out.Pending() < forwardBytes {
+		// The caller has sent more; its answers are written together.
+		frame, err := s.rd.Next()
+		return frame, s.readError(err)
+	}
 	if _, err := s.out.Flush(); err != nil {
 		return wire.Frame{}, err
 	}
--- a/proxy/conclude.go
+++ b/proxy/conclude.go
@@ -93,7 +93,7 @@
 	if res.uncommitted && res.kind == resultLost {
 		return rescode.New(rescode.UpstreamLost, "upstream %s", address)
 	}
-	if res.startTx != txIdle && !r.mayCommit() {
+	if res.startTx != txIdle && !r.mayCommit() && !s.batch.mayCommit {
 		return s.lossOfTransaction(held.target)
 	}
 	if res.startTx == txIdle && !r.sync && !s.batch.mayCommit && !r.plan.Read {
--- a/proxy/copy.go
+++ b/proxy/copy.go
@@ -28,10 +28,8 @@
 		if err := x.flushCopy(); err != nil {
 			return false, err
 		}
-		if x.conn.out.Pending() == 0 && !x.conn.quiet() {
-			// The upstream has ended the COPY; the caller's data that follows is
-			// dropped, as a server would.
-			return true, nil
+		if !x.conn.quiet() {
+			return x.copyInterrupted()
 		}
 	}
 	frame, err := x.s.rd.Next()
@@ -63,6 +61,20 @@
 	}
 }
 
+// copyInterrupted handles a message of the upstream that comes during COPY. After an
+// error the caller's data that follows is dropped, as a server would.
+func (x *exchange) copyInterrupted() (bool, error) {
+	frame, err := x.read()
+	if err != nil {
+		return false, err
+	}
+	if err := x.pass(frame); err != nil {
+		return false, err
+	}
+	x.copyFailed = frame.Type == 'E'
+	return x.copyFailed, x.flush()
+}
+
 func (x *exchange) flushCopy() error {
 	_, err := x.conn.out.Flush()
 	return err
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -71,6 +71,8 @@
 	first     bool
 	copyScan  wire.CopyScanner
 	keyInCopy bool
+	// copyFailed says that the upstream's error during COPY was passed on.
+	copyFailed bool
 	// ended says that ReadyForQuery has come.
 	ended bool
 	// commitSent says that the COMMIT of a write with an identity was sent.
@@ -88,9 +90,13 @@
 // execute runs a request on a connection and forwards the answer.
 func (s *caller) execute(conn *upstreamConn, t target, r *request) result {
 	x := &exchange{s: s, conn: conn, target: t, r: r, hold: -1, startTx: s.tx, first: true}
+	x.completed, x.tags.writes = s.batch.completed, s.batch.writes
 	s.running.Store(conn)
 	defer s.running.Store(nil)
 	res := x.run()
+	if !r.sync {
+		s.batch.completed, s.batch.writes = x.completed, x.tags.writes
+	}
 	res.effects, res.startTx = x.tags, x.startTx
 	res.uncommitted = r.identified() && !x.commitSent
 	return res
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -131,6 +131,9 @@
 		if x.mustHold() && x.hold < 0 {
 			x.hold = x.s.out.Pending()
 		}
+		if x.completesEarly() && !x.s.server.leaseValid(x.target) {
+			return errUnleased
+		}
 	case 'E':
 		x.failed = true
 		if x.keyInCopy {
@@ -159,6 +162,12 @@
 	return x.target.primary && !x.r.plan.Read && x.r.sync
 }
 
+// completesEarly reports whether CommandComplete is forwarded before the Sync. It may
+// be that of a COMMIT.
+func (x *exchange) completesEarly() bool {
+	return x.target.primary && !x.r.plan.Read && !x.r.sync
+}
+
 func (x *exchange) noteTag(body []byte) {
 	x.completed++
 	tag := string(bytes.TrimRight(body, "\x00"))
--- a/proxy/writes_test.go
+++ b/proxy/writes_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/proxy/wire"
@@ -124,6 +127,68 @@
 	}
 }
 
+// Guards against a write in parts of a batch, or a COPY, being acknowledged by a
+// Sync whose answer comes without a lease.
+func TestSyncWithoutLeaseIsNotAcknowledged(t *testing.T) {
+	parts := map[string]func(t *testing.T, f *pgproto3.Frontend){
+		"flushed insert": func(t *testing.T, f *pgproto3.Frontend) {
+			f.Send(&pgproto3.Parse{Query: "INSERT INTO intake VALUES (1, 'x')"})
+			f.Send(&pgproto3.Bind{})
+			f.Send(&pgproto3.Execute{})
+			f.Send(&pgproto3.Flush{})
+			receive(t, f, 'C')
+		},
+		"COPY": func(t *testing.T, f *pgproto3.Frontend) {
+			f.Send(&pgproto3.Parse{Query: "COPY intake FROM STDIN"})
+			f.Send(&pgproto3.Bind{})
+			f.Send(&pgproto3.Execute{})
+			f.Send(&pgproto3.Sync{})
+			receive(t, f, 'G')
+			f.Send(&pgproto3.CopyData{Data: []byte("1\tx\n")})
+			f.Send(&pgproto3.CopyDone{})
+			receive(t, f, 'C')
+		},
+	}
+	for name, part := range parts {
+		for _, leased := range []bool{true, false} {
+			s := newSystem(t, 0)
+			p := s.proxy()
+			f := p.driver(t).PgConn().Frontend()
+			part(t, f)
+			if !leased {
+				s.expireLease(p, false)
+			}
+			f.Send(&pgproto3.Sync{})
+			if err := f.Flush(); err != nil {
+				t.Fatal(err)
+			}
+			got, positions := answerToSync(t, f)
+			if leased != (got == 0) || leased != positions || !leased && got != rescode.WriteWithoutLease {
+				t.Errorf("%s, leased %v: code %v, position reported %v", name, leased, got, positions)
+			}
+		}
+	}
+}
+
+// answerToSync returns the code of an error, and whether a position was reported.
+func answerToSync(t *testing.T, f *pgproto3.Frontend) (code rescode.Code, position bool) {
+	t.Helper()
+	for {
+		message, err := f.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch m := message.(type) {
+		case *pgproto3.ParameterStatus:
+			position = m.Name == nameSession
+		case *pgproto3.ErrorResponse:
+			return codeOf(pgconn.ErrorResponseToPgError(m)), position
+		case *pgproto3.ReadyForQuery:
+			return 0, position
+		}
+	}
+}
+
 // Guards against a lost answer leading to a second run of what may run only once,
 // and against an idempotent one not being retried.
 func TestLostAnswer(t *testing.T) {
