Test quoted records and messages for a replaced identity

Cause: taking out the offset from the checksum of a record, and the check of a message's receiver, failed no test. Change: one test for each.

--- a/consensus/membership_test.go
+++ b/consensus/membership_test.go
@@ -218,6 +218,17 @@
 	}
 }
 
+// TestMessageForAnotherIdentity guards against a VM with a new identity that votes in
+// the name of the old one, whose address it has.
+func TestMessageForAnotherIdentity(t *testing.T) {
+	s := newSim(t, 1, 3)
+	v := s.vm("2")
+	v.node.Step(v.clock(s.now)+time.Hour, Message{Kind: MsgVote, From: "1", To: "old", Term: 5, LogIndex: 9, LogTerm: 4})
+	if _, work := v.node.Ready(); work {
+		t.Fatal("a message for another identity has an effect")
+	}
+}
+
 // TestEarlierTermIsNotCommittedByCounting guards against an entry of an earlier term
 // that counts as committed on a quorum, although a member with a newer entry at its
 // index can still win an election.
--- a/wal/log_test.go
+++ b/wal/log_test.go
@@ -142,6 +142,17 @@
 	}
 }
 
+// TestQuotedRecordIsNotValid guards against a start that fails because an incomplete
+// record holds, as data, the bytes of a valid record.
+func TestQuotedRecordIsNotValid(t *testing.T) {
+	l, _ := mustOpen(t, t.TempDir())
+	quoted := encodeRecord(1, l.size, recordBatch, encodeBatch(consensus.HardState{Term: 9}, nil))
+	must(t, l.Append(consensus.HardState{Term: 1}, []consensus.Entry{{Index: 1, Term: 1, Data: append(quoted, 0, 0)}}))
+	must(t, os.Truncate(l.segmentPath(1), l.size-1))
+	_, loaded := reopen(t, l)
+	checkLoaded(t, loaded, consensus.HardState{}, nil)
+}
+
 // TestDamageInFrontOfValidRecords guards against a start that cuts acknowledged
 // entries, and against an error that does not name the place.
 func TestDamageInFrontOfValidRecords(t *testing.T) {
