Share the command lines of all binaries

Cause: five binaries parsed help, version and check each in their own way, and two versions were defined, so that jayloom-load printed 0.1.0 and jayloom-control 0.1.0-dev. Change: settingsflags.Main serves the two processes that read settings, flagfile.Start the commands that read flag files; the version has one definition.

--- a/cmd/internal/flagfile/flagfile.go
+++ b/cmd/internal/flagfile/flagfile.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 	"github.com/tailscale/hujson"
+
+	"github.com/jayloom/jayloom/cmd/internal/version"
 )
 
 // Common are the flags of every command.
@@ -22,8 +24,25 @@
 	LogLevel  string `long:"log-level" default:"info" description:"Lowest level of log lines."`
 }
 
-// Version is the version that all commands print.
-const Version = "0.1.0"
+// Start parses a command line into data, which embeds common. It returns the
+// arguments that are no flags, and done when help or the version was all that was
+// asked for.
+func Start(binary, usage string, data any, common *Common, args []string) (rest []string, done bool, err error) {
+	parser := flags.NewParser(data, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Usage = usage
+	rest, err = Parse(parser, args)
+	switch {
+	case wanted(err):
+		fmt.Println(err)
+		return nil, true, nil
+	case err != nil:
+		return nil, false, err
+	case common.Version:
+		fmt.Println(version.String(binary))
+		return nil, true, nil
+	}
+	return rest, false, nil
+}
 
 // Parse fills the parser's data from the file that args name, then from args.
 // It returns the arguments that are no flags.
@@ -42,8 +61,8 @@
 	return parser.ParseArgs(append(fromFile, args...))
 }
 
-// Wanted reports whether err only says that help was asked for.
-func Wanted(err error) bool {
+// wanted reports whether err only says that help was asked for.
+func wanted(err error) bool {
 	var e *flags.Error
 	return errors.As(err, &e) && e.Type == flags.ErrHelp
 }
--- a/cmd/jayloom-load/main.go
+++ b/cmd/jayloom-load/main.go
@@ -11,7 +11,6 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jessevdk/go-flags"
 
 	"github.com/jayloom/jayloom/cmd/internal/flagfile"
 )
@@ -51,20 +50,10 @@
 
 func run(args []string) error {
 	c, args := pick(args)
-	parser := flags.NewParser(c, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Usage = usage
-	rest, err := flagfile.Parse(parser, args)
-	if flagfile.Wanted(err) {
-		fmt.Println(err)
-		return nil
-	}
-	if err != nil {
+	rest, done, err := flagfile.Start("jayloom-load", usage, c, c.common(), args)
+	if done || err != nil {
 		return err
 	}
-	if c.common().Version {
-		fmt.Println("jayloom-load", flagfile.Version)
-		return nil
-	}
 	if err := c.check(rest); err != nil || c.common().Check {
 		return err
 	}
--- a/cmd/jayloom-proxy/main.go
+++ b/cmd/jayloom-proxy/main.go
@@ -5,24 +5,20 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"net"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
-	"github.com/jayloom/jayloom/base/logging"
 	"github.com/jayloom/jayloom/base/metricsrv"
 	"github.com/jayloom/jayloom/base/settings"
-	"github.com/jayloom/jayloom/cmd/internal/version"
+	"github.com/jayloom/jayloom/cmd/internal/settingsflags"
 	"github.com/jayloom/jayloom/policy/rate"
 	"github.com/jayloom/jayloom/policy/share"
 	"github.com/jayloom/jayloom/proxy"
@@ -30,42 +26,8 @@
 	"github.com/jayloom/jayloom/proxy/view"
 )
 
-// Exit statuses.
-const (
-	exitFailure  = 1
-	exitSettings = 2
-)
-
 func main() {
-	o, err := parseOptions(os.Args[1:])
-	if err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitSettings)
-	}
-	if o.Version {
-		fmt.Println(version.String("jayloom-proxy"))
-		return
-	}
-	s, err := o.load()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitSettings)
-	}
-	if o.Check {
-		fmt.Println("settings are valid")
-		return
-	}
-	log, err := logging.New(s.Log.Format, s.Log.Level, "jayloom-proxy", s.VM.Name)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitSettings)
-	}
-	if err := run(s, log); err != nil {
-		log.WithError(err).Error("stopped")
-		os.Exit(exitFailure)
-	}
+	settingsflags.Main("jayloom-proxy", settings.RoleProxy, run)
 }
 
 // process is what run starts and stops.
--- a/cmd/jayloom-relay/main.go
+++ b/cmd/jayloom-relay/main.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jessevdk/go-flags"
 
 	"github.com/jayloom/jayloom/base/logging"
 	"github.com/jayloom/jayloom/base/metricsrv"
@@ -38,18 +37,10 @@
 
 func run(args []string) error {
 	var o options
-	_, err := flagfile.Parse(flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash), args)
-	if flagfile.Wanted(err) {
-		fmt.Println(err)
-		return nil
-	}
-	if err != nil {
+	_, done, err := flagfile.Start("jayloom-relay", "[OPTIONS]", &o, &o.Common, args)
+	if done || err != nil {
 		return err
 	}
-	if o.Version {
-		fmt.Println("jayloom-relay", flagfile.Version)
-		return nil
-	}
 	if err := o.check(); err != nil || o.Check {
 		return err
 	}
--- a/cmd/jayloom-standin/main.go
+++ b/cmd/jayloom-standin/main.go
@@ -11,7 +11,6 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 
 	"github.com/jayloom/jayloom/base/logging"
@@ -30,18 +29,10 @@
 
 func run(args []string) error {
 	var o options
-	_, err := flagfile.Parse(flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash), args)
-	if flagfile.Wanted(err) {
-		fmt.Println(err)
-		return nil
-	}
-	if err != nil {
+	_, done, err := flagfile.Start("jayloom-standin", "[OPTIONS]", &o, &o.Common, args)
+	if done || err != nil {
 		return err
 	}
-	if o.Version {
-		fmt.Println("jayloom-standin", flagfile.Version)
-		return nil
-	}
 	if err := o.load(); err != nil || o.Check {
 		return err
 	}
