--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -6,18 +6,31 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+processes=(proxy1 proxy2 standin1 standin2 standin3 control1 control2 control3)
+
+# A process whose parent has not collected its status still answers kill -0.
+running() {
+  [ -r "/proc/$1/status" ] && ! grep -q '^State:[[:space:]]*Z' "/proc/$1/status"
+}
+
+# Stops proxies first, so that they can drain while control still answers. What
+# does not end within 70 s, above the drain limit, is killed.
 stop_all() {
-  # Proxies first, so that they can drain while control still answers.
-  for name in proxy1 proxy2 standin1 standin2 standin3 control1 control2 control3; do
-    if [ -f "local/$name.pid" ]; then
-      kill -TERM "$(cat "local/$name.pid")" 2>/dev/null || true
-    fi
+  local name pid
+  for name in "${processes[@]}"; do
+    [ -f "local/$name.pid" ] || continue
+    pid=$(cat "local/$name.pid")
+    if running "$pid"; then kill -TERM "$pid" 2>/dev/null || true; fi
   done
-  for name in proxy1 proxy2 standin1 standin2 standin3 control1 control2 control3; do
-    if [ -f "local/$name.pid" ]; then
-      while kill -0 "$(cat "local/$name.pid")" 2>/dev/null; do read -rt 0.1 <> <(:) || true; done
-      rm -f "local/$name.pid"
-    fi
+  for name in "${processes[@]}"; do
+    [ -f "local/$name.pid" ] || continue
+    pid=$(cat "local/$name.pid")
+    for _ in $(seq 1 700); do
+      running "$pid" || break
+      sleep 0.1
+    done
+    if running "$pid"; then kill -KILL "$pid" 2>/dev/null || true; fi
+    rm -f "local/$name.pid"
   done
 }
 
@@ -86,7 +99,7 @@
   shift
   for _ in $(seq 1 300); do
     if "$@" >/dev/null 2>&1; then return 0; fi
-    read -rt 0.1 <> <(:) || true
+    sleep 0.1
   done
   echo "gave up waiting for $what; see local/*.log"
   stop_all
@@ -113,4 +126,4 @@
 TXT
 if [ "${1:-}" = --start-only ]; then exit 0; fi
 echo "Ctrl-C stops everything."
-while true; do read -rt 3600 <> <(:) || true; done
+while true; do sleep 1; done
