Prove that a read of a primary is not forwarded without its lease

Cause: the check at the first byte of a read had no test. Change: a read route on a primary whose lease ends before the answer arrives.

--- a/proxy/writes_test.go
+++ b/proxy/writes_test.go
@@ -127,6 +127,23 @@
 	}
 }
 
+// Guards against a read of a primary that may have been replaced being taken for
+// current: without the lease another server may have acknowledged newer writes.
+func TestReadWithoutLeaseIsNotForwarded(t *testing.T) {
+	for protocol, send := range protocols {
+		s := newSystem(t, 0)
+		var p *testProxy
+		p, _ = s.faulty("marker", func(int64) bool {
+			s.expireLease(p, false)
+			return false
+		})
+		tag, err := send(p.driver(t, "jayloom.route=open"), "SELECT 'marker'")
+		if code := codeOf(err); code != rescode.AnswerLost || tag.String() != "" {
+			t.Errorf("%s: got %q, %v", protocol, tag, err)
+		}
+	}
+}
+
 // Guards against a write in parts of a batch, or a COPY, being acknowledged by a
 // Sync whose answer comes without a lease.
 func TestSyncWithoutLeaseIsNotAcknowledged(t *testing.T) {
