--- a/cmd/internal/experiment/plan.go
+++ b/cmd/internal/experiment/plan.go
@@ -25,9 +25,9 @@
 	upstreamHTTP = 220
 	upstreamVia  = 240
 	// relayHTTP is added to a relay's port for its HTTP port.
-	relayHTTP = 100
+	relayHTTP = 300
 	// portsUsed is the size of the whole range.
-	portsUsed = 360
+	portsUsed = 560
 	// maxOfRole is the number of processes that a port range has room for.
 	maxOfRole = 19
 	voters    = 3
--- a/cmd/internal/experiment/plan_test.go
+++ b/cmd/internal/experiment/plan_test.go
@@ -28,15 +28,33 @@
 		if len(lines) != want {
 			t.Errorf("%s: %d processes, want %d", name, len(lines), want)
 		}
-		checkPorts(t, string(data))
+		checkPorts(t, string(data)+settings(t, p.Folder))
 		checkFollowing(t, &p, lines)
 	}
 }
 
+// settings returns the text of all settings files.
+func settings(t *testing.T, folder string) string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(folder, "*.jsonc"))
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	var text strings.Builder
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text.Write(data)
+	}
+	return text.String()
+}
+
 func checkPorts(t *testing.T, text string) {
 	t.Helper()
 	used := map[string]bool{}
-	for _, match := range regexp.MustCompile(`--(?:listen|http) (\S+)`).FindAllStringSubmatch(text, -1) {
+	for _, match := range regexp.MustCompile(`(?:--listen|--http|"listen\w*":) "?([\d.:]+)`).FindAllStringSubmatch(text, -1) {
 		if used[match[1]] {
 			t.Errorf("%s is used twice", match[1])
 		}
--- a/cmd/jayloom-load/experiment.go
+++ b/cmd/jayloom-load/experiment.go
@@ -16,7 +16,7 @@
 
 	Profile        string  `long:"profile" default:"litbrot" choice:"litbrot" choice:"paplate" choice:"small" description:"Deployment to write."`
 	Folder         string  `long:"folder" required:"true" description:"Folder for all files of the deployment."`
-	BasePort       int     `long:"base-port" default:"20000" description:"First of 360 ports on 127.0.0.1."`
+	BasePort       int     `long:"base-port" default:"20000" description:"First of 560 ports on 127.0.0.1."`
 	Limit          float64 `long:"limit" default:"1000" description:"Sum of the teams' rates in requests per second."`
 	BurstSeconds   float64 `long:"burst-seconds" default:"1" description:"Burst of each team as a time at its rate."`
 	LagMs          int     `long:"lag-ms" default:"100" description:"Age at which replicas apply commits."`
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -43,6 +43,7 @@
     for file in "$folder/$kind"*.pid; do
       [ -f "$file" ] && kill -TERM "$(cat "$file")" 2>/dev/null || true
     done
+    # Each kind ends before the next one is told to.
     for file in "$folder/$kind"*.pid; do
       [ -f "$file" ] && end_process "$(basename "$file" .pid)" TERM || true
     done
@@ -57,7 +58,8 @@
 wait_for() {
   local what=$1
   shift
-  for _ in $(seq 1 300); do
+  local limit=$((SECONDS + 30))
+  while [ "$SECONDS" -lt "$limit" ]; do
     if "$@" >/dev/null 2>&1; then return 0; fi
     sleep 0.1
   done
@@ -76,7 +78,7 @@
   mkdir -p bin
   go build -o bin/ ./cmd/...
   bin/jayloom-load experiment --folder "$folder" "$@"
-  trap 'stop_all' ERR INT TERM
+  trap 'stop_all; exit 1' ERR INT TERM
   (
     umask 077
     random >"$folder/operator.credential"
@@ -89,7 +91,7 @@
     # shellcheck disable=SC2086
     run_process "$name" $command
   done <"$folder/processes"
-  wait_for "the control leader" ctl show
+  wait_for "the control leader" ctl --timeout-ms 1000 show
   while read -r line; do
     # shellcheck disable=SC2086
     ctl $line </dev/null >/dev/null
