Wait until a frozen process stands

Cause: kill returns before all threads of the target have stopped, so the answer that the test lets pass could still be read and acknowledged in time (1 of 6 runs of the frozen-proxy test, an acknowledgement before the next term began). Change: Freeze waits until /proc shows every thread of the process as stopped. Conclusion: the checks are unchanged.

--- a/cmd/internal/e2e/deploy/deploy.go
+++ b/cmd/internal/e2e/deploy/deploy.go
@@ -324,6 +324,11 @@
 // Until waits until a condition holds and fails the test if it never does.
 func (d *Deployment) Until(what string, condition func() bool) {
 	d.t.Helper()
+	until(d.t, what, condition)
+}
+
+func until(t testing.TB, what string, condition func() bool) {
+	t.Helper()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	deadline := time.After(patience)
@@ -331,7 +336,7 @@
 		select {
 		case <-ticker.C:
 		case <-deadline:
-			d.t.Fatalf("gave up waiting for %s", what)
+			t.Fatalf("gave up waiting for %s", what)
 		}
 	}
 }
--- a/cmd/internal/e2e/deploy/process.go
+++ b/cmd/internal/e2e/deploy/process.go
@@ -1,9 +1,11 @@
 package deploy
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -92,8 +94,32 @@
 // Terminate sends SIGTERM and does not wait.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
-// Freeze stops the program as SIGSTOP does.
-func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+// Freeze stops the program as SIGSTOP does, and returns once all its threads stand.
+func (p *Process) Freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	until(p.t, p.Name+" to stand", func() bool { return stands(p.pid()) })
+}
+
+// stands reports whether every thread of a process is stopped.
+func stands(pid int) bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, thread := range threads {
+		data, err := os.ReadFile(thread)
+		if err != nil {
+			return false
+		}
+		// The state follows the name, which is in parentheses.
+		_, rest, ok := strings.Cut(string(data), ") ")
+		if !ok || !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // Continue lets a frozen program run again.
 func (p *Process) Continue() { p.signal(syscall.SIGCONT) }
