--- a/cmd/internal/e2e/rate_test.go
+++ b/cmd/internal/e2e/rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -11,8 +12,10 @@
 )
 
 const (
-	teamRate  = 150
-	teamBurst = 60
+	teamRate = 50
+	// teamBurst is more than the rate gives while no leader grants anything, so that a
+	// new leader which grants a second burst is found out.
+	teamBurst = 200
 	// greedyWriters ask for far more than the rate.
 	greedyWriters = 12
 )
@@ -106,33 +109,33 @@
 func TestRateHoldsOverTheFleet(t *testing.T) {
 	d := deploy.Start(t, deploy.Options{StandIns: 1})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
-	d.Ctl("team", "set", deploy.Team, "--rate", "150", "--burst", "60")
+	d.Ctl("team", "set", deploy.Team, "--rate", fmt.Sprint(teamRate), "--burst", fmt.Sprint(teamBurst))
 	untilProxiesHold(d, d.Show().State.Revision)
 	first, second := d.Proxies[0], d.Proxies[1]
 	h := newHistory()
 
 	stop := h.greedy(d, first)
-	untilMore(d, h, first, 200)
+	untilMore(d, h, first, teamBurst+teamRate)
 	stop()
 	stop = h.greedy(d, second)
-	untilMore(d, h, second, 200)
+	untilMore(d, h, second, 2*teamRate)
 	stop()
 
 	stop = h.greedy(d, first, second)
-	untilMore(d, h, first, 50)
+	untilMore(d, h, first, teamRate/2)
 	leader := d.Leader()
 	leader.Kill()
-	untilMore(d, h, first, 100)
+	untilMore(d, h, first, 2*teamRate)
 	leader.Start()
 
 	for _, c := range d.Controls {
 		d.Cut(first.Name, c.Name)
 	}
-	untilMore(d, h, second, 300)
+	untilMore(d, h, second, 3*teamRate)
 	for _, c := range d.Controls {
 		d.Heal(first.Name, c.Name)
 	}
-	untilMore(d, h, first, 50)
+	untilMore(d, h, first, teamRate)
 	stop()
 
 	checkRate(t, runsOf(d, h), teamRate, teamBurst)
