--- a/cmd/internal/e2e/deploy/settings.go
+++ b/cmd/internal/e2e/deploy/settings.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"testing"
 )
 
@@ -19,6 +20,10 @@
 	portTries = 100
 )
 
+// chosen holds the addresses that were returned before: the process that will use
+// one may not listen yet.
+var chosen sync.Map
+
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress(t testing.TB) string {
 	t.Helper()
@@ -28,6 +33,9 @@
 			t.Fatal(err)
 		}
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+int(offset.Int64())))
+		if _, before := chosen.LoadOrStore(address, true); before {
+			continue
+		}
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			listener.Close()
