Compare a session's position again after waiting for a primary

Cause: the killed series of failovers counted 52 reads that did not see a lost write and got no "session position lost". The position was compared with the group's history when the request was planned; a request that then waited for the new primary's lease ran there without another look. Ruled out: a wrong start of the term (it is a lower bound) and the token, since the requests were on connections that had made the writes. Change: the comparison is repeated once the primary is chosen, for reads and writes alike.

--- a/proxy/consistency_test.go
+++ b/proxy/consistency_test.go
@@ -143,6 +143,31 @@
 	}
 }
 
+// Guards against older data for a request that arrived before a failover was known
+// and waited for the new primary.
+func TestLostPositionIsReportedToARequestThatWaits(t *testing.T) {
+	s := newSystem(t, 1)
+	p := s.proxy()
+	conn := p.driver(t)
+	exec(t, conn, "INSERT INTO intake VALUES (1, 'first')")
+	s.change(func(state *controlpb.FleetState) {
+		state.Groups["wax-1"].Phase = controlpb.GroupPhase_GROUP_PHASE_FENCED
+	})
+	before := metricRequests.Get()
+	ended := make(chan error, 1)
+	go func() { ended <- conn.Ping(context.Background()) }()
+	eventually(t, "the request", func() bool { return metricRequests.Get() > before })
+	s.change(func(state *controlpb.FleetState) {
+		group := state.Groups["wax-1"]
+		group.Phase = controlpb.GroupPhase_GROUP_PHASE_HEALTHY
+		group.Term = 2
+		group.History = append(group.History, &controlpb.TermStart{Term: 2, StartLsn: 1, Timeline: group.History[0].Timeline + 1})
+	})
+	if code := codeOf(<-ended); code != rescode.SessionPositionLost {
+		t.Errorf("the request that waited for the failover gave %v", code)
+	}
+}
+
 type reader struct {
 	t    *testing.T
 	p    *testProxy
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -284,8 +284,14 @@
 	return s.chooseByFloor(r)
 }
 
+// primary waits for a primary under lease. A failover may have come during the wait,
+// so what the session has seen is compared with the history once more.
 func (s *caller) primary(r *request) (target, *rescode.Error) {
-	return s.server.leasedPrimary(r.ctx, r.plan.Group)
+	t, refused := s.server.leasedPrimary(r.ctx, r.plan.Group)
+	if refused != nil {
+		return target{}, refused
+	}
+	return t, s.checkLost(r.plan.Group)
 }
 
 // chooseByFloor serves read-your-writes: a replica that has probably reached the
