Let each command make its own flag parser

Cause: staticcheck refused the repeated choice tags (SA5008) once the commands no longer imported go-flags themselves. Change: flagfile.Start takes the parser.

--- a/cmd/internal/flagfile/flagfile.go
+++ b/cmd/internal/flagfile/flagfile.go
@@ -15,6 +15,9 @@
 	"github.com/jayloom/jayloom/cmd/internal/version"
 )
 
+// ParserOptions are the options of the commands' parsers: errors are printed by main.
+const ParserOptions = flags.HelpFlag | flags.PassDoubleDash
+
 // Common are the flags of every command.
 type Common struct {
 	Config    string `long:"config" value-name:"FILE" description:"Read flags from a file of JSON with comments. Its fields are the long names of flags; the command line overrides them, and lists add up."`
@@ -24,12 +27,10 @@
 	LogLevel  string `long:"log-level" default:"info" description:"Lowest level of log lines."`
 }
 
-// Start parses a command line into data, which embeds common. It returns the
+// Start parses a command line. common is part of the parser's data. It returns the
 // arguments that are no flags, and done when help or the version was all that was
 // asked for.
-func Start(binary, usage string, data any, common *Common, args []string) (rest []string, done bool, err error) {
-	parser := flags.NewParser(data, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Usage = usage
+func Start(binary string, parser *flags.Parser, common *Common, args []string) (rest []string, done bool, err error) {
 	rest, err = Parse(parser, args)
 	switch {
 	case wanted(err):
--- a/cmd/jayloom-load/main.go
+++ b/cmd/jayloom-load/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
 
 	"github.com/jayloom/jayloom/cmd/internal/flagfile"
 )
@@ -50,7 +51,9 @@
 
 func run(args []string) error {
 	c, args := pick(args)
-	rest, done, err := flagfile.Start("jayloom-load", usage, c, c.common(), args)
+	parser := flags.NewParser(c, flagfile.ParserOptions)
+	parser.Usage = usage
+	rest, done, err := flagfile.Start("jayloom-load", parser, c.common(), args)
 	if done || err != nil {
 		return err
 	}
--- a/cmd/jayloom-relay/main.go
+++ b/cmd/jayloom-relay/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
 
 	"github.com/jayloom/jayloom/base/logging"
 	"github.com/jayloom/jayloom/base/metricsrv"
@@ -37,7 +38,7 @@
 
 func run(args []string) error {
 	var o options
-	_, done, err := flagfile.Start("jayloom-relay", "[OPTIONS]", &o, &o.Common, args)
+	_, done, err := flagfile.Start("jayloom-relay", flags.NewParser(&o, flagfile.ParserOptions), &o.Common, args)
 	if done || err != nil {
 		return err
 	}
--- a/cmd/jayloom-standin/main.go
+++ b/cmd/jayloom-standin/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 
 	"github.com/jayloom/jayloom/base/logging"
@@ -29,7 +30,7 @@
 
 func run(args []string) error {
 	var o options
-	_, done, err := flagfile.Start("jayloom-standin", "[OPTIONS]", &o, &o.Common, args)
+	_, done, err := flagfile.Start("jayloom-standin", flags.NewParser(&o, flagfile.ParserOptions), &o.Common, args)
 	if done || err != nil {
 		return err
 	}
--- a/cmd/jayloom-standin/options.go
+++ b/cmd/jayloom-standin/options.go
@@ -19,13 +19,12 @@
 type options struct {
 	flagfile.Common
 
-	Listen       string `long:"listen" default:"127.0.0.1:5432" description:"Address to listen on, and to announce."`
-	Advertise    string `long:"advertise" description:"Address to announce if it is not --listen, as behind a relay."`
-	HTTP         string `long:"http" description:"Address that serves /metrics."`
-	User         string `long:"user" default:"jayloom" description:"Name of the one account."`
-	Password     string `long:"password" description:"Password of the account."`
-	PasswordFile string `long:"password-file" description:"File that holds the password."`
-	//lint:ignore SA5008 go-flags takes a choice tag for each value
+	Listen          string        `long:"listen" default:"127.0.0.1:5432" description:"Address to listen on, and to announce."`
+	Advertise       string        `long:"advertise" description:"Address to announce if it is not --listen, as behind a relay."`
+	HTTP            string        `long:"http" description:"Address that serves /metrics."`
+	User            string        `long:"user" default:"jayloom" description:"Name of the one account."`
+	Password        string        `long:"password" description:"Password of the account."`
+	PasswordFile    string        `long:"password-file" description:"File that holds the password."`
 	Auth            string        `long:"auth" default:"scram" choice:"scram" choice:"cleartext" choice:"trust" description:"How clients authenticate."`
 	ConnectionLimit uint32        `long:"connection-limit" default:"25" description:"Sessions allowed at a time."`
 	ConnectDelay    time.Duration `long:"connect-delay" default:"10ms" description:"Delay of each new connection."`
