Read log positions in one place

Cause: control/watch and proxy each parsed the text form of an LSN. The stand-in keeps its own reader: it plays another system.

--- /dev/null
+++ b/base/lsn/lsn.go
@@ -0,0 +1,26 @@
+// Package lsn reads log positions in the text form of PostgreSQL.
+package lsn
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Parse reads a position in the form XXXXXXXX/XXXXXXXX.
+func Parse(text string) (uint64, error) {
+	high, low, ok := strings.Cut(text, "/")
+	if !ok {
+		return 0, errors.Newf("log position %q has no slash", text)
+	}
+	h, err := strconv.ParseUint(high, 16, 32)
+	if err != nil {
+		return 0, errors.Wrapf(err, "log position %q", text)
+	}
+	l, err := strconv.ParseUint(low, 16, 32)
+	if err != nil {
+		return 0, errors.Wrapf(err, "log position %q", text)
+	}
+	return h<<32 | l, nil
+}
--- a/control/watch/postgres.go
+++ b/control/watch/postgres.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/base/lsn"
 	"github.com/jayloom/jayloom/base/settings"
 )
 
@@ -128,11 +129,11 @@
 
 func (r *Result) parse(row [][]byte) error {
 	r.InRecovery = string(row[0]) == "t"
-	lsn, err := ParseLSN(string(row[1]))
+	position, err := lsn.Parse(string(row[1]))
 	if err != nil {
 		return err
 	}
-	r.LSN = lsn
+	r.LSN = position
 	timeline, err := strconv.ParseUint(string(row[2]), 10, 32)
 	if err != nil {
 		return errors.Wrap(err, "timeline")
@@ -186,20 +187,3 @@
 	_ = s.conn.Close(ctx)
 	s.conn = nil
 }
-
-// ParseLSN parses a log position in the form XXXXXXXX/XXXXXXXX.
-func ParseLSN(text string) (uint64, error) {
-	high, low, ok := strings.Cut(text, "/")
-	if !ok {
-		return 0, errors.Newf("log position %q has no slash", text)
-	}
-	h, err := strconv.ParseUint(high, 16, 32)
-	if err != nil {
-		return 0, errors.Wrapf(err, "log position %q", text)
-	}
-	l, err := strconv.ParseUint(low, 16, 32)
-	if err != nil {
-		return 0, errors.Wrapf(err, "log position %q", text)
-	}
-	return h<<32 | l, nil
-}
--- a/proxy/position.go
+++ b/proxy/position.go
@@ -5,12 +5,12 @@
 	"context"
 	"encoding/binary"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jayloom/jayloom/base/lsn"
 	"github.com/jayloom/jayloom/policy/session"
 	"github.com/jayloom/jayloom/proxy/wire"
 )
@@ -98,17 +98,6 @@
 	return columns
 }
 
-// parseLSN reads the text form of a log position, such as 16/B374D848.
-func parseLSN(text string) (uint64, error) {
-	high, low, ok := strings.Cut(text, "/")
-	h, errHigh := strconv.ParseUint(high, 16, 32)
-	l, errLow := strconv.ParseUint(low, 16, 32)
-	if !ok || errHigh != nil || errLow != nil {
-		return 0, errors.Newf("%q is no log position", text)
-	}
-	return h<<32 | l, nil
-}
-
 // replicaPosition is what a replica says of itself.
 type replicaPosition struct {
 	lsn      uint64
@@ -119,19 +108,19 @@
 	if a.failed || len(a.columns) != 2 {
 		return replicaPosition{}, errors.New("the replica did not answer with its position")
 	}
-	lsn, err := parseLSN(a.columns[0])
+	position, err := lsn.Parse(a.columns[0])
 	if err != nil {
 		return replicaPosition{}, err
 	}
 	timeline, err := strconv.ParseUint(a.columns[1], 10, 32)
-	return replicaPosition{lsn: lsn, timeline: uint32(timeline)}, err
+	return replicaPosition{lsn: position, timeline: uint32(timeline)}, err
 }
 
 func (a internalAnswer) writePosition() (uint64, error) {
 	if a.failed || len(a.columns) != 1 {
 		return 0, errors.New("the primary did not answer with its position")
 	}
-	return parseLSN(a.columns[0])
+	return lsn.Parse(a.columns[0])
 }
 
 // ask sends one statement of the proxy on a connection and reads its answer.
@@ -246,14 +235,14 @@
 	if askErr != nil {
 		return session.Position{}, askErr
 	}
-	lsn, parseErr := answer.writePosition()
+	written, parseErr := answer.writePosition()
 	if parseErr != nil {
 		return session.Position{}, parseErr
 	}
 	if !b.server.leaseValid(target) {
 		return session.Position{}, errors.New("the primary lease ended during the question")
 	}
-	return session.Position{Group: b.group, Term: target.term, LSN: lsn}, nil
+	return session.Position{Group: b.group, Term: target.term, LSN: written}, nil
 }
 
 // confirmer waits until a replica of a group has replayed a position. One loop asks
