Show the first session token back in the load tool

Ruled out: replicas that do not catch up (100 ms). Change: a session shows the first token that its connection was given with SET jayloom.session, as design 3.7 asks of callers.

--- a/cmd/internal/load/session.go
+++ b/cmd/internal/load/session.go
@@ -30,6 +30,9 @@
 	target int
 	moves  uint64 // the team's moves that the connection follows
 	token  string
+	// shown says that the connection has shown a token, so that its reads may rely on
+	// the positions in it.
+	shown  bool
 	number int
 	last   *writeIntent
 }
@@ -94,6 +97,21 @@
 	case rec.missing:
 		s.last = nil
 	}
+	s.show()
+}
+
+// show shows the first token that a connection was given back to its proxy. The
+// session has no other connection, so it is the newest one.
+func (s *session) show() {
+	if s.conn == nil || s.shown || s.token == "" || !s.run.config.Tokens {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s.shown = true
+	if _, err := s.conn.Exec(ctx, "SET "+sessionSetting+" = '"+s.token+"'").ReadAll(); err != nil {
+		s.drop()
+	}
 }
 
 func (s *session) drop() {
@@ -128,7 +146,8 @@
 	if err != nil {
 		return err
 	}
-	if s.token != "" && s.run.config.Tokens {
+	s.shown = s.token != "" && s.run.config.Tokens
+	if s.shown {
 		config.RuntimeParams["options"] = "-c " + sessionSetting + "=" + s.token
 	}
 	s.conn, err = pgconn.ConnectConfig(ctx, config)
