Tell reads of sessions with and without a token apart

Cause: one pair of reasons counted read-your-writes reads of sessions that showed a token and of those that took the shared question, so the replica share of the first, which has a target, could not be read off. Change: reasons barrier and barrier_not_reached for sessions without a token; the choice itself is unchanged.

--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -40,18 +40,24 @@
 type readReason string
 
 const (
-	readFloor       readReason = "floor"
+	// readFloor: the replica has the positions of the token that the session showed.
+	readFloor readReason = "floor"
+	// readBarrier: the replica has the primary's position, asked for a session that
+	// showed no token.
+	readBarrier     readReason = "barrier"
 	readAge         readReason = "age"
 	readNoReplica   readReason = "no_replica"
 	readNotReached  readReason = "not_reached"
+	readNoToken     readReason = "barrier_not_reached"
 	readFellBehind  readReason = "check_failed"
 	readReplicaLost readReason = "replica_failed"
 	readPinned      readReason = "bound"
 )
 
 var (
-	metricReadsReplica = reads("replica", readFloor, readAge, readPinned)
-	metricReadsPrimary = reads("primary", readNoReplica, readNotReached, readFellBehind, readReplicaLost, readPinned)
+	metricReadsReplica = reads("replica", readFloor, readBarrier, readAge, readPinned)
+	metricReadsPrimary = reads("primary",
+		readNoReplica, readNotReached, readNoToken, readFellBehind, readReplicaLost, readPinned)
 )
 
 func reads(target string, reasons ...readReason) map[readReason]*metrics.Counter {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -302,26 +302,28 @@
 		r.reason = readNoReplica
 		return s.primary(r)
 	}
-	floor, known, bounded := session.Position{}, time.Duration(0), true
 	if s.shown {
-		floor, bounded = s.floor.Get(group)
-		known = s.known[group]
-	} else {
-		position, err := s.server.barrierOf(group).ask(r.ctx)
-		if err != nil {
-			r.reason = readNotReached
-			return s.primary(r)
+		floor, bounded := s.floor.Get(group)
+		if !bounded {
+			return s.anyReplica(r)
 		}
-		floor, known = position, clock.Now()
+		return s.replicaAt(r, floor, s.known[group], readFloor, readNotReached)
 	}
-	if !bounded {
-		return s.anyReplica(r)
+	position, err := s.server.barrierOf(group).ask(r.ctx)
+	if err != nil {
+		r.reason = readNoToken
+		return s.primary(r)
 	}
+	return s.replicaAt(r, position, clock.Now(), readBarrier, readNoToken)
+}
+
+// replicaAt returns a replica that has probably reached the floor, or the primary.
+func (s *caller) replicaAt(r *request, floor session.Position, known time.Duration, reached, behind readReason) (target, *rescode.Error) {
 	if t, ok := s.server.reachedReplica(floor, known); ok {
-		r.reason = readFloor
+		r.reason = reached
 		return t, nil
 	}
-	r.reason = readNotReached
+	r.reason = behind
 	return s.primaryAt(r, floor)
 }
 
