Show session tokens with positions only in the load tool

Cause: a proxy reports a bare session identity before the first write; the load tool took that for its token, showed it once and never showed the one with positions, so 1,913 of 2,927 own reads (16 sessions a team) still took the shared question. Change: only a token with positions counts as shown.

--- a/cmd/internal/load/session.go
+++ b/cmd/internal/load/session.go
@@ -100,10 +100,18 @@
 	s.show()
 }
 
+// identityLength is the length of a bare session identity, which a proxy reports
+// before the session's first write. It holds no positions.
+const identityLength = 32
+
+func (s *session) hasPositions() bool {
+	return s.run.config.Tokens && len(s.token) > identityLength
+}
+
 // show shows the first token that a connection was given back to its proxy. The
 // session has no other connection, so it is the newest one.
 func (s *session) show() {
-	if s.conn == nil || s.shown || s.token == "" || !s.run.config.Tokens {
+	if s.conn == nil || s.shown || !s.hasPositions() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -146,8 +154,8 @@
 	if err != nil {
 		return err
 	}
-	s.shown = s.token != "" && s.run.config.Tokens
-	if s.shown {
+	s.shown = s.hasPositions()
+	if s.token != "" && s.run.config.Tokens {
 		config.RuntimeParams["options"] = "-c " + sessionSetting + "=" + s.token
 	}
 	s.conn, err = pgconn.ConnectConfig(ctx, config)
