Send another full copy to a proxy that has reported none

Cause: TestProxyThatAsksForAFullCopyGetsOne failed once on a busy machine (EOF after 30 s). The leader resent a full copy only to a proxy that had reported a revision above 0 before; one whose first copy was followed at once by a change that did not fit asked in vain until its stream ended. Ruled out: a lost update, since the stream is ordered. Change: a report of revision 0 gets a full copy, at most one each 250 ms. The end-to-end tests wait until a continued process runs.

--- a/cmd/internal/e2e/deploy/process.go
+++ b/cmd/internal/e2e/deploy/process.go
@@ -121,8 +121,15 @@
 	return true
 }
 
-// Continue lets a frozen program run again.
-func (p *Process) Continue() { p.signal(syscall.SIGCONT) }
+// Continue lets a frozen program go on and waits until it does, so that a signal
+// without effect shows here and not as a program that hangs.
+func (p *Process) Continue() {
+	p.t.Helper()
+	until(p.t, p.Name+" to go on", func() bool {
+		p.signal(syscall.SIGCONT)
+		return !stands(p.pid())
+	})
+}
 
 // Wait waits until the program has ended.
 func (p *Process) Wait() {
--- a/control/attend.go
+++ b/control/attend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -31,6 +32,7 @@
 	sentRevision uint64 // newest revision sent on this stream
 	applied      uint64 // newest revision that the proxy has reported
 	registered   bool
+	fullSentAt   time.Duration // when the last full copy was sent on this stream
 }
 
 // holder identifies the process behind the stream, which may hold leases.
--- a/control/attend_test.go
+++ b/control/attend_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// Guards against a proxy that gets no second full copy because it never reported the
+// first one: a change that did not fit followed at once.
+func TestProxyThatLostItsFirstCopyGetsAnother(t *testing.T) {
+	h := newHarness(t)
+	h.propose(putTeam("t1"))
+	a := h.attend("p1")
+	for copies := 0; copies < 2; {
+		a.applied = 0
+		u := a.until(func(u *controlpb.Update) bool { a.applied = 0; return u.Full != nil })
+		if u.Full != nil {
+			copies++
+		}
+	}
+}
+
 // Guards against a promotion before every holder of a lease has put the fence in
 // force, and against one that waits although all have.
 func TestFenceIsPushedAndPromotionFollowsItsAcknowledgement(t *testing.T) {
--- a/control/leader_proxies.go
+++ b/control/leader_proxies.go
@@ -15,6 +15,10 @@
 	"github.com/jayloom/jayloom/policy/failover"
 )
 
+// fullCopyGap is the least time between two full copies on one stream. Reports that
+// were sent before the first copy arrived ask for none.
+const fullCopyGap = 250 * time.Millisecond
+
 // handleReport answers one report of a proxy.
 func (l *Leader) handleReport(ctx context.Context, r reportReceived) {
 	reportsHandled.Inc()
@@ -34,8 +38,8 @@
 		// yet. Its next report is answered.
 		return
 	}
-	if report.AppliedRevision == 0 && a.applied > 0 {
-		// A change did not fit the proxy's state, and it asks for a full copy.
+	if report.AppliedRevision == 0 && r.at-a.fullSentAt >= fullCopyGap {
+		// The proxy has nothing yet, or a change did not fit its state.
 		a.sentRevision = 0
 	}
 	a.sequence = report.Sequence
@@ -110,6 +114,7 @@
 	update.Full = full
 	if full != nil {
 		fullCopiesSent.Inc()
+		a.fullSentAt = clock.Now()
 		a.sentRevision = full.Revision
 	}
 	if len(changes) > 0 {
