Free the shares of a proxy that shuts down

Shares of a proxy that left stayed lent until they lapsed (2.6 s), so after two restarts within that time all connections were lent to processes that had ended, above the 2 s deadline. Ruled out: a lost leaving report, since the proxy waits for the stream's end. Change: a proxy closes its upstream connections before it reports that it leaves, and the owner then frees its shares at once.

--- a/cmd/jayloom-proxy/main.go
+++ b/cmd/jayloom-proxy/main.go
@@ -69,11 +69,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	p.server.Drain(ctx)
+	// Control lends the shares again as soon as it hears that the proxy leaves, so the
+	// connections are closed before.
+	p.server.Close()
 	leaving, cancelLeaving := context.WithTimeout(context.Background(), time.Second)
 	defer cancelLeaving()
 	p.attend.Leave(leaving)
 	p.peering.Stop()
-	p.server.Close()
 	p.log.Info("stopped")
 }
 
--- a/control/leader_proxies.go
+++ b/control/leader_proxies.go
@@ -232,11 +232,12 @@
 	}
 }
 
-// release takes back what a proxy held that is shutting down.
+// release takes back what a proxy held that is shutting down. It has closed its
+// connections before it reports that, so its shares are free at once.
 func (l *Leader) release(a *attendance) {
 	now := clock.Now()
 	l.tokens.RemoveProxy(now, a.proxy)
-	l.shares.RemoveProxy(now, a.proxy)
+	l.shares.ProxyLeft(now, a.proxy)
 	a.cancel()
 }
 
--- a/policy/share/owner.go
+++ b/policy/share/owner.go
@@ -94,6 +94,19 @@
 	}
 }
 
+// ProxyLeft frees the shares of a process that has closed its connections and ends.
+// Without this, proxies that are restarted one after another would find all
+// connections lent to the processes before them until those shares lapse.
+func (o *Owner) ProxyLeft(now time.Duration, name string) {
+	o.tick(now)
+	// Later reports of the stream are ignored.
+	o.streams[name] = stream{number: o.streams[name].number + 1}
+	for address, u := range o.upstreams {
+		delete(u.loans, name)
+		o.changed[address] = true
+	}
+}
+
 // RemoveProxy ends the stream of a proxy. What was lent to it stays lent until it has
 // lapsed; a proxy that has not reported to this leader may have any share until then.
 func (o *Owner) RemoveProxy(now time.Duration, name string) {
--- a/policy/share/share_test.go
+++ b/policy/share/share_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/jayloom/jayloom/api/controlpb"
 )
 
 // TestSumOfShares guards against more connections to a server than it accepts, over
@@ -119,3 +121,20 @@
 		}
 	}
 }
+
+// TestLeavingProxyFreesItsShare guards against proxies that are restarted in turn and
+// find all connections lent to the processes before them.
+func TestLeavingProxyFreesItsShare(t *testing.T) {
+	const limit, wanted, now = 10, 8, time.Second
+	o := NewOwner(DefaultConfig())
+	o.SetUpstream(now, "u", limit)
+	demand := []*controlpb.ShareDemand{{Upstream: "u", Wanted: wanted}}
+	first := o.Report(now, "a", "1", 1, demand)
+	if got := first[0].Connections; got != wanted {
+		t.Fatalf("the only proxy got %d connections, want %d", got, wanted)
+	}
+	o.ProxyLeft(now, "a")
+	if again := o.Report(now, "a", "2", 3, demand); len(again) != 1 || again[0].Connections != wanted {
+		t.Errorf("the restarted proxy got %v, want %d connections", again, wanted)
+	}
+}
