Count running statements as pins against the limit of pinned connections

Cause: a connection was counted as pinned only after the answer of the statement had gone to its caller. A caller that had its answer, or two callers at the same time, could pin more connections than max_pinned_percent allows. Ruled out: a share that was not there yet, as the limit is computed from 4 allowed connections in both cases. Change: the check reserves a permit under the pool's lock; the pin uses it up, and the end of the request returns it. Conclusion: the limit holds while statements run. Statements inside an open transaction are still not checked, as before.

--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -68,6 +68,8 @@
 	// holds session state between transactions.
 	bound *lease
 	kept  *lease
+	// pinPermit is the pool that allowed the request to keep its connection.
+	pinPermit *pool
 	// txPlan and txTag are those of the request that began the transaction.
 	txPlan route.Plan
 	txTag  route.Tag
--- a/proxy/conclude.go
+++ b/proxy/conclude.go
@@ -169,7 +169,7 @@
 	}
 	if !effects.discards && s.kept == nil && (effects.pins || r.pins()) {
 		s.kept = held
-		held.conn.pool.pin(held.conn)
+		s.pin(held.conn)
 	}
 	if s.tx != txIdle || !r.sync {
 		if s.bound == nil {
@@ -186,6 +186,15 @@
 	}
 }
 
+// pin keeps a connection, with the request's permit if it is one of the same pool.
+func (s *caller) pin(conn *upstreamConn) {
+	permitted := s.pinPermit == conn.pool
+	if permitted {
+		s.pinPermit = nil
+	}
+	conn.pool.pin(conn, permitted)
+}
+
 func (r *request) pins() bool {
 	for _, sql := range r.texts {
 		if pinsByText(sql) {
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -37,6 +37,8 @@
 	busy   map[*upstreamConn]struct{}
 	queue  *fairq.Queue[*waiter]
 	pinned int
+	// pinPermits counts permits for pins whose statements have not ended.
+	pinPermits int
 	// dialAfter is when another connection may be opened after one was refused, as
 	// long as the pool has others to wait for.
 	dialAfter time.Duration
@@ -280,10 +282,14 @@
 	}
 }
 
-// pin marks a connection as kept by its caller beyond a transaction.
-func (p *pool) pin(conn *upstreamConn) {
+// pin marks a connection as kept by its caller beyond a transaction. It uses up the
+// caller's permit if there is one.
+func (p *pool) pin(conn *upstreamConn, permitted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if permitted {
+		p.pinPermits--
+	}
 	if !conn.pinned {
 		conn.pinned = true
 		conn.tainted = true
@@ -306,11 +312,25 @@
 	}
 }
 
-// mayPin reports whether another connection may be pinned.
-func (p *pool) mayPin() bool {
+// permitPin reserves a pin if another one is allowed. The reservation counts from
+// before the statement runs, because its answer reaches the caller, who may send the
+// next one elsewhere, before the connection is marked.
+func (p *pool) permitPin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	taken := p.pinned + p.pinPermits
+	if taken > 0 && (taken+1)*100 > p.allowed()*p.set.maxPinnedPercent {
+		return false
+	}
+	p.pinPermits++
+	return true
+}
+
+// returnPinPermit gives back a permit that was not used.
+func (p *pool) returnPinPermit() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return (p.pinned+1)*100 <= p.allowed()*p.set.maxPinnedPercent || p.pinned == 0
+	p.pinPermits--
 }
 
 // adjust follows a change of the share or of the upstream's state. Connections above
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -107,6 +107,24 @@
 	}
 }
 
+// Guards against more pinned connections than the limit when statements that pin are
+// still running, and against permits that are lost with statements that did not pin.
+func TestRunningStatementsCountAsPins(t *testing.T) {
+	p, _ := testPool(t, 4)
+	conn := take(t, p, "driver", 1)
+	if !p.permitPin() || !p.permitPin() || p.permitPin() {
+		t.Fatal("half of 4 connections are not exactly 2 permits")
+	}
+	p.pin(conn, true)
+	if p.permitPin() {
+		t.Error("a used permit and a running statement left room for a third pin")
+	}
+	p.returnPinPermit()
+	if !p.permitPin() {
+		t.Error("a returned permit left no room")
+	}
+}
+
 // Guards against connections above the share, and against waiting for a share that
 // is there.
 func TestPoolStaysWithinItsShare(t *testing.T) {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -70,6 +70,7 @@
 	if refused := s.server.attended(); refused != nil {
 		return refused, nil
 	}
+	defer s.returnPinPermit()
 	plan := s.plan
 	if s.bound != nil {
 		plan = s.planBound
@@ -143,21 +144,40 @@
 	return rescode.New(rescode.SessionPositionLost, "group %q, term %d", name, position.Term)
 }
 
-// checkPins refuses a statement that would keep a connection when too many do.
+// checkPins refuses a statement that would keep a connection when too many do. It
+// leaves a permit with the caller for a statement that may.
 func (s *caller) checkPins(r *request) *rescode.Error {
-	if s.kept != nil {
+	if s.kept != nil || !r.mayPin() {
 		return nil
 	}
+	group, ok := s.server.view.Current().Groups[r.plan.Group]
+	if !ok {
+		return nil
+	}
+	p := s.server.pools.get(group.Primary, group.Service)
+	if !p.permitPin() {
+		return rescode.New(rescode.PinLimit, "")
+	}
+	s.pinPermit = p
+	return nil
+}
+
+// mayPin reports whether a statement may keep its connection.
+func (r *request) mayPin() bool {
 	for _, sql := range r.texts {
-		if !pinsByWord(sql) && !pinsByText(sql) {
-			continue
-		}
-		group, ok := s.server.view.Current().Groups[r.plan.Group]
-		if ok && !s.server.pools.get(group.Primary, group.Service).mayPin() {
-			return rescode.New(rescode.PinLimit, "")
+		if pinsByWord(sql) || pinsByText(sql) {
+			return true
 		}
 	}
-	return nil
+	return false
+}
+
+// returnPinPermit gives back the permit of a request that has ended.
+func (s *caller) returnPinPermit() {
+	if s.pinPermit != nil {
+		s.pinPermit.returnPinPermit()
+		s.pinPermit = nil
+	}
 }
 
 // admit takes a request token.
