Order the answers around the failover in the load tool's test

Change: the test's failover promotes the replica only after every client of the run has reconnected to the crashed primary's address. A client that reconnects has recorded its answers. The assertion is the same as before; the run lasts 1 s instead of 0.3 s, so that every client has requests left to notice the crash with. Conclusion: the order that the assertion needs is now made by the test.

--- a/cmd/internal/load/run_test.go
+++ b/cmd/internal/load/run_test.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -106,14 +108,18 @@
 		t.Fatal(err)
 	}
 	replica.SetLag(time.Hour) // nothing that the run writes gets to the replica
-	failover := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	c := testConfig(primary.Addr(), replica.Addr())
+	clients := c.Sessions*len(c.Profile.Teams) + c.Profile.Groups
+	failover := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		primary.Crash()
+		release := holdReconnects(t, r.Context(), primary.Addr(), clients)
+		defer release()
 		if err := replica.Promote(); err != nil {
 			t.Error(err)
 		}
 	}))
 	defer failover.Close()
-	c := testConfig(primary.Addr(), replica.Addr())
+	c.Duration = time.Second
 	c.Groups = [][]string{{primary.Addr(), replica.Addr()}}
 	c.Pins = map[string]int{"drivers": 0, "lab": 0}
 	c.Schedule = []Event{
@@ -136,6 +142,35 @@
 	}
 }
 
+// holdReconnects waits until n clients have reconnected to the address of a crashed
+// server, and keeps them waiting until release is called. A client that reconnects
+// has recorded every answer of the old connection, so that a promotion that follows
+// comes after the last one.
+func holdReconnects(t *testing.T, ctx context.Context, address string, n int) (release func()) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return func() {}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	var held []net.Conn
+	for len(held) < n {
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Errorf("%d of %d clients reconnected: %v", len(held), n, err)
+			break
+		}
+		held = append(held, conn)
+	}
+	return func() {
+		stop()
+		_ = listener.Close()
+		for _, conn := range held {
+			_ = conn.Close()
+		}
+	}
+}
+
 // Guards against a configuration that would run and measure something else.
 func TestConfigIsChecked(t *testing.T) {
 	for name, change := range map[string]func(*Config){
