Add TLS towards upstreams

Cause: connections to upstreams could not use TLS, so statements and answers crossed the network between the entry VMs and the upstreams in the clear, and an upstream that requires TLS could not be served at all. Change: settings proxy.upstream.tls and control.upstream.tls with libpq's modes; one package (base/pgaccount) builds the connection of the system's account for both, and keeps environment variables out. Cancel requests use TLS as well. A connection is lent again only if TLS holds no record that was taken from the socket but not read. The cost of TLS was not measured.

--- a/base/settings/check.go
+++ b/base/settings/check.go
@@ -54,6 +54,25 @@
 	}
 }
 
+func (c *checker) upstreamTLS(field string, t UpstreamTLS) {
+	if (t.Cert == "") != (t.Key == "") {
+		c.add(field, "must name both cert_file and key_file")
+	}
+	switch t.SSLMode {
+	case "", SSLDisable:
+		if t.Cert != "" || t.CA != "" {
+			c.add(field, "names files that sslmode does not use")
+		}
+	case SSLRequire:
+	case SSLVerifyCA, SSLVerifyFull:
+		if t.CA == "" {
+			c.add(field, "must name ca_file, because sslmode checks the upstream's certificate")
+		}
+	default:
+		c.add(field+".sslmode", `must be "disable", "require", "verify-ca" or "verify-full"`)
+	}
+}
+
 func (c *checker) positive(field string, value uint32) {
 	if value == 0 {
 		c.add(field, "must be above 0")
@@ -97,6 +116,7 @@
 	c.address("control.listen_http", s.ListenHTTP)
 	c.credentialHash("control.operator_credential_hash", s.OperatorCredentialHash)
 	c.credentialHash("control.announcement_credential_hash", s.AnnouncementCredentialHash)
+	c.upstreamTLS("control.upstream.tls", s.Upstream.TLS)
 	c.positive("control.probe_interval_ms", s.ProbeIntervalMs)
 	c.positive("control.probe_timeout_ms", s.ProbeTimeoutMs)
 	if s.SnapshotEntries == 0 {
@@ -113,6 +133,7 @@
 	c.address("proxy.advertise_peering", s.AdvertisePeering)
 	c.address("proxy.listen_http", s.ListenHTTP)
 	c.files("proxy.caller_tls", s.CallerTLS, false)
+	c.upstreamTLS("proxy.upstream.tls", s.Upstream.TLS)
 	c.positive("proxy.max_clients", s.MaxClients)
 	c.positive("proxy.max_unauthenticated", s.MaxUnauthenticated)
 	c.positive("proxy.authentication_timeout_ms", s.AuthenticationTimeoutMs)
--- a/base/settings/load_test.go
+++ b/base/settings/load_test.go
@@ -62,6 +62,11 @@
 		{"contradiction", "{\"proxy\":\n\n {\"require_tls\": true}}", []string{"x.jsonc:3", `"proxy.require_tls"`, "caller_tls"}},
 		{"address", "{\"proxy\":\n {\"listen\": \"7432\"}}", []string{"x.jsonc:2", `"proxy.listen"`, "host:port"}},
 		{"probe", "{\"control\":\n {\"suspect_after_ms\": 500}}", []string{"x.jsonc:2", "probe_timeout_ms"}},
+		{"unchecked certificate", "{\"proxy\": {\"upstream\":\n {\"tls\": {\"sslmode\": \"verify-full\"}}}}",
+			[]string{"x.jsonc:2", `"proxy.upstream.tls"`, "ca_file"}},
+		{"unused certificate", "{\"control\": {\"upstream\":\n {\"tls\": {\"ca_file\": \"ca.pem\"}}}}",
+			[]string{"x.jsonc:2", `"control.upstream.tls"`, "sslmode"}},
+		{"sslmode", "{\"proxy\": {\"upstream\":\n {\"tls\": {\"sslmode\": \"prefer\"}}}}", []string{"x.jsonc:2", "sslmode", "verify-ca"}},
 		{"syntax", "{\n\"vm\": }", []string{"x.jsonc", "line 2"}},
 	}
 	for _, tt := range tests {
--- a/base/settings/types.go
+++ b/base/settings/types.go
@@ -47,7 +47,31 @@
 	User     string `json:"user"`
 	Password string `json:"password"`
 	// Database is the database on the upstream; empty means the service's name.
-	Database string `json:"database"`
+	Database string      `json:"database"`
+	TLS      UpstreamTLS `json:"tls"`
+}
+
+// SSLMode is the protection of connections to upstreams, with the names and the
+// meaning that libpq's sslmode gives them.
+type SSLMode string
+
+// Modes. "require" checks no certificate unless a CA file is named.
+const (
+	SSLDisable    SSLMode = "disable"
+	SSLRequire    SSLMode = "require"
+	SSLVerifyCA   SSLMode = "verify-ca"
+	SSLVerifyFull SSLMode = "verify-full"
+)
+
+// UpstreamTLS is the protection of connections to upstreams. The zero value is no
+// protection.
+type UpstreamTLS struct {
+	SSLMode SSLMode `json:"sslmode"`
+	// Cert and Key are PEM files of the account's certificate, CA that of the
+	// certificates that upstreams are checked against.
+	Cert string `json:"cert_file"`
+	Key  string `json:"key_file"`
+	CA   string `json:"ca_file"`
 }
 
 // Control are the settings of jayloom-control.
--- a/cmd/internal/e2e/deploy/deploy.go
+++ b/cmd/internal/e2e/deploy/deploy.go
@@ -53,6 +53,9 @@
 	Rate, Burst float64
 	// Identity returns the settings tls.identity of a process.
 	Identity func(name string) map[string]string
+	// UpstreamTLS has the fields of tls.identity; stand-ins show its certificate, and
+	// control and proxies check it.
+	UpstreamTLS map[string]string
 	// Later names processes that the test starts itself.
 	Later []string
 }
@@ -163,7 +166,11 @@
 	for _, c := range d.Controls {
 		voters = append(voters, c.Address)
 	}
-	account := object{"upstream": object{"user": upstreamUser, "password": upstreamPassword}}
+	upstream := object{"user": upstreamUser, "password": upstreamPassword}
+	if d.o.UpstreamTLS != nil {
+		upstream["tls"] = object{"sslmode": "verify-full", "ca_file": d.o.UpstreamTLS["ca_file"]}
+	}
+	account := object{"upstream": upstream}
 	d.writeJSON("base.jsonc", object{
 		"cluster": object{"name": "e2e", "voters": voters},
 		"vm":      object{"place": "local"},
@@ -234,6 +241,9 @@
 	s.Address = d.network.expose(name, s.Direct)
 	args := []string{"--listen", s.Direct, "--user", upstreamUser, "--password", upstreamPassword,
 		"--lag", d.o.Lag.String(), "--connection-limit", fmt.Sprint(d.o.ConnectionLimit), "--audit", s.audit}
+	if d.o.UpstreamTLS != nil {
+		args = append(args, "--tls-cert", d.o.UpstreamTLS["cert_file"], "--tls-key", d.o.UpstreamTLS["key_file"])
+	}
 	if len(d.StandIns) > 0 {
 		args = append(args, "--follow", d.StandIns[0].Address)
 	}
--- a/cmd/internal/e2e/tls_test.go
+++ b/cmd/internal/e2e/tls_test.go
@@ -106,7 +106,8 @@
 }
 
 // Guards against a process, or an operator, that takes part without a certificate
-// of the system's CA: without any, and with one of another CA.
+// of the system's CA: without any, and with one of another CA. The stand-ins require
+// TLS, which guards against probes or statements that can't use it.
 func TestProcessWithoutCertificateIsRefused(t *testing.T) {
 	ours, theirs := newAuthority(t), newAuthority(t)
 	identities := map[string]map[string]string{"proxy3": theirs.issue("proxy3")}
@@ -114,10 +115,11 @@
 		identities[name] = ours.issue(name)
 	}
 	d := deploy.Start(t, deploy.Options{
-		Proxies:  3,
-		StandIns: 1,
-		Identity: func(name string) map[string]string { return identities[name] },
-		Later:    []string{"proxy2", "proxy3"},
+		Proxies:     3,
+		StandIns:    1,
+		UpstreamTLS: ours.issue("upstream"),
+		Identity:    func(name string) map[string]string { return identities[name] },
+		Later:       []string{"proxy2", "proxy3"},
 	})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	for _, p := range d.Proxies[1:] {
--- a/cmd/jayloom-standin/options.go
+++ b/cmd/jayloom-standin/options.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/jayloom/jayloom/base/tlsconf"
 	"github.com/jayloom/jayloom/cmd/internal/flagfile"
 	"github.com/jayloom/jayloom/standin"
 	"github.com/jayloom/jayloom/standin/announce"
@@ -26,6 +27,8 @@
 	Password        string        `long:"password" description:"Password of the account."`
 	PasswordFile    string        `long:"password-file" description:"File that holds the password."`
 	Auth            string        `long:"auth" default:"scram" choice:"scram" choice:"cleartext" choice:"trust" description:"How clients authenticate."`
+	TLSCert         string        `long:"tls-cert" description:"PEM file of the certificate; with it all clients but replicas must use TLS."`
+	TLSKey          string        `long:"tls-key" description:"PEM file of the certificate's key."`
 	ConnectionLimit uint32        `long:"connection-limit" default:"25" description:"Sessions allowed at a time."`
 	ConnectDelay    time.Duration `long:"connect-delay" default:"10ms" description:"Delay of each new connection."`
 	StatementDelay  time.Duration `long:"statement-delay" default:"0s" description:"Delay of each statement."`
@@ -58,6 +61,9 @@
 	if err := o.checkAnnouncement(); err != nil {
 		return err
 	}
+	if (o.TLSCert == "") != (o.TLSKey == "") {
+		return errors.New("--tls-cert and --tls-key need each other")
+	}
 	return o.config().Check()
 }
 
@@ -106,8 +112,15 @@
 	}
 }
 
-// openFiles adds the capture and the audit file to c.
+// openFiles adds the certificate, the capture and the audit file to c.
 func (o *options) openFiles(c *standin.Config) error {
+	if o.TLSCert != "" {
+		config, err := tlsconf.Files{Cert: o.TLSCert, Key: o.TLSKey}.Server()
+		if err != nil {
+			return errors.Wrap(err, "--tls-cert")
+		}
+		c.TLS = config
+	}
 	for _, file := range []struct {
 		path   string
 		target *io.Writer
--- a/cmd/jayloom-standin/options_test.go
+++ b/cmd/jayloom-standin/options_test.go
@@ -28,7 +28,7 @@
 	}
 	for _, wrong := range []string{
 		"--service=", "--group=", "--announce-credential=", "--listen=0.0.0.0:1", "--listen=localhost:1",
-		"--password=", "--lag=-1s", "--log-level=loud", "--password-file=/does/not/exist",
+		"--password=", "--tls-cert=c.pem", "--lag=-1s", "--log-level=loud", "--password-file=/does/not/exist",
 	} {
 		if parse(t, append(sound, wrong)...).load() == nil {
 			t.Errorf("%s is accepted", wrong)
--- a/control/watch/postgres.go
+++ b/control/watch/postgres.go
@@ -13,6 +13,7 @@
 
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/base/lsn"
+	"github.com/jayloom/jayloom/base/pgaccount"
 	"github.com/jayloom/jayloom/base/settings"
 )
 
@@ -50,7 +51,7 @@
 	if s.conn != nil && !s.conn.IsClosed() {
 		return s.conn, nil
 	}
-	config, err := s.config()
+	config, err := pgaccount.Config(s.account, s.address, s.service)
 	if err != nil {
 		return nil, err
 	}
@@ -62,36 +63,6 @@
 	return conn, nil
 }
 
-func (s *postgresServer) config() (*pgconn.Config, error) {
-	// An explicit empty configuration keeps environment variables such as PGHOST out.
-	config, err := pgconn.ParseConfig("host=127.0.0.1 sslmode=disable")
-	if err != nil {
-		return nil, errors.Wrap(err, "build upstream configuration")
-	}
-	host, portText, err := net.SplitHostPort(s.address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "address of upstream %s", s.address)
-	}
-	port, err := strconv.ParseUint(portText, 10, 16)
-	if err != nil {
-		return nil, errors.Wrapf(err, "port of upstream %s", s.address)
-	}
-	config.Host = host
-	config.Port = uint16(port)
-	config.User = s.account.User
-	config.Password = s.account.Password
-	config.Database = s.database()
-	config.Fallbacks = nil
-	return config, nil
-}
-
-func (s *postgresServer) database() string {
-	if s.account.Database != "" {
-		return s.account.Database
-	}
-	return s.service
-}
-
 // exec runs one statement and drops the connection on any failure, so that a late
 // answer cannot be taken for that of the next statement.
 func (s *postgresServer) exec(ctx context.Context, sql string) ([][][]byte, error) {
--- a/proxy/cancel.go
+++ b/proxy/cancel.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"io"
 	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // cancelTimeout bounds the passing on of one cancel request.
@@ -65,6 +67,11 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
 	}
+	if conn.tls != nil {
+		if c, err = secure(ctx, c, conn.tls); err != nil {
+			return err
+		}
+	}
 	b := binary.BigEndian.AppendUint32(nil, uint32(12+len(conn.secret)))
 	b = binary.BigEndian.AppendUint32(b, codeCancel)
 	b = binary.BigEndian.AppendUint32(b, conn.processID)
@@ -76,3 +83,23 @@
 	_, err = io.Copy(io.Discard, c)
 	return err
 }
+
+// secure asks the upstream for TLS, so that the cancel key is not sent in the clear.
+func secure(ctx context.Context, c net.Conn, config *tls.Config) (net.Conn, error) {
+	request, err := (&pgproto3.SSLRequest{}).Encode(nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the request for TLS")
+	}
+	if _, err := c.Write(request); err != nil {
+		return nil, errors.Wrap(err, "ask for TLS")
+	}
+	var answer [1]byte
+	if _, err := io.ReadFull(c, answer[:]); err != nil {
+		return nil, errors.Wrap(err, "ask for TLS")
+	}
+	if answer[0] != 'S' {
+		return nil, errors.New("the upstream does not offer TLS to cancel")
+	}
+	secured := tls.Client(c, config)
+	return secured, errors.Wrap(secured.HandshakeContext(ctx), "secure the cancel request")
+}
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -1,10 +1,15 @@
 package proxy
 
 import (
+	"crypto/tls"
 	"math"
 	"net"
+	"os"
 	"sync"
 	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/jayloom/jayloom/proxy/wire"
 )
@@ -19,8 +24,10 @@
 // upstreamConn is a connection to an upstream. While it is lent, it belongs to the
 // goroutine of the borrower.
 type upstreamConn struct {
-	pool       *pool
-	net        net.Conn
+	pool *pool
+	net  net.Conn
+	// tls is what the connection was secured with, nil for none.
+	tls        *tls.Config
 	rd         *wire.Reader
 	out        *wire.Writer
 	processID  uint32
@@ -103,7 +110,14 @@
 	if c.rd.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.net.(syscall.Conn)
+	socket := c.net
+	if secured, ok := c.net.(*tls.Conn); ok {
+		if !tlsQuiet(secured) {
+			return false
+		}
+		socket = secured.NetConn()
+	}
+	sc, ok := socket.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -119,3 +133,15 @@
 	})
 	return err == nil && (peeked == syscall.EAGAIN || peeked == syscall.EWOULDBLOCK)
 }
+
+// tlsQuiet reports whether TLS holds no record that was taken from the socket but not
+// read yet. A read whose deadline has passed returns such a record, and otherwise
+// fails before it reads from the socket.
+func tlsQuiet(c *tls.Conn) bool {
+	if c.SetReadDeadline(time.Unix(0, 1)) != nil {
+		return false
+	}
+	var b [1]byte
+	n, err := c.Read(b[:])
+	return n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+}
--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"net"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"github.com/jayloom/jayloom/base/pgaccount"
 	"github.com/jayloom/jayloom/base/settings"
 	"github.com/jayloom/jayloom/proxy/wire"
 )
@@ -28,10 +27,11 @@
 
 // Dial implements Dialer.
 func (d accountDialer) Dial(ctx context.Context, address, service string) (*upstreamConn, error) {
-	config, err := d.config(address, service)
+	config, err := pgaccount.Config(d.account, address, service)
 	if err != nil {
 		return nil, err
 	}
+	config.RuntimeParams["application_name"] = "jayloom-proxy"
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := pgconn.ConnectConfig(ctx, config)
@@ -48,6 +48,7 @@
 	}
 	return &upstreamConn{
 		net:        hijacked.Conn,
+		tls:        config.TLSConfig,
 		rd:         wire.NewReader(hijacked.Conn, upstreamLimit),
 		out:        wire.NewWriter(hijacked.Conn),
 		processID:  hijacked.PID,
@@ -56,28 +57,3 @@
 		prepared:   map[string]bool{},
 	}, nil
 }
-
-func (d accountDialer) config(address, service string) (*pgconn.Config, error) {
-	host, portText, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "upstream address %q", address)
-	}
-	port, err := strconv.ParseUint(portText, 10, 16)
-	if err != nil {
-		return nil, errors.Wrapf(err, "upstream address %q", address)
-	}
-	// The host in the string keeps ParseConfig from reading other sources for it.
-	config, err := pgconn.ParseConfig("host=127.0.0.1 user=jayloom sslmode=disable")
-	if err != nil {
-		return nil, err
-	}
-	config.Host, config.Port = host, uint16(port)
-	config.User, config.Password = d.account.User, d.account.Password
-	config.Database = d.account.Database
-	if config.Database == "" {
-		config.Database = service
-	}
-	config.RuntimeParams = map[string]string{"application_name": "jayloom-proxy"}
-	config.Fallbacks = nil
-	return config, nil
-}
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -147,7 +147,7 @@
 func (s *system) execUpstream(server *standin.Server, sql string) {
 	s.t.Helper()
 	ctx := context.Background()
-	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://jayloom:pw@%s/wax?sslmode=disable", server.Addr()))
+	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://jayloom:pw@%s/wax?sslmode=prefer", server.Addr()))
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -112,8 +112,14 @@
 func TestRunningStatementsCountAsPins(t *testing.T) {
 	p, _ := testPool(t, 4)
 	conn := take(t, p, "driver", 1)
-	if !p.permitPin() || !p.permitPin() || p.permitPin() {
-		t.Fatal("half of 4 connections are not exactly 2 permits")
+	permits := 0
+	for range 4 {
+		if p.permitPin() {
+			permits++
+		}
+	}
+	if permits != 2 {
+		t.Fatalf("%d permits for half of 4 connections", permits)
 	}
 	p.pin(conn, true)
 	if p.permitPin() {
--- a/standin/config.go
+++ b/standin/config.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"crypto/tls"
 	"io"
 	"time"
 
@@ -29,6 +30,8 @@
 	// User and Password are the one account; Auth says how it is checked.
 	User, Password string
 	Auth           wire.Auth
+	// TLS is offered to clients if it is set; all but replicas must then use it.
+	TLS *tls.Config
 	// ConnectionLimit is the number of sessions, 0 for DefaultConnectionLimit.
 	// Replication connections do not count.
 	ConnectionLimit int
@@ -40,7 +43,7 @@
 	Follow string
 	// Lag is how long after their commit a replica applies changes.
 	Lag time.Duration
-	// Capture gets every byte received from clients.
+	// Capture gets every byte received from clients, before decryption.
 	Capture io.Writer
 	// AuditFile gets one JSON line for each statement whose outcome is known.
 	AuditFile io.Writer
--- a/standin/server.go
+++ b/standin/server.go
@@ -77,6 +77,7 @@
 	return wire.Options{
 		Account:      wire.Account{User: s.config.User, Password: s.config.Password, Auth: s.config.Auth},
 		Registry:     wire.NewRegistry(),
+		TLS:          s.config.TLS,
 		Admit:        s.admit,
 		ConnectDelay: func() time.Duration { return time.Duration(s.connectDelay.Load()) },
 		NewSession:   s.newSession,
--- a/standin/sqlerr/sqlerr.go
+++ b/standin/sqlerr/sqlerr.go
@@ -32,6 +32,7 @@
 	QueryCanceled        = "57014"
 	AdminShutdown        = "57P01"
 	TooManyConnections   = "53300"
+	InvalidAuthorization = "28000"
 	InvalidPassword      = "28P01"
 	ProtocolViolation    = "08P01"
 	NotSupported         = "0A000"
--- a/standin/wire/conn.go
+++ b/standin/wire/conn.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"strings"
 	"time"
@@ -20,6 +21,9 @@
 type Options struct {
 	Account  Account
 	Registry *Registry
+	// TLS is offered if it is set; sessions without it are then refused, but not
+	// replication, as with hostssl lines of pg_hba.conf for all databases.
+	TLS *tls.Config
 	// Admit takes a place under the connection limit and returns how to free it.
 	Admit func() (func(), error)
 	// ConnectDelay is waited before a new connection is answered.
@@ -35,6 +39,7 @@
 	Options
 	net     net.Conn
 	backend *pgproto3.Backend
+	secured bool
 	session *engine.Session
 	cancel  *cancelable
 	portals map[string]*portal
@@ -66,7 +71,11 @@
 			return nil, err
 		}
 		switch typed := m.(type) {
-		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+		case *pgproto3.SSLRequest:
+			if err := k.answerSSLRequest(); err != nil {
+				return nil, err
+			}
+		case *pgproto3.GSSEncRequest:
 			if _, err := k.net.Write([]byte{'N'}); err != nil {
 				return nil, err
 			}
@@ -79,10 +88,27 @@
 	}
 }
 
+func (k *conn) answerSSLRequest() error {
+	if k.TLS == nil || k.secured {
+		_, err := k.net.Write([]byte{'N'})
+		return err
+	}
+	if _, err := k.net.Write([]byte{'S'}); err != nil {
+		return err
+	}
+	k.net = tls.Server(k.net, k.TLS)
+	k.backend = pgproto3.NewBackend(k.net, k.net)
+	k.secured = true
+	return nil
+}
+
 func (k *conn) serveStartup(ctx context.Context, startup *pgproto3.StartupMessage) error {
 	user := startup.Parameters["user"]
 	replication := startup.Parameters["replication"] == "true"
 	wait(ctx, k.ConnectDelay())
+	if k.TLS != nil && !k.secured && !replication {
+		return sqlerr.New(sqlerr.InvalidAuthorization, "no pg_hba.conf entry for user %q, no encryption", user)
+	}
 	if !replication {
 		leave, err := k.Admit()
 		if err != nil {
