Bound the prepared statements of a caller

Cause: the proxy keeps the text of each prepared statement of a caller and put no bound on them, so one caller with a key could fill the memory of a proxy. A statement counts from its Parse message on, once; closed and discarded ones free their room. Statements without a name replace each other and do not count. Conclusion: prepared statements cost a proxy at most max_clients times the limit.

--- a/api/rescode/rescode.go
+++ b/api/rescode/rescode.go
@@ -86,6 +86,7 @@
 	TooManyConnections
 	UpstreamConnectFailed
 	PinLimit
+	StatementLimit
 )
 
 // Execution.
@@ -166,6 +167,7 @@
 	{TooManyConnections, "too_many_connections", "53300", NotRun, true, "The proxy has its limit of client connections."},
 	{UpstreamConnectFailed, "upstream_connect_failed", "08001", NotRun, true, "No connection to the upstream could be opened."},
 	{PinLimit, "pin_limit", "53300", NotRun, true, "Too many callers hold a connection for session state."},
+	{StatementLimit, "statement_limit", "53400", NotRun, false, "The caller's prepared statements are above the limit in bytes."},
 
 	{AnswerLost, "answer_lost", "08007", MayHaveRun, false, "The connection to the upstream ended before the answer was complete."},
 	{PrimaryReplaced, "primary_replaced", "08007", MayHaveRun, false, "The primary was replaced while the request ran."},
--- a/base/settings/check.go
+++ b/base/settings/check.go
@@ -138,6 +138,7 @@
 	c.positive("proxy.max_unauthenticated", s.MaxUnauthenticated)
 	c.positive("proxy.authentication_timeout_ms", s.AuthenticationTimeoutMs)
 	c.positive("proxy.max_message_bytes", s.MaxMessageBytes)
+	c.positive("proxy.max_prepared_bytes", s.MaxPreparedBytes)
 	c.positive("proxy.default_deadline_ms", s.DefaultDeadlineMs)
 	c.positive("proxy.queue_per_team", s.QueuePerTeam)
 	c.positive("proxy.drain_timeout_ms", s.DrainTimeoutMs)
--- a/base/settings/types.go
+++ b/base/settings/types.go
@@ -123,6 +123,8 @@
 	TokenWaitMs uint32 `json:"token_wait_ms"`
 	// QueuePerTeam bounds the requests of one team that wait for one upstream.
 	QueuePerTeam uint32 `json:"queue_per_team"`
+	// MaxPreparedBytes bounds the prepared statements that the proxy keeps for a caller.
+	MaxPreparedBytes uint32 `json:"max_prepared_bytes"`
 	// MaxPinnedPercent of an upstream's share may be held for session state.
 	MaxPinnedPercent uint32 `json:"max_pinned_percent"`
 	// RetryPercent of a team's requests may be retries.
@@ -151,6 +153,7 @@
 			DefaultDeadlineMs:       2_000,
 			TokenWaitMs:             300,
 			QueuePerTeam:            1_000,
+			MaxPreparedBytes:        4 << 20,
 			MaxPinnedPercent:        50,
 			RetryPercent:            10,
 			DrainTimeoutMs:          60_000,
--- a/proxy/batch.go
+++ b/proxy/batch.go
@@ -17,6 +17,8 @@
 	size  int
 	// defined are the statements that the batch prepares, or closes when nil.
 	defined map[string]*statement
+	// definedBytes is what those without an answer cost, also if closed again.
+	definedBytes int
 	// started says that a part was sent, so that the batch stays on its connection.
 	started bool
 	// failed says that an error was reported; everything up to Sync is dropped.
@@ -38,6 +40,9 @@
 		b.defined = map[string]*statement{}
 	}
 	b.defined[name] = stmt
+	if stmt != nil {
+		b.definedBytes += stmt.cost()
+	}
 }
 
 // lost records that the batch's connection is gone.
@@ -322,10 +327,7 @@
 	if e.own {
 		return
 	}
-	if x.s.statements == nil {
-		x.s.statements = map[string]*statement{}
-	}
-	x.s.statements[e.stmt.name] = e.stmt
+	x.s.keepStatement(e.stmt)
 }
 
 // closed records that a statement was closed.
@@ -333,7 +335,7 @@
 	if e.stmt == nil || e.item.target != 'S' {
 		return
 	}
-	delete(x.s.statements, e.stmt.name)
+	x.s.statements.remove(e.stmt.name)
 	if e.stmt.name == "" {
 		x.conn.unnamed = nil
 		return
@@ -370,10 +372,7 @@
 func (s *caller) localItem(it *item) *rescode.Error {
 	switch it.kind {
 	case 'P':
-		if s.statements == nil {
-			s.statements = map[string]*statement{}
-		}
-		s.statements[it.name] = it.stmt
+		s.keepStatement(it.stmt)
 		s.out.Message(&pgproto3.ParseComplete{})
 	case 'B':
 		s.out.Message(&pgproto3.BindComplete{})
@@ -384,7 +383,7 @@
 		s.out.Message(describeLocal(it.stmt.local))
 	case 'C':
 		if it.target == 'S' {
-			delete(s.statements, it.name)
+			s.statements.remove(it.name)
 		}
 		s.out.Message(&pgproto3.CloseComplete{})
 	case 'E':
--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -59,7 +59,7 @@
 
 	continuity
 
-	statements map[string]*statement
+	statements statementSet
 	portals    map[string]*statement
 	nextName   int
 	batch      batch
--- a/proxy/conclude.go
+++ b/proxy/conclude.go
@@ -157,10 +157,10 @@
 func (s *caller) settle(held *lease, r *request, effects tagEffects) {
 	if effects.discards {
 		held.conn.forgetSession()
-		s.statements = nil
+		s.statements.clear()
 	}
 	if effects.deallocate {
-		s.statements = nil
+		s.statements.clear()
 		clear(held.conn.prepared)
 	}
 	if effects.discards && s.kept == held {
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -94,6 +94,9 @@
 		it.stmt.upstream = it.existing.upstream
 		return it, nil
 	}
+	if refused := s.checkRoom(it.stmt); refused != nil {
+		return it, refused
+	}
 	s.batch.define(name, it.stmt)
 	return it, nil
 }
@@ -149,7 +152,7 @@
 	if stmt, ok := s.batch.defined[name]; ok {
 		return stmt
 	}
-	return s.statements[name]
+	return s.statements.get(name)
 }
 
 // has reports whether a statement is prepared on a connection.
