Test that a caller who reads nothing loses its connection

Cause: proxy.caller_write_timeout_ms had no test. Change: a test in which a caller with the only upstream connection leaves 32 MiB of answer unread, and another caller is served all the same. Conclusion: no change of behaviour.

--- a/proxy/isolation_test.go
+++ b/proxy/isolation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -317,3 +318,27 @@
 		t.Error("the statement was not cancelled")
 	}
 }
+
+// Guards against a caller that reads nothing of its answer and keeps an upstream
+// connection from all others for ever.
+func TestCallerThatReadsNothingLosesItsConnection(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy(oneConnection, func(o *Options) { o.Settings.CallerWriteTimeoutMs = 50 })
+	filler := p.driver(t)
+	// The answer is larger than what the sockets of a connection hold.
+	const rows, rowBytes = 32, 1 << 20
+	for i := range rows {
+		exec(t, filler, "INSERT INTO intake VALUES ($1, $2)", i, strings.Repeat("x", rowBytes))
+	}
+	stalled := p.driver(t)
+	frontend := stalled.PgConn().Frontend()
+	frontend.Send(&pgproto3.Query{String: "SELECT note FROM intake"})
+	if err := frontend.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the answer is under way", func() bool { return len(statements(s.primary, "SELECT note")) > 0 })
+	eventually(t, "another caller is served", func() bool {
+		_, err := filler.Exec(context.Background(), "INSERT INTO intake VALUES (1000, 'after')")
+		return err == nil
+	})
+}
