Compare two more refusals with the stand-in's record

Cause: upstream_lost and upstream_connect_failed promise that the statement did not run, and no test compared them with what ran; the routing codes were never seen to fail. Change: a case for upstream_connect_failed, and a test of a statement whose session state is lost. Conclusion: "not run" is compared for every refusal of a request; the case of upstream_connect_failed only against a server that has ended.

--- a/proxy/refusal_test.go
+++ b/proxy/refusal_test.go
@@ -51,6 +51,10 @@
 				state.Upstreams[s.primary.Addr()].State = controlpb.UpstreamState_UPSTREAM_STATE_LEAVING
 			})
 		}},
+		{code: rescode.UpstreamConnectFailed, sql: marker, arrange: func(s *system, _ *testProxy) {
+			s.primary.Crash()
+			hangUpAt(s.t, s.primary.Addr())
+		}},
 		{code: rescode.ProxyDetached, sql: marker, arrange: func(s *system, p *testProxy) {
 			s.attendance = -time.Second
 			s.publishTo(p)
@@ -94,6 +98,46 @@
 	}
 }
 
+// hangUpAt closes each connection to the address of a server that has ended. Without
+// it, a stand-in of another test process may get the port and answer.
+func hangUpAt(t *testing.T, address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+}
+
+// Guards against a lost session state that is reported as "not run" for a statement
+// that ran without it, on the old connection or on another one.
+func TestStatementWithoutItsSessionStateDidNotRun(t *testing.T) {
+	for protocol, send := range protocols {
+		s := newSystem(t, 0)
+		conn := s.proxy().driver(t)
+		exec(t, conn, "SET application_name TO 'kept'")
+		s.change(func(state *controlpb.FleetState) {
+			group := state.Groups["wax-1"]
+			group.Term++
+			group.History = append(group.History, &controlpb.TermStart{Term: group.Term, StartLsn: 1, Timeline: 2})
+		})
+		_, err := send(conn, "INSERT INTO intake VALUES (1, 'marker')")
+		wantCode(t, err, rescode.UpstreamLost)
+		if n := len(statements(s.primary, "marker")); n != 0 {
+			t.Errorf("%s: the refused statement ran %d times", protocol, n)
+		}
+	}
+}
+
 // occupy holds connections in open transactions.
 func occupy(t *testing.T, p *testProxy, n int) {
 	for range n {
