Show how each process stands when an end-to-end test fails

Cause: Continue took a program that had ended while it was frozen for one that runs, so its death, a lost SIGCONT and a hang of one goroutine all read as "gave up waiting" with a silent log. Change: Continue and Freeze fail at once with the exit status of an ended program. A failed test prints for each process its exit status or its kernel state and pending signals, and the goroutine stacks of a process that was frozen and still runs. Conclusion: this does not mend the red test; its next failure names which of the three it is.

--- a/cmd/internal/e2e/deploy/deploy.go
+++ b/cmd/internal/e2e/deploy/deploy.go
@@ -127,13 +127,13 @@
 	d := &Deployment{t: t, o: o.withDefaults(), ctx: ctx, folder: t.TempDir(), processes: map[string]*Process{}}
 	d.network = newNetwork(ctx, t, func() map[string]*Process { return d.processes })
 	t.Cleanup(func() {
+		if t.Failed() {
+			d.printLogs()
+		}
 		cancel()
 		for _, p := range d.processes {
 			p.Kill()
 		}
-		if t.Failed() {
-			d.printLogs()
-		}
 	})
 	d.define()
 	for name, p := range d.processes {
@@ -341,7 +341,12 @@
 	}
 }
 
+// printLogs prints how each process stands and the end of its log. The stacks come
+// last, because asking for them ends the process.
 func (d *Deployment) printLogs() {
+	for name, p := range d.processes {
+		d.t.Logf("%s is %s", name, p.State())
+	}
 	for name, p := range d.processes {
 		text := p.Log()
 		if len(text) > logTail {
@@ -349,6 +354,11 @@
 		}
 		d.t.Logf("end of the log of %s:\n%s", name, text)
 	}
+	for name, p := range d.processes {
+		if stacks := p.Stacks(); stacks != "" {
+			d.t.Logf("stacks of %s:\n%s", name, stacks)
+		}
+	}
 }
 
 // RemoveDataFolder deletes all files of a control process that is not running.
--- a/cmd/internal/e2e/deploy/process.go
+++ b/cmd/internal/e2e/deploy/process.go
@@ -9,6 +9,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // Process is one program that can be started again under the same settings.
@@ -22,6 +23,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// frozen is true once the program was frozen.
+	frozen bool
 }
 
 func newProcess(t testing.TB, name, binary, folder string, args []string) *Process {
@@ -51,13 +54,13 @@
 	}
 	exited := make(chan struct{})
 	go func() {
-		// The exit status of a killed program says nothing.
+		// The error repeats the exit status, which State reads.
 		_ = cmd.Wait()
 		close(exited)
 	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cmd, p.exited = cmd, exited
+	p.cmd, p.exited, p.frozen = cmd, exited, false
 }
 
 // pid returns the id of the running program, 0 when there is none.
@@ -75,6 +78,39 @@
 	}
 }
 
+// State says whether the program runs, and else how it ended.
+func (p *Process) State() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return "not started"
+	}
+	select {
+	case <-p.exited:
+		return "ended: " + p.cmd.ProcessState.String()
+	default:
+		return "running: " + kernelState(p.cmd.Process.Pid)
+	}
+}
+
+// kernelState returns the lines of /proc/PID/status that tell a stopped program from
+// a waiting one and name the signals that it has not taken.
+func kernelState(pid int) string {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return err.Error()
+	}
+	var kept []string
+	for line := range strings.Lines(string(data)) {
+		name, value, _ := strings.Cut(line, ":")
+		switch name {
+		case "State", "TracerPid", "Threads", "SigPnd", "ShdPnd":
+			kept = append(kept, name+" "+strings.TrimSpace(value))
+		}
+	}
+	return strings.Join(kept, ", ")
+}
+
 // Running reports whether the program runs.
 func (p *Process) Running() bool { return p.pid() != 0 }
 
@@ -97,8 +133,22 @@
 // Freeze stops the program as SIGSTOP does, and returns once all its threads stand.
 func (p *Process) Freeze() {
 	p.t.Helper()
+	p.mu.Lock()
+	p.frozen = true
+	p.mu.Unlock()
 	p.signal(syscall.SIGSTOP)
-	until(p.t, p.Name+" to stand", func() bool { return stands(p.pid()) })
+	until(p.t, p.Name+" to stand", func() bool {
+		p.requireRunning()
+		return stands(p.pid())
+	})
+}
+
+// requireRunning fails the test if the program has ended.
+func (p *Process) requireRunning() {
+	p.t.Helper()
+	if !p.Running() {
+		p.t.Fatalf("%s has %s", p.Name, p.State())
+	}
 }
 
 // stands reports whether every thread of a process is stopped.
@@ -122,15 +172,39 @@
 }
 
 // Continue lets a frozen program go on and waits until it does, so that a signal
-// without effect shows here and not as a program that hangs.
+// without effect, or a program that ended while it was frozen, shows here and not as
+// a program that hangs.
 func (p *Process) Continue() {
 	p.t.Helper()
 	until(p.t, p.Name+" to go on", func() bool {
+		p.requireRunning()
 		p.signal(syscall.SIGCONT)
 		return !stands(p.pid())
 	})
 }
 
+// dumpLimit bounds the wait for the stacks of a program that may hang.
+const dumpLimit = 5 * time.Second
+
+// Stacks ends a program that was frozen and still runs with SIGQUIT, and returns the
+// goroutine stacks that it wrote.
+func (p *Process) Stacks() string {
+	p.mu.Lock()
+	frozen, exited := p.frozen, p.exited
+	p.mu.Unlock()
+	if !frozen || !p.Running() {
+		return ""
+	}
+	before := len(p.Log())
+	p.signal(syscall.SIGQUIT)
+	p.signal(syscall.SIGCONT)
+	select {
+	case <-exited:
+	case <-time.After(dumpLimit):
+	}
+	return p.Log()[before:]
+}
+
 // Wait waits until the program has ended.
 func (p *Process) Wait() {
 	p.mu.Lock()
