Notice a lost connection to an idle control VM

Cause: a peer's goroutine waited for its queue or the stream's context, and gRPC ends that context only when the client sends or receives. A follower that had nothing to send kept a dead stream, so its next message was lost, which is the pre-vote after the leader's death. Found by a trial on a scratch copy: with the replica's goroutine blocked, the process logged no lost connection in 60 s. Change: a goroutine of each stream receives, and its error ends the stream.

--- a/control/replica/transport.go
+++ b/control/replica/transport.go
@@ -143,7 +143,8 @@
 	}
 }
 
-// stream sends queued messages until the stream fails.
+// stream sends queued messages until the stream ends. The other side answers only
+// with the end, and gRPC tells a client of it only when it sends or receives.
 func (p *peer) stream(ctx context.Context, client controlpb.VoterClient) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -151,16 +152,18 @@
 	if err != nil {
 		return err
 	}
+	ended := make(chan error, 1)
+	go func() { ended <- stream.RecvMsg(&controlpb.ExchangeReply{}) }()
 	for {
 		select {
 		case m := <-p.queue:
 			if err := stream.Send(m); err != nil {
 				// The cause of a failed Send is what RecvMsg returns.
-				return stream.RecvMsg(&controlpb.ExchangeReply{})
+				return <-ended
 			}
 			p.note(true, nil)
-		case <-stream.Context().Done():
-			return stream.Context().Err()
+		case err := <-ended:
+			return err
 		}
 	}
 }
