Look at all sockets once for connections that arrive together

Cause: for each connection the test's network read /proc/net/tcp, which lists all sockets of the machine, and the open files of all processes. The proxies' attempts to connect timed out, were repeated, and 200 callers never got their connections. Change: connections that arrive during a look share the next one, which begins after they exist. Conclusion: the checks are unchanged; the fault was in the test's network.

--- a/cmd/internal/e2e/deploy/network.go
+++ b/cmd/internal/e2e/deploy/network.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"os"
@@ -28,6 +27,8 @@
 	targets map[string]string
 	// open and most count the connections to a target from processes of a kind.
 	open, most map[link]int
+
+	sockets socketTables
 }
 
 // link is the way from one process to another.
@@ -149,16 +150,53 @@
 // owner returns the name of the process that holds the other end of conn. All
 // processes share the address 127.0.0.1, so the socket's inode tells them apart.
 func (n *network) owner(conn net.Conn) string {
-	inode := socketInode(conn.RemoteAddr().(*net.TCPAddr).Port, conn.LocalAddr().(*net.TCPAddr).Port)
-	if inode == "" {
-		return ""
-	}
-	for name, process := range n.processes() {
-		if pid := process.pid(); pid != 0 && holds(pid, inode) {
-			return name
-		}
+	t := n.sockets.current(func() map[ports]string { return owners(n.processes()) })
+	return t[ports{conn.RemoteAddr().(*net.TCPAddr).Port, conn.LocalAddr().(*net.TCPAddr).Port}]
+}
+
+// ports identify a loopback connection by its own and its far end.
+type ports struct{ local, remote int }
+
+// socketTables shares one look at all sockets among connections that arrive together.
+// /proc/net/tcp lists all sockets of the machine; with a look for each of 200
+// connections the proxies' attempts to connect timed out on one core.
+type socketTables struct {
+	// reading is held during a look.
+	reading sync.Mutex
+
+	mu sync.Mutex
+	// next is the look that has not begun yet, nil when nobody waits for one.
+	next *socketTable
+}
+
+type socketTable struct {
+	done   chan struct{}
+	owners map[ports]string
+}
+
+// current returns the result of a look that began after the call, so that it holds
+// every connection that was accepted before.
+func (s *socketTables) current(look func() map[ports]string) map[ports]string {
+	s.mu.Lock()
+	t := s.next
+	if t == nil {
+		t = &socketTable{done: make(chan struct{})}
+		s.next = t
+		go s.fill(t, look)
 	}
-	return ""
+	s.mu.Unlock()
+	<-t.done
+	return t.owners
+}
+
+func (s *socketTables) fill(t *socketTable, look func() map[ports]string) {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	s.mu.Lock()
+	s.next = nil
+	s.mu.Unlock()
+	t.owners = look()
+	close(t.done)
 }
 
 // Columns of /proc/net/tcp.
@@ -169,34 +207,56 @@
 	columns      = 10
 )
 
-// socketInode returns the inode of the loopback socket with these ports.
-func socketInode(local, remote int) string {
+// owners returns the process that holds each connection.
+func owners(processes map[string]*Process) map[ports]string {
+	holders := map[string]string{}
+	for name, process := range processes {
+		if pid := process.pid(); pid != 0 {
+			addSockets(holders, pid, name)
+		}
+	}
 	data, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return ""
+		return nil
 	}
-	from, to := fmt.Sprintf(":%04X", local), fmt.Sprintf(":%04X", remote)
+	found := map[ports]string{}
 	for line := range strings.Lines(string(data)) {
 		fields := strings.Fields(line)
-		if len(fields) >= columns && strings.HasSuffix(fields[columnLocal], from) &&
-			strings.HasSuffix(fields[columnRemote], to) {
-			return fields[columnInode]
+		if len(fields) < columns {
+			continue
+		}
+		if name, ok := holders[fields[columnInode]]; ok {
+			found[ports{port(fields[columnLocal]), port(fields[columnRemote])}] = name
 		}
 	}
-	return ""
+	return found
+}
+
+// port returns the port of an address in /proc/net/tcp, 0 if there is none.
+func port(address string) int {
+	_, text, _ := strings.Cut(address, ":")
+	number, err := strconv.ParseUint(text, 16, 16)
+	if err != nil {
+		return 0
+	}
+	return int(number)
 }
 
-// holds reports whether one of the test's own processes has the socket open.
-func holds(pid int, inode string) bool {
+// addSockets adds the inodes of the sockets that one of the test's own processes has
+// open.
+func addSockets(holders map[string]string, pid int, name string) {
 	folder := filepath.Join("/proc", strconv.Itoa(pid), "fd")
 	entries, err := os.ReadDir(folder)
 	if err != nil {
-		return false
+		return // the process has ended
 	}
 	for _, entry := range entries {
-		if name, err := os.Readlink(filepath.Join(folder, entry.Name())); err == nil && name == "socket:["+inode+"]" {
-			return true
+		target, err := os.Readlink(filepath.Join(folder, entry.Name()))
+		if err != nil {
+			continue
+		}
+		if inode, ok := strings.CutPrefix(target, "socket:["); ok {
+			holders[strings.TrimSuffix(inode, "]")] = name
 		}
 	}
-	return false
 }
