--- a/cmd/internal/e2e/deploy/deploy.go
+++ b/cmd/internal/e2e/deploy/deploy.go
@@ -136,6 +136,7 @@
 		}
 	})
 	d.define()
+	d.network.serveExposed()
 	for name, p := range d.processes {
 		if !slices.Contains(d.o.Later, name) {
 			p.Start()
--- a/cmd/internal/e2e/deploy/network.go
+++ b/cmd/internal/e2e/deploy/network.go
@@ -21,6 +21,9 @@
 	ctx       context.Context
 	processes func() map[string]*Process
 
+	// exposed are the listeners that serveExposed serves.
+	exposed []exposed
+
 	mu    sync.Mutex
 	links map[link]*relay.Relay
 	// targets are the addresses that processes listen on.
@@ -31,6 +34,12 @@
 	sockets socketTables
 }
 
+// exposed is the listener under whose address others reach a process.
+type exposed struct {
+	listener net.Listener
+	target   string
+}
+
 // link is the way from one process to another.
 type link struct{ source, target string }
 
@@ -47,6 +56,7 @@
 }
 
 // expose returns an address for target, behind which the process listens on address.
+// Connections to it are served from serveExposed on.
 func (n *network) expose(target, address string) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -56,10 +66,18 @@
 	n.targets[target] = address
 	n.mu.Unlock()
 	context.AfterFunc(n.ctx, func() { listener.Close() })
-	go n.accept(listener, target)
+	n.exposed = append(n.exposed, exposed{listener, target})
 	return listener.Addr().String()
 }
 
+// serveExposed serves the exposed addresses. All processes must be known before, because
+// serving reads them.
+func (n *network) serveExposed() {
+	for _, e := range n.exposed {
+		go n.accept(e.listener, e.target)
+	}
+}
+
 func (n *network) accept(listener net.Listener, target string) {
 	for {
 		conn, err := listener.Accept()
