Send each proxy the groups that it serves

Cause: each update carried the health of every upstream and a lease for every group, 120 bytes for each group. At 1,600 groups that is 796 KB/s for each proxy against a limit of 26, and 3.8 ms of the leader's goroutine for each report. Change: a report names the groups with requests in the last 60 s or with open connections, whenever they differ from what the stream has stated. The leader sends health and leases of these only. With 32 groups or fewer (proxy.all_groups_up_to) a proxy holds all, as before, because the first request to another group waits for an exchange with control. A proxy counts as a holder of leases for all groups, so a fence waits no shorter than before. TestCutPrimaryAcknowledgesNothingAfterReplacement runs with the selection now.

--- a/base/settings/types.go
+++ b/base/settings/types.go
@@ -117,6 +117,9 @@
 	AuthenticationTimeoutMs uint32 `json:"authentication_timeout_ms"`
 	// MaxMessageBytes bounds the announced length of a caller's message.
 	MaxMessageBytes uint32 `json:"max_message_bytes"`
+	// AllGroupsUpTo is the number of database groups up to which the proxy holds
+	// leases of all of them; above it, of those that it serves.
+	AllGroupsUpTo uint32 `json:"all_groups_up_to"`
 	// DefaultDeadlineMs applies to routes that state none.
 	DefaultDeadlineMs uint32 `json:"default_deadline_ms"`
 	// TokenWaitMs is how long a request waits for a token of an empty bucket.
@@ -150,6 +153,7 @@
 			MaxUnauthenticated:      256,
 			AuthenticationTimeoutMs: 10_000,
 			MaxMessageBytes:         64 << 20,
+			AllGroupsUpTo:           32,
 			DefaultDeadlineMs:       2_000,
 			TokenWaitMs:             300,
 			QueuePerTeam:            1_000,
--- a/cmd/internal/e2e/deploy/deploy.go
+++ b/cmd/internal/e2e/deploy/deploy.go
@@ -56,6 +56,9 @@
 	// UpstreamTLS has the fields of tls.identity; stand-ins show its certificate, and
 	// control and proxies check it.
 	UpstreamTLS map[string]string
+	// SelectGroups makes proxies name the groups that they serve, as in a fleet with
+	// many groups.
+	SelectGroups bool
 	// Later names processes that the test starts itself.
 	Later []string
 }
@@ -226,12 +229,16 @@
 func (d *Deployment) defineProxy(name string) {
 	p := &Proxy{Address: freeAddress(d.t), HTTP: freeAddress(d.t)}
 	peering := freeAddress(d.t)
-	args := d.overlayArgs(name, object{"proxy": object{
+	own := object{
 		"listen":            p.Address,
 		"listen_http":       p.HTTP,
 		"listen_peering":    peering,
 		"advertise_peering": d.network.expose(name, peering),
-	}})
+	}
+	if d.o.SelectGroups {
+		own["all_groups_up_to"] = 0
+	}
+	args := d.overlayArgs(name, object{"proxy": own})
 	p.Process = d.addProcess(name, "jayloom-proxy", args...)
 	d.Proxies = append(d.Proxies, p)
 }
--- a/cmd/internal/e2e/replaced_test.go
+++ b/cmd/internal/e2e/replaced_test.go
@@ -51,7 +51,7 @@
 // were open before the cut are committed after the promotion, because a proxy that is
 // cut from control has few tokens for new ones.
 func TestCutPrimaryAcknowledgesNothingAfterReplacement(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{})
+	d := deploy.Start(t, deploy.Options{SelectGroups: true})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	h := newHistory()
 	stop := h.load(d, 4, d.Proxies[0])
--- a/cmd/internal/e2e/shutdown_test.go
+++ b/cmd/internal/e2e/shutdown_test.go
@@ -146,7 +146,7 @@
 // refuses one as not run that did run: 200 callers in the middle of transactions
 // while the two proxies are restarted in turn.
 func TestRestartOfProxiesCutsNothing(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{StandIns: 1, ConnectionLimit: drainConnections})
+	d := deploy.Start(t, deploy.Options{StandIns: 1, ConnectionLimit: drainConnections, SelectGroups: true})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	x := &drainTest{t: t, d: d, inside: map[string]int{}}
 	x.hold()
--- a/cmd/jayloom-proxy/main.go
+++ b/cmd/jayloom-proxy/main.go
@@ -110,7 +110,10 @@
 		DialOptions: dial,
 		Tokens:      p.server.TokenReporter(),
 		Shares:      p.server.ShareReporter(),
-		Log:         log,
+		Groups:      p.server.GroupReporter(),
+
+		AllGroupsUpTo: int(s.Proxy.AllGroupsUpTo),
+		Log:           log,
 	})
 	p.server.OnUrgent(p.attend.ReportNow)
 	return p, p.listen(transport)
--- a/control/attend.go
+++ b/control/attend.go
@@ -32,7 +32,10 @@
 	sentRevision uint64 // newest revision sent on this stream
 	applied      uint64 // newest revision that the proxy has reported
 	registered   bool
-	fullSentAt   time.Duration // when the last full copy was sent on this stream
+	// groups are those that the proxy serves, unless allGroups is set.
+	groups     []string
+	allGroups  bool
+	fullSentAt time.Duration // when the last full copy was sent on this stream
 }
 
 // holder identifies the process behind the stream, which may hold leases.
@@ -47,7 +50,7 @@
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	a := &attendance{ctx: ctx, cancel: cancel, updates: make(chan *controlpb.Update, sessionQueue)}
+	a := &attendance{ctx: ctx, cancel: cancel, allGroups: true, updates: make(chan *controlpb.Update, sessionQueue)}
 	go s.receiveReports(stream, a)
 	defer s.leader.post(attendanceEnded{a})
 	for {
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -90,7 +90,7 @@
 	for i := range n.proxies {
 		member := &controlpb.ProxyMember{Name: fmt.Sprintf("proxy-%04d", i), PeeringAddress: "10.20.30.40:7441", Place: "place-01"}
 		l.apply(tb, &controlpb.Command{Change: &controlpb.Command_RegisterProxy{RegisterProxy: member}})
-		a := &attendance{cancel: func() {}, updates: make(chan *controlpb.Update, sessionQueue)}
+		a := &attendance{cancel: func() {}, allGroups: true, updates: make(chan *controlpb.Update, sessionQueue)}
 		l.attendances = append(l.attendances, a)
 	}
 }
@@ -152,22 +152,27 @@
 	for _, c := range []struct {
 		size         fleetSize
 		active, used int
+		// selected is the number of groups that the proxy has named, 0 for none.
+		selected int
 	}{
-		{fleetSize{teams: 8, groups: 3, proxies: 11}, 8, 9},
-		{fleetSize{teams: 800, groups: 3, proxies: 11}, 8, 9},
-		{fleetSize{teams: 800, groups: 3, proxies: 11}, 800, 9},
-		{fleetSize{teams: 8, groups: 30, proxies: 11}, 8, 9},
-		{fleetSize{teams: 8, groups: 300, proxies: 11}, 8, 9},
-		{fleetSize{teams: 8, groups: 300, proxies: 11}, 8, 900},
-		{fleetSize{teams: 8, groups: 3, proxies: 1200}, 8, 9},
-		{fleetSize{teams: 2000, groups: 1600, proxies: 1200}, 40, 60},
+		{fleetSize{teams: 8, groups: 3, proxies: 11}, 8, 9, 0},
+		{fleetSize{teams: 800, groups: 3, proxies: 11}, 8, 9, 0},
+		{fleetSize{teams: 800, groups: 3, proxies: 11}, 800, 9, 0},
+		{fleetSize{teams: 8, groups: 30, proxies: 11}, 8, 9, 0},
+		{fleetSize{teams: 8, groups: 300, proxies: 11}, 8, 9, 0},
+		{fleetSize{teams: 8, groups: 300, proxies: 11}, 8, 900, 0},
+		{fleetSize{teams: 8, groups: 3, proxies: 1200}, 8, 9, 0},
+		{fleetSize{teams: 2000, groups: 1600, proxies: 1200}, 40, 60, 0},
+		{fleetSize{teams: 2000, groups: 1600, proxies: 1200}, 40, 60, 20},
 	} {
-		b.Run(fmt.Sprintf("%v/active=%d/used=%d", c.size, c.active, c.used), func(b *testing.B) {
+		b.Run(fmt.Sprintf("%v/active=%d/used=%d/selected=%d", c.size, c.active, c.used, c.selected), func(b *testing.B) {
 			l := newBenchLeader(b, c.size)
 			ctx := context.Background()
 			data := encode(b, l.report(0, l.teams[:c.active], l.addresses[:c.used]))
 			// The first one carries the full copy.
-			l.exchange(b, ctx, 0, data)
+			first := l.report(0, l.teams[:c.active], l.addresses[:c.used])
+			first.Groups = selectGroups(c.selected)
+			l.exchange(b, ctx, 0, encode(b, first))
 			var update []byte
 			b.ReportAllocs()
 			for b.Loop() {
@@ -179,6 +184,17 @@
 	}
 }
 
+func selectGroups(n int) *controlpb.GroupSelection {
+	if n == 0 {
+		return nil
+	}
+	selection := &controlpb.GroupSelection{}
+	for g := range n {
+		selection.Names = append(selection.Names, fmt.Sprintf("service-%04d-0", g))
+	}
+	return selection
+}
+
 // Guards against updates that grow unnoticed in the steady state of today's size.
 func TestSteadyUpdateBytes(t *testing.T) {
 	const most = 1500
--- a/control/leader_proxies.go
+++ b/control/leader_proxies.go
@@ -45,6 +45,10 @@
 	a.sequence = report.Sequence
 	a.applied = report.AppliedRevision
 	l.lastReports[a.proxy] = r.at
+	if report.Groups != nil {
+		a.allGroups = report.Groups.All
+		a.groups = report.Groups.Names
+	}
 	for _, fence := range report.FencesAcknowledged {
 		l.step(ctx, r.at, failover.FenceAcknowledged{Holder: a.holder(), Group: fence.Group, Term: fence.Term})
 	}
@@ -96,7 +100,7 @@
 func (l *Leader) answer(ctx context.Context, a *attendance, report *controlpb.Report, at time.Duration) *controlpb.Update {
 	update := &controlpb.Update{Sequence: a.sequence, LeaderTerm: l.term}
 	l.addChanges(a, update)
-	update.Health = l.groups.Health(at)
+	update.Health = l.health(a, at)
 	if !a.registered {
 		return update
 	}
@@ -122,14 +126,30 @@
 	}
 }
 
-// addPrimaryLeases grants a lease for every group that is not fenced. The state is
-// the one that the machine has seen, so that a fence counts its wait from a moment
+// groupsOf returns the names of the groups that a proxy serves.
+func (l *Leader) groupsOf(a *attendance) []string {
+	if a.allGroups {
+		return sortedKeys(l.view.Groups)
+	}
+	return a.groups
+}
+
+func (l *Leader) health(a *attendance, at time.Duration) []*controlpb.UpstreamHealth {
+	if a.allGroups {
+		return l.groups.Health(at)
+	}
+	return l.groups.HealthOf(at, a.groups)
+}
+
+// addPrimaryLeases grants a lease for every group of the proxy that is not fenced.
+// The proxy then counts as a holder for all groups, which makes a fence wait longer
+// than it must but never too short. The state is the one that the machine has seen, so that a fence counts its wait from a moment
 // after the last grant.
 func (l *Leader) addPrimaryLeases(ctx context.Context, a *attendance, update *controlpb.Update, at time.Duration) {
 	update.PrimaryLeaseMs = uint32(primaryLease.Milliseconds())
-	for _, name := range sortedKeys(l.view.Groups) {
-		group := l.view.Groups[name]
-		if group.Primary != "" && group.Phase == controlpb.GroupPhase_GROUP_PHASE_HEALTHY {
+	for _, name := range l.groupsOf(a) {
+		group, ok := l.view.Groups[name]
+		if ok && group.Primary != "" && group.Phase == controlpb.GroupPhase_GROUP_PHASE_HEALTHY {
 			update.PrimaryLeases = append(update.PrimaryLeases, &controlpb.GroupTerm{Group: name, Term: group.Term})
 		}
 	}
--- a/policy/failover/health.go
+++ b/policy/failover/health.go
@@ -27,6 +27,26 @@
 	return health
 }
 
+// HealthOf is Health of the named groups' upstreams; unknown names are passed over.
+func (m *Machine) HealthOf(now time.Duration, groups []string) []*controlpb.UpstreamHealth {
+	if !m.leading {
+		return nil
+	}
+	var health []*controlpb.UpstreamHealth
+	for _, name := range groups {
+		g, ok := m.groups[name]
+		if !ok {
+			continue
+		}
+		for _, u := range g.members {
+			if u.tried {
+				health = append(health, m.healthOf(now, u))
+			}
+		}
+	}
+	return health
+}
+
 func (m *Machine) healthOf(now time.Duration, u *upstream) *controlpb.UpstreamHealth {
 	return &controlpb.UpstreamHealth{
 		Address:    u.address,
--- a/proxy/attend/client.go
+++ b/proxy/attend/client.go
@@ -37,7 +37,11 @@
 	DialOptions []grpc.DialOption
 	Tokens      TokenReporter
 	Shares      ShareReporter
-	Log         *logrus.Entry
+	// Groups tells which groups the proxy serves. It is asked when there are more
+	// than AllGroupsUpTo.
+	Groups        GroupReporter
+	AllGroupsUpTo int
+	Log           *logrus.Entry
 }
 
 // Client attends control. Run owns its state.
@@ -45,6 +49,7 @@
 	opts        Options
 	incarnation string
 	applier     *applier
+	selection   selection
 	urgent      chan struct{}
 	leave       chan struct{}
 	left        chan struct{}
@@ -59,6 +64,7 @@
 		opts:        opts,
 		incarnation: rand.Text(),
 		applier:     newApplier(opts.Member.Name, store),
+		selection:   selection{allUpTo: opts.AllGroupsUpTo},
 		urgent:      make(chan struct{}, 1),
 		leave:       make(chan struct{}),
 		left:        make(chan struct{}),
@@ -206,6 +212,7 @@
 func (s *streamRun) run(ctx context.Context) error {
 	c := s.client
 	c.applier.sends.reset()
+	c.selection.startStream()
 	c.opts.Tokens.StreamStarted(clock.Now())
 	c.opts.Shares.StreamStarted(clock.Now())
 	if err := s.report(false); err != nil {
@@ -284,6 +291,7 @@
 		Shares:             c.opts.Shares.Report(now),
 		Leaving:            leaving,
 	}
+	report.Groups = c.selection.next(c.applier.store.Current(), c.opts.Groups.Groups(now), report.Shares)
 	return s.stream.Send(report)
 }
 
--- a/proxy/attend/client_test.go
+++ b/proxy/attend/client_test.go
@@ -31,6 +31,24 @@
 func (noShares) Grant(time.Duration, time.Duration, *controlpb.ShareGrant) {}
 func (noShares) StreamStarted(time.Duration)                               {}
 
+// servedGroups are the groups that a test's proxy serves.
+type servedGroups struct {
+	mu    sync.Mutex
+	names []string
+}
+
+func (g *servedGroups) Groups(time.Duration) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.names
+}
+
+func (g *servedGroups) serve(names ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.names = names
+}
+
 // fakeControl is a control VM whose answers a test chooses.
 type fakeControl struct {
 	controlpb.UnimplementedControlServer
@@ -95,6 +113,12 @@
 }
 
 func startClient(t *testing.T, voters ...string) (*Client, *view.Store) {
+	t.Helper()
+	return startServing(t, &servedGroups{}, voters...)
+}
+
+func startServing(t *testing.T, served *servedGroups, voters ...string) (*Client, *view.Store) {
+	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	store := view.NewStore()
@@ -104,7 +128,10 @@
 		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
 		Tokens:      noTokens{},
 		Shares:      noShares{},
-		Log:         logrus.NewEntry(logger),
+		Groups:      served,
+
+		AllGroupsUpTo: 8,
+		Log:           logrus.NewEntry(logger),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- /dev/null
+++ b/proxy/groups_test.go
@@ -0,0 +1,51 @@
+package proxy
+
+import (
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/jayloom/jayloom/base/clock"
+)
+
+// Guards against a group whose first request waits for the next regular report, and
+// against a report for each request.
+func TestFirstUseOfAGroupReportsOnce(t *testing.T) {
+	reports := 0
+	g := &groupUse{reportNow: func() { reports++ }}
+	for range 100 {
+		g.use("a")
+	}
+	if reports != 1 {
+		t.Errorf("%d reports for one group", reports)
+	}
+	now := clock.Now()
+	if got := g.Groups(now); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("served groups are %v", got)
+	}
+	if got := g.Groups(now + groupMemory + groupUseStep); len(got) != 0 {
+		t.Errorf("groups without requests are %v", got)
+	}
+	g.use("a")
+	if reports != 2 || len(g.Groups(clock.Now())) != 1 {
+		t.Errorf("after a pause %d reports, groups %v", reports, g.Groups(clock.Now()))
+	}
+}
+
+// Guards against a request that is recorded in an entry which is being dropped: its
+// group would never be reported, and the request would wait for a lease in vain.
+func TestUseDuringExpiryIsNotLost(t *testing.T) {
+	for range 2000 {
+		g := &groupUse{reportNow: func() {}}
+		g.use("a")
+		later := clock.Now() + groupMemory + groupUseStep
+		var both sync.WaitGroup
+		both.Go(func() { g.Groups(later) })
+		both.Go(func() { g.use("a") })
+		both.Wait()
+		g.use("a")
+		if got := g.Groups(clock.Now()); len(got) != 1 {
+			t.Fatalf("served groups are %v after a request", got)
+		}
+	}
+}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -109,6 +109,7 @@
 		return refused
 	}
 	r.plan = plan
+	s.server.groups.use(plan.Group)
 	if refused := s.checkLost(plan.Group); refused != nil {
 		return refused
 	}
@@ -126,6 +127,7 @@
 	if plan.Group != s.bound.target.group {
 		return rescode.New(rescode.BadTag, "the transaction runs on group %q", s.bound.target.group)
 	}
+	s.server.groups.use(plan.Group)
 	s.txPlan.WaitReplica = s.txPlan.WaitReplica || plan.WaitReplica
 	r.plan = s.txPlan
 	return nil
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -49,6 +49,7 @@
 	pools     *poolSet
 	registry  *registry
 	retries   *retryBudget
+	groups    *groupUse
 	metrics   *metrics.Set
 	reportNow atomic.Pointer[func()]
 
@@ -80,6 +81,7 @@
 		confirmers: map[string]*confirmer{},
 		stop:       make(chan struct{}),
 	}
+	s.groups = &groupUse{reportNow: s.report}
 	s.admission = newAdmission(opts.Tokens, s.report)
 	s.pools = &poolSet{
 		dialer:           opts.Dialer,
@@ -105,6 +107,9 @@
 // TokenReporter returns what the control client reports and grants tokens to.
 func (s *Server) TokenReporter() *admission { return s.admission }
 
+// GroupReporter returns what tells the control client which groups are served.
+func (s *Server) GroupReporter() *groupUse { return s.groups }
+
 // ShareReporter returns what the control client reports and grants shares to.
 func (s *Server) ShareReporter() *poolSet { return s.pools }
 
