Replace a leaving primary by a planned switchover

Cause: when a primary announced that it leaves, proxies started no new transaction on it, and writes to its group were refused until it died and a failover replaced it. Change: the failover machine waits 500 ms for running transactions, requires a replica whose data is at most 2 s old, and fences the term with a switchover mark that is replicated, so a new leader goes on. Once no lease is valid it takes the primary's position, and promotes a replica only when that has reached it. When none does within 5 s the old primary is confirmed under a new term and the switchover is tried again 10 s later; the same happens when the platform announces the primary as joining again. A primary that dies in the middle clears the mark and is replaced as in any failover. The position of the candidate is replicated too, so a leader that takes over during a promotion no longer starts the term at 0. Control counts begun, completed, given_up, failed_over and delayed switchovers.

--- /dev/null
+++ b/cmd/internal/e2e/switchover_test.go
@@ -0,0 +1,86 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
+)
+
+// shortLag makes newest writes missing on replicas at any moment under load, and is
+// short enough for a replica to catch up before callers give up.
+const shortLag = 100 * time.Millisecond
+
+// checkStored fails for acknowledged writes that a server does not hold.
+func checkStored(t *testing.T, d *deploy.Deployment, h *history, s *deploy.StandIn) {
+	t.Helper()
+	conn, err := d.ConnectDirectly(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeConn(conn)
+	rows, err := conn.Query(t.Context(), "SELECT id FROM lot")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ids, err := pgx.CollectRows(rows, pgx.RowTo[int64])
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored := map[int64]bool{}
+	for _, id := range ids {
+		stored[id] = true
+	}
+	for _, w := range h.all() {
+		if w.err == nil && !stored[w.id] {
+			t.Errorf("write %d was acknowledged by %s and is not on %s", w.id, w.proxy, s.Name)
+		}
+	}
+}
+
+// switchOver lets the primary leave, calls during, and returns the next primary.
+// Transactions that stay open are committed after the promotion.
+func switchOver(t *testing.T, d *deploy.Deployment, h *history, during func()) (old, next *deploy.StandIn) {
+	t.Helper()
+	old = d.Primary()
+	term := d.Group().Term
+	commitOld := openTransactions(t, d, h, d.Proxies[0])
+	old.Announcer.Leave(t.Context())
+	during()
+	next = d.UntilTerm(term + 1)
+	commitOld()
+	if next == old || !old.Running() {
+		t.Fatalf("%s follows %s, which runs: %t", next.Name, old.Name, old.Running())
+	}
+	untilWriting(d, h, d.Proxies...)
+	return old, next
+}
+
+// Guards against a planned switchover that loses an acknowledged write, that waits
+// for the leaving primary to die, or after which that primary acknowledges; then
+// the same when the control leader is killed in the middle.
+func TestLeavingPrimaryIsReplacedWithoutLoss(t *testing.T) {
+	d := deploy.Start(t, deploy.Options{Lag: shortLag})
+	exec(t, connect(t, d, d.Proxies[0]), createTable)
+	h := newHistory()
+	stop := h.load(d, 4, d.Proxies...)
+	defer stop()
+	untilWriting(d, h, d.Proxies...)
+
+	leader := d.Leader()
+	first, second := switchOver(t, d, h, func() {})
+	if n := d.Metric(leader.HTTP, `jayloom_control_switchovers_total{outcome="completed"}`); n != 1 {
+		t.Errorf("%v switchovers were counted as completed", n)
+	}
+	_, third := switchOver(t, d, h, func() {
+		d.Until("the fence", func() bool { return d.Group().GetSwitchover() })
+		leader.Kill()
+	})
+	stop()
+	checkNoAcknowledgementAfter(t, d, h, first, termStart(t, d, 2))
+	checkNoAcknowledgementAfter(t, d, h, second, termStart(t, d, 3))
+	checkAcknowledged(t, d, h)
+	checkStored(t, d, h, third)
+}
--- a/cmd/jayloomctl/show.go
+++ b/cmd/jayloomctl/show.go
@@ -101,13 +101,16 @@
 	t := newTable("GROUP\tSERVICE\tTERM\tPRIMARY\tPHASE")
 	for _, name := range slices.Sorted(maps.Keys(state.Groups)) {
 		g := state.Groups[name]
-		t.row("%s\t%s\t%d\t%s\t%s", name, g.Service, g.Term, g.Primary, phaseName(g.Phase))
+		t.row("%s\t%s\t%d\t%s\t%s", name, g.Service, g.Term, g.Primary, phaseName(g))
 	}
 	t.end()
 }
 
-func phaseName(phase controlpb.GroupPhase) string {
-	switch phase {
+func phaseName(g *controlpb.Group) string {
+	if g.Switchover {
+		return "switchover"
+	}
+	switch g.Phase {
 	case controlpb.GroupPhase_GROUP_PHASE_FENCED:
 		return "fenced"
 	case controlpb.GroupPhase_GROUP_PHASE_PROMOTING:
--- a/control/leader_groups.go
+++ b/control/leader_groups.go
@@ -83,6 +83,9 @@
 		l.watcher.ProbeNow(e.Address)
 	case failover.Record:
 		l.record(e.Subject, e.Text)
+	case failover.SwitchoverDelayed:
+		switchovers(switchoverDelayed).Inc()
+		l.record(e.Group, e.Text)
 	}
 }
 
--- a/control/leader_proxies.go
+++ b/control/leader_proxies.go
@@ -149,6 +149,7 @@
 	l.syncTeams(now, previous, view)
 	l.syncUpstreams(now, previous, view)
 	countPromotions(previous, view)
+	countSwitchovers(previous, view)
 	l.step(ctx, now, failover.Applied{State: view})
 	for _, a := range l.attending {
 		l.push(a)
@@ -266,3 +267,28 @@
 		}
 	}
 }
+
+// countSwitchovers counts the switchovers that began or ended between two states.
+func countSwitchovers(previous, view *controlpb.FleetState) {
+	for name, before := range previous.GetGroups() {
+		after := view.Groups[name]
+		if outcome := switchoverOutcome(before, after); outcome != "" {
+			switchovers(outcome).Inc()
+		}
+	}
+}
+
+func switchoverOutcome(before, after *controlpb.Group) string {
+	switch {
+	case before.GetSwitchover() == after.GetSwitchover():
+		return ""
+	case after.GetSwitchover():
+		return switchoverBegun
+	case after.GetPhase() != controlpb.GroupPhase_GROUP_PHASE_HEALTHY:
+		return switchoverFailedOver
+	case after.GetPrimary() == before.GetPrimary():
+		return switchoverGivenUp
+	default:
+		return switchoverCompleted
+	}
+}
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -22,6 +22,23 @@
 	proposalsFailed  = metrics.NewCounter("jayloom_control_leader_proposals_failed_total")
 )
 
+// Outcomes of switchovers, as the label of their counter.
+const (
+	switchoverBegun = "begun"
+	// switchoverCompleted is a new primary without the loss of an acknowledged write.
+	switchoverCompleted = "completed"
+	// switchoverGivenUp is the old primary confirmed under a new term.
+	switchoverGivenUp = "given_up"
+	// switchoverFailedOver is a primary lost in the middle; a failover follows.
+	switchoverFailedOver = "failed_over"
+	// switchoverDelayed is a leaving primary that no replica can replace yet.
+	switchoverDelayed = "delayed"
+)
+
+func switchovers(outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("jayloom_control_switchovers_total{outcome=%q}", outcome))
+}
+
 // refusals counts refused calls and commands by result code.
 func refusals(code rescode.Code) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf("jayloom_control_refusals_total{code=%q}", code))
--- a/policy/failover/config.go
+++ b/policy/failover/config.go
@@ -21,9 +21,22 @@
 	// before one is chosen: a probe under way may need its timeout of 400 ms, and
 	// the next one too.
 	ChoiceWait time.Duration
+	// DrainWait is the time that running transactions get to end on a primary that
+	// leaves, before its term is fenced. Callers with new transactions wait that
+	// long, so it is a quarter of the default deadline of 2,000 ms.
+	DrainWait time.Duration
+	// SwitchoverAge is the age of a replica's data up to which a switchover begins.
+	SwitchoverAge time.Duration
+	// CatchUpLimit bounds the wait for a replica to reach the fenced primary's
+	// position.
+	CatchUpLimit time.Duration
+	// CatchUpProbe is the interval of probes during that wait.
+	CatchUpProbe time.Duration
+	// SwitchoverRetry is the time from a switchover that was given up to the next.
+	SwitchoverRetry time.Duration
 }
 
-// DefaultConfig returns the limits of the design page, sections 3.6 and 3.9.
+// DefaultConfig returns the limits of the design page, sections 3.6, 3.9 and 3.14.
 func DefaultConfig() Config {
 	return Config{
 		LeaseWait:        2625 * time.Millisecond,
@@ -32,5 +45,10 @@
 		CandidateLimit:   10 * time.Second,
 		CallRetry:        time.Second,
 		ChoiceWait:       900 * time.Millisecond,
+		DrainWait:        500 * time.Millisecond,
+		SwitchoverAge:    2 * time.Second,
+		CatchUpLimit:     5 * time.Second,
+		CatchUpProbe:     50 * time.Millisecond,
+		SwitchoverRetry:  10 * time.Second,
 	}
 }
--- a/policy/failover/effect.go
+++ b/policy/failover/effect.go
@@ -35,8 +35,16 @@
 	Text    string
 }
 
-func (Propose) effect()  {}
-func (Promote) effect()  {}
-func (Follow) effect()   {}
-func (ProbeNow) effect() {}
-func (Record) effect()   {}
+// SwitchoverDelayed asks for an event about a group whose primary leaves and cannot
+// be replaced yet, and for it to be counted.
+type SwitchoverDelayed struct {
+	Group string
+	Text  string
+}
+
+func (Propose) effect()           {}
+func (Promote) effect()           {}
+func (Follow) effect()            {}
+func (ProbeNow) effect()          {}
+func (Record) effect()            {}
+func (SwitchoverDelayed) effect() {}
--- a/policy/failover/fence.go
+++ b/policy/failover/fence.go
@@ -16,6 +16,8 @@
 	// ended is set once no lease can be valid; positionsFrom is when that was seen.
 	ended         bool
 	positionsFrom time.Duration
+	// probedAt is when a switchover last asked for positions.
+	probedAt time.Duration
 }
 
 // newFence starts the wait. No lease of the term is granted from here on, so the
@@ -24,6 +26,20 @@
 	return fence{since: now, holders: maps.Clone(m.holders)}
 }
 
+// endFence tells whether the fence is complete, and asks for positions when it
+// becomes so.
+func (m *Machine) endFence(now time.Duration, g *group) bool {
+	if !m.leasesEnded(now, &g.fence) {
+		return false
+	}
+	if !g.fence.ended {
+		g.fence.ended = true
+		g.fence.positionsFrom, g.fence.probedAt = now, now
+		m.probeMembers(g)
+	}
+	return true
+}
+
 func (m *Machine) fenceAcknowledged(now time.Duration, e FenceAcknowledged) {
 	g, ok := m.groups[e.Group]
 	if !ok || g.phase != controlpb.GroupPhase_GROUP_PHASE_FENCED || g.term != e.Term {
--- a/policy/failover/group.go
+++ b/policy/failover/group.go
@@ -16,6 +16,8 @@
 	phase         controlpb.GroupPhase
 	candidate     string
 	candidateTerm uint64
+	// switchover is set while the primary is being replaced without loss.
+	switchover bool
 	// history holds the start of each completed term, timeline is the newest one's.
 	history  []*controlpb.TermStart
 	timeline uint32
@@ -29,10 +31,16 @@
 	suspect  suspicion
 	fence    fence
 	// candidateLSN is the highest position that the candidate was seen to have
-	// replayed; 0 when it was never seen in recovery.
+	// replayed, by this leader or the one that chose it; 0 when it was never seen in
+	// recovery.
 	candidateLSN uint64
 	promoteCall  call
 	positions    positions
+	target       target
+	// delayed is set once operators were told that a switchover has to wait.
+	delayed bool
+	// retryAt is the earliest time of a switchover after one that was given up.
+	retryAt time.Duration
 }
 
 // proposal is a command under way.
@@ -56,10 +64,12 @@
 // phase, term or candidate.
 func (m *Machine) syncGroup(now time.Duration, g *group, pb *controlpb.Group) {
 	same := g.term == pb.Term && g.primary == pb.Primary && g.phase == pb.Phase &&
-		g.candidate == pb.Candidate && g.candidateTerm == pb.CandidateTerm
+		g.candidate == pb.Candidate && g.candidateTerm == pb.CandidateTerm &&
+		g.switchover == pb.Switchover
 	newTerm := g.term != pb.Term
 	g.term, g.primary, g.phase = pb.Term, pb.Primary, pb.Phase
 	g.candidate, g.candidateTerm = pb.Candidate, pb.CandidateTerm
+	g.switchover = pb.Switchover
 	g.takeHistory(pb.History)
 	if same {
 		return
@@ -70,12 +80,13 @@
 	g.promoteCall = call{}
 	if newTerm {
 		g.positions = positions{}
+		g.target = target{}
 	}
 	g.fence = fence{}
 	if g.phase == controlpb.GroupPhase_GROUP_PHASE_FENCED {
 		g.fence = m.newFence(now)
 	}
-	g.candidateLSN = m.replayed(g.candidate)
+	g.candidateLSN = max(m.replayed(g.candidate), pb.CandidateLsn)
 }
 
 func (g *group) takeHistory(history []*controlpb.TermStart) {
--- a/policy/failover/machine.go
+++ b/policy/failover/machine.go
@@ -86,7 +86,7 @@
 			u = &upstream{address: address, group: pb.Group}
 			m.upstreams[address] = u
 		}
-		u.state = pb.State
+		u.setState(now, pb.State)
 		members[u.group] = append(members[u.group], u)
 	}
 	maps.DeleteFunc(m.upstreams, func(address string, _ *upstream) bool {
@@ -119,12 +119,15 @@
 	switch {
 	case g.primary == "":
 		m.adopt(now, g)
+	case g.phase == controlpb.GroupPhase_GROUP_PHASE_FENCED && g.switchover:
+		m.catchUp(now, g)
 	case g.phase == controlpb.GroupPhase_GROUP_PHASE_FENCED:
 		m.choose(now, g)
 	case g.phase == controlpb.GroupPhase_GROUP_PHASE_PROMOTING:
 		m.promote(now, g)
 	default:
 		m.watch(now, g)
+		m.leave(now, g)
 		m.follow(now, g)
 		m.readmit(now, g)
 	}
--- a/policy/failover/machine_test.go
+++ b/policy/failover/machine_test.go
@@ -167,11 +167,17 @@
 }
 
 // probeAll answers for s0 as primary and the others as replicas; 0 fails.
+// What any of the probes led to stays in proposed.
 func (s *scripted) probeAll(lsns ...uint64) {
+	var proposed *controlpb.Command
 	for i, lsn := range lsns {
 		s.send(Probe{Address: fmt.Sprintf("s%d", i), Sent: s.now, Answered: lsn > 0, InRecovery: i > 0,
 			LSN: lsn, Timeline: 1, ReceiverActive: i > 0, ReceiverAge: time.Second})
+		if s.proposed != nil {
+			proposed = s.proposed
+		}
 	}
+	s.proposed = proposed
 }
 
 // TestCandidateChosenAfterLeasesEnd guards against a choice by positions from
--- a/policy/failover/promote.go
+++ b/policy/failover/promote.go
@@ -8,21 +8,21 @@
 
 // choose begins a promotion once the fenced term has no lease left.
 func (m *Machine) choose(now time.Duration, g *group) {
-	if !m.leasesEnded(now, &g.fence) {
-		return
-	}
-	if !g.fence.ended {
-		g.fence.ended = true
-		g.fence.positionsFrom = now
-		m.probeMembers(g)
+	if m.endFence(now, g) {
+		m.chooseBest(now, g)
 	}
+}
+
+// chooseBest begins the promotion of the best server by positions from after the
+// fence.
+func (m *Machine) chooseBest(now time.Duration, g *group) {
 	// Positions from before the end of the leases may miss a write that a replica
 	// confirmed and a proxy acknowledged, so only later ones are compared.
 	from := g.fence.positionsFrom
 	if now-from < m.cfg.ChoiceWait && m.positionsMissing(now, g, from) {
 		return
 	}
-	m.begin(now, g, m.successor(now, g, from))
+	m.begin(now, g, m.successor(now, g, from), false)
 }
 
 func (m *Machine) probeMembers(g *group) {
@@ -91,13 +91,16 @@
 	return u
 }
 
-func (m *Machine) begin(now time.Duration, g *group, u *upstream) {
+// begin proposes the promotion of a replica, or the confirmation of the primary. A
+// switchover is one without the loss of an acknowledged write.
+func (m *Machine) begin(now time.Duration, g *group, u *upstream, switchover bool) {
 	if u == nil {
 		return
 	}
 	m.propose(now, g, &controlpb.Command{Change: &controlpb.Command_BeginPromotion{
 		BeginPromotion: &controlpb.BeginPromotion{
 			Group: g.name, Candidate: u.address, Term: max(g.term, g.candidateTerm) + 1,
+			Switchover: switchover, CandidateLsn: m.replayed(u.address),
 		},
 	}})
 }
@@ -110,8 +113,8 @@
 		return
 	}
 	if !ok || m.givenUp(now, g, u) {
-		if next := m.successor(now, g, g.since); next != nil {
-			m.begin(now, g, next)
+		if next, switchover := m.nextCandidate(now, g); next != nil {
+			m.begin(now, g, next, switchover)
 			return
 		}
 	}
@@ -124,6 +127,13 @@
 	}
 }
 
+func (m *Machine) nextCandidate(now time.Duration, g *group) (next *upstream, switchover bool) {
+	if g.switchover {
+		return m.successorOfSwitchover(now, g)
+	}
+	return m.successor(now, g, g.since), false
+}
+
 // givenUp tells whether the candidate is silent, or answers and stays in recovery.
 func (m *Machine) givenUp(now time.Duration, g *group, u *upstream) bool {
 	heard := max(g.since, u.answeredAt)
--- a/policy/failover/upstream.go
+++ b/policy/failover/upstream.go
@@ -12,6 +12,8 @@
 	address string
 	group   string
 	state   controlpb.UpstreamState
+	// leavingSince is when this leader first saw that the server leaves.
+	leavingSince time.Duration
 
 	// answered is true once the server has answered this leader; the fields below
 	// are of the newest answer.
@@ -51,6 +53,13 @@
 	return strings.Compare(a.address, b.address)
 }
 
+func (u *upstream) setState(now time.Duration, state controlpb.UpstreamState) {
+	if state == controlpb.UpstreamState_UPSTREAM_STATE_LEAVING && u.state != state {
+		u.leavingSince = now
+	}
+	u.state = state
+}
+
 // probed records the outcome of a probe and decides for its group.
 func (m *Machine) probed(now time.Duration, p Probe) {
 	u, ok := m.upstreams[p.Address]
--- a/policy/failover/world_test.go
+++ b/policy/failover/world_test.go
@@ -36,6 +36,12 @@
 	branch int
 }
 
+// write is a position in a branch.
+type write struct {
+	branch int
+	lsn    uint64
+}
+
 // branch is the log that began with one promotion.
 type branch struct {
 	parent int
@@ -90,6 +96,11 @@
 	processes []*process
 	// promoted maps a term to the address on which its promotion was executed.
 	promoted map[uint64]string
+	// primaries maps a term to its primary, acked to its newest acknowledged write.
+	primaries map[uint64]string
+	acked     map[uint64]write
+	// switched counts the terms that a switchover has replaced.
+	switched int
 	failures []string
 	cfg      Config
 }
@@ -98,6 +109,7 @@
 	w := &world{
 		rnd: rand.New(rand.NewSource(seed)), state: fleet.New(),
 		promoted: map[uint64]string{}, cfg: DefaultConfig(), branches: make([]branch, 1),
+		primaries: map[uint64]string{}, acked: map[uint64]write{},
 	}
 	for i := range 3 {
 		s := &server{address: fmt.Sprintf("s%d", i), up: true, inRecovery: i > 0, lsn: 100, timeline: 1, follows: "s0"}
@@ -242,6 +254,7 @@
 	result := w.state.Apply(w.index, c)
 	if result.Code == 0 {
 		w.checkCommand(before, c)
+		w.primaries[w.group().GetTerm()] = w.group().GetPrimary()
 		w.step(Applied{State: w.state.Proto()})
 		w.pushFence()
 	}
@@ -260,6 +273,7 @@
 		if s.inRecovery {
 			w.fail("%s became primary in recovery", s.address)
 		}
+		w.checkSwitchover(before, s)
 	}
 	if begun := c.GetBeginPromotion(); begun != nil {
 		if s := w.server(begun.Candidate); !w.prefix(s, w.server(before.Primary)) {
@@ -274,6 +288,54 @@
 	}
 }
 
+// checkSwitchover guards against a switchover to a server that lacks a write which
+// was acknowledged in the replaced term.
+func (w *world) checkSwitchover(before *controlpb.Group, s *server) {
+	if !before.Switchover {
+		return
+	}
+	if last, ok := w.acked[before.Term]; ok && !w.holds(s, last) {
+		w.fail("%s replaces term %d without the acknowledged write %v", s.address, before.Term, last)
+	}
+	if s.address != before.Primary {
+		w.switched++
+	}
+}
+
+// holds tells whether a server's log contains a write.
+func (w *world) holds(s *server, last write) bool {
+	at, limit := s.branch, s.lsn
+	for at != last.branch {
+		if at == 0 {
+			return false
+		}
+		at, limit = w.branches[at].parent, min(limit, w.branches[at].start)
+	}
+	return last.lsn <= limit
+}
+
+// acknowledge lets every holder of a valid lease acknowledge what the term's primary
+// has written, as running transactions do on a primary that leaves.
+func (w *world) acknowledge() {
+	for _, p := range w.processes {
+		for term, until := range p.leases {
+			s := w.server(w.primaries[term])
+			if until > w.now && s != nil && s.up && !s.inRecovery {
+				w.acked[term] = write{branch: s.branch, lsn: s.lsn}
+			}
+		}
+	}
+}
+
+// announce lets the platform announce a server.
+func (w *world) announce(s *server, state controlpb.UpstreamState) {
+	if w.leader == 0 {
+		return
+	}
+	w.commit(&controlpb.Command{Change: &controlpb.Command_AnnounceUpstream{AnnounceUpstream: &controlpb.AnnounceUpstream{
+		Service: "v", Upstream: &controlpb.Upstream{Address: s.address, Group: groupName, State: state}}}})
+}
+
 // checkPromote guards against a promotion that the replicated state does not name.
 func (w *world) checkPromote(e Promote) {
 	g := w.group()
@@ -311,6 +373,7 @@
 			s.lsn += uint64(w.rnd.Intn(10))
 		}
 	}
+	w.acknowledge()
 	for _, s := range w.servers {
 		from := w.server(s.follows)
 		if !s.up || !s.inRecovery || s.cutPeers || from == nil || !from.up || from.cutPeers || from.inRecovery {
--- a/policy/fleet/fleet_test.go
+++ b/policy/fleet/fleet_test.go
@@ -51,9 +51,11 @@
 	case 13:
 		c.Change = &controlpb.Command_AdoptPrimary{AdoptPrimary: &controlpb.AdoptPrimary{Group: name("group"), Address: name("upstream"), StartLsn: lsn}}
 	case 14:
-		c.Change = &controlpb.Command_FenceGroup{FenceGroup: &controlpb.FenceGroup{Group: name("group"), Term: term}}
+		c.Change = &controlpb.Command_FenceGroup{FenceGroup: &controlpb.FenceGroup{
+			Group: name("group"), Term: term, Switchover: lsn%2 == 0}}
 	case 15:
-		c.Change = &controlpb.Command_BeginPromotion{BeginPromotion: &controlpb.BeginPromotion{Group: name("group"), Candidate: name("upstream"), Term: term}}
+		c.Change = &controlpb.Command_BeginPromotion{BeginPromotion: &controlpb.BeginPromotion{
+			Group: name("group"), Candidate: name("upstream"), Term: term, Switchover: lsn%3 > 0, CandidateLsn: lsn}}
 	default:
 		c.Change = &controlpb.Command_CompletePromotion{CompletePromotion: &controlpb.CompletePromotion{
 			Group: name("group"), Primary: name("upstream"), Term: term, StartLsn: lsn, Timeline: uint32(term)}}
--- a/policy/fleet/group.go
+++ b/policy/fleet/group.go
@@ -139,6 +139,7 @@
 		return "", "", termMismatch(group)
 	}
 	group.Phase = controlpb.GroupPhase_GROUP_PHASE_FENCED
+	group.Switchover = c.Switchover
 	return fmt.Sprintf("term %d fenced: %s", c.Term, c.Reason), c.Group, nil
 }
 
@@ -158,7 +159,22 @@
 	group.Phase = controlpb.GroupPhase_GROUP_PHASE_PROMOTING
 	group.Candidate = c.Candidate
 	group.CandidateTerm = c.Term
-	return fmt.Sprintf("promotion of %s to term %d begun", c.Candidate, c.Term), c.Group, nil
+	group.CandidateLsn = c.CandidateLsn
+	// A switchover that has become a failover stays one.
+	group.Switchover = group.Switchover && c.Switchover
+	return fmt.Sprintf("%s of %s to term %d begun", promotionName(group), c.Candidate, c.Term), c.Group, nil
+}
+
+// promotionName tells operators which kind of promotion has begun.
+func promotionName(group *controlpb.Group) string {
+	switch {
+	case group.Candidate == group.Primary:
+		return "confirmation"
+	case group.Switchover:
+		return "switchover"
+	default:
+		return "promotion"
+	}
 }
 
 // mayBePrimary refuses servers of other groups and diverged ones.
@@ -204,6 +220,8 @@
 	group.Phase = controlpb.GroupPhase_GROUP_PHASE_HEALTHY
 	group.Candidate = ""
 	group.CandidateTerm = 0
+	group.CandidateLsn = 0
+	group.Switchover = false
 	start := &controlpb.TermStart{Term: c.Term, StartLsn: c.StartLsn, Timeline: c.Timeline}
 	group.History = append(group.History, start)
 	return fmt.Sprintf("%s is primary in term %d", c.Primary, c.Term), c.Group, nil
