--- a/policy/fleet/fleet_test.go
+++ b/policy/fleet/fleet_test.go
@@ -73,7 +73,8 @@
 // TestStatesStayEqual guards against control VMs or proxies that differ after the
 // same commands: through map order, a snapshot in between, or a field that
 // ForProxies leaves out and a command depends on. It also checks that terms never
-// fall, that no primary has diverged and that every change raises the revision.
+// fall, that no primary has diverged, that a switchover ends with its term and that
+// every change raises the revision.
 func TestStatesStayEqual(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := New(), New()
@@ -127,6 +128,9 @@
 		if g.Term < old.GetTerm() || (g.Term == old.GetTerm() && g.Primary != old.GetPrimary()) {
 			t.Fatalf("group %s went from term %d of %s to term %d of %s", name, old.Term, old.Primary, g.Term, g.Primary)
 		}
+		if g.Switchover && g.Phase == controlpb.GroupPhase_GROUP_PHASE_HEALTHY {
+			t.Fatalf("group %s is healthy and in a switchover", name)
+		}
 		u := after.Upstreams[g.Primary]
 		if g.Primary != "" && (u.GetGroup() != name || u.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED) {
 			t.Fatalf("the primary of %s is %v", name, u)
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -3,7 +3,7 @@
 #
 #   scripts/experiment.sh start FOLDER [options of "jayloom-load experiment"]
 #   scripts/experiment.sh load FOLDER [options of jayloom-load]
-#   scripts/experiment.sh failover FOLDER killed|cut|frozen RUNS
+#   scripts/experiment.sh failover FOLDER killed|cut|frozen|leaving RUNS
 #   scripts/experiment.sh usage FOLDER SECONDS
 #   scripts/experiment.sh stop FOLDER
 #
@@ -155,6 +155,8 @@
       killed) end_process "$name" KILL ;;
       frozen) kill -STOP "$(cat "$folder/$name.pid")" ;;
       cut) post "$relay" /cut ;;
+      # The stand-in announces that it leaves and goes on serving.
+      leaving) kill -USR1 "$(cat "$folder/$name.pid")" ;;
     esac
     wait_for "run $run of $kind" other_primary "$old" || break
     sleep 1.5
