Count why a request got no rate token

Cause: a request that waited out its deadline while no control leader led was refused with the same text and the same counter as one of a team that had used up its rate, so neither callers nor operators could tell them apart. Change: jayloom_proxy_rate_refusals_total has the reasons exhausted, short and no_owner, and the text of rate_exceeded names the last two.

--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -34,6 +34,8 @@
 
 type tokenWaiter struct {
 	granted chan struct{}
+	// answered is set when the owner has answered for the team during the wait.
+	answered bool
 }
 
 func newAdmission(holder TokenHolder, urgent func()) *admission {
@@ -68,10 +70,10 @@
 		case <-w.granted:
 			return nil
 		case <-ctx.Done():
-			return a.giveUp(w, team)
+			return a.giveUp(w, team, false)
 		case <-expired:
 			if a.exhausted(clock.Now(), team) {
-				return a.giveUp(w, team)
+				return a.giveUp(w, team, true)
 			}
 			// No owner answers: the request waits for its deadline, or for the
 			// answer that the bucket is empty.
@@ -97,7 +99,7 @@
 }
 
 // giveUp takes a waiter out. A token that was granted at the same moment is used.
-func (a *admission) giveUp(w *tokenWaiter, team string) *rescode.Error {
+func (a *admission) giveUp(w *tokenWaiter, team string, exhausted bool) *rescode.Error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	queue := a.waiting[team]
@@ -105,12 +107,26 @@
 		if other == w {
 			a.setWaiting(team, append(queue[:i:i], queue[i+1:]...))
 			a.holder.Waiting(team, -1)
-			return rescode.New(rescode.RateExceeded, "team %q", team)
+			return w.refuse(team, exhausted)
 		}
 	}
 	return nil
 }
 
+// refuse tells callers and operators whether the team has used up its rate, or
+// control did not answer.
+func (w *tokenWaiter) refuse(team string, exhausted bool) *rescode.Error {
+	reason, text := rateNoOwner, "team %q: control granted nothing in time, the rate may not be used up"
+	if w.answered {
+		reason, text = rateShort, "team %q: control granted too little in time"
+	}
+	if exhausted {
+		reason, text = rateExhausted, "team %q"
+	}
+	metricRateRefusals[reason].Inc()
+	return rescode.New(rescode.RateExceeded, text, team)
+}
+
 func (a *admission) setWaiting(team string, queue []*tokenWaiter) {
 	if len(queue) == 0 {
 		delete(a.waiting, team)
@@ -144,5 +160,8 @@
 		queue = queue[1:]
 		a.holder.Waiting(grant.Team, -1)
 	}
+	for _, w := range queue {
+		w.answered = true
+	}
 	a.setWaiting(grant.Team, queue)
 }
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -68,6 +68,21 @@
 	return m
 }
 
+// rateReason says why a request got no token in time.
+type rateReason string
+
+const (
+	// rateExhausted: the owner has said that the team's bucket is empty.
+	rateExhausted rateReason = "exhausted"
+	// rateShort: the owner answered, but granted too little before the deadline.
+	rateShort rateReason = "short"
+	// rateNoOwner: no owner answered while the request waited.
+	rateNoOwner rateReason = "no_owner"
+)
+
+var metricRateRefusals = labelled("jayloom_proxy_rate_refusals_total", "reason",
+	rateExhausted, rateShort, rateNoOwner)
+
 func labelled[L ~string](name, label string, values ...L) map[L]*metrics.Counter {
 	m := make(map[L]*metrics.Counter, len(values))
 	for _, value := range values {
