--- a/policy/rate/evidence_test.go
+++ b/policy/rate/evidence_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/jayloom/jayloom/api/controlpb"
 )
 
@@ -54,3 +56,51 @@
 		}
 	}
 }
+
+// TestNeverAboveAcrossOwners guards invariant 7 where TestNeverAboveRateAndBurst seldom
+// comes: processes old enough to state what they were granted, and every change of the
+// owner after a time without one, in which proxies use what they hold or keep it.
+func TestNeverAboveAcrossOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.SampledFrom([]float64{5, 100, 500}).Draw(t, "rate")
+		burst := rapid.SampledFrom([]float64{5, 50, 300}).Draw(t, "burst")
+		w := newWorld(rapid.Int64().Draw(t, "seed"), 3, rate, burst)
+		w.delay = func() time.Duration { return time.Duration(w.rnd.Intn(20)) * time.Millisecond }
+		for _, n := range w.nodes {
+			n.speed = rapid.SampledFrom([]float64{1 / 1.05, 1, 1.05}).Draw(t, "speed")
+		}
+		use := rapid.SampledFrom([]int{1, 5, 20, 200}).Draw(t, "use")
+		run := func(name string, most int) {
+			limit := time.Duration(rapid.IntRange(1, most).Draw(t, name)) * time.Millisecond
+			w.run(limit, func() { w.takeAnywhere(use) })
+		}
+		w.lead(rate, burst)
+		w.run(time.Duration(rapid.IntRange(1, 4000).Draw(t, "start"))*time.Millisecond, func() { w.takeAnywhere(use) })
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			fault := rapid.SampledFrom([]string{"none", "none", "quiet", "limits", "lose stream", "restart", "leave a process behind"}).Draw(t, "fault")
+			faults[fault](w, w.rnd.Intn(len(w.nodes)))
+			run("before", 1000)
+			if rapid.Bool().Draw(t, "keep") {
+				w.quietAll(rapid.IntRange(1, 2500).Draw(t, "until"))
+			}
+			run("last", 60)
+			w.depose()
+			run("without", 2000)
+			faults["change owner"](w, 0)
+			run("settling", 100)
+			w.takeAll()
+			run("after", 50)
+			w.takeAll()
+			if w.overshoot > 0 {
+				t.Fatalf("%d tokens above rate and burst at %v, after %s", w.overshoot, w.now, fault)
+			}
+		}
+	})
+}
+
+// quietAll makes all processes keep their tokens until the same moment.
+func (w *world) quietAll(ms int) {
+	for _, n := range w.processes() {
+		n.quietUntil = w.now + time.Duration(ms)*time.Millisecond
+	}
+}
