Keep proxies that ask during an election until there is a leader

Cause: in a trace of two kills (trial) the new leader led 0.66 and 0.8 s after the kill, but the last of the 11 proxies sent its first report 1.00 and 1.02 s later, and the owner of the rates settles with that report. Proxies were sent away by followers, at first back to the lost leader, and their backoff had grown to 250 to 500 ms by the time of the election. Ruled out: no proxy failed to report, and nothing waited for old grants to lapse (settled with 0 unreported, before 2.625 s). Change: a control VM that has not heard from a leader for 250 ms keeps the call for up to 600 ms and then names the new leader, or serves the call if it leads itself and the call is not older than 50 ms; an older one comes again, because its report understates the time without grants. The client asks the lost leader's address last, and its backoff counts from the start of an attempt, up to 100 ms. Both new tests fail without their change: the waiting one is sent to "lost", the candidate is "lost" first.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -276,7 +276,7 @@
 // Status returns a copy of what the node knows.
 func (n *Node) Status() Status {
 	s := Status{
-		ID: n.id, Role: n.role, Term: n.hard.Term, Leader: n.leader,
+		ID: n.id, Role: n.role, Term: n.hard.Term, Leader: n.leader, HeardAt: n.heardAt,
 		Committed: n.log.committed, Applied: n.log.applied, LastIndex: n.log.last(),
 	}
 	for _, member := range n.log.membership().Members {
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -180,10 +180,12 @@
 
 // Status is a copy of what a node knows.
 type Status struct {
-	ID        ID
-	Role      Role
-	Term      Term
-	Leader    ID
+	ID     ID
+	Role   Role
+	Term   Term
+	Leader ID
+	// HeardAt is when a follower last heard from Leader.
+	HeardAt   time.Duration
 	Committed Index
 	Applied   Index
 	LastIndex Index
--- a/control/attend.go
+++ b/control/attend.go
@@ -17,6 +17,20 @@
 // A proxy that is further behind is disconnected and starts again.
 const sessionQueue = 64
 
+const (
+	// attendWait bounds how long a proxy is kept that asks during an election. A proxy
+	// ends a silent stream after 900 ms.
+	attendWait = 600 * time.Millisecond
+	// leaderPoll is the time between looks for a leader.
+	leaderPoll = 10 * time.Millisecond
+	// leaderSilence is the silence after which a leader is taken for lost: two
+	// heartbeats and a margin.
+	leaderSilence = 250 * time.Millisecond
+	// freshReport bounds the wait after which a proxy comes again with a new report.
+	// What the first one says about the time without grants would be too little.
+	freshReport = 50 * time.Millisecond
+)
+
 // attendance is one stream of a proxy. The leader's goroutine owns all fields but
 // the channel and the context.
 type attendance struct {
@@ -42,7 +56,7 @@
 
 // Attend implements controlpb.ControlServer.
 func (s *Server) Attend(stream controlpb.Control_AttendServer) error {
-	if !s.leads() {
+	if !s.leads() && !s.awaitLeader(stream.Context()) {
 		return s.notLeader()
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
@@ -63,6 +77,36 @@
 	}
 }
 
+// awaitLeader keeps a proxy that asks during an election until there is a leader,
+// so that it learns of it at once. It returns true when this VM leads and the
+// proxy's first report, which waits unread, is still new; false means that the proxy
+// is to be told what is known.
+func (s *Server) awaitLeader(ctx context.Context) bool {
+	begun := clock.Now()
+	ticker := time.NewTicker(leaderPoll)
+	defer ticker.Stop()
+	for !s.knowsOtherLeader() && clock.Now()-begun < attendWait {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+		if s.leads() {
+			return clock.Now()-begun < freshReport
+		}
+	}
+	return false
+}
+
+// knowsOtherLeader reports whether another control VM leads and is not just lost.
+func (s *Server) knowsOtherLeader() bool {
+	known := s.replicator.Status()
+	if known.LeaderAddress == "" || known.LeaderAddress == known.Address {
+		return false
+	}
+	return clock.Now()-known.LeaderHeardAt < leaderSilence
+}
+
 // receiveReports hands the reports of a stream to the leader's goroutine.
 func (s *Server) receiveReports(stream controlpb.Control_AttendServer, a *attendance) {
 	defer a.cancel()
--- a/control/attend_test.go
+++ b/control/attend_test.go
@@ -1,12 +1,16 @@
 package control
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/control/replica"
 	"github.com/jayloom/jayloom/control/watch"
 )
 
@@ -134,3 +138,30 @@
 		t.Errorf("the replaced primary has state %s", state)
 	}
 }
+
+// follower knows a leader that it has lost, and from the second look a new one.
+type follower struct {
+	replica.Replicator
+	looks int
+}
+
+func (f *follower) Status() *replica.Status {
+	f.looks++
+	if f.looks == 1 {
+		return &replica.Status{Address: "follower", LeaderAddress: "lost", LeaderHeardAt: clock.Now() - time.Second}
+	}
+	return &replica.Status{Address: "follower", LeaderAddress: "new", LeaderHeardAt: clock.Now() + time.Hour}
+}
+
+// Guards against proxies that are sent back to a lost leader during an election, and
+// come back only after their backoff.
+func TestProxyWaitsForTheNewLeader(t *testing.T) {
+	server := &Server{leader: NewLeader(LeaderConfig{}), replicator: &follower{}}
+	if server.awaitLeader(context.Background()) {
+		t.Error("a follower accepted the stream")
+	}
+	refusal := status.Convert(server.notLeader())
+	if named := refusal.Details()[0].(*controlpb.NotLeader).LeaderAddress; named != "new" {
+		t.Errorf("the proxy is sent to %q", named)
+	}
+}
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -382,7 +382,7 @@
 	out := &Status{
 		Identity: string(s.ID), Address: r.config.Address,
 		Leading: r.leadingTerm != 0 && r.leadingTerm == s.Term,
-		Term:    uint64(s.Term), LeaderIdentity: string(s.Leader),
+		Term:    uint64(s.Term), LeaderIdentity: string(s.Leader), LeaderHeardAt: s.HeardAt,
 		Formed:    len(s.Members) > 0,
 		Committed: uint64(s.Committed), Applied: uint64(r.applied),
 	}
--- a/control/replica/replicator.go
+++ b/control/replica/replicator.go
@@ -45,6 +45,9 @@
 	// LeaderIdentity and LeaderAddress are empty when no leader is known.
 	LeaderIdentity string
 	LeaderAddress  string
+	// LeaderHeardAt is the time of base/clock at which a follower last heard from
+	// the leader.
+	LeaderHeardAt time.Duration
 	// Formed is false until the replica has a membership.
 	Formed    bool
 	Committed uint64
--- a/proxy/attend/client.go
+++ b/proxy/attend/client.go
@@ -24,9 +24,10 @@
 	// silenceLimit ends a stream whose leader does not answer. It is below the
 	// primary lease less one attempt at another leader.
 	silenceLimit = 900 * time.Millisecond
-	// minBackoff and maxBackoff bound the wait after a round over all voters failed.
+	// minBackoff and maxBackoff bound the time between the starts of two attempts. A
+	// control VM without a leader keeps an attempt for up to 600 ms, so few are made.
 	minBackoff = 25 * time.Millisecond
-	maxBackoff = 250 * time.Millisecond
+	maxBackoff = 100 * time.Millisecond
 )
 
 // Options configure a Client.
@@ -51,6 +52,9 @@
 	// preferred is the address that a control VM named as leader.
 	preferred string
 	nextVoter int
+	// lost is the address of a leader whose stream has ended. The others are asked
+	// first, because it is likely gone.
+	lost string
 }
 
 // New returns a client that publishes to store.
@@ -95,13 +99,15 @@
 	attached := ""
 	for ctx.Err() == nil {
 		address, named := c.candidate()
+		begun := clock.Now()
 		updates, err := c.attend(ctx, address)
 		if errors.Is(err, errLeft) {
 			return
 		}
 		if updates > 0 {
 			backoff = minBackoff
-			attached = address
+			attached, c.lost = address, address
+			begun = clock.Now()
 			c.opts.Log.WithError(err).WithField("control", address).Warn("control stream ended")
 		}
 		metricStreamEnds.Inc()
@@ -109,7 +115,7 @@
 		if c.preferred != "" && !named && c.preferred != attached {
 			continue
 		}
-		if !c.pause(ctx, backoff) {
+		if !c.pause(ctx, backoff-(clock.Now()-begun)) {
 			return
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -121,13 +127,24 @@
 	if c.preferred != "" {
 		return c.preferred, true
 	}
-	address := c.opts.Voters[c.nextVoter%len(c.opts.Voters)]
-	c.nextVoter++
+	address := c.nextAddress()
+	if address == c.lost {
+		c.lost = ""
+		address = c.nextAddress()
+	}
 	return address, false
 }
 
+func (c *Client) nextAddress() string {
+	c.nextVoter++
+	return c.opts.Voters[(c.nextVoter-1)%len(c.opts.Voters)]
+}
+
 // pause waits for a random time up to twice d, so that proxies do not return together.
 func (c *Client) pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	n, err := rand.Int(rand.Reader, big.NewInt(int64(d)))
 	if err == nil {
 		d += time.Duration(n.Int64())
--- a/proxy/attend/client_test.go
+++ b/proxy/attend/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -293,3 +294,17 @@
 		t.Error("no report said that the proxy leaves")
 	}
 }
+
+// Guards against time lost on the address of a leader that has just gone, while the
+// others know its successor.
+func TestLostLeaderIsAskedLast(t *testing.T) {
+	c := &Client{opts: Options{Voters: []string{"lost", "b", "c"}}, lost: "lost"}
+	var asked []string
+	for range 4 {
+		address, _ := c.candidate()
+		asked = append(asked, address)
+	}
+	if want := []string{"b", "c", "lost", "b"}; !slices.Equal(asked, want) {
+		t.Errorf("asked %v, want %v", asked, want)
+	}
+}
