Grant proxies far inside the rate tokens for 1.25 s

Cause: a proxy held what it uses in 250 ms, so every request of a loaded team waited from 250 ms after the loss of the leader until the new owner granted, however little of its rate the team used. Change: from a bucket that is more than half full the owner grants up to five times the wish, unless that is a quarter of the burst; the proxy exchanges tokens older than half their lifetime, and returns none on a stream that no owner has answered. The owner's invariant bucket + outstanding <= burst is untouched.

--- a/policy/rate/config.go
+++ b/policy/rate/config.go
@@ -6,6 +6,10 @@
 // owner's.
 const driftBound = 1.05
 
+// reserveFactor is how many times a proxy's wish, its use in 250 ms, it is granted
+// from a bucket that is more than half full. 1.25 s covers most elections.
+const reserveFactor = 5
+
 // Config holds the time limits of an Owner.
 type Config struct {
 	// Lifetime of a grant, from the send time of the report that it answers.
--- a/policy/rate/holding.go
+++ b/policy/rate/holding.go
@@ -15,6 +15,8 @@
 	// recentSlots cover the last 50 ms and the slot under way; a proxy keeps that
 	// much when the bucket is empty and others may need its tokens.
 	recentSlots = 2
+	// renewBefore is the rest of the lifetime at which unused tokens are returned.
+	renewBefore = 1250 * time.Millisecond
 	// spareFor is how long after its last use a team keeps one token ready, so that
 	// rare requests need not wait for the owner.
 	spareFor = 2500 * time.Millisecond
@@ -32,8 +34,8 @@
 	reportedUsed, reportedReturned int64
 	reportedWanted                 int64
 	waiting                        int64
-	// reported is set by the first report of a stream.
-	reported bool
+	// reported is set by the first report of a stream, answered by its first grant.
+	reported, answered bool
 	// missed is set when a request found no token since the last report.
 	missed      bool
 	exhausted   bool
@@ -164,16 +166,28 @@
 	if t.isExhausted(now) {
 		return t.recentUse(now, recentSlots) + t.waiting
 	}
-	return 2*t.wanted(now) + 1
+	return (reserveFactor+1)*t.wanted(now) + 1
 }
 
-// report returns nil when there is nothing to say.
-func (t *holding) report(now time.Duration) *controlpb.TokenDemand {
-	t.expire(now)
+// giveBack returns what the proxy does not need. The owner must have answered on this
+// stream, because tokens returned without an owner are lost.
+func (t *holding) giveBack(now time.Duration) {
+	if !t.isExhausted(now) {
+		// Old tokens are exchanged for new ones, which last through an election.
+		t.expire(now + renewBefore)
+	}
 	if excess := t.held - t.keep(now); excess > 0 {
 		t.consume(excess)
 		t.returned += excess
 	}
+}
+
+// report returns nil when there is nothing to say.
+func (t *holding) report(now time.Duration) *controlpb.TokenDemand {
+	t.expire(now)
+	if t.answered {
+		t.giveBack(now)
+	}
 	wanted := t.wanted(now)
 	t.missed = false
 	first := !t.reported && t.usedSinceGrant > 0
@@ -196,6 +210,7 @@
 
 func (t *holding) grant(now, until time.Duration, g *controlpb.TokenGrant) {
 	t.exhausted, t.exhaustedAt = g.Exhausted, now
+	t.answered = true
 	if tokens := int64(g.Tokens); tokens > 0 {
 		t.lots = append(t.lots, heldLot{tokens: tokens, until: until})
 		t.held += tokens
@@ -210,6 +225,6 @@
 	t.used, t.returned, t.heldAtStart = 0, 0, t.held
 	t.reportedUsed, t.reportedReturned, t.reportedWanted = 0, 0, 0
 	t.exhausted = false
-	t.reported = false
+	t.reported, t.answered = false, false
 	t.afterGrant = t.held
 }
--- a/policy/rate/team.go
+++ b/policy/rate/team.go
@@ -171,6 +171,9 @@
 		missing -= tokens
 	}
 	t.setDemand(a, a.wanted, missing > 0)
+	if t.unmet == 0 {
+		grant.Tokens += float64(o.grantReserve(t, a))
+	}
 	empty := t.bucket < 1
 	if empty && missing > 0 {
 		o.recall(t, proxy)
@@ -183,6 +186,23 @@
 	return grant
 }
 
+// grantReserve gives a proxy tokens for the time of an election, as long as half of
+// the burst stays in the bucket for proxies to which load moves. A proxy that uses a
+// quarter of the burst in 250 ms gets none: they would not last.
+func (o *Owner) grantReserve(t *team, a *account) int64 {
+	if 4*float64(a.wanted) > t.burst {
+		return 0
+	}
+	tokens := min(reserveFactor*a.wanted-a.open(), int64(t.bucket-t.burst/2))
+	if tokens <= 0 {
+		return 0
+	}
+	t.bucket -= float64(tokens)
+	t.open += tokens
+	a.grant(o.now, tokens)
+	return tokens
+}
+
 // holdingLimit bounds what one proxy may hold: its part of the burst by demand, or
 // an equal part if that is more. A proxy with little demand beside one with much
 // gets its equal part.
