--- a/policy/rate/evidence_test.go
+++ b/policy/rate/evidence_test.go
@@ -106,7 +106,8 @@
 }
 
 // TestQuietTimeIsStatedUntilAnswered guards against an idle proxy whose first report
-// the leader dropped, and that could not state anything at the next change of owner.
+// the leader dropped, and that could not state anything at the next change of owner,
+// and against a young process that states it while an earlier one may hold tokens.
 func TestQuietTimeIsStatedUntilAnswered(t *testing.T) {
 	h, o := NewHolder(), NewOwner(DefaultConfig())
 	h.StreamStarted(0)
@@ -114,6 +115,10 @@
 	for _, g := range o.Report(0, "p", "1", 1, h.Report(0)) {
 		h.Grant(0, 0, g)
 	}
+	h.StreamStarted(2 * time.Second)
+	if d := h.Report(2 * time.Second); len(d) != 1 || d[0].QuietMs != 0 {
+		t.Errorf("the young process states %v", d)
+	}
 	h.StreamStarted(time.Minute)
 	if d := h.Report(time.Minute); len(d) != 1 || d[0].QuietMs == 0 {
 		t.Errorf("the proxy states %v", d)
