--- a/policy/rate/team.go
+++ b/policy/rate/team.go
@@ -32,7 +32,7 @@
 	fair       fairness
 	recalledAt time.Duration
 	// recovering is set from a new leader's start until the requests that waited for
-	// it are served. The bucket is then empty for no fault of the team.
+	// it are served, and at least until all proxies have reported them. The bucket is then empty for no fault of the team.
 	recovering bool
 }
 
@@ -92,6 +92,7 @@
 	a, ok := t.accounts[proxy]
 	if !ok {
 		a = newAccount(now, int64(d.HeldAtStart))
+		a.usedBefore, a.rate, a.burst = int64(d.UsedSinceGrant), d.Rate, d.Burst
 		t.accounts[proxy] = a
 		t.open += a.open()
 	}
@@ -154,7 +155,9 @@
 	a := t.accounts[proxy]
 	missing := a.wanted - a.open()
 	t.setDemand(a, a.wanted, missing > 0)
-	grant := &controlpb.TokenGrant{Team: t.name, LifetimeMs: uint32(o.cfg.Lifetime.Milliseconds())}
+	grant := &controlpb.TokenGrant{
+		Team: t.name, LifetimeMs: uint32(o.cfg.Lifetime.Milliseconds()), Rate: t.rate, Burst: t.burst,
+	}
 	if !o.settled || t.removed {
 		return grant
 	}
@@ -168,17 +171,38 @@
 		missing -= tokens
 	}
 	t.setDemand(a, a.wanted, missing > 0)
+	if t.unmet == 0 {
+		grant.Tokens += float64(o.grantReserve(t, a))
+	}
 	empty := t.bucket < 1
 	if empty && missing > 0 {
 		o.recall(t, proxy)
 	}
-	if (!empty && t.unmet == 0) || o.now-o.leadAt >= o.cfg.RecoveryLimit {
+	served := !empty && t.unmet == 0 && o.now-o.settledAt >= staleAfter
+	if served || o.now-o.leadAt >= o.cfg.RecoveryLimit {
 		t.recovering = false
 	}
 	grant.Exhausted = empty && !t.recovering
 	return grant
 }
 
+// grantReserve gives a proxy tokens for the time of an election, as long as half of
+// the burst stays in the bucket for proxies to which load moves. A proxy that uses a
+// quarter of the burst in 250 ms gets none: they would not last.
+func (o *Owner) grantReserve(t *team, a *account) int64 {
+	if 4*float64(a.wanted) > t.burst {
+		return 0
+	}
+	tokens := min(reserveFactor*a.wanted-a.open(), int64(t.bucket-t.burst/2))
+	if tokens <= 0 {
+		return 0
+	}
+	t.bucket -= float64(tokens)
+	t.open += tokens
+	a.grant(o.now, tokens)
+	return tokens
+}
+
 // holdingLimit bounds what one proxy may hold: its part of the burst by demand, or
 // an equal part if that is more. A proxy with little demand beside one with much
 // gets its equal part.
