Choose replicas by the lag that each proxy learns

Cause: reads of sessions that write often stayed on the primary because the age that control reports, which bounds the age of data, was 160 to 400 ms where the lag was 90 to 100 ms. Ruled out: replicas that really are further behind, and connections that are short (no replica_failed or no_replica). Change: a proxy remembers the times of the commits that it forwarded and bounds each replica's lag by the position in its checked answers; the guess is the middle of the bounds, or the age from control if that is lower. The proof is still the replica's own answer.

--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -260,6 +260,7 @@
 	if !ok {
 		return false, nil
 	}
+	x.s.server.learnLag(x.target, group, at)
 	return session.Reached(group.History, x.target.floor, at.lsn, at.timeline), nil
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -58,6 +58,8 @@
 	barriers    map[string]*barrier
 	confirmers  map[string]*confirmer
 
+	lags *lagBook
+
 	listenerMu sync.Mutex
 	listeners  []net.Listener
 	closed     bool
@@ -78,6 +80,7 @@
 		metrics:    metrics.NewSet(),
 		barriers:   map[string]*barrier{},
 		confirmers: map[string]*confirmer{},
+		lags:       newLagBook(),
 		stop:       make(chan struct{}),
 	}
 	s.admission = newAdmission(opts.Tokens, s.report)
--- a/proxy/target.go
+++ b/proxy/target.go
@@ -21,6 +21,8 @@
 	// floor is the position that a replica must show, when checked is set.
 	floor   session.Position
 	checked bool
+	// chosen is when a replica was chosen by its estimated lag.
+	chosen time.Duration
 }
 
 // leasedPrimary returns the primary of a group under a valid lease. It waits for
@@ -146,11 +148,43 @@
 		return target{}, false
 	}
 	now := clock.Now()
+	lags := s.lags.of(floor.Group)
+	age := now - lags.since(floor, known)
 	likely := slices.DeleteFunc(readyReplicas(snapshot, floor.Group), func(h view.Health) bool {
 		seen := session.Reached(group.History, floor, h.Lsn, h.Timeline)
-		lag := time.Duration(h.AgeMs)*time.Millisecond + floorGuess
-		return !seen && now-known < lag
+		return !seen && age < lags.guess(h, group.Term, now)
 	})
 	p := s.leastLoaded(snapshot, floor.Group, likely)
-	return target{pool: p, group: floor.Group, floor: floor, checked: true}, p != nil
+	return target{pool: p, group: floor.Group, floor: floor, checked: true, chosen: now}, p != nil
+}
+
+// guess returns the lag to expect of a replica: the lower of what this proxy has
+// learned and what control reports, since either may be out of date.
+func (g *groupLag) guess(h view.Health, term uint64, now time.Duration) time.Duration {
+	reported := time.Duration(h.AgeMs)*time.Millisecond + floorGuess
+	if learned, ok := g.estimate(h.Address, term, now); ok {
+		return min(learned, reported)
+	}
+	return reported
+}
+
+// learnLag takes what a checked answer says of the replica's lag. A position on
+// another history than the group's says nothing.
+func (s *Server) learnLag(t target, group *view.Group, at replicaPosition) {
+	p := session.Position{Group: t.group, Term: group.Term, LSN: at.lsn}
+	if session.Reached(group.History, p, at.lsn, at.timeline) {
+		s.lags.of(t.group).answered(t.pool.address, t.chosen, p)
+	}
+}
+
+// learnCommit remembers when a position was written. Other statements than these
+// answer with a position that may have been written long before.
+func (s *Server) learnCommit(texts []string, p session.Position) {
+	if len(texts) == 0 {
+		return
+	}
+	switch word, _ := firstWord(texts[len(texts)-1]); word {
+	case "INSERT", "UPDATE", "DELETE", "MERGE", "COMMIT", "END":
+		s.lags.of(p.Group).committed(clock.Now(), p)
+	}
 }
