--- a/proxy/server.go
+++ b/proxy/server.go
@@ -59,6 +59,8 @@
 	barriers    map[string]*barrier
 	confirmers  map[string]*confirmer
 
+	lags *lagBook
+
 	listenerMu sync.Mutex
 	listeners  []net.Listener
 	closed     bool
@@ -79,6 +81,7 @@
 		metrics:    metrics.NewSet(),
 		barriers:   map[string]*barrier{},
 		confirmers: map[string]*confirmer{},
+		lags:       newLagBook(),
 		stop:       make(chan struct{}),
 	}
 	s.groups = &groupUse{reportNow: s.report}
