Read a whole message where the socket allows it

Cause: while a connection is idle its reader holds no buffer, so it waited with a read of one byte and took the rest with a second read. Each statement paid that twice, once for the caller and once for the upstream.

Change: on a plain TCP connection the reader waits through the socket's RawConn and takes a pooled buffer only for the attempt to read; the buffer goes back when nothing has arrived. Buffers are pooled as array pointers, which saves an allocation each time one is given back. TLS keeps the read of one byte.

Ruled out: waiting without the first attempt that finds nothing. A request and the end of the stream may come with one event, and the end would be missed.

--- a/proxy/wire/reader.go
+++ b/proxy/wire/reader.go
@@ -6,7 +6,9 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"net"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -48,21 +50,18 @@
 	return f.Raw[headerBytes:]
 }
 
-var buffers = sync.Pool{New: func() any {
-	b := make([]byte, pooledBytes)
-	return &b
-}}
+var buffers = sync.Pool{New: func() any { return new([pooledBytes]byte) }}
 
 func getBuffer() []byte {
-	return *buffers.Get().(*[]byte)
+	return buffers.Get().(*[pooledBytes]byte)[:]
 }
 
 func putBuffer(b []byte) {
 	if cap(b) != pooledBytes {
 		return
 	}
-	b = b[:pooledBytes]
-	buffers.Put(&b)
+	// An array pointer goes into the pool without an allocation, a slice does not.
+	buffers.Put((*[pooledBytes]byte)(b[:pooledBytes]))
 }
 
 // Reader reads messages. While it waits for the first byte of a message with
@@ -73,11 +72,23 @@
 	start, end int
 	limit      int
 	first      [1]byte
+	// raw is the socket below src. It is nil when src is no plain TCP connection.
+	raw syscall.RawConn
+	// attempt is the method value of tryRead, kept because each new one allocates.
+	attempt func(fd uintptr) bool
+	// tried is the result of the last attempt.
+	tried error
 }
 
 // NewReader returns a reader that refuses messages longer than limit bytes.
 func NewReader(src io.Reader, limit int) *Reader {
-	return &Reader{src: src, limit: limit}
+	r := &Reader{src: src, limit: limit}
+	if tcp, ok := src.(*net.TCPConn); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			r.raw, r.attempt = raw, r.tryRead
+		}
+	}
+	return r
 }
 
 // SetLimit changes the longest accepted message.
@@ -154,7 +165,7 @@
 // ensure reads until n bytes are buffered.
 func (r *Reader) ensure(n int) error {
 	if r.buf == nil {
-		if err := r.firstByte(); err != nil {
+		if err := r.awaitData(); err != nil {
 			return err
 		}
 	}
@@ -181,7 +192,44 @@
 	return nil
 }
 
-// firstByte waits for the start of a message without holding a buffer.
+// awaitData waits for the start of a message without holding a buffer.
+func (r *Reader) awaitData() error {
+	if r.raw == nil {
+		return r.firstByte()
+	}
+	if err := r.raw.Read(r.attempt); err != nil {
+		return err
+	}
+	return r.tried
+}
+
+// tryRead reads what has arrived into a new buffer. It returns false, and holds no
+// buffer, when nothing has arrived.
+func (r *Reader) tryRead(fd uintptr) bool {
+	buf := getBuffer()
+	got, err := readSocket(int(fd), buf)
+	if got > 0 {
+		r.buf, r.start, r.end, r.tried = buf, 0, got, nil
+		return true
+	}
+	putBuffer(buf)
+	if err == nil {
+		err = io.EOF
+	}
+	r.tried = err
+	return err != syscall.EAGAIN
+}
+
+func readSocket(fd int, buf []byte) (int, error) {
+	for {
+		got, err := syscall.Read(fd, buf)
+		if err != syscall.EINTR {
+			return got, err
+		}
+	}
+}
+
+// firstByte is awaitData for a source that is no plain socket, such as TLS.
 func (r *Reader) firstByte() error {
 	got, err := r.src.Read(r.first[:])
 	if got == 0 {
