Check a pooled connection by the read that precedes the wait

Cause: each lending of a pooled connection peeked at the socket, under the lock of the pool, and the wait for the answer then began with another read that found nothing, because a wait must start with an attempt.

Change: wire.Exchange makes that attempt before the request is written. It shows that the upstream has neither closed the connection nor left data behind, later than the peek did, and covers the time between lending and sending. A connection that fails the check is not written to; the request was not sent and takes another connection, as after a failed write. Plain reads and writes stay where no answer is due (a repeated Flush), where earlier answers must first go out to the caller, and where the connection is not a plain socket.

Without the two exceptions above TestNoWaitKeepsTheCallerWaiting timed out in both cases.

--- a/proxy/batch.go
+++ b/proxy/batch.go
@@ -166,7 +166,7 @@
 func (s *caller) syncUpstream() error {
 	held := s.bound
 	held.conn.out.Raw(syncMessage)
-	if _, err := held.conn.out.Flush(); err != nil {
+	if _, err := held.conn.send(); err != nil {
 		return s.lossOfTransaction(held.target)
 	}
 	answer, err := readInternal(held.conn)
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jayloom/jayloom/proxy/wire"
 )
 
@@ -23,6 +25,7 @@
 	net        net.Conn
 	rd         *wire.Reader
 	out        *wire.Writer
+	exchange   *wire.Exchange
 	processID  uint32
 	secret     []byte
 	parameters map[string]string
@@ -41,6 +44,8 @@
 	tainted bool
 	// listens says that LISTEN was run, so that notifications come at any time.
 	listens bool
+	// fresh says that the connection was lent and nothing was sent since.
+	fresh bool
 	// unsafe says that the connection must not be lent again.
 	unsafe bool
 
@@ -97,6 +102,38 @@
 	c.unnamed = nil
 }
 
+// send writes what is pending, of which at least one message must be answered, and
+// waits for the answer to begin where the socket allows it. It returns how many bytes
+// were handed to the connection. The first send of a borrower fails with
+// wire.ErrNotQuiet, and sends nothing, when the upstream has closed the connection or
+// data was left behind.
+func (c *upstreamConn) send() (int, error) {
+	if c.exchange == nil {
+		c.exchange = wire.NewExchange(c.rd, c.out)
+	}
+	if c.out.Pending() == 0 || !c.exchange.Usable() {
+		return c.post()
+	}
+	fresh := c.fresh
+	c.fresh = false
+	sent, err := c.exchange.Send(fresh)
+	if errors.Is(err, wire.ErrNotQuiet) {
+		metricStale.Inc()
+	}
+	return sent, err
+}
+
+// post is send without the wait.
+func (c *upstreamConn) post() (int, error) {
+	fresh := c.fresh
+	c.fresh = false
+	if fresh && !c.quiet() {
+		metricStale.Inc()
+		return 0, wire.ErrNotQuiet
+	}
+	return c.out.Flush()
+}
+
 // quiet reports whether the connection is open and has nothing unread. An answer
 // left behind would be taken for the answer to the next request.
 func (c *upstreamConn) quiet() bool {
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -103,12 +103,12 @@
 }
 
 func (x *exchange) run() result {
-	s, conn := x.s, x.conn
+	s := x.s
 	if failed := x.verifyParameters(); failed != nil {
 		return *failed
 	}
 	x.prepare()
-	if sent, err := conn.out.Flush(); err != nil {
+	if sent, err := x.send(); err != nil {
 		if sent == 0 && s.bound == nil {
 			return result{kind: resultUnsent, err: err}
 		}
@@ -117,6 +117,16 @@
 	return x.answers()
 }
 
+// send waits for the answer at once unless there is none, as for a repeated Flush, or
+// the caller's earlier answers must be written before the wait.
+func (x *exchange) send() (int, error) {
+	answered := x.r.items == nil || len(x.expect) > 0
+	if !answered || x.s.out.Pending() > 0 {
+		return x.conn.post()
+	}
+	return x.conn.send()
+}
+
 // verifyParameters sets the caller's startup settings on their own the first time:
 // if the upstream refuses one, the request must not run without it.
 func (x *exchange) verifyParameters() *result {
--- a/proxy/identity.go
+++ b/proxy/identity.go
@@ -110,7 +110,7 @@
 	conn.query("BEGIN")
 	conn.query(fmt.Sprintf(sqlIdentityInsert, id.team, id.name, quote(id.hash)))
 	conn.query(fmt.Sprintf(sqlIdentitySelect, id.team, id.name))
-	if _, err := conn.out.Flush(); err != nil {
+	if _, err := conn.send(); err != nil {
 		return false, err
 	}
 	var answers [3]internalAnswer
@@ -162,7 +162,7 @@
 func (id *identity) write() (bool, error) {
 	x := id.x
 	x.conn.out.Raw(x.r.raw)
-	if _, err := x.conn.out.Flush(); err != nil {
+	if _, err := x.conn.send(); err != nil {
 		return false, err
 	}
 	for {
@@ -202,7 +202,7 @@
 	x.conn.query(fmt.Sprintf(sqlIdentityUpdate, quote(id.tag), id.team, id.name))
 	x.conn.query("COMMIT")
 	x.commitSent = true
-	if _, err := x.conn.out.Flush(); err != nil {
+	if _, err := x.conn.send(); err != nil {
 		return err
 	}
 	update, err := readInternal(x.conn)
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -89,6 +89,7 @@
 			return nil, err
 		}
 	}
+	conn.fresh = true
 	conn.cancel.bind(b.session)
 	return conn, nil
 }
@@ -101,8 +102,8 @@
 		return nil, handover{}, rescode.New(rescode.NoUpstream, "upstream %s is leaving", p.address)
 	}
 	if p.queue.Len() == 0 {
-		if conn := p.takeIdle(b.session); conn != nil {
-			return nil, handover{conn: conn}, nil
+		if len(p.idle) > 0 {
+			return nil, handover{conn: p.takeIdle(b.session)}, nil
 		}
 		if p.permit() {
 			p.notePeak()
@@ -138,23 +139,15 @@
 	return false
 }
 
-// takeIdle takes an idle connection. Those that the upstream closed, or that have
-// unread data, are dropped.
+// takeIdle takes one of the idle connections. Whether the upstream has closed it or
+// left data behind is found by its first send.
 func (p *pool) takeIdle(session uint64) *upstreamConn {
-	for len(p.idle) > 0 {
-		at := p.bestIdle(session)
-		conn := p.idle[at]
-		p.idle = append(p.idle[:at], p.idle[at+1:]...)
-		if !conn.quiet() {
-			metricStale.Inc()
-			p.drop(conn)
-			continue
-		}
-		p.busy[conn] = struct{}{}
-		p.notePeak()
-		return conn
-	}
-	return nil
+	at := p.bestIdle(session)
+	conn := p.idle[at]
+	p.idle = append(p.idle[:at], p.idle[at+1:]...)
+	p.busy[conn] = struct{}{}
+	p.notePeak()
+	return conn
 }
 
 // bestIdle prefers the connection that the session used last, which needs no reset,
@@ -268,9 +261,7 @@
 		case p.retired:
 			got.err = rescode.New(rescode.NoUpstream, "upstream %s is leaving", p.address)
 		case len(p.idle) > 0:
-			if got.conn = p.takeIdle(0); got.conn == nil {
-				continue
-			}
+			got.conn = p.takeIdle(0)
 		case p.permit():
 		default:
 			return
--- a/proxy/position.go
+++ b/proxy/position.go
@@ -126,7 +126,7 @@
 // ask sends one statement of the proxy on a connection and reads its answer.
 func ask(conn *upstreamConn, sql string) (internalAnswer, error) {
 	conn.query(sql)
-	if _, err := conn.out.Flush(); err != nil {
+	if _, err := conn.send(); err != nil {
 		return internalAnswer{}, err
 	}
 	return readInternal(conn)
@@ -141,7 +141,7 @@
 	conn.query(sqlReset)
 	conn.forgetSession()
 	conn.query(sql)
-	if _, err := conn.out.Flush(); err != nil {
+	if _, err := conn.send(); err != nil {
 		return internalAnswer{}, err
 	}
 	if answer, err := readInternal(conn); err != nil || answer.failed {
@@ -150,8 +150,18 @@
 	return readInternal(conn)
 }
 
-// askShared asks on a connection of the pool and gives it back.
+// askShared asks on a connection of the pool and gives it back. Connections that the
+// upstream has closed are passed over.
 func askShared(ctx context.Context, p *pool, sql string) (internalAnswer, error) {
+	for {
+		answer, err := askOnce(ctx, p, sql)
+		if !errors.Is(err, wire.ErrNotQuiet) || ctx.Err() != nil {
+			return answer, err
+		}
+	}
+}
+
+func askOnce(ctx context.Context, p *pool, sql string) (internalAnswer, error) {
 	conn, refused := p.acquire(ctx, borrower{team: systemTeam})
 	if refused != nil {
 		return internalAnswer{}, refused
--- a/proxy/serve_test.go
+++ b/proxy/serve_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 func asPgError(err error, target **pgconn.PgError) bool {
@@ -46,3 +48,32 @@
 		t.Errorf("got %s rows", got)
 	}
 }
+
+// Guards against the proxy waiting for an upstream's answer that does not come, or
+// that comes late, before it does what the caller waits for.
+func TestNoWaitKeepsTheCallerWaiting(t *testing.T) {
+	const read = "/*route='read'*/ "
+	cases := map[string]func(f *pgproto3.Frontend){
+		"answer before a slow statement": func(f *pgproto3.Frontend) {
+			f.Send(&pgproto3.Query{String: read + "SELECT 1"})
+			f.Send(&pgproto3.Query{String: read + "SELECT pg_sleep(3600)"})
+		},
+		"repeated Flush": func(f *pgproto3.Frontend) {
+			f.Send(&pgproto3.Parse{Query: "SELECT 1"})
+			for range 3 {
+				f.Send(&pgproto3.Flush{})
+			}
+			f.Send(&pgproto3.Sync{})
+		},
+	}
+	for name, send := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn := newSystem(t, 0).proxy().driver(t).PgConn()
+			// Without a deadline a failure would hang.
+			_ = conn.Conn().SetReadDeadline(time.Now().Add(10 * time.Second))
+			send(conn.Frontend())
+			receive(t, conn.Frontend(), 'Z')
+			_ = conn.Conn().Close()
+		})
+	}
+}
--- a/proxy/wire/socket_test.go
+++ b/proxy/wire/socket_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -59,3 +60,69 @@
 		t.Errorf("at the end: %v, buffer of %d bytes", err, len(r.buf))
 	}
 }
+
+// Guards against a request on a connection that has ended or has unread data, against
+// losing what arrived before a request that may go out, and against a request that
+// fits no socket buffer not being sent whole.
+func TestExchange(t *testing.T) {
+	const unread, answer = "N\x00\x00\x00\x04", "Z\x00\x00\x00\x05I"
+	cases := map[string]struct {
+		before string
+		size   int
+		quiet  bool
+		err    error
+		frames string
+	}{
+		"quiet":            {size: 10, quiet: true, frames: "Z"},
+		"large":            {size: 32 << 20, quiet: true, frames: "Z"},
+		"unread":           {size: 10, quiet: true, before: unread, err: ErrNotQuiet},
+		"unread, allowed":  {size: 10, before: unread, frames: "NZ"},
+		"closed":           {size: 10, quiet: true, before: "close", err: ErrNotQuiet},
+		"closed, accepted": {size: 10, before: "close", err: io.ErrUnexpectedEOF},
+	}
+	for name, c := range cases {
+		near, far := socketPair(t)
+		e := NewExchange(NewReader(near, 100), NewWriter(near))
+		e.out.Raw(make([]byte, c.size))
+		if c.before == "close" {
+			_ = far.(*net.TCPConn).CloseWrite()
+		} else {
+			_, _ = far.Write([]byte(c.before))
+		}
+		if c.before != "" {
+			awaitReadable(t, e.rd.raw)
+		}
+		received := make(chan int64, 1)
+		go func() {
+			n, _ := io.CopyN(io.Discard, far, int64(c.size))
+			received <- n
+			_, _ = far.Write([]byte(answer))
+		}()
+		sent, err := e.Send(c.quiet)
+		if !errors.Is(err, c.err) || (err == nil) != (sent == c.size) || err != nil && sent != 0 {
+			t.Errorf("%s: sent %d bytes, %v", name, sent, err)
+		}
+		for _, want := range c.frames {
+			if frame, err := e.rd.Next(); err != nil || rune(frame.Type) != want {
+				t.Errorf("%s: got %q, %v", name, frame.Raw, err)
+			}
+		}
+		_ = near.Close()
+		if n := <-received; n != int64(sent) {
+			t.Errorf("%s: %d bytes arrived of %d", name, n, sent)
+		}
+	}
+}
+
+// awaitReadable waits until the socket has bytes or its end.
+func awaitReadable(t *testing.T, raw syscall.RawConn) {
+	t.Helper()
+	err := raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err == nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/proxy/wire/writer.go
+++ b/proxy/wire/writer.go
@@ -75,6 +75,19 @@
 	return written, err
 }
 
+// finish writes what is left after the first n bytes were written elsewhere, or drops
+// it if err says that this failed. It returns how much was written in all.
+func (w *Writer) finish(n int, err error) (int, error) {
+	if err == nil && n < len(w.buf) {
+		var rest int
+		rest, err = w.dst.Write(w.buf[n:])
+		n += rest
+	}
+	w.err = err
+	w.release()
+	return n, err
+}
+
 func (w *Writer) reserve() {
 	if w.buf == nil {
 		w.buf = getBuffer()[:0]
