Count a pinned connection before its caller has the answer

Cause: the pool counted a connection as pinned only after the answer to the SET had been written to the caller. Another caller that asked in between was let past the limit on pins.

Change: the acknowledgement pins the connection before it writes the answer. The settling afterwards finds it pinned and changes nothing.

--- a/proxy/conclude.go
+++ b/proxy/conclude.go
@@ -167,7 +167,7 @@
 		s.kept = nil
 		held.conn.pool.unpin(held.conn)
 	}
-	if !effects.discards && s.kept == nil && (effects.pins || r.pins()) {
+	if s.kept == nil && keepsState(r, effects) {
 		s.kept = held
 		held.conn.pool.pin(held.conn)
 	}
@@ -186,6 +186,12 @@
 	}
 }
 
+// keepsState reports whether a request leaves session state that ties the caller to
+// its connection.
+func keepsState(r *request, effects tagEffects) bool {
+	return !effects.discards && (effects.pins || r.pins())
+}
+
 func (r *request) pins() bool {
 	for _, sql := range r.texts {
 		if pinsByText(sql) {
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -236,6 +236,10 @@
 		x.s.out.Truncate(held)
 		return errUnleased
 	}
+	// The limit on pins must hold for whoever asks once the caller has its answer.
+	if x.s.kept == nil && keepsState(x.r, x.tags) {
+		x.conn.pool.pin(x.conn)
+	}
 	return x.flush()
 }
 
--- a/proxy/isolation_test.go
+++ b/proxy/isolation_test.go
@@ -317,3 +317,21 @@
 		t.Error("the statement was not cancelled")
 	}
 }
+
+// Guards against more pinned connections than the limit allows: a caller that has the
+// answer to its SET must already count when the next one asks.
+func TestPinsCountBeforeTheAnswer(t *testing.T) {
+	const callers = 20
+	s := newSystem(t, 0)
+	p := s.proxy(func(o *Options) { o.Shares = fakeShares(2 * callers) })
+	for i := range callers {
+		exec(t, p.driver(t), "SET application_name TO 'pinned'", pgx.QueryExecModeSimpleProtocol)
+		pool := p.pools.list()[0]
+		pool.mu.Lock()
+		pinned := pool.pinned
+		pool.mu.Unlock()
+		if pinned != i+1 {
+			t.Fatalf("%d connections count as pinned, want %d", pinned, i+1)
+		}
+	}
+}
