--- a/proxy/conclude.go
+++ b/proxy/conclude.go
@@ -167,7 +167,7 @@
 		s.kept = nil
 		held.conn.pool.unpin(held.conn)
 	}
-	if !effects.discards && s.kept == nil && (effects.pins || r.pins()) {
+	if s.kept == nil && keepsState(r, effects) {
 		s.kept = held
 		s.pin(held.conn)
 	}
@@ -195,6 +195,12 @@
 	conn.pool.pin(conn, permitted)
 }
 
+// keepsState reports whether a request leaves session state that ties the caller to
+// its connection.
+func keepsState(r *request, effects tagEffects) bool {
+	return !effects.discards && (effects.pins || r.pins())
+}
+
 func (r *request) pins() bool {
 	for _, sql := range r.texts {
 		if pinsByText(sql) {
