End the driver's background read before a connection is taken over

Cause: TestRestartOfProxiesCutsNothing hung in 3 of 22 runs at a load of 20 to 34: a caller's statement on a new upstream connection never got its answer, and a draining proxy waited for it until its limit. A dump of the proxies' goroutines (trial: SIGQUIT after 22 s) shows a read of the driver's background reader on the caller's connection. The driver begins it when a write of the login takes more than 15 ms, and it stays when the server has answered before the write returns. Hijack does not end it, and its documentation asks for SyncConn before. Ruled out by the same dumps: the relays of the test's network, whose goroutines wait for data, and the stand-in, whose session waits for the next message. Change: the dialer calls SyncConn, which costs a round trip only after such a write. Conclusion: the first answer on a new connection cannot be lost to the driver.

--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -23,6 +23,8 @@
 // accountDialer logs in with the system's own account.
 type accountDialer struct {
 	account settings.UpstreamAccount
+	// dial opens the network connection; nil is TCP.
+	dial pgconn.DialFunc
 }
 
 // Dial implements Dialer.
@@ -32,12 +34,21 @@
 		return nil, err
 	}
 	config.RuntimeParams["application_name"] = "jayloom-proxy"
+	if d.dial != nil {
+		config.DialFunc = d.dial
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := pgconn.ConnectConfig(ctx, config)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to upstream %s", address)
 	}
+	// After a slow write the driver may still be reading in the background, and would
+	// take the first answer.
+	if err := conn.SyncConn(ctx); err != nil {
+		_ = conn.Close(ctx)
+		return nil, errors.Wrapf(err, "end the login on %s", address)
+	}
 	hijacked, err := conn.Hijack()
 	if err != nil {
 		return nil, errors.Wrapf(err, "take over the connection to %s", address)
