Keep servers from inheriting a lock of the caller of experiment.sh

Cause: flock(1) without -o passes its descriptor (3) on, and the servers that a series of failovers starts again kept it. Change: run_process closes descriptor 3. Conclusion: flock -o stays the safe way to call the script.

--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -24,7 +24,7 @@
 run_process() {
   local name=$1
   shift
-  setsid "$@" >>"$folder/$name.log" 2>&1 </dev/null &
+  setsid "$@" >>"$folder/$name.log" 2>&1 </dev/null 3>&- &
   echo $! >"$folder/$name.pid"
 }
 
