Check the use of a group at the moment of its expiry

Cause: TestUseDuringExpiryIsNotLost passed with the compare-and-swap of the expiry taken out (trial): it made a second request before it looked, which reported the group anyway. Change: the group is looked for right after the two calls that race, and its last request is old enough for both to act on it. Conclusion: the test now fails without what it guards, though not in each run.

--- a/proxy/groups_test.go
+++ b/proxy/groups_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/jayloom/jayloom/base/clock"
@@ -38,12 +39,13 @@
 	for range 2000 {
 		g := &groupUse{reportNow: func() {}}
 		g.use("a")
-		later := clock.Now() + groupMemory + groupUseStep
+		entry, _ := g.lastUse.Load("a")
+		last := clock.Now() - 2*groupUseStep
+		entry.(*atomic.Int64).Store(int64(last))
 		var both sync.WaitGroup
-		both.Go(func() { g.Groups(later) })
+		both.Go(func() { g.Groups(last + groupMemory) })
 		both.Go(func() { g.use("a") })
 		both.Wait()
-		g.use("a")
 		if got := g.Groups(clock.Now()); len(got) != 1 {
 			t.Fatalf("served groups are %v after a request", got)
 		}
