Share the cancel of a running statement between two tests

Cause: the test of cancel requests over TLS repeated the steps of the one without. Change: both call cancelRunning; the checks are the same. Conclusion: no check changed.

--- a/proxy/isolation_test.go
+++ b/proxy/isolation_test.go
@@ -260,10 +260,9 @@
 	}
 }
 
-// Guards against cancel requests that do nothing.
-func TestCancelEndsTheCallersStatement(t *testing.T) {
-	s := newSystem(t, 0)
-	conn := s.proxy().driver(t)
+// cancelRunning cancels a statement while it runs.
+func cancelRunning(t *testing.T, s *system, conn *pgx.Conn) {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	failed := make(chan error, 1)
@@ -280,6 +279,13 @@
 	}
 }
 
+// Guards against cancel requests that do nothing.
+func TestCancelEndsTheCallersStatement(t *testing.T) {
+	s := newSystem(t, 0)
+	conn := s.proxy().driver(t)
+	cancelRunning(t, s, conn)
+}
+
 // peerFunc forwards cancel requests inside the test.
 type peerFunc func(address string, processID uint32, secret []byte) error
 
--- a/proxy/upstream_tls_test.go
+++ b/proxy/upstream_tls_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/settings"
@@ -80,20 +79,7 @@
 	s := newSystem(t, 0, upstreamTLS(certificate))
 	p := s.proxy(verifyUpstream(certificateFile(t, certificate)))
 	conn := p.driver(t)
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	failed := make(chan error, 1)
-	go func() {
-		_, err := conn.Exec(ctx, "SELECT pg_sleep(9)")
-		failed <- err
-	}()
-	eventually(t, "the statement runs", func() bool { return len(statements(s.primary, "pg_sleep")) > 0 })
-	if err := conn.PgConn().CancelRequest(ctx); err != nil {
-		t.Fatal(err)
-	}
-	if err := <-failed; err == nil || ctx.Err() != nil {
-		t.Errorf("the statement was not cancelled: %v", err)
-	}
+	cancelRunning(t, s, conn)
 	if s.capture.contains(string(binary.BigEndian.AppendUint32(nil, codeCancel))) {
 		t.Error("the upstream received a cancel request in the clear")
 	}
