Move the end-to-end test deployment into test files

Cause: the package cmd/internal/e2e/deploy served tests only, but stood outside test files and imported os/exec, so a reader had to check that no product code starts processes. Change: its files are deploy_*_test.go of package e2e; connect of that package is now dial, and os/exec is imported as osexec beside the tests' exec. The test of an ended program freezes jayloom-standin instead of sleep(1), because programs now come from the folder of built binaries; its check is the same. Conclusion: no product code imports os/exec.

--- a/cmd/internal/e2e/abandoned_test.go
+++ b/cmd/internal/e2e/abandoned_test.go
@@ -7,8 +7,6 @@
 	"testing"
 
 	"github.com/jackc/pgx/v5"
-
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 )
 
 // Rows that abandoned work has written.
@@ -18,7 +16,7 @@
 )
 
 // abandonedWork is a transaction and a COPY that are under way.
-func abandonedWork(t *testing.T, d *deploy.Deployment, p *deploy.Proxy) (transaction, copying *pgx.Conn) {
+func abandonedWork(t *testing.T, d *Deployment, p *Proxy) (transaction, copying *pgx.Conn) {
 	t.Helper()
 	transaction, copying = connect(t, d, p), connect(t, d, p)
 	exec(t, transaction, "BEGIN")
@@ -44,7 +42,7 @@
 
 // checkNoTrace fails if callers after the abandoned work see any of it. They run on
 // every connection that the proxy may lend, several times over.
-func checkNoTrace(t *testing.T, d *deploy.Deployment, p *deploy.Proxy, fresh int64) {
+func checkNoTrace(t *testing.T, d *Deployment, p *Proxy, fresh int64) {
 	t.Helper()
 	for range 20 {
 		conn := connect(t, d, p)
@@ -73,7 +71,7 @@
 // Guards against work that stays visible, or state that passes to the next caller,
 // after a proxy was killed inside a transaction and a COPY.
 func TestKilledProxyLeavesNoTrace(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{StandIns: 1})
+	d := Start(t, Options{StandIns: 1})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	killed, other := d.Proxies[0], d.Proxies[1]
 	transaction, copying := abandonedWork(t, d, killed)
@@ -90,7 +88,7 @@
 // Guards against a connection that passes to the next caller with the transaction,
 // the COPY or the settings of a caller that has vanished.
 func TestVanishedCallerLeavesNoTrace(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{StandIns: 1})
+	d := Start(t, Options{StandIns: 1})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	transaction, copying := abandonedWork(t, d, d.Proxies[0])
 	transaction.PgConn().Conn().Close()
--- a/cmd/internal/e2e/configuration_test.go
+++ b/cmd/internal/e2e/configuration_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 )
 
 // Metrics of a control process: consensus messages sent, and how often it ceased to
@@ -25,12 +24,12 @@
 // putRoute is a change that leaves a trace of its own in the state.
 func putRoute(name string, maxAge uint32) *controlpb.Command_PutRoute {
 	return &controlpb.Command_PutRoute{PutRoute: &controlpb.Route{
-		Name: name, Service: deploy.Service, Read: true, Idempotent: true, MaxAgeMs: maxAge,
+		Name: name, Service: Service, Read: true, Idempotent: true, MaxAgeMs: maxAge,
 	}}
 }
 
 // change proposes until a control process confirms, under one request identity.
-func change(d *deploy.Deployment, id string, command *controlpb.Command, among ...*deploy.Control) *controlpb.CommandResult {
+func change(d *Deployment, id string, command *controlpb.Command, among ...*Control) *controlpb.CommandResult {
 	command.RequestId = id
 	var result *controlpb.CommandResult
 	d.Until("the change "+id, func() bool {
@@ -50,7 +49,7 @@
 }
 
 // changeMany makes count accepted changes of one route and returns the last revision.
-func changeMany(t *testing.T, d *deploy.Deployment, prefix string, count int, among ...*deploy.Control) uint64 {
+func changeMany(t *testing.T, d *Deployment, prefix string, count int, among ...*Control) uint64 {
 	t.Helper()
 	var revision uint64
 	for i := range count {
@@ -69,7 +68,7 @@
 
 // untilProxiesHold waits until the leader has heard from each proxy that it holds
 // at least a revision.
-func untilProxiesHold(d *deploy.Deployment, revision uint64) {
+func untilProxiesHold(d *Deployment, revision uint64) {
 	d.Until(fmt.Sprintf("revision %d on all proxies", revision), func() bool {
 		reply := d.Show()
 		held := map[string]uint64{}
@@ -85,14 +84,14 @@
 	})
 }
 
-func routeAge(d *deploy.Deployment, name string) uint32 {
+func routeAge(d *Deployment, name string) uint32 {
 	return d.Show().GetState().GetRoutes()[name].GetMaxAgeMs()
 }
 
 // Guards against two operators' changes that are both accepted under one expected
 // revision, and against a resent change that is applied twice.
 func TestEqualRevisionsAndResends(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{Proxies: 1, StandIns: 1})
+	d := Start(t, Options{Proxies: 1, StandIns: 1})
 	for round := range 10 {
 		revision := d.Show().State.Revision
 		const operators = 4
@@ -102,7 +101,7 @@
 		for i := range operators {
 			name := fmt.Sprintf("race-%d-%d", round, i)
 			all.Go(func() {
-				output, err := d.TryCtl("--expected-revision", fmt.Sprint(revision), "route", "set", name, "--service", deploy.Service)
+				output, err := d.TryCtl("--expected-revision", fmt.Sprint(revision), "route", "set", name, "--service", Service)
 				mu.Lock()
 				defer mu.Unlock()
 				switch {
@@ -148,12 +147,12 @@
 // control VM is stopped meanwhile, so that it has not noticed the time that passed.
 func TestReturningLeaderServesNoOldState(t *testing.T) {
 	const changes = 400
-	d := deploy.Start(t, deploy.Options{SnapshotEntries: 50})
+	d := Start(t, Options{SnapshotEntries: 50})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	old := d.Leader()
 	shares := d.Proxies[1]
 	others := without(d.Controls, old)
-	withdrawn := strings.TrimSpace(d.Ctl("key", "give", deploy.Team))
+	withdrawn := strings.TrimSpace(d.Ctl("key", "give", Team))
 	untilProxiesHold(d, d.Show().State.Revision)
 
 	d.Isolate(old.Name, shares.Name)
@@ -162,7 +161,7 @@
 	}
 	old.Freeze()
 	command := &controlpb.Command{Change: &controlpb.Command_WithdrawKey{WithdrawKey: &controlpb.WithdrawKey{
-		Team: deploy.Team, KeyId: keyID(withdrawn),
+		Team: Team, KeyId: keyID(withdrawn),
 	}}}
 	if r := change(d, "withdraw", command, others...); r.Code != 0 {
 		t.Fatalf("withdraw: %s", r.Message)
@@ -170,7 +169,7 @@
 	last := changeMany(t, d, "away", changes, others...)
 
 	refused := func() bool {
-		conn, err := d.ConnectAs(t.Context(), shares, deploy.Team, withdrawn)
+		conn, err := d.ConnectAs(t.Context(), shares, Team, withdrawn)
 		if err == nil {
 			closeConn(conn)
 		}
@@ -199,7 +198,7 @@
 	untilProxiesHold(d, last)
 	untilActive(d, old)
 	for _, p := range d.Proxies {
-		if conn, err := d.ConnectAs(t.Context(), p, deploy.Team, withdrawn); err == nil {
+		if conn, err := d.ConnectAs(t.Context(), p, Team, withdrawn); err == nil {
 			closeConn(conn)
 			t.Errorf("%s accepts the withdrawn key", p.Name)
 		}
@@ -212,8 +211,8 @@
 	}
 }
 
-func without(controls []*deploy.Control, one *deploy.Control) []*deploy.Control {
-	var others []*deploy.Control
+func without(controls []*Control, one *Control) []*Control {
+	var others []*Control
 	for _, c := range controls {
 		if c != one {
 			others = append(others, c)
@@ -226,7 +225,7 @@
 
 // untilActive waits until the leader hears from a control process that has
 // everything.
-func untilActive(d *deploy.Deployment, c *deploy.Control) {
+func untilActive(d *Deployment, c *Control) {
 	d.Until(c.Name+" to be current", func() bool {
 		reply := d.Show()
 		if reply.GetLeader() == c.Address {
@@ -248,12 +247,12 @@
 // Guards against changes that are lost or revert when all control processes are
 // killed and start again, from snapshots and the log behind them.
 func TestRestartOfAllControlKeepsEveryChange(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{SnapshotEntries: 20, Proxies: 1, StandIns: 1})
+	d := Start(t, Options{SnapshotEntries: 20, Proxies: 1, StandIns: 1})
 	for round := range 3 {
 		const changes = 45
 		last := changeMany(t, d, fmt.Sprintf("round%d", round), changes, d.Controls...)
-		key := strings.TrimSpace(d.Ctl("key", "give", deploy.Team))
-		d.Ctl("key", "withdraw", deploy.Team, key)
+		key := strings.TrimSpace(d.Ctl("key", "give", Team))
+		d.Ctl("key", "withdraw", Team, key)
 		before := d.Show().State
 		for _, c := range d.Controls {
 			c.Kill()
@@ -269,7 +268,7 @@
 		if age := after.Routes["counted"].GetMaxAgeMs(); age != changes {
 			t.Errorf("round %d: age %d, want %d", round, age, changes)
 		}
-		if _, ok := after.Teams[deploy.Team].Keys[keyID(key)]; ok {
+		if _, ok := after.Teams[Team].Keys[keyID(key)]; ok {
 			t.Errorf("round %d: a withdrawn key is back", round)
 		}
 		again := change(d, fmt.Sprintf("round%d-0", round), &controlpb.Command{Change: putRoute("counted", 1)}, d.Controls...)
@@ -277,7 +276,7 @@
 			t.Errorf("round %d: a resend after the restart was applied again", round)
 		}
 		untilProxiesHold(d, after.Revision)
-		if _, err := d.ConnectAs(t.Context(), d.Proxies[0], deploy.Team, key); err == nil {
+		if _, err := d.ConnectAs(t.Context(), d.Proxies[0], Team, key); err == nil {
 			t.Errorf("round %d: the proxy accepts the withdrawn key", round)
 		}
 		d.UntilSettled()
@@ -286,7 +285,7 @@
 }
 
 // identityOf returns the identity under which a control process is a member.
-func identityOf(d *deploy.Deployment, c *deploy.Control) string {
+func identityOf(d *Deployment, c *Control) string {
 	for _, v := range d.Show().GetVoters() {
 		if v.Address == c.Address {
 			return v.Identity
@@ -297,7 +296,7 @@
 
 // ownIdentity reads from the log of a control process the identity that it started
 // with last.
-func ownIdentity(t *testing.T, d *deploy.Deployment, c *deploy.Control, not string) string {
+func ownIdentity(t *testing.T, d *Deployment, c *Control, not string) string {
 	t.Helper()
 	var identity string
 	d.Until("the new identity of "+c.Name, func() bool {
@@ -311,7 +310,7 @@
 
 // replace makes a control process whose files are lost a voter again, as
 // docs/operations.md says.
-func replace(t *testing.T, d *deploy.Deployment, c *deploy.Control) {
+func replace(t *testing.T, d *Deployment, c *Control) {
 	t.Helper()
 	lost := identityOf(d, c)
 	c.Kill()
@@ -335,7 +334,7 @@
 // or joins by itself, and against the loss of confirmed changes when a second VM is
 // lost right after the promotion of a replacement was reported finished.
 func TestSecondControlLostRightAfterReplacement(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{SnapshotEntries: 20, Proxies: 1, StandIns: 1})
+	d := Start(t, Options{SnapshotEntries: 20, Proxies: 1, StandIns: 1})
 	for round := range 3 {
 		replaced := d.Controls[round]
 		second := d.Controls[(round+1)%len(d.Controls)]
@@ -358,7 +357,7 @@
 // Guards against a control VM that takes part in votes without being a member: with
 // its files deleted it must not help a minority to a quorum.
 func TestControlWithoutFilesIsNoMember(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{Proxies: 1, StandIns: 1})
+	d := Start(t, Options{Proxies: 1, StandIns: 1})
 	changeMany(t, d, "before", 10, d.Controls...)
 	lost, second := d.Controls[2], d.Controls[1]
 	old := identityOf(d, lost)
--- a/cmd/internal/e2e/deploy/build.go
+++ b/cmd/internal/e2e/deploy_build_test.go
@@ -1,12 +1,12 @@
-// Package deploy runs a few of the system's processes for tests: control
+// The files deploy_*_test.go run a few of the system's processes for tests: control
 // processes, proxies and stand-in databases on loopback. Every connection between
 // two of them passes a relay of its own, so that one link can be cut alone.
-package deploy
+package e2e
 
 import (
 	"fmt"
 	"os"
-	"os/exec"
+	osexec "os/exec"
 	"path/filepath"
 	"testing"
 )
@@ -22,7 +22,7 @@
 		return 1
 	}
 	defer os.RemoveAll(folder)
-	build := exec.Command("go", "build", "-o", folder+string(filepath.Separator),
+	build := osexec.Command("go", "build", "-o", folder+string(filepath.Separator),
 		"github.com/jayloom/jayloom/cmd/jayloom-control",
 		"github.com/jayloom/jayloom/cmd/jayloom-proxy",
 		"github.com/jayloom/jayloom/cmd/jayloom-standin",
--- a/cmd/internal/e2e/deploy/database.go
+++ b/cmd/internal/e2e/deploy_database_test.go
@@ -1,4 +1,4 @@
-package deploy
+package e2e
 
 import (
 	"bufio"
@@ -21,15 +21,15 @@
 
 // ConnectAs connects a team to a proxy.
 func (d *Deployment) ConnectAs(ctx context.Context, p *Proxy, team, key string, options ...string) (*pgx.Conn, error) {
-	return connect(ctx, p.Address, team, key, options...)
+	return dial(ctx, p.Address, team, key, options...)
 }
 
 // ConnectDirectly connects to a stand-in past the proxies.
 func (d *Deployment) ConnectDirectly(ctx context.Context, s *StandIn) (*pgx.Conn, error) {
-	return connect(ctx, s.Direct, upstreamUser, upstreamPassword)
+	return dial(ctx, s.Direct, upstreamUser, upstreamPassword)
 }
 
-func connect(ctx context.Context, address, user, password string, options ...string) (*pgx.Conn, error) {
+func dial(ctx context.Context, address, user, password string, options ...string) (*pgx.Conn, error) {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, err
--- a/cmd/internal/e2e/deploy/network.go
+++ b/cmd/internal/e2e/deploy_network_test.go
@@ -1,4 +1,4 @@
-package deploy
+package e2e
 
 import (
 	"context"
--- a/cmd/internal/e2e/deploy/operator.go
+++ b/cmd/internal/e2e/deploy_operator_test.go
@@ -1,11 +1,11 @@
-package deploy
+package e2e
 
 import (
 	"bufio"
 	"bytes"
 	"context"
 	"net/http"
-	"os/exec"
+	osexec "os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -44,7 +44,7 @@
 	if files := d.identity(operatorName); !files.Empty() {
 		all = append(all, "--tls-cert", files.Cert, "--tls-key", files.Key, "--tls-ca", files.CA)
 	}
-	cmd := exec.Command(filepath.Join(binaries, "jayloomctl"), append(all, args...)...)
+	cmd := osexec.Command(filepath.Join(binaries, "jayloomctl"), append(all, args...)...)
 	var output, problem bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &output, &problem
 	err := cmd.Run()
--- a/cmd/internal/e2e/deploy/process_test.go
+++ b/cmd/internal/e2e/deploy_process_end_test.go
@@ -1,4 +1,4 @@
-package deploy
+package e2e
 
 import (
 	"fmt"
@@ -34,7 +34,7 @@
 // Guards against a program that ended while it was frozen and is taken for one that
 // runs again: a test then waits for it until it gives up, as for a hang.
 func TestContinueReportsAnEndedProgram(t *testing.T) {
-	p := newProcess(t, "ended", "sleep", t.TempDir(), []string{"600"})
+	p := newProcess(t, "ended", "jayloom-standin", t.TempDir(), []string{"--listen", "127.0.0.1:0", "--auth", "trust"})
 	p.Start()
 	t.Cleanup(p.Kill)
 	p.Freeze()
--- a/cmd/internal/e2e/deploy/process.go
+++ b/cmd/internal/e2e/deploy_process_test.go
@@ -1,9 +1,9 @@
-package deploy
+package e2e
 
 import (
 	"fmt"
 	"os"
-	"os/exec"
+	osexec "os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -21,7 +21,7 @@
 	log  string
 
 	mu     sync.Mutex
-	cmd    *exec.Cmd
+	cmd    *osexec.Cmd
 	exited chan struct{}
 	// frozen is true once the program was frozen.
 	frozen bool
@@ -45,7 +45,7 @@
 		p.t.Fatal(err)
 	}
 	defer output.Close()
-	cmd := exec.Command(p.path, p.args...)
+	cmd := osexec.Command(p.path, p.args...)
 	cmd.Stdout, cmd.Stderr = output, output
 	// A test run that is ended from outside leaves no process behind.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/cmd/internal/e2e/history_test.go
+++ b/cmd/internal/e2e/history_test.go
@@ -15,7 +15,6 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 	"github.com/jayloom/jayloom/standin/audit"
 )
 
@@ -101,7 +100,7 @@
 }
 
 // load keeps writers busy until stop is called.
-func (h *history) load(d *deploy.Deployment, writers int, proxies ...*deploy.Proxy) (stop func()) {
+func (h *history) load(d *Deployment, writers int, proxies ...*Proxy) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for _, p := range proxies {
@@ -115,7 +114,7 @@
 	}
 }
 
-func (h *history) writeUntil(ctx context.Context, d *deploy.Deployment, p *deploy.Proxy) {
+func (h *history) writeUntil(ctx context.Context, d *Deployment, p *Proxy) {
 	for pause(ctx, reconnectPace) {
 		conn, err := d.Connect(ctx, p)
 		if err != nil {
@@ -145,7 +144,7 @@
 	_ = conn.Close(ctx)
 }
 
-func connect(t *testing.T, d *deploy.Deployment, p *deploy.Proxy, options ...string) *pgx.Conn {
+func connect(t *testing.T, d *Deployment, p *Proxy, options ...string) *pgx.Conn {
 	t.Helper()
 	var conn *pgx.Conn
 	d.Until("a connection to "+p.Name, func() bool {
@@ -186,7 +185,7 @@
 }
 
 // committedOn returns the ids of the writes that a stand-in committed itself.
-func committedOn(d *deploy.Deployment, s *deploy.StandIn) map[int64]int {
+func committedOn(d *Deployment, s *StandIn) map[int64]int {
 	ids := map[int64]int{}
 	for _, e := range d.Audit(s) {
 		if id, ok := insertedID(e); ok {
@@ -217,9 +216,9 @@
 }
 
 // termStart returns when the promotion to a term was complete.
-func termStart(t *testing.T, d *deploy.Deployment, term uint64) time.Time {
+func termStart(t *testing.T, d *Deployment, term uint64) time.Time {
 	t.Helper()
-	for _, e := range d.Events(deploy.Group) {
+	for _, e := range d.Events(Group) {
 		if strings.HasSuffix(e.Text, fmt.Sprintf("is primary in term %d", term)) {
 			return time.UnixMilli(e.UnixMs)
 		}
@@ -230,7 +229,7 @@
 
 // checkNoAcknowledgementAfter fails for each write that is only on a replaced
 // primary and was acknowledged after the next term had begun.
-func checkNoAcknowledgementAfter(t *testing.T, d *deploy.Deployment, h *history, replaced *deploy.StandIn, began time.Time) {
+func checkNoAcknowledgementAfter(t *testing.T, d *Deployment, h *history, replaced *StandIn, began time.Time) {
 	t.Helper()
 	ids := committedOn(d, replaced)
 	violations := 0
@@ -250,7 +249,7 @@
 
 // checkAcknowledged fails for acknowledged writes that no stand-in committed, and
 // for writes said to have not run that one did commit.
-func checkAcknowledged(t *testing.T, d *deploy.Deployment, h *history) {
+func checkAcknowledged(t *testing.T, d *Deployment, h *history) {
 	t.Helper()
 	runs := map[int64]int{}
 	for _, s := range d.StandIns {
--- a/cmd/internal/e2e/keys_test.go
+++ b/cmd/internal/e2e/keys_test.go
@@ -10,7 +10,6 @@
 	"github.com/jackc/pgx/v5"
 
 	"github.com/jayloom/jayloom/api/rescode"
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 )
 
 const (
@@ -20,9 +19,9 @@
 	queuedMetric = "jayloom_proxy_pool_queued_total"
 )
 
-func connectWith(t *testing.T, d *deploy.Deployment, p *deploy.Proxy, key string) *pgx.Conn {
+func connectWith(t *testing.T, d *Deployment, p *Proxy, key string) *pgx.Conn {
 	t.Helper()
-	conn, err := d.ConnectAs(t.Context(), p, deploy.Team, key)
+	conn, err := d.ConnectAs(t.Context(), p, Team, key)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,10 +40,10 @@
 // Guards against a withdrawn key that goes on working for callers that are
 // connected: idle, in a transaction, and queued for a connection.
 func TestWithdrawnKeyEndsConnectedCallers(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{ConnectionLimit: 6, StandIns: 1})
-	d.Ctl("route", "set", "patient", "--service", deploy.Service, "--deadline-ms", "60000")
-	d.Ctl("route", "set", "hasty", "--service", deploy.Service, "--deadline-ms", "200")
-	withdrawn := strings.TrimSpace(d.Ctl("key", "give", deploy.Team))
+	d := Start(t, Options{ConnectionLimit: 6, StandIns: 1})
+	d.Ctl("route", "set", "patient", "--service", Service, "--deadline-ms", "60000")
+	d.Ctl("route", "set", "hasty", "--service", Service, "--deadline-ms", "200")
+	withdrawn := strings.TrimSpace(d.Ctl("key", "give", Team))
 	untilProxiesHold(d, d.Show().State.Revision)
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	ended := make([]chan error, len(d.Proxies))
@@ -67,7 +66,7 @@
 		d.Until("a queued request", func() bool { return d.Metric(p.HTTP, queuedMetric) > before })
 	}
 
-	d.Ctl("key", "withdraw", deploy.Team, withdrawn)
+	d.Ctl("key", "withdraw", Team, withdrawn)
 	for i, p := range d.Proxies {
 		wantWithdrawn(t, "queued on "+p.Name, queued[i], <-ended[i])
 		d.Until("the end of the idle caller", func() bool {
@@ -81,7 +80,7 @@
 			}
 			return inside[i].IsClosed()
 		})
-		if _, err := d.ConnectAs(t.Context(), p, deploy.Team, withdrawn); rescode.Code(codeOf(err)) != rescode.WrongKey {
+		if _, err := d.ConnectAs(t.Context(), p, Team, withdrawn); rescode.Code(codeOf(err)) != rescode.WrongKey {
 			t.Errorf("%s: connecting with a withdrawn key: %v", p.Name, err)
 		}
 	}
@@ -96,7 +95,7 @@
 }
 
 // holdAll opens transactions until a proxy has no connection left to lend.
-func holdAll(t *testing.T, d *deploy.Deployment, p *deploy.Proxy) {
+func holdAll(t *testing.T, d *Deployment, p *Proxy) {
 	t.Helper()
 	d.Until("all connections of "+p.Name+" to be in use", func() bool {
 		conn := connect(t, d, p)
@@ -106,7 +105,7 @@
 }
 
 // rowIDs returns the ids of all rows on the primary, read past the proxies.
-func rowIDs(t *testing.T, d *deploy.Deployment) []int64 {
+func rowIDs(t *testing.T, d *Deployment) []int64 {
 	t.Helper()
 	conn, err := d.ConnectDirectly(t.Context(), d.Primary())
 	if err != nil {
@@ -127,8 +126,8 @@
 // Guards against a proxy that is cut from control and serves a withdrawn key for
 // longer than its attendance lease. It has to stop by itself.
 func TestCutOffProxyStopsServingWithdrawnKey(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{StandIns: 1})
-	withdrawn := strings.TrimSpace(d.Ctl("key", "give", deploy.Team))
+	d := Start(t, Options{StandIns: 1})
+	withdrawn := strings.TrimSpace(d.Ctl("key", "give", Team))
 	untilProxiesHold(d, d.Show().State.Revision)
 	cutOff := d.Proxies[1]
 	idle, inside := connectWith(t, d, cutOff, withdrawn), connectWith(t, d, cutOff, withdrawn)
@@ -136,7 +135,7 @@
 	for _, c := range d.Controls {
 		d.Cut(cutOff.Name, c.Name)
 	}
-	d.Ctl("key", "withdraw", deploy.Team, withdrawn)
+	d.Ctl("key", "withdraw", Team, withdrawn)
 	cut, last := time.Now(), time.Now()
 	d.Until("the proxy to stop", func() bool {
 		_, idleErr := idle.Exec(t.Context(), "SELECT 1")
@@ -153,7 +152,7 @@
 	if served := last.Sub(cut); served > 2*attendanceLease {
 		t.Errorf("the withdrawn key was served for %v after the cut", served)
 	}
-	if _, err := d.ConnectAs(t.Context(), cutOff, deploy.Team, withdrawn); err == nil {
+	if _, err := d.ConnectAs(t.Context(), cutOff, Team, withdrawn); err == nil {
 		t.Error("the proxy without control accepts a withdrawn key")
 	}
 	for _, c := range d.Controls {
@@ -168,7 +167,7 @@
 		_, err = conn.Exec(t.Context(), "SELECT 1")
 		return err == nil
 	})
-	if _, err := d.ConnectAs(t.Context(), cutOff, deploy.Team, withdrawn); err == nil {
+	if _, err := d.ConnectAs(t.Context(), cutOff, Team, withdrawn); err == nil {
 		t.Error("the proxy accepts a withdrawn key after its return")
 	}
 }
--- a/cmd/internal/e2e/leaving_test.go
+++ b/cmd/internal/e2e/leaving_test.go
@@ -11,7 +11,6 @@
 	"github.com/jackc/pgx/v5"
 
 	"github.com/jayloom/jayloom/api/controlpb"
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 )
 
 // readLoad reads through proxies from replicas until stop is called.
@@ -29,7 +28,7 @@
 // readTag is in the text of each read, so that the audit tells the proxy.
 func readTag(proxy string) string { return "reader " + proxy }
 
-func startReads(d *deploy.Deployment, readers int, proxies ...*deploy.Proxy) (*readLoad, func()) {
+func startReads(d *Deployment, readers int, proxies ...*Proxy) (*readLoad, func()) {
 	l := &readLoad{count: map[string]int{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -44,7 +43,7 @@
 	}
 }
 
-func (l *readLoad) readUntil(ctx context.Context, d *deploy.Deployment, p *deploy.Proxy) {
+func (l *readLoad) readUntil(ctx context.Context, d *Deployment, p *Proxy) {
 	statement := fmt.Sprintf("SELECT id FROM lot WHERE proxy = '%s' /*route='old'*/", readTag(p.Name))
 	for pause(ctx, reconnectPace) {
 		conn, err := d.Connect(ctx, p)
@@ -63,7 +62,7 @@
 }
 
 // readsAfter returns how many reads of a proxy began on a stand-in after a time.
-func readsAfter(d *deploy.Deployment, s *deploy.StandIn, proxy string, after time.Time) int {
+func readsAfter(d *Deployment, s *StandIn, proxy string, after time.Time) int {
 	count := 0
 	for _, e := range d.Audit(s) {
 		if strings.Contains(e.Statement, readTag(proxy)) && e.At.After(after) {
@@ -73,21 +72,21 @@
 	return count
 }
 
-func untilReads(d *deploy.Deployment, l *readLoad, p *deploy.Proxy) {
+func untilReads(d *Deployment, l *readLoad, p *Proxy) {
 	wanted := l.answered(p.Name) + enoughWrites
 	d.Until("reads through "+p.Name, func() bool { return l.answered(p.Name) >= wanted })
 }
 
 // startForLeaving starts a deployment whose replicas serve the reads of a route.
-func startForLeaving(t *testing.T) *deploy.Deployment {
+func startForLeaving(t *testing.T) *Deployment {
 	t.Helper()
-	d := deploy.Start(t, deploy.Options{})
-	d.Ctl("route", "set", "old", "--service", deploy.Service, "--read", "--max-age-ms", "60000")
+	d := Start(t, Options{})
+	d.Ctl("route", "set", "old", "--service", Service, "--read", "--max-age-ms", "60000")
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	return d
 }
 
-func isLeaving(d *deploy.Deployment, s *deploy.StandIn) bool {
+func isLeaving(d *Deployment, s *StandIn) bool {
 	u := d.Show().GetState().GetUpstreams()[s.Address]
 	return u.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_LEAVING
 }
@@ -173,7 +172,7 @@
 }
 
 // transactionOn returns a connection with an open transaction that reads from s.
-func transactionOn(t *testing.T, d *deploy.Deployment, s *deploy.StandIn) *pgx.Conn {
+func transactionOn(t *testing.T, d *Deployment, s *StandIn) *pgx.Conn {
 	t.Helper()
 	var found *pgx.Conn
 	for i := 0; found == nil; i++ {
@@ -192,7 +191,7 @@
 }
 
 // openOn asks a stand-in whether it runs a statement with this text.
-func openOn(t *testing.T, d *deploy.Deployment, s *deploy.StandIn, text string) bool {
+func openOn(t *testing.T, d *Deployment, s *StandIn, text string) bool {
 	t.Helper()
 	conn, err := d.ConnectDirectly(t.Context(), s)
 	if err != nil {
@@ -215,7 +214,7 @@
 	return false
 }
 
-func ranOn(d *deploy.Deployment, s *deploy.StandIn, text string) bool {
+func ranOn(d *Deployment, s *StandIn, text string) bool {
 	for _, e := range d.Audit(s) {
 		if strings.Contains(e.Statement, text) {
 			return true
--- a/cmd/internal/e2e/rate_test.go
+++ b/cmd/internal/e2e/rate_test.go
@@ -7,8 +7,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 )
 
 const (
@@ -21,7 +19,7 @@
 )
 
 // greedy keeps writers busy that never pause.
-func (h *history) greedy(d *deploy.Deployment, proxies ...*deploy.Proxy) (stop func()) {
+func (h *history) greedy(d *Deployment, proxies ...*Proxy) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for _, p := range proxies {
@@ -50,7 +48,7 @@
 type run struct{ sent, ran time.Time }
 
 // runsOf returns the requests that any stand-in ran, refused by it or not.
-func runsOf(d *deploy.Deployment, h *history) []run {
+func runsOf(d *Deployment, h *history) []run {
 	ranAt := map[int64]time.Time{}
 	for _, s := range d.StandIns {
 		for _, e := range d.Audit(s) {
@@ -98,7 +96,7 @@
 }
 
 // untilMore waits until so many more writes were acknowledged by a proxy.
-func untilMore(d *deploy.Deployment, h *history, p *deploy.Proxy, more int) {
+func untilMore(d *Deployment, h *history, p *Proxy, more int) {
 	wanted := h.acknowledged(p.Name) + more
 	d.Until("admitted writes through "+p.Name, func() bool { return h.acknowledged(p.Name) >= wanted })
 }
@@ -107,9 +105,9 @@
 // all its load on one proxy, after the load has moved to the other, when the control
 // leader is killed, and when a proxy is cut off while it holds a grant.
 func TestRateHoldsOverTheFleet(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{StandIns: 1})
+	d := Start(t, Options{StandIns: 1})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
-	d.Ctl("team", "set", deploy.Team, "--rate", fmt.Sprint(teamRate), "--burst", fmt.Sprint(teamBurst))
+	d.Ctl("team", "set", Team, "--rate", fmt.Sprint(teamRate), "--burst", fmt.Sprint(teamBurst))
 	untilProxiesHold(d, d.Show().State.Revision)
 	first, second := d.Proxies[0], d.Proxies[1]
 	h := newHistory()
--- a/cmd/internal/e2e/replaced_test.go
+++ b/cmd/internal/e2e/replaced_test.go
@@ -7,7 +7,6 @@
 	"github.com/jackc/pgx/v5"
 
 	"github.com/jayloom/jayloom/api/rescode"
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 	"github.com/jayloom/jayloom/standin/relay"
 )
 
@@ -15,7 +14,7 @@
 const enoughWrites = 30
 
 // untilWriting waits until each proxy has acknowledged more writes.
-func untilWriting(d *deploy.Deployment, h *history, proxies ...*deploy.Proxy) {
+func untilWriting(d *Deployment, h *history, proxies ...*Proxy) {
 	for _, p := range proxies {
 		wanted := h.acknowledged(p.Name) + enoughWrites
 		d.Until("writes through "+p.Name, func() bool { return h.acknowledged(p.Name) >= wanted })
@@ -27,7 +26,7 @@
 
 // openTransactions opens transactions with a write each and returns a function that
 // commits them and fails for each that is acknowledged.
-func openTransactions(t *testing.T, d *deploy.Deployment, h *history, p *deploy.Proxy) (commit func()) {
+func openTransactions(t *testing.T, d *Deployment, h *history, p *Proxy) (commit func()) {
 	t.Helper()
 	conns := make([]*pgx.Conn, heldTransactions)
 	ids := make([]int64, heldTransactions)
@@ -51,7 +50,7 @@
 // were open before the cut are committed after the promotion, because a proxy that is
 // cut from control has few tokens for new ones.
 func TestCutPrimaryAcknowledgesNothingAfterReplacement(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{SelectGroups: true})
+	d := Start(t, Options{SelectGroups: true})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	h := newHistory()
 	stop := h.load(d, 4, d.Proxies[0])
@@ -94,7 +93,7 @@
 
 // freezeWithAnswer makes a proxy freeze after the primary has committed a write and
 // before the proxy has read the answer, and returns the end of that write.
-func freezeWithAnswer(t *testing.T, d *deploy.Deployment, h *history, p *deploy.Proxy, primary *deploy.StandIn) <-chan write {
+func freezeWithAnswer(t *testing.T, d *Deployment, h *history, p *Proxy, primary *StandIn) <-chan write {
 	t.Helper()
 	conn := connect(t, d, p)
 	// An open transaction keeps its upstream connection: a new one could not be made
@@ -127,7 +126,7 @@
 // lease, with the answer of a committed write waiting in its socket, and goes on
 // after another server was promoted. Twice in a row.
 func TestFrozenProxyAcknowledgesNothingAfterReplacement(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{})
+	d := Start(t, Options{})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	h := newHistory()
 	frozen, other := d.Proxies[0], d.Proxies[1]
@@ -154,7 +153,7 @@
 // from control and its replicas, and the one proxy that reaches it is stopped and
 // goes on after the promotion, with callers that keep writing. Twice in a row.
 func TestFrozenProxyOfCutPrimaryAcknowledgesNothing(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{})
+	d := Start(t, Options{})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	h := newHistory()
 	stop := h.load(d, 4, d.Proxies...)
--- a/cmd/internal/e2e/session_test.go
+++ b/cmd/internal/e2e/session_test.go
@@ -10,7 +10,6 @@
 	"github.com/jackc/pgx/v5"
 
 	"github.com/jayloom/jayloom/api/rescode"
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 )
 
 const (
@@ -25,7 +24,7 @@
 // roamer is a session that moves to another proxy after every write. It counts up
 // one row and knows the number that it wrote last.
 type roamer struct {
-	d     *deploy.Deployment
+	d     *Deployment
 	id    int
 	token bool
 	shown string
@@ -33,7 +32,7 @@
 }
 
 // on runs f on a fresh connection to a proxy that shows the session's newest token.
-func (r *roamer) on(ctx context.Context, p *deploy.Proxy, f func(conn *pgx.Conn) error) error {
+func (r *roamer) on(ctx context.Context, p *Proxy, f func(conn *pgx.Conn) error) error {
 	conn, err := r.d.Connect(ctx, p)
 	if err != nil {
 		return err
@@ -52,7 +51,7 @@
 }
 
 // write writes the next number; the row exists from the first one on.
-func (r *roamer) write(ctx context.Context, p *deploy.Proxy) error {
+func (r *roamer) write(ctx context.Context, p *Proxy) error {
 	next := r.value + 1
 	statement := fmt.Sprintf("UPDATE tray SET n = %d WHERE id = %d", next, r.id)
 	if next == 1 {
@@ -69,7 +68,7 @@
 }
 
 // read returns the number that a read-your-writes read finds, 0 without a row.
-func (r *roamer) read(ctx context.Context, p *deploy.Proxy) (int, error) {
+func (r *roamer) read(ctx context.Context, p *Proxy) (int, error) {
 	found := 0
 	err := r.on(ctx, p, func(conn *pgx.Conn) error {
 		rows, err := conn.Query(ctx, fmt.Sprintf("SELECT n FROM tray WHERE id = %d /*route='own'*/", r.id))
@@ -109,7 +108,7 @@
 }
 
 // readUntilAnswered reads until the answer is a row, none, or a lost position.
-func (r *roamer) readUntilAnswered(t *testing.T, p *deploy.Proxy) (found int, lost bool) {
+func (r *roamer) readUntilAnswered(t *testing.T, p *Proxy) (found int, lost bool) {
 	t.Helper()
 	r.d.Until(fmt.Sprintf("an answer to session %d", r.id), func() bool {
 		var err error
@@ -125,8 +124,8 @@
 // started, and after a failover that lost writes: then a session with a token has to
 // learn that, and never gets older data silently.
 func TestRoamingSessionsReadTheirWrites(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{Lag: replicaLag})
-	d.Ctl("route", "set", "own", "--service", deploy.Service, "--read")
+	d := Start(t, Options{Lag: replicaLag})
+	d.Ctl("route", "set", "own", "--service", Service, "--read")
 	exec(t, connect(t, d, d.Proxies[0]), "CREATE TABLE tray (id int PRIMARY KEY, n int)")
 	var roamers []*roamer
 	for i := range 2 * roamingSessions {
@@ -171,7 +170,7 @@
 	})
 }
 
-func rowsOn(t *testing.T, d *deploy.Deployment, s *deploy.StandIn) int {
+func rowsOn(t *testing.T, d *Deployment, s *StandIn) int {
 	t.Helper()
 	conn, err := d.ConnectDirectly(t.Context(), s)
 	if err != nil {
--- a/cmd/internal/e2e/share_test.go
+++ b/cmd/internal/e2e/share_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"sync"
 	"testing"
-
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 )
 
 const (
@@ -19,7 +17,7 @@
 )
 
 // keepBusy runs transactions that keep their connection for a while.
-func keepBusy(d *deploy.Deployment, h *history, p *deploy.Proxy) (stop func()) {
+func keepBusy(d *Deployment, h *history, p *Proxy) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for range busyCallers {
@@ -47,7 +45,7 @@
 // Guards against more connections to an upstream than its limit less the reserve
 // while the share of a proxy that was cut off is lent again, and after its return.
 func TestSharesOfCutOffProxyAreLentWithinTheLimit(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{StandIns: 1, ConnectionLimit: shareLimit})
+	d := Start(t, Options{StandIns: 1, ConnectionLimit: shareLimit})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	h := newHistory()
 	first, second, primary := d.Proxies[0], d.Proxies[1], d.StandIns[0]
--- a/cmd/internal/e2e/shutdown_test.go
+++ b/cmd/internal/e2e/shutdown_test.go
@@ -11,7 +11,6 @@
 	"github.com/jackc/pgx/v5"
 
 	"github.com/jayloom/jayloom/api/rescode"
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 )
 
 const (
@@ -27,7 +26,7 @@
 // another proxy when theirs ends them between two requests.
 type drainTest struct {
 	t    *testing.T
-	d    *deploy.Deployment
+	d    *Deployment
 	next atomic.Int64
 
 	mu sync.Mutex
@@ -93,7 +92,7 @@
 
 // work runs one transaction and one single write, and reports whether the
 // connection is still good.
-func (x *drainTest) work(conn *pgx.Conn, p *deploy.Proxy) bool {
+func (x *drainTest) work(conn *pgx.Conn, p *Proxy) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
 	defer cancel()
 	id := x.next.Add(3)
@@ -120,7 +119,7 @@
 
 // first sends a request outside a transaction. It may only be refused as not run
 // because the proxy shuts down.
-func (x *drainTest) first(ctx context.Context, conn *pgx.Conn, p *deploy.Proxy, id int64, statement string) bool {
+func (x *drainTest) first(ctx context.Context, conn *pgx.Conn, p *Proxy, id int64, statement string) bool {
 	_, err := conn.Exec(ctx, statement)
 	if err == nil {
 		return true
@@ -138,7 +137,7 @@
 	*list = append(*list, ids...)
 }
 
-func insertRow(id int64, p *deploy.Proxy) string {
+func insertRow(id int64, p *Proxy) string {
 	return fmt.Sprintf("INSERT INTO lot VALUES (%d, '%s')", id, p.Name)
 }
 
@@ -146,7 +145,7 @@
 // refuses one as not run that did run: 200 callers in the middle of transactions
 // while the two proxies are restarted in turn.
 func TestRestartOfProxiesCutsNothing(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{StandIns: 1, ConnectionLimit: drainConnections, SelectGroups: true})
+	d := Start(t, Options{StandIns: 1, ConnectionLimit: drainConnections, SelectGroups: true})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	x := &drainTest{t: t, d: d, inside: map[string]int{}}
 	x.hold()
--- a/cmd/internal/e2e/switchover_test.go
+++ b/cmd/internal/e2e/switchover_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
-
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 )
 
 // shortLag makes newest writes missing on replicas at any moment under load, and is
@@ -14,7 +12,7 @@
 const shortLag = 100 * time.Millisecond
 
 // checkStored fails for acknowledged writes that a server does not hold.
-func checkStored(t *testing.T, d *deploy.Deployment, h *history, s *deploy.StandIn) {
+func checkStored(t *testing.T, d *Deployment, h *history, s *StandIn) {
 	t.Helper()
 	conn, err := d.ConnectDirectly(t.Context(), s)
 	if err != nil {
@@ -42,7 +40,7 @@
 
 // switchOver lets the primary leave, calls during, and returns the next primary.
 // Transactions that stay open are committed after the promotion.
-func switchOver(t *testing.T, d *deploy.Deployment, h *history, during func()) (old, next *deploy.StandIn) {
+func switchOver(t *testing.T, d *Deployment, h *history, during func()) (old, next *StandIn) {
 	t.Helper()
 	old = d.Primary()
 	term := d.Group().Term
@@ -62,7 +60,7 @@
 // for the leaving primary to die, or after which that primary acknowledges; then
 // the same when the control leader is killed in the middle.
 func TestLeavingPrimaryIsReplacedWithoutLoss(t *testing.T) {
-	d := deploy.Start(t, deploy.Options{Lag: shortLag})
+	d := Start(t, Options{Lag: shortLag})
 	exec(t, connect(t, d, d.Proxies[0]), createTable)
 	h := newHistory()
 	stop := h.load(d, 4, d.Proxies...)
--- a/cmd/internal/e2e/tls_test.go
+++ b/cmd/internal/e2e/tls_test.go
@@ -20,7 +20,6 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/tlsconf"
-	"github.com/jayloom/jayloom/cmd/internal/e2e/deploy"
 )
 
 // authority issues certificates for a test.
@@ -114,7 +113,7 @@
 	for _, name := range []string{"control1", "control2", "control3", "proxy1", "operator"} {
 		identities[name] = ours.issue(name)
 	}
-	d := deploy.Start(t, deploy.Options{
+	d := Start(t, Options{
 		Proxies:     3,
 		StandIns:    1,
 		UpstreamTLS: ours.issue("upstream"),
