--- a/api/rescode/rescode.go
+++ b/api/rescode/rescode.go
@@ -99,6 +99,10 @@
 	RequestIdentityUnsupported
 	ReplicaWaitTimeout
 	WriteWithoutLease
+	StatementFailed
+	StatementTimeout
+	TransactionFailed
+	UnknownStatement
 )
 
 // Sessions.
@@ -177,6 +181,10 @@
 	{RequestIdentityUnsupported, "request_identity_unsupported", "0A000", NotRun, false, "A request identity is supported for one simple statement outside a transaction only."},
 	{ReplicaWaitTimeout, "replica_wait_timeout", "08007", MayHaveRun, false, "The write was committed on the primary and no replica confirmed it in time."},
 	{WriteWithoutLease, "write_without_lease", "08007", MayHaveRun, false, "The proxy held no valid primary lease when the answer arrived."},
+	{StatementFailed, "statement_failed", "XX001", Ran, false, "The upstream ran the statement and reported that it failed."},
+	{StatementTimeout, "statement_timeout", "57014", MayHaveRun, false, "No answer came within the time limit of the statement."},
+	{TransactionFailed, "transaction_failed", "25P02", NotRun, false, "The transaction has failed; only its end is accepted."},
+	{UnknownStatement, "unknown_statement", "26000", NotRun, false, "No prepared statement of the session has this name."},
 
 	{SessionTokenInvalid, "session_token_invalid", "28000", NotRun, false, "The session token does not verify for the team."},
 	{SessionPositionLost, "session_position_lost", "40001", NotRun, false, "A failover lost writes that the session had seen."},
--- /dev/null
+++ b/cmd/jayloom-node/main.go
@@ -0,0 +1,43 @@
+// Command jayloom-node is a gateway node on the users' infrastructure: it serves
+// callers and, on a VM with a disk, holds the replicated control state.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/jayloom/jayloom/platform"
+)
+
+type options struct {
+	Settings string `long:"settings" value-name:"FILE" description:"settings file; the default is named by the infrastructure"`
+	Check    bool   `long:"check" description:"check the settings file and exit"`
+	Metrics  int    `long:"metrics-port" default:"9464" description:"port of GET /metrics on the address of the VM; 0 serves none"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if o.Settings == "" {
+		o.Settings = platform.SettingsPath()
+	}
+	s, err := platform.ReadSettings(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if o.Check {
+		return
+	}
+	if err := run(o, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/gateway/attend/attend.go
@@ -0,0 +1,464 @@
+// Package attend is a node's side of its connection to the leader: it reports, takes
+// over configuration, topology and request tokens, and knows until when the node may
+// serve.
+package attend
+
+import (
+	"context"
+	"crypto/rand"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/status"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/gateway/catalog"
+)
+
+const (
+	// reportInterval is the time between reports when nothing is urgent.
+	reportInterval = 250 * time.Millisecond
+	// urgentGap bounds how often urgent reports are sent.
+	urgentGap = 5 * time.Millisecond
+	// silenceLimit ends a stream whose leader does not answer.
+	silenceLimit = 900 * time.Millisecond
+	// openLimit bounds one attempt to open a stream.
+	openLimit = 500 * time.Millisecond
+	// retryPause is the time between two attempts.
+	retryPause = 50 * time.Millisecond
+	// sendTimes is how many reports may be unanswered.
+	sendTimes = 1024
+)
+
+// Tokens holds the request tokens of the node.
+type Tokens interface {
+	Report(now time.Duration) []*controlpb.TokenDemand
+	Grant(now, sentAt time.Duration, g *controlpb.TokenGrant)
+	StreamStarted(now time.Duration)
+}
+
+// Voter describes the replica of a node with a data folder. Both are empty without one.
+type Voter struct {
+	Identity, Address string
+}
+
+// Options configure a Client.
+type Options struct {
+	Node string
+	// Seeds are addresses of nodes, any of which may name the leader.
+	Seeds func() []string
+	// Lease is how long the node may serve after it sent a report that was answered.
+	Lease  time.Duration
+	Tokens Tokens
+	// Primaries tells how the node sees the primaries that it uses.
+	Primaries   func(now time.Duration) []*controlpb.PrimaryView
+	Voter       Voter
+	DialOptions []grpc.DialOption
+	Log         *logrus.Entry
+}
+
+// View is what a node was told last. It is not changed once it was published.
+type View struct {
+	Catalog  *catalog.Catalog
+	Topology *controlpb.Topology
+	// Nodes is the number of nodes that attend.
+	Nodes  int
+	Voters []string
+	Leader string
+}
+
+// Client attends the leader. Run owns its state; the other methods are safe for
+// concurrent use.
+type Client struct {
+	opts        Options
+	incarnation string
+	view        atomic.Pointer[View]
+	leaseUntil  atomic.Int64
+	urgent      chan struct{}
+	leaving     chan struct{}
+	left        chan struct{}
+	changed     func(*View)
+
+	connections connections
+	next        int
+	sequence    uint64
+	sentAt      [sendTimes]time.Duration
+}
+
+// New returns a client. changed is called, by Run, after each new view.
+func New(opts Options, changed func(*View)) *Client {
+	c := &Client{
+		opts: opts, incarnation: rand.Text(), changed: changed,
+		urgent: make(chan struct{}, 1), leaving: make(chan struct{}), left: make(chan struct{}),
+		connections: connections{options: opts.DialOptions, open: map[string]*grpc.ClientConn{}},
+	}
+	c.view.Store(&View{})
+	return c
+}
+
+// View returns what the node was told last.
+func (c *Client) View() *View {
+	return c.view.Load()
+}
+
+// MayServe reports whether the configuration is known to be current enough.
+func (c *Client) MayServe(now time.Duration) bool {
+	return int64(max(now, clock.Now())) < c.leaseUntil.Load()
+}
+
+// Leader returns the leader that the node attends, or nothing, and the voters.
+func (c *Client) Leader() (string, []string) {
+	v := c.View()
+	return v.Leader, v.Voters
+}
+
+// ReportNow asks for a report before the next interval. It does not block.
+func (c *Client) ReportNow() {
+	select {
+	case c.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Leave sends a last report and ends Run.
+func (c *Client) Leave(ctx context.Context) {
+	close(c.leaving)
+	select {
+	case <-c.left:
+	case <-ctx.Done():
+	}
+}
+
+var (
+	errSilent = errors.New("the leader did not answer in time")
+	errLeft   = errors.New("the node has left")
+)
+
+// Run attends until ctx ends or Leave was called.
+func (c *Client) Run(ctx context.Context) {
+	defer close(c.left)
+	defer c.connections.closeAll()
+	named := ""
+	for ctx.Err() == nil {
+		address := named
+		if address == "" {
+			address = c.candidate()
+		}
+		updates, err := c.attend(ctx, address)
+		if errors.Is(err, errLeft) {
+			return
+		}
+		if updates > 0 {
+			c.opts.Log.WithError(err).WithFields(logrus.Fields{"event": "leader_lost", "leader": address}).
+				Warn("stream to the leader ended")
+		}
+		c.connections.drop(address)
+		c.setLeader("")
+		named = c.redirected(err, address, updates)
+		select {
+		case <-ctx.Done():
+		case <-c.leaving:
+			return
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// redirected takes over a redirect and returns the leader that it names.
+func (c *Client) redirected(err error, address string, updates int) string {
+	for _, detail := range status.Convert(err).Details() {
+		r, ok := detail.(*controlpb.Redirect)
+		if !ok {
+			continue
+		}
+		if len(r.Voters) > 0 {
+			c.learnVoters(r.Voters)
+		}
+		if r.Leader != address && updates == 0 {
+			return r.Leader
+		}
+	}
+	return ""
+}
+
+func (c *Client) learnVoters(voters []string) {
+	v := *c.View()
+	v.Voters = voters
+	c.view.Store(&v)
+}
+
+func (c *Client) setLeader(address string) {
+	v := *c.View()
+	v.Leader = address
+	c.view.Store(&v)
+}
+
+// candidate returns the next address to ask: voters that were named, and seeds.
+func (c *Client) candidate() string {
+	all := map[string]bool{}
+	for _, a := range c.View().Voters {
+		all[a] = true
+	}
+	for _, a := range c.opts.Seeds() {
+		all[a] = true
+	}
+	addresses := slices.Sorted(maps.Keys(all))
+	if len(addresses) == 0 {
+		return ""
+	}
+	c.next++
+	return addresses[c.next%len(addresses)]
+}
+
+// attend holds one stream until it fails. It returns the number of updates received.
+func (c *Client) attend(ctx context.Context, address string) (int, error) {
+	if address == "" {
+		return 0, errors.New("no address of a node is known")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	connection, err := c.connections.to(address)
+	if err != nil {
+		return 0, err
+	}
+	opening := time.AfterFunc(openLimit, cancel)
+	stream, err := controlpb.NewGatewayClient(connection).Attend(ctx)
+	if err != nil {
+		return 0, err
+	}
+	opening.Stop()
+	r := &streamRun{client: c, address: address, stream: stream, received: make(chan received, 16)}
+	go r.receive(ctx)
+	err = r.run(ctx)
+	return r.updates, err
+}
+
+type received struct {
+	update *controlpb.NodeUpdate
+	err    error
+}
+
+// streamRun is the life of one stream.
+type streamRun struct {
+	client   *Client
+	address  string
+	stream   grpc.BidiStreamingClient[controlpb.NodeReport, controlpb.NodeUpdate]
+	received chan received
+	updates  int
+	first    uint64
+	lastSend time.Duration
+}
+
+func (r *streamRun) receive(ctx context.Context) {
+	for {
+		u, err := r.stream.Recv()
+		select {
+		case r.received <- received{u, err}:
+		case <-ctx.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *streamRun) run(ctx context.Context) error {
+	c := r.client
+	c.opts.Tokens.StreamStarted(clock.Now())
+	r.first = c.sequence + 1
+	if err := r.report(false); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	silence := time.NewTimer(silenceLimit)
+	defer silence.Stop()
+	for {
+		var err error
+		select {
+		case in := <-r.received:
+			silence.Reset(silenceLimit)
+			err = r.handle(in)
+		case <-ticker.C:
+			err = r.report(false)
+		case <-c.urgent:
+			if clock.Now()-r.lastSend < urgentGap {
+				time.AfterFunc(urgentGap, c.ReportNow)
+				continue
+			}
+			err = r.report(false)
+		case <-silence.C:
+			err = errSilent
+		case <-c.leaving:
+			_ = r.report(true)
+			_ = r.stream.CloseSend()
+			return errLeft
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (r *streamRun) report(leaving bool) error {
+	c := r.client
+	now := clock.Now()
+	r.lastSend = now
+	c.sequence++
+	c.sentAt[c.sequence%sendTimes] = now
+	v := c.View()
+	report := &controlpb.NodeReport{
+		Sequence: c.sequence, Node: c.opts.Node, Incarnation: c.incarnation,
+		TopologyRevision: v.Topology.GetRevision(),
+		Tokens:           c.opts.Tokens.Report(now), Primaries: c.opts.Primaries(now),
+		VoterIdentity: c.opts.Voter.Identity, VoterAddress: c.opts.Voter.Address, Leaving: leaving,
+	}
+	if v.Catalog != nil {
+		report.CatalogVersion = v.Catalog.Version
+	}
+	if c.sequence == r.first {
+		report.Topology = v.Topology
+	}
+	return r.stream.Send(report)
+}
+
+func (r *streamRun) handle(in received) error {
+	if in.err != nil {
+		return in.err
+	}
+	c, u := r.client, in.update
+	now := clock.Now()
+	r.updates++
+	if err := c.apply(u, r.address); err != nil {
+		return err
+	}
+	if u.Sequence < r.first || u.Sequence+sendTimes <= c.sequence {
+		return nil
+	}
+	sentAt := c.sentAt[u.Sequence%sendTimes]
+	if until := int64(sentAt + c.opts.Lease); until > c.leaseUntil.Load() {
+		c.leaseUntil.Store(until)
+	}
+	for _, g := range u.Grants {
+		c.opts.Tokens.Grant(now, sentAt, g)
+	}
+	return nil
+}
+
+// apply publishes what an update changes. A configuration never goes back.
+func (c *Client) apply(u *controlpb.NodeUpdate, address string) error {
+	before := c.View()
+	next := &View{
+		Catalog: before.Catalog, Topology: before.Topology, Nodes: int(u.Nodes),
+		Voters: u.Voters, Leader: address,
+	}
+	if u.Catalog != nil && (before.Catalog == nil || u.Catalog.Version > before.Catalog.Version) {
+		compiled, err := catalog.New(u.Catalog)
+		if err != nil {
+			return errors.Wrap(err, "configuration from the leader")
+		}
+		next.Catalog = compiled
+		c.opts.Log.WithFields(logrus.Fields{"event": "catalog_in_force", "version": compiled.Version, "leader": address}).
+			Info("configuration in force")
+	}
+	if u.Topology != nil {
+		next.Topology = u.Topology
+	}
+	c.view.Store(next)
+	if next.Catalog != before.Catalog || next.Topology != before.Topology || next.Nodes != before.Nodes {
+		c.changed(next)
+	}
+	return nil
+}
+
+// Call runs a unary call at the leader, following redirects, until ctx ends.
+func (c *Client) Call(ctx context.Context, f func(context.Context, controlpb.GatewayClient) error) error {
+	address := c.View().Leader
+	last := errors.New("no leader is known")
+	for ctx.Err() == nil {
+		if address != "" {
+			err := c.callAt(ctx, address, f)
+			if err == nil || !redirects(err) {
+				return err
+			}
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+		address = c.View().Leader
+	}
+	return last
+}
+
+func (c *Client) callAt(ctx context.Context, address string, f func(context.Context, controlpb.GatewayClient) error) error {
+	connection, err := c.connections.to(address)
+	if err != nil {
+		return err
+	}
+	return f(ctx, controlpb.NewGatewayClient(connection))
+}
+
+// redirects reports whether the call was refused by a node that does not lead. Only
+// then did it certainly not run.
+func redirects(err error) bool {
+	for _, detail := range status.Convert(err).Details() {
+		if _, ok := detail.(*controlpb.Redirect); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// connections keeps one connection for each address.
+type connections struct {
+	options []grpc.DialOption
+	mu      sync.Mutex
+	open    map[string]*grpc.ClientConn
+}
+
+func (c *connections) to(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if connection := c.open[address]; connection != nil {
+		return connection, nil
+	}
+	connection, err := grpc.NewClient(address, c.options...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "address %s of a node", address)
+	}
+	c.open[address] = connection
+	return connection, nil
+}
+
+func (c *connections) drop(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if connection := c.open[address]; connection != nil {
+		_ = connection.Close()
+		delete(c.open, address)
+	}
+}
+
+func (c *connections) closeAll() {
+	for _, address := range c.addresses() {
+		c.drop(address)
+	}
+}
+
+func (c *connections) addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.open))
+}
--- /dev/null
+++ b/gateway/catalog/catalog.go
@@ -0,0 +1,178 @@
+// Package catalog checks a complete configuration and finds what serves a caller.
+package catalog
+
+import (
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+// Route says how the statements of one database name are served.
+type Route struct {
+	Name     string
+	Database string
+	Service  string
+	// Consistency is what a read may miss.
+	Consistency controlpb.Consistency
+	// MaxStaleness is the age that data may have, unless Consistency is primary.
+	MaxStaleness time.Duration
+	// StatementTimeout limits one statement.
+	StatementTimeout time.Duration
+	// LatencyObjective is the time in which a whole operation should be over.
+	LatencyObjective time.Duration
+	// Priority orders waiting statements; 0 is the most urgent.
+	Priority uint32
+	// Public routes need no key.
+	Public bool
+}
+
+// Team is who owns keys and a limit.
+type Team struct {
+	Name  string
+	Rate  float64
+	Burst float64
+}
+
+// Service is a database group.
+type Service struct {
+	Name string
+	// MaxConnections is what one upstream accepts from all callers together.
+	MaxConnections int
+	// SyncReplicas must have received a commit before it is acknowledged.
+	SyncReplicas int
+}
+
+// Catalog is a checked configuration. It is not changed once it was made.
+type Catalog struct {
+	Version uint64
+	// TransactionIdle ends a transaction without a statement; 0 means never.
+	TransactionIdle time.Duration
+
+	routes   map[string]*Route
+	services map[string]*Service
+	teams    map[string]*Team
+	// byKey finds the team that holds a key.
+	byKey map[string]*Team
+}
+
+// New checks a configuration and prepares it for lookups.
+func New(in *controlpb.Catalog) (*Catalog, *rescode.Error) {
+	c := &Catalog{
+		Version:         in.Version,
+		TransactionIdle: milliseconds(in.TransactionIdleMs),
+		routes:          make(map[string]*Route, len(in.Routes)),
+		services:        make(map[string]*Service, len(in.Services)),
+		teams:           make(map[string]*Team, len(in.Teams)),
+		byKey:           map[string]*Team{},
+	}
+	if in.Version == 0 {
+		return nil, invalid("the configuration has no version")
+	}
+	for _, s := range in.Services {
+		if err := c.addService(s); err != nil {
+			return nil, err
+		}
+	}
+	for _, r := range in.Routes {
+		if err := c.addRoute(r); err != nil {
+			return nil, err
+		}
+	}
+	for _, t := range in.Teams {
+		if err := c.addTeam(t); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func invalid(format string, args ...any) *rescode.Error {
+	return rescode.New(rescode.InvalidCommand, format, args...)
+}
+
+func milliseconds(n uint32) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+func (c *Catalog) addService(s *controlpb.CatalogService) *rescode.Error {
+	if s.Name == "" {
+		return invalid("a service has no name")
+	}
+	if c.services[s.Name] != nil {
+		return invalid("service %q is declared twice", s.Name)
+	}
+	c.services[s.Name] = &Service{
+		Name: s.Name, MaxConnections: int(s.MaxConnections), SyncReplicas: int(s.SyncReplicas),
+	}
+	return nil
+}
+
+func (c *Catalog) addRoute(r *controlpb.CatalogRoute) *rescode.Error {
+	if r.Database == "" {
+		return invalid("route %q has no database", r.Name)
+	}
+	if c.routes[r.Database] != nil {
+		return invalid("routes %q and %q have the same database", c.routes[r.Database].Name, r.Name)
+	}
+	if c.services[r.Service] == nil {
+		return invalid("route %q names unknown service %q", r.Name, r.Service)
+	}
+	if r.StatementTimeoutMs == 0 {
+		return invalid("route %q has no statement timeout", r.Name)
+	}
+	c.routes[r.Database] = &Route{
+		Name: r.Name, Database: r.Database, Service: r.Service, Consistency: r.Consistency,
+		MaxStaleness:     milliseconds(r.MaxStalenessMs),
+		StatementTimeout: milliseconds(r.StatementTimeoutMs),
+		LatencyObjective: milliseconds(r.LatencyObjectiveMs),
+		Priority:         r.Priority, Public: r.Public,
+	}
+	return nil
+}
+
+func (c *Catalog) addTeam(t *controlpb.CatalogTeam) *rescode.Error {
+	if t.Name == "" {
+		return invalid("a team has no name")
+	}
+	if c.teams[t.Name] != nil {
+		return invalid("team %q is declared twice", t.Name)
+	}
+	team := &Team{Name: t.Name, Rate: t.Rate, Burst: t.Burst}
+	c.teams[t.Name] = team
+	for _, key := range t.Keys {
+		if key == "" {
+			return invalid("team %q has an empty key", t.Name)
+		}
+		if owner := c.byKey[key]; owner != nil && owner != team {
+			return invalid("teams %q and %q share a key", owner.Name, t.Name)
+		}
+		c.byKey[key] = team
+	}
+	return nil
+}
+
+// Route finds the route of a database name, or nil.
+func (c *Catalog) Route(database string) *Route {
+	return c.routes[database]
+}
+
+// TeamOf finds the team that holds a key, or nil.
+func (c *Catalog) TeamOf(key string) *Team {
+	return c.byKey[key]
+}
+
+// Service finds a service by name, or nil.
+func (c *Catalog) Service(name string) *Service {
+	return c.services[name]
+}
+
+// Services returns all services by name. The map must not be changed.
+func (c *Catalog) Services() map[string]*Service {
+	return c.services
+}
+
+// Teams returns all teams by name. The map must not be changed.
+func (c *Catalog) Teams() map[string]*Team {
+	return c.teams
+}
--- /dev/null
+++ b/gateway/coordinator/attendance.go
@@ -0,0 +1,174 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
+)
+
+// attendance is the stream of one node.
+type attendance struct {
+	updates chan *controlpb.NodeUpdate
+	// end ends the stream.
+	end context.CancelFunc
+
+	// The rest belongs to the leader's goroutine.
+	node       string
+	stream     uint64
+	sequence   uint64
+	reportedAt time.Duration
+	// catalogSent and topologySent are what the node has or was sent.
+	catalogSent   uint64
+	topologySent  uint64
+	primaries     []*controlpb.PrimaryView
+	voterIdentity string
+	voterAddress  string
+}
+
+func (l *Leader) handleReport(ctx context.Context, e reportReceived) {
+	a, report := e.from, e.report
+	if !l.leading {
+		a.end()
+		return
+	}
+	now := clock.Now()
+	if !l.attended[a] {
+		l.attend(ctx, now, a, report)
+	}
+	a.sequence, a.reportedAt = report.Sequence, now
+	a.primaries = report.Primaries
+	a.voterIdentity, a.voterAddress = report.VoterIdentity, report.VoterAddress
+	grants := l.owner.Report(now, a.node, report.Incarnation, a.stream, report.Tokens)
+	if report.Leaving {
+		l.handleEnded(a)
+		return
+	}
+	l.send(a, grants)
+	l.recall(now)
+}
+
+// attend takes over a new stream. An earlier one of the same node ends.
+func (l *Leader) attend(ctx context.Context, now time.Duration, a *attendance, first *controlpb.NodeReport) {
+	for other := range l.attended {
+		if other.node == first.Node {
+			other.end()
+			delete(l.attended, other)
+		}
+	}
+	l.streams++
+	a.node, a.stream = first.Node, l.streams
+	a.catalogSent, a.topologySent = first.CatalogVersion, first.TopologyRevision
+	l.attended[a] = true
+	l.adopt(now, first.Topology)
+	l.register(ctx, a.node)
+	l.log.WithFields(logrus.Fields{
+		"event": "node_attended", "node": a.node, "catalog": first.CatalogVersion, "voter": first.VoterIdentity,
+	}).Info("node attends")
+}
+
+// adopt takes over what an earlier leader has told a node.
+func (l *Leader) adopt(now time.Duration, t *controlpb.Topology) {
+	if t == nil {
+		return
+	}
+	for _, p := range t.Primaries {
+		l.groupOf(now, p.Service).machine.Adopt(now, p.Upstream, p.Term)
+	}
+	if l.registry.Hearsay(now, t) {
+		l.pushAll()
+	}
+}
+
+// register makes later leaders wait for the node's report before they grant tokens.
+func (l *Leader) register(ctx context.Context, node string) {
+	for _, known := range l.store.current().Nodes {
+		if known.Name == node {
+			return
+		}
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+		defer cancel()
+		_, err := l.replicator.Propose(ctx, &controlpb.Command{
+			Change: &controlpb.Command_RegisterNode{RegisterNode: &controlpb.NodeMember{Name: node}},
+		})
+		if err != nil {
+			l.log.WithError(err).WithField("node", node).Warn("node was not registered; its next stream tries again")
+		}
+	}()
+}
+
+func (l *Leader) handleEnded(a *attendance) {
+	if !l.attended[a] {
+		return
+	}
+	delete(l.attended, a)
+	l.owner.RemoveProxy(clock.Now(), a.node)
+	l.log.WithFields(logrus.Fields{"event": "node_left", "node": a.node}).Warn("stream of a node ended")
+}
+
+// pushAll sends every node what it lacks.
+func (l *Leader) pushAll() {
+	for a := range l.attended {
+		l.send(a, nil)
+	}
+}
+
+// recall pushes requests to return unused tokens.
+func (l *Leader) recall(now time.Duration) {
+	for _, r := range l.owner.Recalls(now) {
+		for a := range l.attended {
+			if a.node == r.Proxy {
+				l.send(a, r.Grants)
+			}
+		}
+	}
+}
+
+// send queues an update. A node that does not read loses its stream and comes back.
+func (l *Leader) send(a *attendance, grants []*controlpb.TokenGrant) {
+	u := &controlpb.NodeUpdate{
+		Sequence: a.sequence, Grants: grants, Nodes: uint32(len(l.attended)), Voters: l.voterAddresses(),
+	}
+	if c := l.store.current().Catalog; c != nil && c.Version != a.catalogSent {
+		u.Catalog = withoutDocument(c)
+		a.catalogSent = c.Version
+	}
+	if revision := l.registry.Revision(); revision != a.topologySent {
+		u.Topology = l.topology()
+		a.topologySent = revision
+	}
+	select {
+	case a.updates <- u:
+	default:
+		a.end()
+	}
+}
+
+func withoutDocument(c *controlpb.Catalog) *controlpb.Catalog {
+	return &controlpb.Catalog{
+		Version: c.Version, Routes: c.Routes, Services: c.Services, Teams: c.Teams,
+		TransactionIdleMs: c.TransactionIdleMs,
+	}
+}
+
+func (l *Leader) topology() *controlpb.Topology {
+	t := &controlpb.Topology{Revision: l.registry.Revision()}
+	for _, u := range l.registry.Live() {
+		t.Upstreams = append(t.Upstreams, &controlpb.TopologyUpstream{
+			Id: u.ID, Service: u.Service, Address: u.Address, Place: u.Place, Slots: u.Slots, Draining: u.Draining,
+		})
+	}
+	for service, g := range l.groups {
+		if id, term, changing := g.machine.Primary(); id != "" {
+			t.Primaries = append(t.Primaries, &controlpb.TopologyPrimary{
+				Service: service, Upstream: id, Term: term, Changing: changing,
+			})
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/gateway/coordinator/groups.go
@@ -0,0 +1,282 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/gateway/succession"
+	"github.com/jayloom/jayloom/gateway/topology"
+)
+
+const (
+	// probeInterval is the time between two probes of an upstream.
+	probeInterval = 300 * time.Millisecond
+	// probeTimeout bounds one probe, with its connection.
+	probeTimeout = 500 * time.Millisecond
+	// promoteTimeout bounds the wait for the answer to an order to promote.
+	promoteTimeout = time.Second
+	// opinionFresh is the age up to which a node's report counts.
+	opinionFresh = time.Second
+	// failingAfter and longFailingAfter are the times of failed attempts after which a
+	// node counts as cut off from a primary.
+	failingAfter     = 500 * time.Millisecond
+	longFailingAfter = 1500 * time.Millisecond
+	// fencesPerTerm is the room for fences of one leader, so that a later leader's are
+	// all higher.
+	fencesPerTerm = 1 << 20
+)
+
+// group is the leader's view of one service.
+type group struct {
+	machine      *succession.Machine
+	syncReplicas int
+	samples      map[string]succession.Sample
+	// probers are the running probe loops by upstream.
+	probers map[string]*prober
+	// shown is what proxies were told last.
+	shown shownPrimary
+}
+
+type shownPrimary struct {
+	id       string
+	term     uint64
+	changing bool
+}
+
+// prober probes one upstream.
+type prober struct {
+	cancel  context.CancelFunc
+	address string
+	now     chan struct{}
+}
+
+type (
+	probed struct {
+		upstream topology.Upstream
+		term     uint64
+		sample   succession.Sample
+	}
+	promoted struct {
+		service, upstream string
+		term              uint64
+		fence             uint64
+		outcome           Promotion
+	}
+)
+
+func (l *Leader) groupOf(now time.Duration, service string) *group {
+	g := l.groups[service]
+	if g == nil {
+		g = &group{
+			machine: succession.New(now), samples: map[string]succession.Sample{}, probers: map[string]*prober{},
+		}
+		l.groups[service] = g
+	}
+	return g
+}
+
+func (g *group) stop() {
+	for _, p := range g.probers {
+		p.cancel()
+	}
+	g.probers = map[string]*prober{}
+}
+
+func (g *group) probeNow() {
+	for _, p := range g.probers {
+		select {
+		case p.now <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// stepGroups decides for all groups and reports whether nodes must be told.
+func (l *Leader) stepGroups(ctx context.Context, now time.Duration) bool {
+	byService := map[string][]*topology.Upstream{}
+	for _, u := range l.registry.Live() {
+		byService[u.Service] = append(byService[u.Service], u)
+		l.groupOf(now, u.Service)
+	}
+	changed := false
+	for service, g := range l.groups {
+		l.syncProbers(ctx, g, byService[service])
+		for _, o := range g.machine.Step(now, l.input(now, service, g, byService[service])) {
+			l.carryOut(ctx, service, g, o, byService[service])
+		}
+		id, term, changing := g.machine.Primary()
+		if shown := (shownPrimary{id, term, changing}); shown != g.shown {
+			l.log.WithFields(logrus.Fields{
+				"event": "primary_changed", "service": service, "primary": id, "term": term,
+				"changing": changing, "before": g.shown.id, "before_term": g.shown.term,
+			}).Info("view of the primary changed")
+			g.shown = shown
+			l.registry.Touch()
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (l *Leader) input(now time.Duration, service string, g *group, upstreams []*topology.Upstream) succession.Input {
+	primary, _, _ := g.machine.Primary()
+	in := succession.Input{SyncReplicas: g.syncReplicas, Reach: l.reach(now, service, primary)}
+	for _, u := range upstreams {
+		in.Servers = append(in.Servers, succession.Server{
+			ID: u.ID, Draining: u.Draining, SaysPrimary: u.SaysPrimary, HeardAt: u.HeardAt, Sample: g.samples[u.ID],
+		})
+	}
+	return in
+}
+
+// reach counts the nodes that have an opinion on the primary.
+func (l *Leader) reach(now time.Duration, service, primary string) succession.Reach {
+	r := succession.Reach{}
+	for a := range l.attended {
+		if now-a.reportedAt > opinionFresh {
+			continue
+		}
+		for _, v := range a.primaries {
+			if v.Service != service || v.Upstream != primary {
+				continue
+			}
+			r.Nodes++
+			failing := time.Duration(v.FailingMs) * time.Millisecond
+			if failing >= failingAfter {
+				r.Failing++
+			}
+			if failing >= longFailingAfter {
+				r.LongFailing++
+			}
+		}
+	}
+	return r
+}
+
+func (l *Leader) carryOut(ctx context.Context, service string, g *group, o succession.Order, upstreams []*topology.Upstream) {
+	if o.Pause != "" {
+		for _, u := range upstreams {
+			if u.ID == o.Pause {
+				l.pause(ctx, *u, o.Term)
+			}
+		}
+		return
+	}
+	l.fences++
+	fence := l.term*fencesPerTerm + l.fences
+	primary, term, _ := g.machine.Primary()
+	l.log.WithFields(logrus.Fields{
+		"event": "promotion_ordered", "service": service, "upstream": o.Promote, "reason": string(o.Reason),
+		"fence": fence, "replaces": primary, "replaces_term": term, "position": g.samples[o.Promote].Position.String(),
+	}).Warn("orders a promotion")
+	countPromotion(o.Reason)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+		defer cancel()
+		if !l.mayAct(clock.Now()) {
+			return
+		}
+		outcome := l.config.Promoter.Promote(ctx, service, o.Promote, fence)
+		l.post(context.Background(), promoted{service, o.Promote, l.term, fence, outcome})
+	}()
+}
+
+func (l *Leader) pause(ctx context.Context, u topology.Upstream, term uint64) {
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		if err := l.config.Upstreams.Pause(ctx, u, term); err != nil {
+			l.log.WithError(err).WithField("upstream", u.ID).Warn("replica was not paused; the next step tries again")
+		}
+	}()
+}
+
+func (l *Leader) handlePromoted(e promoted) {
+	if !l.leading || e.term != l.term {
+		return
+	}
+	l.log.WithFields(logrus.Fields{
+		"event": "promotion_answered", "service": e.service, "upstream": e.upstream, "fence": e.fence, "outcome": int(e.outcome),
+	}).Info("order to promote was answered")
+	g := l.groups[e.service]
+	if g == nil {
+		return
+	}
+	switch e.outcome {
+	case PromotionRefused:
+		g.machine.Rejected(clock.Now(), e.upstream)
+	case PromotionNotSent:
+		g.machine.NotOrdered()
+	}
+	g.probeNow()
+}
+
+func (l *Leader) handleProbed(e probed) {
+	if !l.leading || e.term != l.term {
+		return
+	}
+	if g := l.groups[e.upstream.Service]; g != nil {
+		g.samples[e.upstream.ID] = e.sample
+	}
+}
+
+// syncProbers runs one probe loop for each upstream.
+func (l *Leader) syncProbers(ctx context.Context, g *group, upstreams []*topology.Upstream) {
+	present := map[string]string{}
+	for _, u := range upstreams {
+		present[u.ID] = u.Address
+		if g.probers[u.ID] == nil {
+			l.startProber(ctx, g, *u)
+		}
+	}
+	for id, p := range g.probers {
+		if address, ok := present[id]; !ok || address != p.address {
+			p.cancel()
+			delete(g.probers, id)
+			delete(g.samples, id)
+		}
+	}
+}
+
+func (l *Leader) startProber(ctx context.Context, g *group, u topology.Upstream) {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &prober{cancel: cancel, address: u.Address, now: make(chan struct{}, 1)}
+	g.probers[u.ID] = p
+	term := l.term
+	go func() {
+		for {
+			l.probe(ctx, u, term)
+			select {
+			case <-ctx.Done():
+				return
+			case <-p.now:
+			case <-time.After(probeInterval):
+			}
+		}
+	}()
+}
+
+func (l *Leader) probe(ctx context.Context, u topology.Upstream, term uint64) {
+	at := clock.Now()
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	sample, err := l.config.Upstreams.Probe(probeCtx, u)
+	if err != nil {
+		metricProbeFailures.Inc()
+		return
+	}
+	sample.At = at
+	l.post(ctx, probed{u, term, sample})
+}
+
+// voterAddresses returns where nodes find the leader, or who names it.
+func (l *Leader) voterAddresses() []string {
+	addresses := []string{}
+	for _, m := range l.replicator.Status().Members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
--- /dev/null
+++ b/gateway/engine/metrics.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+// Reasons of refusals, one counter for each.
+const (
+	reasonDetached        Reason = "no_valid_lease"
+	reasonNoCatalog       Reason = "no_configuration"
+	reasonUnknownDatabase Reason = "unknown_database"
+	reasonUnknownKey      Reason = "unknown_key"
+	reasonKeyWithdrawn    Reason = "key_withdrawn"
+	reasonRate            Reason = "rate"
+	reasonNoPrimary       Reason = "no_primary"
+	reasonPrimaryFailing  Reason = "primary_failing"
+	reasonNoReplica       Reason = "no_upstream_for_read"
+	reasonUpstreamGone    Reason = "upstream_gone"
+	reasonUpstreamFull    Reason = "upstream_full"
+	reasonUpstreamBusy    Reason = "upstream_busy"
+	reasonDialFailed      Reason = "dial_failed"
+	reasonDialRefused     Reason = "dial_refused"
+	reasonPoolTimeout     Reason = "connection_wait"
+	reasonFailedState     Reason = "failed_transaction"
+	reasonBadStatement    Reason = "bad_statement"
+	reasonUnknownName     Reason = "unknown_statement"
+	reasonAnswerLost      Reason = "answer_lost"
+	reasonTimeout         Reason = "statement_timeout"
+	reasonUpstreamFailed  Reason = "upstream_failed"
+	reasonLostTransaction Reason = "transaction_lost"
+	reasonIdleTransaction Reason = "transaction_idle"
+	reasonAttempts        Reason = "attempts_used_up"
+)
+
+// Reasons of retries, one counter for each.
+type retryReason string
+
+const (
+	retryBehind   retryReason = "behind"
+	retryBusy     retryReason = "busy"
+	retryReadOnly retryReason = "read_only"
+	retryLost     retryReason = "answer_lost"
+	retryDial     retryReason = "dial"
+	retryStale    retryReason = "plan_expired"
+)
+
+var (
+	metricSessions  = metrics.NewCounter("jayloom_gateway_sessions_total")
+	metricDials     = metrics.NewCounter("jayloom_gateway_upstream_dials_total")
+	metricReplaced  = metrics.NewCounter("jayloom_gateway_upstream_replaced_for_team_total")
+	metricPoolWaits = metrics.NewCounter("jayloom_gateway_connection_waits_total")
+	metricObserved  = metrics.NewCounter("jayloom_gateway_position_questions_total")
+
+	metricDialFailures = metrics.NewCounter("jayloom_gateway_upstream_dial_failures_total")
+
+	metricStatementSeconds = metrics.NewHistogram("jayloom_gateway_statement_seconds")
+	metricUpstreamSeconds  = metrics.NewHistogram("jayloom_gateway_upstream_seconds")
+	metricConnWaitSeconds  = metrics.NewHistogram("jayloom_gateway_connection_wait_seconds")
+)
+
+func countRefusal(code rescode.Code, reason Reason) {
+	metrics.GetOrCreateCounter(
+		`jayloom_gateway_refusals_total{code="` + code.String() + `",reason="` + string(reason) + `"}`).Inc()
+}
+
+func countRetry(reason retryReason) {
+	metrics.GetOrCreateCounter(`jayloom_gateway_retries_total{reason="` + string(reason) + `"}`).Inc()
+}
+
+func countRead(target string) {
+	metrics.GetOrCreateCounter(`jayloom_gateway_reads_total{target="` + target + `"}`).Inc()
+}
+
+func observeSeconds(h *metrics.Histogram, d time.Duration) {
+	h.Update(d.Seconds())
+}
--- /dev/null
+++ b/gateway/succession/succession.go
@@ -0,0 +1,292 @@
+// Package succession decides who leads a database group whose servers end the reign
+// of a replaced primary by themselves, at the moment of the promotion. No lease has to
+// lapse first; what remains to be decided is when to promote and whom.
+//
+// The machine is pure: it gets the time and what is known, and returns orders.
+package succession
+
+import (
+	"time"
+
+	"github.com/jayloom/jayloom/gateway/position"
+)
+
+const (
+	// sampleFresh is the age up to which a probe counts: three probe intervals.
+	sampleFresh = 900 * time.Millisecond
+	// suspectAfter is the time without an answer after which a primary that nobody
+	// reaches is replaced.
+	suspectAfter = 600 * time.Millisecond
+	// partialAfter is the time after which a primary that many nodes cannot reach is
+	// replaced although others reach it.
+	partialAfter = 1500 * time.Millisecond
+	// partialShare is the share of the nodes that must have lost the primary then.
+	partialShare = 0.4
+	// partialMaxLag bounds the data of the candidate in that case: acknowledged writes
+	// are worth more than a few seconds of some nodes.
+	partialMaxLag = 100 * time.Millisecond
+	// orderPatience is the time for an ordered promotion to show before it is ordered
+	// anew. The longest promotion that the deployments state takes 1 s.
+	orderPatience = 2500 * time.Millisecond
+	// settleTime is how long a new leader listens before it replaces anybody: one
+	// announcement interval and some probes.
+	settleTime = 1500 * time.Millisecond
+	// rejectedFor is how long a candidate that the platform refused is passed over.
+	rejectedFor = 2 * time.Second
+)
+
+// Server is what the leader knows of one upstream of the group.
+type Server struct {
+	ID       string
+	Draining bool
+	// SaysPrimary is the role in its newest announcement.
+	SaysPrimary bool
+	HeardAt     time.Duration
+	Sample      Sample
+}
+
+// Sample is the newest answer to a probe.
+type Sample struct {
+	// At is the time of the probe; zero without an answer.
+	At       time.Duration
+	Primary  bool
+	Term     uint64
+	Position position.Position
+	// PausedAt is the term for which the server has stopped to receive, or 0.
+	PausedAt uint64
+	Lag      time.Duration
+}
+
+func (s Server) fresh(now time.Duration) bool {
+	return s.Sample.At != 0 && now-s.Sample.At <= sampleFresh
+}
+
+// Reach is how many nodes reach the primary.
+type Reach struct {
+	// Nodes that have an opinion, and those whose attempts have failed for partialAfter
+	// and for suspectAfter.
+	Nodes, LongFailing, Failing int
+}
+
+// Input is everything that a decision depends on.
+type Input struct {
+	Servers []Server
+	Reach   Reach
+	// SyncReplicas is how many replicas must have received an acknowledged commit.
+	SyncReplicas int
+}
+
+// Order is something to carry out.
+type Order struct {
+	// Promote names the server to promote; otherwise Pause does, with Term.
+	Promote string
+	Pause   string
+	Term    uint64
+	Reason  Reason
+}
+
+// Reason says why a primary is replaced.
+type Reason string
+
+// Reasons.
+const (
+	PrimaryLost     Reason = "primary_lost"
+	PrimaryLeaving  Reason = "primary_leaving"
+	PrimaryUnshared Reason = "primary_unreachable_for_many"
+	PrimaryMissing  Reason = "no_primary"
+)
+
+// Machine decides for one group. It has one owner.
+type Machine struct {
+	startedAt time.Duration
+	primary   string
+	term      uint64
+	// answeredAt is when the primary last answered the leader.
+	answeredAt time.Duration
+	ordered    *order
+	rejected   map[string]time.Duration
+}
+
+type order struct {
+	candidate string
+	at        time.Duration
+}
+
+// New returns a machine for a leader that starts at now.
+func New(now time.Duration) *Machine {
+	return &Machine{startedAt: now, rejected: map[string]time.Duration{}}
+}
+
+// Primary returns the primary in force, its term, and whether it is being replaced.
+func (m *Machine) Primary() (id string, term uint64, changing bool) {
+	return m.primary, m.term, m.ordered != nil
+}
+
+// Adopt takes over what an earlier leader said, unless more is known already.
+func (m *Machine) Adopt(now time.Duration, primary string, term uint64) {
+	if term <= m.term || primary == "" {
+		return
+	}
+	m.primary, m.term, m.answeredAt = primary, term, now
+}
+
+// Rejected takes over that the platform refused to promote a server.
+func (m *Machine) Rejected(now time.Duration, id string) {
+	m.rejected[id] = now
+	m.ordered = nil
+}
+
+// NotOrdered takes over that an order was not accepted. It is given again.
+func (m *Machine) NotOrdered() {
+	m.ordered = nil
+}
+
+// Step decides. It returns at most one promotion.
+func (m *Machine) Step(now time.Duration, in Input) []Order {
+	m.observe(now, in.Servers)
+	if m.ordered != nil {
+		if now-m.ordered.at < orderPatience {
+			return nil
+		}
+		m.ordered = nil
+	}
+	reason := m.reason(now, in)
+	if reason == "" {
+		return nil
+	}
+	return m.replace(now, in, reason)
+}
+
+// observe finds the server that leads the newest term.
+func (m *Machine) observe(now time.Duration, servers []Server) {
+	for _, s := range servers {
+		if !s.fresh(now) || !s.Sample.Primary || s.Sample.Term < m.term {
+			continue
+		}
+		if s.Sample.Term > m.term || s.ID != m.primary {
+			m.primary, m.term = s.ID, s.Sample.Term
+			m.ordered = nil
+		}
+	}
+	if m.primary == "" {
+		m.primary = announcedPrimary(servers)
+		m.answeredAt = now
+	}
+	for _, s := range servers {
+		if s.ID == m.primary && s.Sample.Primary && s.Sample.At != 0 {
+			m.answeredAt = max(m.answeredAt, s.Sample.At)
+		}
+	}
+}
+
+// announcedPrimary returns the one server that says it leads, before any has answered.
+func announcedPrimary(servers []Server) string {
+	id := ""
+	for _, s := range servers {
+		if !s.SaysPrimary {
+			continue
+		}
+		if id != "" {
+			return ""
+		}
+		id = s.ID
+	}
+	return id
+}
+
+// reason returns why the primary has to be replaced now, or nothing.
+func (m *Machine) reason(now time.Duration, in Input) Reason {
+	if now-m.startedAt < settleTime {
+		return ""
+	}
+	primary := find(in.Servers, m.primary)
+	switch {
+	case primary == nil && m.primary != "" && now-m.answeredAt < suspectAfter:
+		return ""
+	case primary == nil:
+		return PrimaryMissing
+	case primary.Draining:
+		return PrimaryLeaving
+	case primary.fresh(now) && !primary.Sample.Primary:
+		// It answers as a replica and nobody leads: it came back after a promotion that
+		// this leader does not see, or it was demoted.
+		return PrimaryMissing
+	case now-m.answeredAt >= suspectAfter && in.Reach.Failing == in.Reach.Nodes:
+		return PrimaryLost
+	case m.lostByMany(in):
+		return PrimaryUnshared
+	default:
+		return ""
+	}
+}
+
+func (m *Machine) lostByMany(in Input) bool {
+	return in.Reach.Nodes > 1 && float64(in.Reach.LongFailing) >= partialShare*float64(in.Reach.Nodes)
+}
+
+func find(servers []Server, id string) *Server {
+	for i := range servers {
+		if servers[i].ID == id {
+			return &servers[i]
+		}
+	}
+	return nil
+}
+
+// replace orders the promotion of the most advanced replica, behind a pause where
+// acknowledged commits must be on it.
+func (m *Machine) replace(now time.Duration, in Input, reason Reason) []Order {
+	if in.SyncReplicas > 0 {
+		if pauses, complete := m.pause(now, in); !complete {
+			return pauses
+		}
+	}
+	candidate := m.candidate(now, in.Servers, reason)
+	if candidate == "" {
+		return nil
+	}
+	m.ordered = &order{candidate: candidate, at: now}
+	return []Order{{Promote: candidate, Term: m.term + 1, Reason: reason}}
+}
+
+// pause stops the replicas from receiving, so that their positions are final. It is
+// complete when every acknowledged commit is on one of those that have stopped.
+func (m *Machine) pause(now time.Duration, in Input) (pauses []Order, complete bool) {
+	stopped, replicas := 0, 0
+	for _, s := range in.Servers {
+		if s.ID == m.primary {
+			continue
+		}
+		replicas++
+		switch {
+		case !s.fresh(now):
+		case s.Sample.PausedAt > m.term:
+			stopped++
+		default:
+			pauses = append(pauses, Order{Pause: s.ID, Term: m.term + 1})
+		}
+	}
+	return pauses, stopped > 0 && stopped >= replicas-in.SyncReplicas+1
+}
+
+func (m *Machine) candidate(now time.Duration, servers []Server, reason Reason) string {
+	best := -1
+	for i, s := range servers {
+		if s.Draining || !s.fresh(now) || (s.ID == m.primary && reason != PrimaryMissing) {
+			continue
+		}
+		if at, ok := m.rejected[s.ID]; ok && now-at < rejectedFor {
+			continue
+		}
+		if reason == PrimaryUnshared && s.Sample.Lag > partialMaxLag {
+			continue
+		}
+		if best < 0 || servers[best].Sample.Position.Before(s.Sample.Position) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	return servers[best].ID
+}
--- a/proxy/admission.go
+++ b/proxy/admission/admission.go
@@ -1,4 +1,6 @@
-package proxy
+// Package admission hands out the request tokens of a process, and makes requests wait
+// for tokens that control grants a moment later.
+package admission
 
 import (
 	"context"
@@ -11,7 +13,7 @@
 )
 
 // TokenHolder holds the request tokens that control granted. It is not safe for
-// concurrent use; admission guards it.
+// concurrent use; Queue guards it.
 type TokenHolder interface {
 	Take(now time.Duration, team string) bool
 	// Exhausted says that the owner reported the team's bucket as empty.
@@ -24,8 +26,8 @@
 	StreamStarted(now time.Duration)
 }
 
-// admission hands out request tokens, in order of arrival within a team.
-type admission struct {
+// Queue hands out request tokens, in order of arrival within a team.
+type Queue struct {
 	mu      sync.Mutex
 	holder  TokenHolder
 	waiting map[string][]*tokenWaiter
@@ -38,12 +40,14 @@
 	answered bool
 }
 
-func newAdmission(holder TokenHolder, urgent func()) *admission {
-	return &admission{holder: holder, waiting: map[string][]*tokenWaiter{}, urgent: urgent}
+// New returns a queue in front of holder. urgent is called when a report should be sent
+// before the next interval.
+func New(holder TokenHolder, urgent func()) *Queue {
+	return &Queue{holder: holder, waiting: map[string][]*tokenWaiter{}, urgent: urgent}
 }
 
-// take takes a token without waiting.
-func (a *admission) take(now time.Duration, team string) bool {
+// Take takes a token without waiting.
+func (a *Queue) Take(now time.Duration, team string) bool {
 	a.mu.Lock()
 	taken := len(a.waiting[team]) == 0 && a.holder.Take(now, team)
 	urgent := a.holder.Urgent(now)
@@ -54,10 +58,10 @@
 	return taken
 }
 
-// wait takes a token, waiting until ctx ends. limit bounds the wait while the
+// Wait takes a token, waiting until ctx ends. limit bounds the wait while the
 // team's bucket is known to be empty.
-func (a *admission) wait(ctx context.Context, now time.Duration, team string, limit time.Duration) *rescode.Error {
-	if a.take(now, team) {
+func (a *Queue) Wait(ctx context.Context, now time.Duration, team string, limit time.Duration) *rescode.Error {
+	if a.Take(now, team) {
 		return nil
 	}
 	metricTokenWaits.Inc()
@@ -82,13 +86,13 @@
 	}
 }
 
-func (a *admission) exhausted(now time.Duration, team string) bool {
+func (a *Queue) exhausted(now time.Duration, team string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.holder.Exhausted(now, team)
 }
 
-func (a *admission) enqueue(team string) *tokenWaiter {
+func (a *Queue) enqueue(team string) *tokenWaiter {
 	w := &tokenWaiter{granted: make(chan struct{})}
 	a.mu.Lock()
 	a.waiting[team] = append(a.waiting[team], w)
@@ -99,7 +103,7 @@
 }
 
 // giveUp takes a waiter out. A token that was granted at the same moment is used.
-func (a *admission) giveUp(w *tokenWaiter, team string, exhausted bool) *rescode.Error {
+func (a *Queue) giveUp(w *tokenWaiter, team string, exhausted bool) *rescode.Error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	queue := a.waiting[team]
@@ -127,7 +131,7 @@
 	return rescode.New(rescode.RateExceeded, text, team)
 }
 
-func (a *admission) setWaiting(team string, queue []*tokenWaiter) {
+func (a *Queue) setWaiting(team string, queue []*tokenWaiter) {
 	if len(queue) == 0 {
 		delete(a.waiting, team)
 		return
@@ -136,21 +140,21 @@
 }
 
 // Report implements attend.TokenReporter.
-func (a *admission) Report(now time.Duration) []*controlpb.TokenDemand {
+func (a *Queue) Report(now time.Duration) []*controlpb.TokenDemand {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.holder.Report(now)
 }
 
 // StreamStarted implements attend.TokenReporter.
-func (a *admission) StreamStarted(now time.Duration) {
+func (a *Queue) StreamStarted(now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.holder.StreamStarted(now)
 }
 
 // Grant implements attend.TokenReporter and serves who waits.
-func (a *admission) Grant(now, sentAt time.Duration, grant *controlpb.TokenGrant) {
+func (a *Queue) Grant(now, sentAt time.Duration, grant *controlpb.TokenGrant) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.holder.Grant(now, sentAt, grant)
--- a/proxy/admission_test.go
+++ b/proxy/admission/admission_test.go
@@ -1,4 +1,4 @@
-package proxy
+package admission
 
 import (
 	"context"
@@ -25,14 +25,14 @@
 		{rateShort, ended, &fakeTokens{}, true, "granted too little"},
 		{rateExhausted, context.Background(), &fakeTokens{exhausted: true}, true, `team "driver"`},
 	} {
-		c.tokens.withhold("driver", true)
-		a := newAdmission(c.tokens, func() {})
+		c.tokens.withheld = true
+		a := New(c.tokens, func() {})
 		if c.answer {
 			// urgent is called once the request waits.
 			a.urgent = func() { a.Grant(0, 0, &controlpb.TokenGrant{Team: "driver"}) }
 		}
 		before := metricRateRefusals[c.reason].Get()
-		refused := a.wait(c.ctx, 0, "driver", time.Nanosecond)
+		refused := a.Wait(c.ctx, 0, "driver", time.Nanosecond)
 		if refused == nil || refused.Code != rescode.RateExceeded || !strings.Contains(refused.Error(), c.text) {
 			t.Errorf("%s: answered with %v", c.reason, refused)
 		}
@@ -41,3 +41,16 @@
 		}
 	}
 }
+
+// fakeTokens withholds tokens as a test says.
+type fakeTokens struct {
+	withheld, exhausted bool
+}
+
+func (f *fakeTokens) Take(time.Duration, string) bool                   { return !f.withheld }
+func (f *fakeTokens) Exhausted(time.Duration, string) bool              { return f.exhausted }
+func (f *fakeTokens) Urgent(time.Duration) bool                         { return false }
+func (f *fakeTokens) Waiting(string, int)                               {}
+func (f *fakeTokens) Report(time.Duration) []*controlpb.TokenDemand     { return nil }
+func (f *fakeTokens) Grant(_, _ time.Duration, _ *controlpb.TokenGrant) {}
+func (f *fakeTokens) StreamStarted(time.Duration)                       {}
--- /dev/null
+++ b/proxy/admission/bench_test.go
@@ -0,0 +1,22 @@
+package admission
+
+import "testing"
+
+// BenchmarkTake measures the admission of one request.
+func BenchmarkTake(b *testing.B) {
+	a := New(&fakeTokens{}, func() {})
+	b.ReportAllocs()
+	for b.Loop() {
+		if !a.Take(0, "driver") {
+			b.Fatal("no token")
+		}
+	}
+}
+
+// Guards against allocations in the admission, which every request pays.
+func TestTakeDoesNotAllocate(t *testing.T) {
+	a := New(&fakeTokens{}, func() {})
+	if n := testing.AllocsPerRun(100, func() { a.Take(0, "driver") }); n > 0 {
+		t.Errorf("%v allocations per request", n)
+	}
+}
--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -58,25 +58,6 @@
 	})
 }
 
-// BenchmarkTake measures the admission of one request.
-func BenchmarkTake(b *testing.B) {
-	a := newAdmission(&fakeTokens{}, func() {})
-	b.ReportAllocs()
-	for b.Loop() {
-		if !a.take(0, "driver") {
-			b.Fatal("no token")
-		}
-	}
-}
-
-// Guards against allocations in the admission, which every request pays.
-func TestTakeDoesNotAllocate(t *testing.T) {
-	a := newAdmission(&fakeTokens{}, func() {})
-	if n := testing.AllocsPerRun(100, func() { a.take(0, "driver") }); n > 0 {
-		t.Errorf("%v allocations per request", n)
-	}
-}
-
 // idleBytes bounds the memory of an idle client connection.
 const idleBytes = 16 << 10
 
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -68,21 +68,6 @@
 	return m
 }
 
-// rateReason says why a request got no token in time.
-type rateReason string
-
-const (
-	// rateExhausted: the owner has said that the team's bucket is empty.
-	rateExhausted rateReason = "exhausted"
-	// rateShort: the owner answered, but granted too little before the deadline.
-	rateShort rateReason = "short"
-	// rateNoOwner: no owner answered while the request waited.
-	rateNoOwner rateReason = "no_owner"
-)
-
-var metricRateRefusals = labelled("jayloom_proxy_rate_refusals_total", "reason",
-	rateExhausted, rateShort, rateNoOwner)
-
 func labelled[L ~string](name, label string, values ...L) map[L]*metrics.Counter {
 	m := make(map[L]*metrics.Counter, len(values))
 	for _, value := range values {
@@ -108,5 +93,4 @@
 	metricResets          = metrics.NewCounter("jayloom_proxy_upstream_resets_total")
 	metricQueued          = metrics.NewCounter("jayloom_proxy_pool_queued_total")
 	metricPins            = metrics.NewCounter("jayloom_proxy_pins_total")
-	metricTokenWaits      = metrics.NewCounter("jayloom_proxy_token_waits_total")
 )
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -189,7 +189,7 @@
 		return nil
 	}
 	limit := min(time.Duration(s.server.settings.TokenWaitMs)*time.Millisecond, deadline)
-	return s.server.admission.wait(r.ctx, clock.Now(), s.team, limit)
+	return s.server.admission.Wait(r.ctx, clock.Now(), s.team, limit)
 }
 
 // runBound executes a request on the connection of the open transaction or batch.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -17,6 +17,7 @@
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/base/settings"
+	"github.com/jayloom/jayloom/proxy/admission"
 	"github.com/jayloom/jayloom/proxy/view"
 )
 
@@ -29,7 +30,7 @@
 type Options struct {
 	Settings settings.Proxy
 	Store    *view.Store
-	Tokens   TokenHolder
+	Tokens   admission.TokenHolder
 	Shares   ShareHolder
 	// Dialer opens connections to upstreams; nil logs in with the settings' account.
 	Dialer Dialer
@@ -45,7 +46,7 @@
 	opts      Options
 	settings  settings.Proxy
 	view      view.View
-	admission *admission
+	admission *admission.Queue
 	pools     *poolSet
 	registry  *registry
 	retries   *retryBudget
@@ -85,7 +86,7 @@
 		stop:       make(chan struct{}),
 	}
 	s.groups = &groupUse{reportNow: s.report}
-	s.admission = newAdmission(opts.Tokens, s.report)
+	s.admission = admission.New(opts.Tokens, s.report)
 	s.pools = &poolSet{
 		dialer:           opts.Dialer,
 		queuePerTeam:     int(opts.Settings.QueuePerTeam),
@@ -108,7 +109,7 @@
 }
 
 // TokenReporter returns what the control client reports and grants tokens to.
-func (s *Server) TokenReporter() *admission { return s.admission }
+func (s *Server) TokenReporter() *admission.Queue { return s.admission }
 
 // GroupReporter returns what tells the control client which groups are served.
 func (s *Server) GroupReporter() *groupUse { return s.groups }
--- a/proxy/text_test.go
+++ b/proxy/text_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/jayloom/jayloom/proxy/admission"
 	"github.com/jayloom/jayloom/proxy/view"
 )
 
@@ -127,7 +128,7 @@
 
 func newDetached() detached {
 	s := &Server{registry: newRegistry(), retries: newRetryBudget(10)}
-	s.admission = newAdmission(&fakeTokens{}, func() {})
+	s.admission = admission.New(&fakeTokens{}, func() {})
 	s.view = emptyView()
 	return detached{s}
 }
