Open no more connections than a node's equal part

Reads now also prefer an upstream on which a connection of the team is idle.

Ruled out for now: lending connections by demand through the leader.

--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -126,7 +126,7 @@
 
 // planRead chooses an upstream for a read that may miss commits older than maxStaleness.
 // ok is false when only the primary can serve it.
-func (g *group) planRead(now, maxStaleness time.Duration, place string, own position.Position, skip map[string]bool) (
+func (g *group) planRead(now, maxStaleness time.Duration, place, team string, own position.Position, skip map[string]bool) (
 	p *pool, floor position.Position, sendBy time.Duration, ok bool,
 ) {
 	g.mu.Lock()
@@ -136,7 +136,7 @@
 	pools := g.ordered
 	candidates := make([]Candidate, 0, len(pools))
 	for _, candidate := range pools {
-		candidates = append(candidates, candidate.status(now))
+		candidates = append(candidates, candidate.status(now, team))
 	}
 	g.mu.Unlock()
 	if !ok {
--- a/gateway/engine/plan.go
+++ b/gateway/engine/plan.go
@@ -17,6 +17,9 @@
 	unprovenCost = 8 * time.Millisecond
 	// fullCost is what an upstream counts more on which a connection must be waited for.
 	fullCost = 20 * time.Millisecond
+	// connectCost is what an upstream counts more on which a connection must be opened.
+	// It takes one of its slots for as long as a short statement.
+	connectCost = 15 * time.Millisecond
 	// stalenessReserve is the time from the plan until the upstream starts the read.
 	stalenessReserve = 400 * time.Millisecond
 	// stalenessMargin is what must be left of it when the read is sent.
@@ -29,14 +32,16 @@
 
 // Candidate is an upstream as the choice sees it.
 type Candidate struct {
-	ID, Place    string
-	Draining     bool
-	Failing      bool
-	Full         bool
-	LatelyBehind bool
-	InFlight     int
-	Latency      time.Duration
-	Position     position.Position
+	ID, Place string
+	Draining  bool
+	Failing   bool
+	// Connected is true when an idle connection of the team is at hand, Full when one
+	// must be waited for.
+	Connected, Full bool
+	LatelyBehind    bool
+	InFlight        int
+	Latency         time.Duration
+	Position        position.Position
 }
 
 // choose returns the index of the candidate that is expected to answer a read first, or
@@ -62,8 +67,11 @@
 		} else if !proven {
 			cost += unprovenCost
 		}
-		if c.Full {
+		switch {
+		case c.Full:
 			cost += fullCost
+		case !c.Connected:
+			cost += connectCost
 		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -18,11 +18,8 @@
 	// fullFor is how long an upstream that refused a connection is not dialled again
 	// beyond the node's equal part.
 	fullFor = 500 * time.Millisecond
-	// burstFactor is how many times its equal part a node may open.
-	burstFactor = 3
-	// spareConnections of each upstream stay for probes and for connections that
-	// closed without the upstream's notice.
-	spareConnections = 2
+	// spareConnections of each upstream stay for the leader's probes.
+	spareConnections = 1
 	// idleBeyondShare closes idle connections above the equal part.
 	idleBeyondShare = 2 * time.Second
 	// idleLimit closes all others.
@@ -88,7 +85,7 @@
 		maxConnections = math.MaxInt32
 	}
 	p.share = max(1, (maxConnections-spareConnections)/max(1, nodes))
-	p.limit = max(1, min(burstFactor*p.share, maxConnections-spareConnections))
+	p.limit = p.share
 }
 
 // allowed is how many connections may be open now. The caller holds mu.
@@ -376,14 +373,26 @@
 	return max(time.Millisecond, now-p.failingAt)
 }
 
-// status is what the choice of an upstream depends on.
-func (p *pool) status(now time.Duration) Candidate {
+// connected reports whether an idle connection of the team is at hand. The caller
+// holds mu.
+func (p *pool) connected(team string) bool {
+	for _, l := range p.idle {
+		if l.team == team {
+			return true
+		}
+	}
+	return false
+}
+
+// status is what the choice of an upstream for a team depends on.
+func (p *pool) status(now time.Duration, team string) Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return Candidate{
 		ID: p.target.ID, Place: p.place, Draining: p.draining, Failing: p.failing || p.closed,
-		Full:     p.open >= p.allowed(now) && len(p.idle) == 0,
-		InFlight: p.inFlight + len(p.waiters), Latency: p.latencyNow(now),
+		Connected: p.connected(team),
+		Full:      p.open >= p.allowed(now) && len(p.idle) == 0,
+		InFlight:  p.inFlight + len(p.waiters), Latency: p.latencyNow(now),
 		Position: p.position, LatelyBehind: p.behindAt != 0 && now-p.behindAt < behindMemory,
 	}
 }
--- a/gateway/engine/single.go
+++ b/gateway/engine/single.go
@@ -148,7 +148,7 @@
 	return s.attempts(op, st, func(int) verdict {
 		now := clock.Now()
 		p, floor, sendBy, ok := op.group.planRead(
-			now, op.route.MaxStaleness, s.engine.opts.Place, s.newest[op.group.service], skip)
+			now, op.route.MaxStaleness, s.engine.opts.Place, op.team, s.newest[op.group.service], skip)
 		if !ok {
 			primary, refusal := s.engine.primary(op)
 			if refusal != nil {
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -159,7 +159,7 @@
 		var floor position.Position
 		var ok bool
 		p, floor, sendBy, ok = t.op.group.planRead(
-			clock.Now(), t.op.route.MaxStaleness, s.engine.opts.Place, s.newest[t.op.group.service], skip)
+			clock.Now(), t.op.route.MaxStaleness, s.engine.opts.Place, t.op.team, s.newest[t.op.group.service], skip)
 		if ok {
 			begin = Statement{Kind: BeginRead, After: floor}
 		} else {
