Let request tokens last through the loss of the leader

Now: rate.GatewayConfig (lifetime 5 s, 3 s of reserve, a new owner grants the refill of the rate at once), a wait for a token of a quarter of the objective at most, and a stream to the leader that is silent for 600 ms ends. The product's own configuration is unchanged.

Ruled out: slow recovery after power loss (leader back 0.7 s after the last VM).

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -177,7 +177,7 @@
 
 func (n *node) startClient() {
 	var tokens *admission.Queue
-	tokens = admission.New(rate.NewHolder(), func() { n.client.ReportNow() })
+	tokens = admission.New(rate.NewHolder(rate.GatewayConfig()), func() { n.client.ReportNow() })
 	voter := attend.Voter{}
 	if n.replica != nil {
 		voter = attend.Voter{Identity: n.replica.Status().Identity, Address: n.address}
--- a/cmd/jayloom-proxy/main.go
+++ b/cmd/jayloom-proxy/main.go
@@ -94,7 +94,7 @@
 	p.server = proxy.New(proxy.Options{
 		Settings: s.Proxy,
 		Store:    store,
-		Tokens:   rate.NewHolder(),
+		Tokens:   rate.NewHolder(rate.DefaultConfig()),
 		Shares:   share.NewHolder(),
 		TLS:      callerTLS,
 		Peers:    &proxy.Peers{DialOptions: dial},
--- a/gateway/attend/attend.go
+++ b/gateway/attend/attend.go
@@ -28,7 +28,7 @@
 	// urgentGap bounds how often urgent reports are sent.
 	urgentGap = 5 * time.Millisecond
 	// silenceLimit ends a stream whose leader does not answer.
-	silenceLimit = 900 * time.Millisecond
+	silenceLimit = 600 * time.Millisecond
 	// openLimit bounds one attempt to open a stream.
 	openLimit = 500 * time.Millisecond
 	// retryPause is the time between two attempts.
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -192,7 +192,7 @@
 	l.attended = map[*attendance]bool{}
 	l.teams = map[string]bool{}
 	l.members = membership{}
-	l.owner = rate.NewOwner(rate.DefaultConfig())
+	l.owner = rate.NewOwner(rate.GatewayConfig())
 	names := []string{}
 	for _, node := range l.store.current().Nodes {
 		names = append(names, node.Name)
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -22,6 +22,10 @@
 	publicTeam = ""
 	// rateWait bounds the wait for a request token while the team's bucket is empty.
 	rateWait = 100 * time.Millisecond
+	// tokenShare is the part of the latency objective that a caller waits for a token
+	// which nobody grants; a later one would come too late.
+	tokenShare   = 0.25
+	minTokenWait = 30 * time.Millisecond
 	// endTimeout bounds the rollback when a session ends inside a transaction.
 	endTimeout = 200 * time.Millisecond
 )
@@ -239,7 +243,8 @@
 	if op.team == publicTeam {
 		return op, nil
 	}
-	ctx, cancel := context.WithDeadline(ctx, op.deadline)
+	limit := min(op.route.StatementTimeout, max(minTokenWait, time.Duration(tokenShare*float64(op.route.LatencyObjective))))
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if err := s.engine.opts.Tokens.Wait(ctx, clock.Now(), op.team, rateWait); err != nil {
 		return nil, &Refusal{Code: err.Code, Reason: reasonRate, RetryAfter: retryFailover}
--- a/policy/rate/config.go
+++ b/policy/rate/config.go
@@ -6,10 +6,6 @@
 // owner's.
 const driftBound = 1.05
 
-// reserveFactor is how many times a proxy's wish, its use in 250 ms, it is granted
-// from a bucket that is more than half full. 1.25 s covers most elections.
-const reserveFactor = 5
-
 // Config holds the time limits of an Owner.
 type Config struct {
 	// Lifetime of a grant, from the send time of the report that it answers.
@@ -23,6 +19,26 @@
 	RecoveryLimit time.Duration
 	// RecallGap is the least time between recalls of one team's unused tokens.
 	RecallGap time.Duration
+	// ReserveFactor is how many times a proxy's wish, its use in 250 ms, it is granted
+	// from a bucket that is more than half full.
+	ReserveFactor int64
+	// InterimShare is the part of a team's rate that a new leader grants before it knows
+	// what proxies hold. With 0 the use in any window w is at most rate x w + burst.
+	// Above 0 it may exceed that by what proxies held when the earlier leader was lost;
+	// the bucket then starts empty.
+	InterimShare float64
+}
+
+// GatewayConfig returns the limits for fleets whose bound on the use of a team leaves
+// room beyond its rate and burst: proxies hold more, and go on without an owner.
+func GatewayConfig() Config {
+	c := DefaultConfig()
+	c.Lifetime = 5 * time.Second
+	c.LapseAfter = 5250 * time.Millisecond
+	// 3 s of use cover an election and the return of all proxies.
+	c.ReserveFactor = 12
+	c.InterimShare = 1
+	return c
 }
 
 // DefaultConfig returns the limits of the design page, section 3.10.
@@ -32,5 +48,7 @@
 		LapseAfter:    2625 * time.Millisecond,
 		RecoveryLimit: 30 * time.Second,
 		RecallGap:     20 * time.Millisecond,
+		// 1.25 s covers most elections.
+		ReserveFactor: 5,
 	}
 }
--- a/policy/rate/evidence_test.go
+++ b/policy/rate/evidence_test.go
@@ -109,7 +109,7 @@
 // the leader dropped, and that could not state anything at the next change of owner,
 // and against a young process that states it while an earlier one may hold tokens.
 func TestQuietTimeIsStatedUntilAnswered(t *testing.T) {
-	h, o := NewHolder(), NewOwner(DefaultConfig())
+	h, o := NewHolder(DefaultConfig()), NewOwner(DefaultConfig())
 	h.StreamStarted(0)
 	h.Report(0)
 	for _, g := range o.Report(0, "p", "1", 1, h.Report(0)) {
--- a/policy/rate/holder.go
+++ b/policy/rate/holder.go
@@ -35,11 +35,13 @@
 	// streamAt is the start of the stream; grants for earlier reports are refused.
 	streamAt atomic.Int64
 	quiet    quietTime
+	cfg      Config
 }
 
-// NewHolder returns a Holder without tokens.
-func NewHolder() *Holder {
-	h := &Holder{}
+// NewHolder returns a Holder without tokens. It keeps what an owner with the same
+// configuration grants.
+func NewHolder(cfg Config) *Holder {
+	h := &Holder{cfg: cfg}
 	h.teams.Store(&map[string]*holding{})
 	h.urgentAt.Store(notUrgent)
 	h.reportedAt.Store(int64(-time.Hour))
@@ -61,7 +63,7 @@
 	for name, t := range current {
 		next[name] = t
 	}
-	t := newHolding()
+	t := newHolding(h.cfg)
 	next[team] = t
 	h.teams.Store(&next)
 	return t
--- a/policy/rate/holding.go
+++ b/policy/rate/holding.go
@@ -15,8 +15,6 @@
 	// recentSlots cover the last 50 ms and the slot under way; a proxy keeps that
 	// much when the bucket is empty and others may need its tokens.
 	recentSlots = 2
-	// renewBefore is the rest of the lifetime at which unused tokens are returned.
-	renewBefore = 1250 * time.Millisecond
 	// spareFor is how long after its last use a team keeps one token ready, so that
 	// rare requests need not wait for the owner.
 	spareFor = 2500 * time.Millisecond
@@ -25,6 +23,10 @@
 // holding is what a proxy holds of one team's tokens. Its methods need mu.
 type holding struct {
 	mu sync.Mutex
+	// reserve is Config.ReserveFactor; renewBefore is the rest of the lifetime at which
+	// unused tokens are returned.
+	reserve     int64
+	renewBefore time.Duration
 	// lots are consumed in the order in which they were granted.
 	lots []heldLot
 	held int64
@@ -56,8 +58,8 @@
 	until  time.Duration
 }
 
-func newHolding() *holding {
-	return &holding{lastUse: -spareFor}
+func newHolding(cfg Config) *holding {
+	return &holding{lastUse: -spareFor, reserve: cfg.ReserveFactor, renewBefore: cfg.Lifetime / 2}
 }
 
 func (t *holding) take(now time.Duration) bool {
@@ -166,7 +168,7 @@
 	if t.isExhausted(now) {
 		return t.recentUse(now, recentSlots) + t.waiting
 	}
-	return (reserveFactor+1)*t.wanted(now) + 1
+	return (t.reserve+1)*t.wanted(now) + 1
 }
 
 // giveBack returns what the proxy does not need. The owner must have answered on this
@@ -174,7 +176,7 @@
 func (t *holding) giveBack(now time.Duration) {
 	if !t.isExhausted(now) {
 		// Old tokens are exchanged for new ones, which last through an election.
-		t.expire(now + renewBefore)
+		t.expire(now + t.renewBefore)
 	}
 	if excess := t.held - t.keep(now); excess > 0 {
 		t.consume(excess)
--- a/policy/rate/owner.go
+++ b/policy/rate/owner.go
@@ -78,8 +78,10 @@
 	o.settledAt = o.now
 	quiet := o.quietTime()
 	for _, t := range o.teams {
-		t.bucket = t.refilledWithoutOwner(quiet)
-		t.refilledAt = o.now
+		if o.cfg.InterimShare == 0 {
+			t.bucket = t.refilledWithoutOwner(quiet)
+			t.refilledAt = o.now
+		}
 		t.recovering = true
 		// The requests that wait on all proxies have equal claims to it.
 		t.fair.refilled(t.bucket, t.unmet)
--- a/policy/rate/rate_test.go
+++ b/policy/rate/rate_test.go
@@ -168,7 +168,7 @@
 func TestTokensAtTheEndOfTheirLife(t *testing.T) {
 	local := func(now time.Duration) time.Duration { return time.Duration(float64(now) / 1.05) }
 	for wait := 2300 * time.Millisecond; wait < 2800*time.Millisecond; wait += 5 * time.Millisecond {
-		o, h, start := NewOwner(DefaultConfig()), NewHolder(), time.Hour
+		o, h, start := NewOwner(DefaultConfig()), NewHolder(DefaultConfig()), time.Hour
 		o.Lead(0, nil)
 		o.SetTeam(start, teamName, 1000, 1000)
 		granted := o.Report(start, "slow", "1", 1, []*controlpb.TokenDemand{{Team: teamName, Wanted: 400}})[0]
@@ -190,7 +190,7 @@
 // TestNewStreamKeepsWhatIsHeld guards against tokens that are granted a second time
 // because their holder reports on a new stream.
 func TestNewStreamKeepsWhatIsHeld(t *testing.T) {
-	o, h := NewOwner(DefaultConfig()), NewHolder()
+	o, h := NewOwner(DefaultConfig()), NewHolder(DefaultConfig())
 	o.Lead(0, nil)
 	o.SetTeam(time.Hour, teamName, 100, 100)
 	wish := &controlpb.TokenDemand{Team: teamName, Wanted: 100}
@@ -219,7 +219,7 @@
 
 // TestTakeDoesNotAllocate guards the cost of admission.
 func TestTakeDoesNotAllocate(t *testing.T) {
-	h := NewHolder()
+	h := NewHolder(DefaultConfig())
 	h.Grant(0, 0, &controlpb.TokenGrant{Team: teamName, Tokens: 1e6, LifetimeMs: 2500})
 	if n := testing.AllocsPerRun(1000, func() { h.Take(time.Second, teamName) }); n != 0 {
 		t.Errorf("%g allocations", n)
@@ -229,7 +229,7 @@
 // TestConcurrentUse guards against more tokens taken than granted by many
 // goroutines; run it with -race.
 func TestConcurrentUse(t *testing.T) {
-	h := NewHolder()
+	h := NewHolder(DefaultConfig())
 	h.Grant(0, 0, &controlpb.TokenGrant{Team: teamName, Tokens: 1000, LifetimeMs: 2500})
 	var wg sync.WaitGroup
 	taken := make([]int, 8)
@@ -256,7 +256,7 @@
 }
 
 func BenchmarkTake(b *testing.B) {
-	h := NewHolder()
+	h := NewHolder(DefaultConfig())
 	h.Grant(0, 0, &controlpb.TokenGrant{Team: teamName, Tokens: 1e15, LifetimeMs: 1 << 31})
 	b.ReportAllocs()
 	for b.Loop() {
@@ -265,7 +265,7 @@
 }
 
 func BenchmarkTakeParallel(b *testing.B) {
-	h := NewHolder()
+	h := NewHolder(DefaultConfig())
 	h.Grant(0, 0, &controlpb.TokenGrant{Team: teamName, Tokens: 1e15, LifetimeMs: 1 << 31})
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
--- a/policy/rate/reserve_test.go
+++ b/policy/rate/reserve_test.go
@@ -33,7 +33,7 @@
 // TestTokensStayWithoutAnOwner guards against tokens that are returned in the first
 // report of a stream, which nobody reads during an election.
 func TestTokensStayWithoutAnOwner(t *testing.T) {
-	h := NewHolder()
+	h := NewHolder(DefaultConfig())
 	h.StreamStarted(0)
 	h.Report(0)
 	h.Grant(0, 0, &controlpb.TokenGrant{Team: teamName, Tokens: 50, LifetimeMs: 2500})
--- a/policy/rate/team.go
+++ b/policy/rate/team.go
@@ -53,11 +53,15 @@
 
 // refill adds what the time since the last refill gives.
 func (o *Owner) refill(t *team) {
+	share := 1.0
 	if !o.settled {
+		share = o.cfg.InterimShare
+	}
+	if share == 0 {
 		return
 	}
 	before := t.bucket
-	t.bucket += t.rate * max(0, (o.now-t.refilledAt).Seconds())
+	t.bucket += share * t.rate * max(0, (o.now-t.refilledAt).Seconds())
 	t.refilledAt = max(t.refilledAt, o.now)
 	t.clamp()
 	t.fair.refilled(t.bucket-before, t.unmet)
@@ -158,7 +162,7 @@
 	grant := &controlpb.TokenGrant{
 		Team: t.name, LifetimeMs: uint32(o.cfg.Lifetime.Milliseconds()), Rate: t.rate, Burst: t.burst,
 	}
-	if !o.settled || t.removed {
+	if (!o.settled && o.cfg.InterimShare == 0) || t.removed {
 		return grant
 	}
 	tokens := min(missing, t.holdingLimit(a)-a.open(), t.fair.part(a, t.bucket, t.unmet), int64(t.bucket))
@@ -171,7 +175,7 @@
 		missing -= tokens
 	}
 	t.setDemand(a, a.wanted, missing > 0)
-	if t.unmet == 0 {
+	if t.unmet == 0 && o.settled {
 		grant.Tokens += float64(o.grantReserve(t, a))
 	}
 	empty := t.bucket < 1
@@ -193,7 +197,7 @@
 	if 4*float64(a.wanted) > t.burst {
 		return 0
 	}
-	tokens := min(reserveFactor*a.wanted-a.open(), int64(t.bucket-t.burst/2))
+	tokens := min(o.cfg.ReserveFactor*a.wanted-a.open(), int64(t.bucket-t.burst/2))
 	if tokens <= 0 {
 		return 0
 	}
--- a/policy/rate/world_test.go
+++ b/policy/rate/world_test.go
@@ -114,7 +114,7 @@
 	w := &world{rnd: rand.New(rand.NewSource(seed)), meter: newMeter(rate, burst)}
 	w.delay = func() time.Duration { return 1500 * time.Microsecond }
 	for i := range proxies {
-		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("p%d", i), holder: NewHolder(), speed: 1})
+		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("p%d", i), holder: NewHolder(DefaultConfig()), speed: 1})
 	}
 	return w
 }
@@ -158,7 +158,7 @@
 	}
 	n := w.nodes[i]
 	n.incarnation++
-	n.holder = NewHolder()
+	n.holder = NewHolder(DefaultConfig())
 	n.waiting, n.late, n.quietUntil = nil, nil, 0
 	n.stream = 0
 	n.disconnect(w.now)
