Go on with a node's part of the rate while no owner answers

Now each grant names the node's part of the team's rate. A node that no owner has answered for 600 ms uses it for up to 3 s; an owner withholds the parts of nodes that it does not hear from the refill of the others. Off in the product's own configuration.

Ruled out: larger reserves (bounded by the burst), a shorter election.

--- a/gateway/attend/attend.go
+++ b/gateway/attend/attend.go
@@ -42,6 +42,7 @@
 	Report(now time.Duration) []*controlpb.TokenDemand
 	Grant(now, sentAt time.Duration, g *controlpb.TokenGrant)
 	StreamStarted(now time.Duration)
+	Answered(now time.Duration)
 }
 
 // Voter describes the replica of a node with a data folder. Both are empty without one.
@@ -349,6 +350,7 @@
 	if until := int64(sentAt + c.opts.Lease); until > c.leaseUntil.Load() {
 		c.leaseUntil.Store(until)
 	}
+	c.opts.Tokens.Answered(now)
 	for _, g := range u.Grants {
 		c.opts.Tokens.Grant(now, sentAt, g)
 	}
--- a/policy/rate/account.go
+++ b/policy/rate/account.go
@@ -24,6 +24,8 @@
 	// tokens used since its newest grant, and the team's limits in that grant.
 	usedBefore  int64
 	rate, burst float64
+	// standby is the part of the rate that the proxy uses while it hears no owner.
+	standby float64
 }
 
 // lot is one grant: its tokens end at a count.
--- a/policy/rate/config.go
+++ b/policy/rate/config.go
@@ -6,6 +6,10 @@
 // owner's.
 const driftBound = 1.05
 
+// standbyAfter is the silence of the owner after which a proxy goes on by itself. It is
+// above staleAfter, so that the owner withholds that part first.
+const standbyAfter = 600 * time.Millisecond
+
 // Config holds the time limits of an Owner.
 type Config struct {
 	// Lifetime of a grant, from the send time of the report that it answers.
@@ -27,6 +31,9 @@
 	// Above 0 it may exceed that by what proxies held when the earlier leader was lost;
 	// the bucket then starts empty.
 	InterimShare float64
+	// StandbyFor is how long a proxy that no owner answers goes on with its part of the
+	// rate, which the owner withholds from the others meanwhile; 0 means not at all.
+	StandbyFor time.Duration
 }
 
 // GatewayConfig returns the limits for fleets whose bound on the use of a team leaves
@@ -38,6 +45,8 @@
 	// 3 s of use cover an election and the return of all proxies.
 	c.ReserveFactor = 12
 	c.InterimShare = 1
+	// An election, and the return of all proxies to a new leader.
+	c.StandbyFor = 3 * time.Second
 	return c
 }
 
--- a/policy/rate/holder.go
+++ b/policy/rate/holder.go
@@ -36,6 +36,8 @@
 	streamAt atomic.Int64
 	quiet    quietTime
 	cfg      Config
+	// answeredAt is when an owner last answered, whether it granted tokens or not.
+	answeredAt atomic.Int64
 }
 
 // NewHolder returns a Holder without tokens. It keeps what an owner with the same
@@ -73,7 +75,8 @@
 func (h *Holder) Take(now time.Duration, team string) bool {
 	t := h.holding(team)
 	t.mu.Lock()
-	taken, urgent, gap := t.take(now), t.urgent(), t.gap(now)
+	taken := t.take(now) || t.takeStandby(now, time.Duration(h.answeredAt.Load()))
+	urgent, gap := t.urgent(), t.gap(now)
 	t.mu.Unlock()
 	if urgent {
 		h.raise(gap)
@@ -92,6 +95,11 @@
 	}
 }
 
+// Answered notes that the owner has answered a report.
+func (h *Holder) Answered(now time.Duration) {
+	h.answeredAt.Store(int64(now))
+}
+
 // Exhausted tells whether the owner has said lately that the team's bucket is empty.
 func (h *Holder) Exhausted(now time.Duration, team string) bool {
 	t := h.holding(team)
--- a/policy/rate/holding.go
+++ b/policy/rate/holding.go
@@ -27,6 +27,12 @@
 	// unused tokens are returned.
 	reserve     int64
 	renewBefore time.Duration
+	// standbyRate is the proxy's part of the rate, standbyUsed what it has used of it
+	// since the owner last answered, at standbySince.
+	standbyRate  float64
+	standbyFor   time.Duration
+	standbySince time.Duration
+	standbyUsed  int64
 	// lots are consumed in the order in which they were granted.
 	lots []heldLot
 	held int64
@@ -59,7 +65,7 @@
 }
 
 func newHolding(cfg Config) *holding {
-	return &holding{lastUse: -spareFor, reserve: cfg.ReserveFactor, renewBefore: cfg.Lifetime / 2}
+	return &holding{lastUse: -spareFor, reserve: cfg.ReserveFactor, renewBefore: cfg.Lifetime / 2, standbyFor: cfg.StandbyFor}
 }
 
 func (t *holding) take(now time.Duration) bool {
@@ -71,10 +77,32 @@
 	t.consume(1)
 	t.used++
 	t.usedSinceGrant++
+	t.noteUse(now)
+	return true
+}
+
+// takeStandby uses the proxy's part of the rate while no owner answers. answeredAt is
+// when one last did.
+func (t *holding) takeStandby(now, answeredAt time.Duration) bool {
+	silent := now - answeredAt - standbyAfter
+	if t.standbyRate == 0 || silent < 0 || silent > t.standbyFor {
+		return false
+	}
+	if answeredAt != t.standbySince {
+		t.standbySince, t.standbyUsed = answeredAt, 0
+	}
+	if float64(t.standbyUsed) >= 1+t.standbyRate*silent.Seconds() {
+		return false
+	}
+	t.standbyUsed++
+	t.noteUse(now)
+	return true
+}
+
+func (t *holding) noteUse(now time.Duration) {
 	t.advance(now)
 	t.slots[t.slot%demandSlots]++
 	t.lastUse = now
-	return true
 }
 
 // consume takes tokens from the oldest lots.
@@ -213,6 +241,7 @@
 func (t *holding) grant(now, until time.Duration, g *controlpb.TokenGrant) {
 	t.exhausted, t.exhaustedAt = g.Exhausted, now
 	t.answered = true
+	t.standbyRate = g.StandbyRate
 	if tokens := int64(g.Tokens); tokens > 0 {
 		t.lots = append(t.lots, heldLot{tokens: tokens, until: until})
 		t.held += tokens
--- a/policy/rate/owner.go
+++ b/policy/rate/owner.go
@@ -123,7 +123,7 @@
 	o.evidence.incomplete = true
 	for _, t := range o.teams {
 		o.refill(t)
-		t.abandon(name, o.cfg.LapseAfter)
+		t.abandon(name, o.now, o.cfg.LapseAfter, o.cfg.StandbyFor)
 	}
 }
 
@@ -178,7 +178,7 @@
 			// earlier stream any more.
 			t.drop(proxy)
 		} else {
-			t.abandon(proxy, o.cfg.LapseAfter)
+			t.abandon(proxy, o.now, o.cfg.LapseAfter, o.cfg.StandbyFor)
 		}
 	}
 	return true
@@ -201,6 +201,9 @@
 	for name, t := range o.teams {
 		o.refill(t)
 		t.lapse(o.now, o.cfg.LapseAfter)
+		if o.cfg.StandbyFor > 0 {
+			t.withhold(o.now, o.cfg.StandbyFor)
+		}
 		if t.removed && t.outstanding() == 0 && t.bucket >= t.burst {
 			delete(o.teams, name)
 		}
--- a/policy/rate/team.go
+++ b/policy/rate/team.go
@@ -23,6 +23,10 @@
 	accounts    map[string]*account
 	// abandoned holds what processes and streams that report no more may still use.
 	abandoned []abandoned
+	// away holds the standby rates of proxies whose streams have ended.
+	away []standby
+	// withheld is the sum of the standby rates of proxies that may be using them.
+	withheld float64
 	// open counts the open tokens of all accounts and abandoned streams.
 	open int64
 	// wanted is the sum over all accounts, wanting and unmet count accounts.
@@ -42,6 +46,12 @@
 	lapseAt time.Duration
 }
 
+// standby is a part of the rate that a proxy may use without the owner.
+type standby struct {
+	rate  float64
+	until time.Duration
+}
+
 func newTeam(name string, now time.Duration) *team {
 	return &team{name: name, refilledAt: now, recalledAt: -time.Hour, accounts: map[string]*account{}}
 }
@@ -61,7 +71,7 @@
 		return
 	}
 	before := t.bucket
-	t.bucket += share * t.rate * max(0, (o.now-t.refilledAt).Seconds())
+	t.bucket += share * max(0, t.rate-t.withheld) * max(0, (o.now-t.refilledAt).Seconds())
 	t.refilledAt = max(t.refilledAt, o.now)
 	t.clamp()
 	t.fair.refilled(t.bucket-before, t.unmet)
@@ -91,6 +101,21 @@
 	}
 }
 
+// withhold sums the parts of the rate that proxies which the owner does not hear may be
+// using.
+func (t *team) withhold(now, standbyFor time.Duration) {
+	t.away = slices.DeleteFunc(t.away, func(s standby) bool { return now >= s.until })
+	t.withheld = 0
+	for _, s := range t.away {
+		t.withheld += s.rate
+	}
+	for _, a := range t.accounts {
+		if silent := now - a.reportedAt; silent >= staleAfter && silent < standbyAfter+standbyFor {
+			t.withheld += a.standby
+		}
+	}
+}
+
 // report takes a proxy's use and demand. What it returned goes back to the bucket.
 func (t *team) report(proxy string, now time.Duration, d *controlpb.TokenDemand) {
 	a, ok := t.accounts[proxy]
@@ -141,12 +166,15 @@
 }
 
 // abandon ends an account whose process may still use what it holds.
-func (t *team) abandon(proxy string, lapseAfter time.Duration) {
+func (t *team) abandon(proxy string, now, lapseAfter, standbyFor time.Duration) {
 	a, ok := t.accounts[proxy]
 	if !ok {
 		return
 	}
 	open := a.open()
+	if a.standby > 0 {
+		t.away = append(t.away, standby{a.standby, now + standbyAfter + standbyFor})
+	}
 	t.drop(proxy)
 	if open > 0 {
 		t.abandoned = append(t.abandoned, abandoned{tokens: open, lapseAt: a.newestGrant() + lapseAfter})
@@ -159,8 +187,12 @@
 	a := t.accounts[proxy]
 	missing := a.wanted - a.open()
 	t.setDemand(a, a.wanted, missing > 0)
+	if o.cfg.StandbyFor > 0 {
+		a.standby = t.rate * float64(a.wanted+1) / float64(t.wanted+int64(len(t.accounts)))
+	}
 	grant := &controlpb.TokenGrant{
 		Team: t.name, LifetimeMs: uint32(o.cfg.Lifetime.Milliseconds()), Rate: t.rate, Burst: t.burst,
+		StandbyRate: a.standby,
 	}
 	if (!o.settled && o.cfg.InterimShare == 0) || t.removed {
 		return grant
--- a/proxy/admission/admission.go
+++ b/proxy/admission/admission.go
@@ -24,6 +24,8 @@
 	Report(now time.Duration) []*controlpb.TokenDemand
 	Grant(now, sentAt time.Duration, grant *controlpb.TokenGrant)
 	StreamStarted(now time.Duration)
+	// Answered says that the owner has answered a report.
+	Answered(now time.Duration)
 }
 
 // Queue hands out request tokens, in order of arrival within a team.
@@ -153,6 +155,13 @@
 	a.holder.StreamStarted(now)
 }
 
+// Answered implements attend.TokenReporter.
+func (a *Queue) Answered(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holder.Answered(now)
+}
+
 // Grant implements attend.TokenReporter and serves who waits.
 func (a *Queue) Grant(now, sentAt time.Duration, grant *controlpb.TokenGrant) {
 	a.mu.Lock()
--- a/proxy/admission/admission_test.go
+++ b/proxy/admission/admission_test.go
@@ -54,3 +54,4 @@
 func (f *fakeTokens) Report(time.Duration) []*controlpb.TokenDemand     { return nil }
 func (f *fakeTokens) Grant(_, _ time.Duration, _ *controlpb.TokenGrant) {}
 func (f *fakeTokens) StreamStarted(time.Duration)                       {}
+func (f *fakeTokens) Answered(time.Duration)                            {}
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -60,6 +60,7 @@
 func (f *fakeTokens) Report(time.Duration) []*controlpb.TokenDemand             { return nil }
 func (f *fakeTokens) Grant(time.Duration, time.Duration, *controlpb.TokenGrant) {}
 func (f *fakeTokens) StreamStarted(time.Duration)                               {}
+func (f *fakeTokens) Answered(time.Duration)                                    {}
 
 // fakeShares allows the same number of connections to each upstream.
 type fakeShares int
