Divide connections among nodes that were lost without a word too

A caller refused by a full upstream is now tried again after a pause. Log lines that follow dropped ones keep their text.

--- a/base/logging/bounded.go
+++ b/base/logging/bounded.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"sync"
 	"time"
 
@@ -58,7 +59,10 @@
 		return nil, nil
 	}
 	if dropped > 0 {
-		e = e.WithField("dropped_before", dropped)
+		marked := *e
+		marked.Data = maps.Clone(e.Data)
+		marked.Data["dropped_before"] = dropped
+		e = &marked
 	}
 	return f.inner.Format(e)
 }
--- a/gateway/coordinator/attendance.go
+++ b/gateway/coordinator/attendance.go
@@ -10,6 +10,13 @@
 	"github.com/jayloom/jayloom/base/clock"
 )
 
+// returnTime is how long a new leader expects the nodes of an earlier one.
+const returnTime = 5 * time.Second
+
+// lostTime is how long a node counts that was lost without a word: frozen or cut off, it
+// keeps its connections.
+const lostTime = 15 * time.Second
+
 // attendance is the stream of one node.
 type attendance struct {
 	updates chan *controlpb.NodeUpdate
@@ -45,6 +52,7 @@
 	grants := l.owner.Report(now, a.node, report.Incarnation, a.stream, report.Tokens)
 	if report.Leaving {
 		l.handleEnded(a)
+		delete(l.lost, a.node)
 		return
 	}
 	l.send(a, grants)
@@ -107,6 +115,7 @@
 		return
 	}
 	delete(l.attended, a)
+	l.lost[a.node] = clock.Now()
 	l.owner.RemoveProxy(clock.Now(), a.node)
 	l.log.WithFields(logrus.Fields{"event": "node_left", "node": a.node}).Warn("stream of a node ended")
 }
@@ -132,7 +141,7 @@
 // send queues an update. A node that does not read loses its stream and comes back.
 func (l *Leader) send(a *attendance, grants []*controlpb.TokenGrant) {
 	u := &controlpb.NodeUpdate{
-		Sequence: a.sequence, Grants: grants, Nodes: uint32(len(l.attended)), Voters: l.voterAddresses(),
+		Sequence: a.sequence, Grants: grants, Nodes: l.fleetSize(clock.Now()), Voters: l.voterAddresses(),
 	}
 	if c := l.store.current().Catalog; c != nil && c.Version != a.catalogSent {
 		u.Catalog = withoutDocument(c)
@@ -149,6 +158,32 @@
 	}
 }
 
+// fleetSize is the number of nodes among which scarce connections are divided. A new
+// leader counts those that have not come back yet.
+func (l *Leader) fleetSize(now time.Duration) uint32 {
+	if now-l.leadAt < returnTime {
+		return uint32(max(len(l.attended), len(l.store.current().Nodes)))
+	}
+	lost := 0
+	for node, at := range l.lost {
+		if now-at >= lostTime || l.attends(node) {
+			delete(l.lost, node)
+			continue
+		}
+		lost++
+	}
+	return uint32(len(l.attended) + lost)
+}
+
+func (l *Leader) attends(node string) bool {
+	for a := range l.attended {
+		if a.node == node {
+			return true
+		}
+	}
+	return false
+}
+
 func withoutDocument(c *controlpb.Catalog) *controlpb.Catalog {
 	return &controlpb.Catalog{
 		Version: c.Version, Routes: c.Routes, Services: c.Services, Teams: c.Teams,
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -74,14 +74,17 @@
 	// The rest belongs to the goroutine of Run.
 	term     uint64
 	leading  bool
+	leadAt   time.Duration
 	registry *topology.Registry
 	owner    *rate.Owner
 	teams    map[string]bool
 	groups   map[string]*group
 	attended map[*attendance]bool
-	streams  uint64
-	members  membership
-	fences   uint64
+	// lost holds nodes whose stream ended without a last report.
+	lost    map[string]time.Duration
+	streams uint64
+	members membership
+	fences  uint64
 }
 
 // event is handled by the leader's goroutine.
@@ -186,11 +189,12 @@
 func (l *Leader) lead(_ context.Context, term uint64) {
 	now := clock.Now()
 	l.follow()
-	l.leading, l.term, l.fences = true, term, 0
+	l.leading, l.term, l.fences, l.leadAt = true, term, 0, now
 	l.registry = topology.NewRegistry(term * revisionsPerTerm)
 	l.groups = map[string]*group{}
 	l.attended = map[*attendance]bool{}
 	l.teams = map[string]bool{}
+	l.lost = map[string]time.Duration{}
 	l.members = membership{}
 	l.owner = rate.NewOwner(rate.GatewayConfig())
 	names := []string{}
--- a/gateway/engine/single.go
+++ b/gateway/engine/single.go
@@ -260,6 +260,9 @@
 	observeSeconds(metricConnWaitSeconds, clock.Now()-waiting)
 	if refusal != nil {
 		p.finished(0, false)
+		if refusal.Reason == reasonUpstreamFull {
+			return again(retryBusy, *refusal)
+		}
 		return again(retryDial, *refusal)
 	}
 	defer p.release(l)
