Spread positions of primaries and stop giving up on overloaded upstreams

The leader also replaced a primary 0.8 s after its promotion, because nodes had reported it as failing before, by a replica 69 commits behind (70 commits rolled back). Now the leader asks primaries with a question that takes no slot and spreads position and age; attempts on the primary last as long as the statement; an upstream that answered in the last 300 ms is not failing; a primary that some nodes do not reach is replaced after 3 s of reign at the earliest and only by a replica that lacks at most 10 commits.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -187,7 +187,7 @@
 		Lease:  time.Duration(leaseShare * float64(n.settings.RevocationBound)),
 		Tokens: tokens, Voter: voter, DialOptions: dialOptions(), Log: n.log,
 		Primaries: func(now time.Duration) []*controlpb.PrimaryView { return n.engine.Primaries(now) },
-	}, func(v *attend.View) { n.engine.Update(v) })
+	}, func(v *attend.View) { n.engine.Update(v) }, func(o attend.Observation) { n.engine.Observed(o) })
 	n.engine = engine.New(engine.Options{
 		Fleet: n.client, Dialer: platform.Dialer{}, Tokens: tokens, Place: n.settings.Place, Log: n.log,
 	})
--- a/gateway/attend/attend.go
+++ b/gateway/attend/attend.go
@@ -20,6 +20,7 @@
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/catalog"
+	"github.com/jayloom/jayloom/gateway/position"
 )
 
 const (
@@ -86,6 +87,7 @@
 	leaving     chan struct{}
 	left        chan struct{}
 	changed     func(*View)
+	observed    func(Observation)
 
 	connections connections
 	next        int
@@ -93,10 +95,19 @@
 	sentAt      [sendTimes]time.Duration
 }
 
-// New returns a client. changed is called, by Run, after each new view.
-func New(opts Options, changed func(*View)) *Client {
+// Observation says that every commit of a service that was acknowledged before At is
+// covered by Position.
+type Observation struct {
+	Service, Upstream string
+	Position          position.Position
+	At                time.Duration
+}
+
+// New returns a client. changed is called, by Run, after each new view, and observed
+// for each position that the leader spreads.
+func New(opts Options, changed func(*View), observed func(Observation)) *Client {
 	c := &Client{
-		opts: opts, incarnation: rand.Text(), changed: changed,
+		opts: opts, incarnation: rand.Text(), changed: changed, observed: observed,
 		urgent: make(chan struct{}, 1), leaving: make(chan struct{}), left: make(chan struct{}),
 		connections: connections{options: opts.DialOptions, open: map[string]*grpc.ClientConn{}},
 	}
@@ -350,6 +361,12 @@
 	if until := int64(sentAt + c.opts.Lease); until > c.leaseUntil.Load() {
 		c.leaseUntil.Store(until)
 	}
+	for _, p := range u.Positions {
+		c.observed(Observation{
+			Service: p.Service, Upstream: p.Upstream, Position: position.Position{Term: p.Term, Number: p.Number},
+			At: sentAt - time.Duration(p.AgeMs)*time.Millisecond,
+		})
+	}
 	c.opts.Tokens.Answered(now)
 	for _, g := range u.Grants {
 		c.opts.Tokens.Grant(now, sentAt, g)
--- a/gateway/coordinator/attendance.go
+++ b/gateway/coordinator/attendance.go
@@ -13,6 +13,9 @@
 // returnTime is how long a new leader expects the nodes of an earlier one.
 const returnTime = 5 * time.Second
 
+// observationLife is the age up to which a position is spread.
+const observationLife = 2 * time.Second
+
 // lostTime is how long a node counts that was lost without a word: frozen or cut off, it
 // keeps its connections.
 const lostTime = 15 * time.Second
@@ -55,7 +58,7 @@
 		delete(l.lost, a.node)
 		return
 	}
-	l.send(a, grants)
+	l.answer(a, now, grants)
 	l.recall(now)
 }
 
@@ -138,8 +141,29 @@
 	}
 }
 
-// send queues an update. A node that does not read loses its stream and comes back.
+// answer sends the update for a report. Only such an update may state the age of
+// positions: the node knows when it sent the report.
+func (l *Leader) answer(a *attendance, now time.Duration, grants []*controlpb.TokenGrant) {
+	u := l.update(a, grants)
+	for service, g := range l.groups {
+		if g.observed.at == 0 || now-g.observed.at > observationLife {
+			continue
+		}
+		u.Positions = append(u.Positions, &controlpb.PrimaryPosition{
+			Service: service, Upstream: g.observed.upstream, Term: g.observed.position.Term,
+			Number: g.observed.position.Number, AgeMs: uint32((now - g.observed.at).Milliseconds()) + 1,
+		})
+	}
+	l.queue(a, u)
+}
+
+// send pushes an update.
 func (l *Leader) send(a *attendance, grants []*controlpb.TokenGrant) {
+	l.queue(a, l.update(a, grants))
+}
+
+// update states what the node lacks.
+func (l *Leader) update(a *attendance, grants []*controlpb.TokenGrant) *controlpb.NodeUpdate {
 	u := &controlpb.NodeUpdate{
 		Sequence: a.sequence, Grants: grants, Nodes: l.fleetSize(clock.Now()), Voters: l.voterAddresses(),
 	}
@@ -151,6 +175,12 @@
 		u.Topology = l.topology()
 		a.topologySent = revision
 	}
+	return u
+}
+
+// queue hands an update to the stream. A node that does not read loses its stream and
+// comes back.
+func (l *Leader) queue(a *attendance, u *controlpb.NodeUpdate) {
 	select {
 	case a.updates <- u:
 	default:
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -2,18 +2,22 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/gateway/position"
 	"github.com/jayloom/jayloom/gateway/succession"
 	"github.com/jayloom/jayloom/gateway/topology"
 )
 
 const (
-	// probeInterval is the time between two probes of an upstream.
-	probeInterval = 300 * time.Millisecond
+	// observeInterval is the time between two questions to a primary, statusInterval
+	// that between two probes of any upstream.
+	observeInterval = 250 * time.Millisecond
+	statusInterval  = time.Second
 	// probeTimeout bounds one probe, with its connection.
 	probeTimeout = 500 * time.Millisecond
 	// promoteTimeout bounds the wait for the answer to an order to promote.
@@ -36,10 +40,19 @@
 	samples      map[string]succession.Sample
 	// probers are the running probe loops by upstream.
 	probers map[string]*prober
+	// observed is the newest position of the primary.
+	observed observation
 	// shown is what proxies were told last.
 	shown shownPrimary
 }
 
+// observation is the position of a primary when it was asked at a time.
+type observation struct {
+	upstream string
+	position position.Position
+	at       time.Duration
+}
+
 type shownPrimary struct {
 	id       string
 	term     uint64
@@ -49,6 +62,7 @@
 // prober probes one upstream.
 type prober struct {
 	cancel  context.CancelFunc
+	primary atomic.Bool
 	address string
 	now     chan struct{}
 }
@@ -117,6 +131,9 @@
 			l.registry.Touch()
 			changed = true
 		}
+		for upstream, p := range g.probers {
+			p.primary.Store(upstream == id)
+		}
 	}
 	return changed
 }
@@ -218,8 +235,13 @@
 	if !l.leading || e.term != l.term {
 		return
 	}
-	if g := l.groups[e.upstream.Service]; g != nil {
-		g.samples[e.upstream.ID] = e.sample
+	g := l.groups[e.upstream.Service]
+	if g == nil {
+		return
+	}
+	g.samples[e.upstream.ID] = e.sample
+	if e.sample.Observed {
+		g.observed = observation{e.upstream.ID, e.sample.Position, e.sample.At}
 	}
 }
 
@@ -246,30 +268,74 @@
 	p := &prober{cancel: cancel, address: u.Address, now: make(chan struct{}, 1)}
 	g.probers[u.ID] = p
 	term := l.term
-	go func() {
-		for {
-			l.probe(ctx, u, term)
-			select {
-			case <-ctx.Done():
-				return
-			case <-p.now:
-			case <-time.After(probeInterval):
+	go func() { l.runProber(ctx, p, u, term) }()
+}
+
+// runProber probes an upstream. Between probes a primary is asked for its position.
+func (l *Leader) runProber(ctx context.Context, p *prober, u topology.Upstream, term uint64) {
+	var status succession.Sample
+	probedAt := -statusInterval
+	for {
+		now := clock.Now()
+		if now-probedAt >= statusInterval || !status.Primary {
+			if s, ok := l.probe(ctx, u); ok {
+				status, probedAt = s, now
+				l.post(ctx, probed{u, term, s})
 			}
 		}
-	}()
+		if status.Primary || p.primary.Load() {
+			l.observe(ctx, u, term, &status)
+		}
+		wait := statusInterval
+		if status.Primary || p.primary.Load() {
+			wait = observeInterval
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.now:
+			probedAt = -statusInterval
+		case <-time.After(wait):
+		}
+	}
 }
 
-func (l *Leader) probe(ctx context.Context, u topology.Upstream, term uint64) {
+func (l *Leader) probe(ctx context.Context, u topology.Upstream) (succession.Sample, bool) {
 	at := clock.Now()
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	sample, err := l.config.Upstreams.Probe(probeCtx, u)
+	sample, err := l.config.Upstreams.Probe(ctx, u)
 	if err != nil {
 		metricProbeFailures.Inc()
-		return
+		return succession.Sample{}, false
 	}
 	sample.At = at
-	l.post(ctx, probed{u, term, sample})
+	return sample, true
+}
+
+// observe updates what is known of a primary. A position may still be of the term
+// before, so the term is that of the newest probe.
+func (l *Leader) observe(ctx context.Context, u topology.Upstream, term uint64, status *succession.Sample) {
+	at := clock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	pos, leads, err := l.config.Upstreams.Observe(callCtx, u)
+	if err != nil {
+		metricProbeFailures.Inc()
+		return
+	}
+	if !leads {
+		status.Primary = false
+		return
+	}
+	if !status.Primary {
+		// The next probe tells the term in which it leads.
+		return
+	}
+	status.At, status.Position = at, pos
+	status.Term = max(status.Term, pos.Term)
+	status.Observed = true
+	l.post(ctx, probed{u, term, *status})
 }
 
 // voterAddresses returns where nodes find the leader, or who names it.
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -11,6 +11,7 @@
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/control/replica"
 	"github.com/jayloom/jayloom/gateway/catalog"
+	"github.com/jayloom/jayloom/gateway/position"
 	"github.com/jayloom/jayloom/gateway/succession"
 	"github.com/jayloom/jayloom/gateway/topology"
 	"github.com/jayloom/jayloom/policy/rate"
@@ -30,6 +31,9 @@
 // Upstreams asks and orders database servers.
 type Upstreams interface {
 	Probe(ctx context.Context, u topology.Upstream) (succession.Sample, error)
+	// Observe asks a server whether it leads, and for its position if it does. It takes
+	// none of the server's slots, so it is answered under overload too.
+	Observe(ctx context.Context, u topology.Upstream) (p position.Position, leads bool, err error)
 	// Pause stops a replica from receiving until it is promoted or told to resume.
 	Pause(ctx context.Context, u topology.Upstream, term uint64) error
 }
--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -65,6 +65,11 @@
 	}
 }
 
+// Observed takes over a position that the leader spreads.
+func (e *Engine) Observed(o attend.Observation) {
+	e.group(o.Service).observed(o.At, o.Upstream, o.Position)
+}
+
 func (e *Engine) group(service string) *group {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// observeInterval is the greatest age of the newest observation of a group in use.
-	observeInterval = 400 * time.Millisecond
+	// observeInterval is the age of the newest observation at which a group in use asks
+	// for itself. The leader spreads one each 500 ms at the latest.
+	observeInterval = 750 * time.Millisecond
 	// observeWhileUsed is how long after the last read a group is observed.
 	observeWhileUsed = 3 * time.Second
 	// observeTimeout bounds a question to the primary.
--- a/gateway/engine/plan.go
+++ b/gateway/engine/plan.go
@@ -98,7 +98,7 @@
 		if at < last.at+observationGap && last.position.Term == p.Term {
 			return
 		}
-		// A position of an earlier term arrived late.
+		// A position of an earlier term, or one asked for earlier, arrived late.
 		if p.Term < last.position.Term || at < last.at {
 			return
 		}
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -30,6 +30,9 @@
 	latencyFloor = 5 * time.Millisecond
 	// latencyMemory halves the distance of an unused upstream's latency to the floor.
 	latencyMemory = 500 * time.Millisecond
+	// answeredLately is the time since its last answer in which an upstream does not
+	// count as failing.
+	answeredLately = 300 * time.Millisecond
 	// behindMemory is how long an upstream that lacked a position is passed over.
 	behindMemory = 60 * time.Millisecond
 )
@@ -51,15 +54,16 @@
 	place     string
 	draining  bool
 
-	position  position.Position
-	behindAt  time.Duration
-	inFlight  int
-	latency   time.Duration
-	latencyAt time.Duration
-	failingAt time.Duration
-	failing   bool
-	lastTeam  string
-	reviving  bool
+	position   position.Position
+	behindAt   time.Duration
+	inFlight   int
+	latency    time.Duration
+	latencyAt  time.Duration
+	failingAt  time.Duration
+	failing    bool
+	lastTeam   string
+	answeredAt time.Duration
+	reviving   bool
 }
 
 type poolWaiter struct {
@@ -330,11 +334,19 @@
 	}
 	p.failing = false
 	now := clock.Now()
+	p.answeredAt = now
 	current := p.latencyNow(now)
 	p.latency = current + time.Duration(latencyWeight*float64(latency-current))
 	p.latencyAt = now
 }
 
+// patience is how long an answer of the upstream is worth waiting for.
+func (p *pool) patience(now time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return latencyFactor * p.latencyNow(now)
+}
+
 // latencyNow returns the latency, forgotten as time passes. The caller holds mu.
 func (p *pool) latencyNow(now time.Duration) time.Duration {
 	if p.latencyAt == 0 {
@@ -348,12 +360,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failing = false
+	p.answeredAt = clock.Now()
 }
 
-// failed notes that the upstream did not answer.
+// failed notes that the upstream did not answer. One that answered others lately is
+// overloaded, or loses answers, and stays in use.
 func (p *pool) failed() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.answeredAt != 0 && clock.Now()-p.answeredAt < answeredLately {
+		return
+	}
 	p.markFailing()
 }
 
--- a/gateway/engine/single.go
+++ b/gateway/engine/single.go
@@ -24,8 +24,10 @@
 	// attemptShare is the part of the latency objective after which a read that has no
 	// answer is run elsewhere.
 	attemptShare = 0.6
-	// minAttempt is the least time for one attempt.
-	minAttempt = 120 * time.Millisecond
+	// minAttempt is the least time for one attempt, and latencyFactor how many times
+	// the upstream's latency it lasts at least.
+	minAttempt    = 250 * time.Millisecond
+	latencyFactor = 5
 )
 
 // verdict is what follows from one attempt.
@@ -113,12 +115,12 @@
 			return final(Answer{Refusal: refusal})
 		}
 		countRead("primary")
-		return s.onLink(ctx, op, p, s.attemptDeadline(op), func(l *link) verdict { return s.readPrimaryOn(op, l, st) })
+		return s.onLink(ctx, op, p, op.deadline, func(l *link) verdict { return s.readPrimaryOn(op, l, st) })
 	})
 }
 
 func (s *Session) readPrimaryOn(op *operation, l *link, st Statement) verdict {
-	deadline := s.attemptDeadline(op)
+	deadline := op.deadline
 	at := clock.Now()
 	begun, v := s.exchange(op, l, deadline, Statement{Kind: Begin})
 	if v != nil {
@@ -155,11 +157,12 @@
 				return final(Answer{Refusal: refusal})
 			}
 			countRead("primary_fallback")
-			return s.onLink(ctx, op, primary, s.attemptDeadline(op), func(l *link) verdict { return s.readPrimaryOn(op, l, st) })
+			return s.onLink(ctx, op, primary, op.deadline, func(l *link) verdict { return s.readPrimaryOn(op, l, st) })
 		}
 		countRead("any")
-		v := s.onLink(ctx, op, p, s.attemptDeadline(op), func(l *link) verdict {
-			return s.readOn(op, l, st, floor, sendBy)
+		deadline := attemptDeadline(op, p)
+		v := s.onLink(ctx, op, p, deadline, func(l *link) verdict {
+			return s.readOn(op, l, st, floor, sendBy, deadline)
 		})
 		if v.again && v.retry != retryStale {
 			skip[p.target.ID] = true
@@ -168,12 +171,12 @@
 	})
 }
 
-func (s *Session) readOn(op *operation, l *link, st Statement, floor position.Position, sendBy time.Duration) verdict {
+func (s *Session) readOn(op *operation, l *link, st Statement, floor position.Position, sendBy time.Duration, deadline time.Time) verdict {
 	if clock.Now() > sendBy {
 		return again(retryStale, Refusal{Code: rescode.QueueTimeout, Reason: reasonPoolTimeout, RetryAfter: retrySoon})
 	}
 	st.After = floor
-	reply, v := s.exchange(op, l, s.attemptDeadline(op), st)
+	reply, v := s.exchange(op, l, deadline, st)
 	if v != nil {
 		return *v
 	}
@@ -186,14 +189,16 @@
 	return outcomeVerdict(reply.Outcome)
 }
 
-// attemptDeadline leaves time for another attempt while the objective can be met.
-func (s *Session) attemptDeadline(op *operation) time.Time {
-	attempt := max(minAttempt, time.Duration(attemptShare*float64(op.route.LatencyObjective)))
-	limit := time.Now().Add(attempt)
-	if op.deadline.Before(limit) || time.Until(op.deadline) < attempt+minAttempt {
+// attemptDeadline ends an attempt so that a read whose answer was lost can still run
+// elsewhere in time. An upstream that is slow because it is overloaded gets more time:
+// what is given up keeps running there and makes it slower.
+func attemptDeadline(op *operation, p *pool) time.Time {
+	now := clock.Now()
+	attempt := max(minAttempt, time.Duration(attemptShare*float64(op.route.LatencyObjective)), p.patience(now))
+	if time.Until(op.deadline) < 2*attempt {
 		return op.deadline
 	}
-	return limit
+	return time.Now().Add(attempt)
 }
 
 // primary returns the pool of the primary. While it is replaced, it waits a moment.
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -196,7 +196,7 @@
 		return again(retryStale, Refusal{Code: rescode.QueueTimeout, Reason: reasonPoolTimeout, RetryAfter: retrySoon})
 	}
 	at := clock.Now()
-	reply, v := s.exchange(t.op, l, s.attemptDeadline(t.op), begin)
+	reply, v := s.exchange(t.op, l, attemptDeadline(t.op, p), begin)
 	if v != nil || reply.Outcome != Done {
 		p.finished(0, false)
 		p.release(l)
--- a/gateway/succession/succession.go
+++ b/gateway/succession/succession.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// sampleFresh is the age up to which a probe counts: three probe intervals.
-	sampleFresh = 900 * time.Millisecond
+	// sampleFresh is the age up to which a probe counts: one second between probes of a
+	// replica, and the time of an answer.
+	sampleFresh = 1300 * time.Millisecond
 	// suspectAfter is the time without an answer after which a primary that nobody
 	// reaches is replaced.
 	suspectAfter = 600 * time.Millisecond
@@ -22,9 +23,12 @@
 	partialAfter = 1500 * time.Millisecond
 	// partialShare is the share of the nodes that must have lost the primary then.
 	partialShare = 0.4
-	// partialMaxLag bounds the data of the candidate in that case: acknowledged writes
-	// are worth more than a few seconds of some nodes.
-	partialMaxLag = 100 * time.Millisecond
+	// partialMaxMissing bounds the commits that the candidate may lack in that case:
+	// acknowledged writes are worth more than a few seconds of some nodes.
+	partialMaxMissing = 10
+	// reignTime is how long a new primary leads before it is replaced because many do
+	// not reach it: what they report may be of the time before.
+	reignTime = 3 * time.Second
 	// orderPatience is the time for an ordered promotion to show before it is ordered
 	// anew. The longest promotion that the deployments state takes 1 s.
 	orderPatience = 2500 * time.Millisecond
@@ -55,6 +59,8 @@
 	// PausedAt is the term for which the server has stopped to receive, or 0.
 	PausedAt uint64
 	Lag      time.Duration
+	// Observed is true when the server led when it was asked for Position.
+	Observed bool
 }
 
 func (s Server) fresh(now time.Duration) bool {
@@ -103,8 +109,11 @@
 	term      uint64
 	// answeredAt is when the primary last answered the leader.
 	answeredAt time.Duration
-	ordered    *order
-	rejected   map[string]time.Duration
+	// ledSince is when the primary was first seen to lead, position the newest of its log.
+	ledSince time.Duration
+	position position.Position
+	ordered  *order
+	rejected map[string]time.Duration
 }
 
 type order struct {
@@ -165,6 +174,7 @@
 		}
 		if s.Sample.Term > m.term || s.ID != m.primary {
 			m.primary, m.term = s.ID, s.Sample.Term
+			m.ledSince, m.position = now, s.Sample.Position
 			m.ordered = nil
 		}
 	}
@@ -175,6 +185,7 @@
 	for _, s := range servers {
 		if s.ID == m.primary && s.Sample.Primary && s.Sample.At != 0 {
 			m.answeredAt = max(m.answeredAt, s.Sample.At)
+			m.position = position.Max(m.position, s.Sample.Position)
 		}
 	}
 }
@@ -213,7 +224,7 @@
 		return PrimaryMissing
 	case now-m.answeredAt >= suspectAfter && in.Reach.Failing == in.Reach.Nodes:
 		return PrimaryLost
-	case m.lostByMany(in):
+	case now-m.ledSince >= reignTime && m.lostByMany(in):
 		return PrimaryUnshared
 	default:
 		return ""
@@ -269,6 +280,12 @@
 	return pauses, stopped > 0 && stopped >= replicas-in.SyncReplicas+1
 }
 
+// lacks reports whether a replica misses more than a few commits that the primary is
+// known to have had. A replica that receives nothing does not know how far it is behind.
+func (m *Machine) lacks(p position.Position) bool {
+	return p.Term != m.position.Term || p.Number+partialMaxMissing < m.position.Number
+}
+
 func (m *Machine) candidate(now time.Duration, servers []Server, reason Reason) string {
 	best := -1
 	for i, s := range servers {
@@ -278,7 +295,7 @@
 		if at, ok := m.rejected[s.ID]; ok && now-at < rejectedFor {
 			continue
 		}
-		if reason == PrimaryUnshared && s.Sample.Lag > partialMaxLag {
+		if reason == PrimaryUnshared && m.lacks(s.Sample.Position) {
 			continue
 		}
 		if best < 0 || servers[best].Sample.Position.Before(s.Sample.Position) {
