Bound what a node presses on an overloaded upstream

Now a pool lends within a window that shrinks on refusals and grows with time, waiters are refused when their patience (half of the objective) is over, at once if that is known, tokens of requests that have not run come back, the floor of a read is taken when it is sent, and the latency follows a rise quickly.

--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -127,12 +127,12 @@
 
 // planRead chooses an upstream for a read that may miss commits older than maxStaleness.
 // ok is false when only the primary can serve it.
-func (g *group) planRead(now, maxStaleness time.Duration, place, team string, own position.Position, skip map[string]bool) (
-	p *pool, floor position.Position, sendBy time.Duration, ok bool,
-) {
+func (g *group) planRead(
+	now, maxStaleness time.Duration, place, team string, own position.Position, skip map[string]bool,
+) (p *pool, ok bool) {
 	g.mu.Lock()
 	g.usedAt = now
-	floor, sendBy, ok = readFloor(now, maxStaleness, &g.seen, own)
+	floor, ok := readFloor(now, maxStaleness, &g.seen, own)
 	primary := g.primary
 	pools := g.ordered
 	candidates := make([]Candidate, 0, len(pools))
@@ -141,20 +141,20 @@
 	}
 	g.mu.Unlock()
 	if !ok {
-		return nil, floor, 0, false
+		return nil, false
 	}
 	i := choose(candidates, place, primary, floor, skip)
 	if i < 0 {
-		return nil, floor, 0, false
+		return nil, false
 	}
-	return pools[i], floor, sendBy, true
+	return pools[i], true
 }
 
-// used notes that reads need fresh observations.
-func (g *group) used(now time.Duration) {
+// floor returns the position that a read sent now needs.
+func (g *group) floor(now, maxStaleness time.Duration, own position.Position) (position.Position, bool) {
 	g.mu.Lock()
-	g.usedAt = now
-	g.mu.Unlock()
+	defer g.mu.Unlock()
+	return readFloor(now, maxStaleness, &g.seen, own)
 }
 
 // view tells how the node sees the primary, if it uses the group.
@@ -208,7 +208,7 @@
 		return
 	}
 	deadline := time.Now().Add(observeTimeout)
-	l, refusal := p.acquire(ctx, team, deadline)
+	l, refusal := p.acquire(ctx, team, deadline, observeTimeout)
 	if refusal != nil {
 		return
 	}
@@ -234,6 +234,7 @@
 	if due {
 		p.reviving = true
 		p.open++
+		p.lent++
 	}
 	team := p.lastTeam
 	p.mu.Unlock()
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -25,6 +25,7 @@
 	reasonDialFailed      Reason = "dial_failed"
 	reasonDialRefused     Reason = "dial_refused"
 	reasonPoolTimeout     Reason = "connection_wait"
+	reasonPoolFull        Reason = "connection_queue"
 	reasonFailedState     Reason = "failed_transaction"
 	reasonBadStatement    Reason = "bad_statement"
 	reasonUnknownName     Reason = "unknown_statement"
@@ -42,6 +43,7 @@
 const (
 	retryBehind   retryReason = "behind"
 	retryBusy     retryReason = "busy"
+	retryQueue    retryReason = "queue"
 	retryReadOnly retryReason = "read_only"
 	retryLost     retryReason = "answer_lost"
 	retryDial     retryReason = "dial"
--- a/gateway/engine/plan.go
+++ b/gateway/engine/plan.go
@@ -20,10 +20,8 @@
 	// connectCost is what an upstream counts more on which a connection must be opened.
 	// It takes one of its slots for as long as a short statement.
 	connectCost = 15 * time.Millisecond
-	// stalenessReserve is the time from the plan until the upstream starts the read.
-	stalenessReserve = 400 * time.Millisecond
-	// stalenessMargin is what must be left of it when the read is sent.
-	stalenessMargin = 250 * time.Millisecond
+	// stalenessReserve is the time until the upstream starts a read that is sent now.
+	stalenessReserve = 350 * time.Millisecond
 	// observationGap is the least time between two kept observations.
 	observationGap = 25 * time.Millisecond
 	// observationsKept bounds the memory of a group: more than 2.5 s.
@@ -131,25 +129,22 @@
 	return observation{}, false
 }
 
-// readFloor returns the position that a read needs, and until when it may be sent. own
-// is the position of the session's newest commit.
-func readFloor(now, maxStaleness time.Duration, o *observations, own position.Position) (
-	floor position.Position, sendBy time.Duration, ok bool,
-) {
+// readFloor returns the position that a read sent now needs. own is the position of the
+// session's newest commit.
+func readFloor(now, maxStaleness time.Duration, o *observations, own position.Position) (position.Position, bool) {
 	seen, ok := o.covering(now + stalenessReserve - maxStaleness)
 	if !ok {
-		return position.Position{}, 0, false
+		return position.Position{}, false
 	}
 	newest, _ := o.newest()
 	switch {
 	case own.Term < seen.position.Term:
 		// The session wrote under an earlier primary. What is left of that is in
 		// every position of the newer term.
-		floor = seen.position
+		return seen.position, true
 	case own.Term > newest.position.Term:
-		return position.Position{}, 0, false
+		return position.Position{}, false
 	default:
-		floor = position.Max(seen.position, own)
+		return position.Max(seen.position, own), true
 	}
-	return floor, seen.at + maxStaleness - stalenessMargin, true
 }
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -15,17 +15,23 @@
 const (
 	// dialTimeout bounds one attempt to connect, with the upstream's greeting.
 	dialTimeout = 600 * time.Millisecond
-	// fullFor is how long an upstream that refused a connection is not dialled again
-	// beyond the node's equal part.
+	// fullFor is how long an upstream that refused a connection is not dialled again.
 	fullFor = 500 * time.Millisecond
 	// spareConnections of each upstream stay for the leader's probes.
 	spareConnections = 1
-	// idleBeyondShare closes idle connections above the equal part.
-	idleBeyondShare = 2 * time.Second
-	// idleLimit closes all others.
+	// idleLimit closes idle connections.
 	idleLimit = 30 * time.Second
+	// windowCut is the factor by which a refusal shrinks the window, at most once in
+	// windowPause; windowGrowth is by how much it grows in a second.
+	windowCut    = 0.6
+	windowPause  = 50 * time.Millisecond
+	windowGrowth = 2.0
+	// fairWait is how long a waiter may be overtaken by those whose team has a link.
+	fairWait = 120 * time.Millisecond
 	// latencyWeight is the weight of a new sample of the latency.
 	latencyWeight = 0.2
+	// latencyRise is its weight when it is more than twice the latency.
+	latencyRise = 0.4
 	// latencyFloor is assumed of an upstream without samples.
 	latencyFloor = 5 * time.Millisecond
 	// latencyMemory halves the distance of an unused upstream's latency to the floor.
@@ -37,17 +43,22 @@
 	behindMemory = 60 * time.Millisecond
 )
 
-// pool holds a node's connections to one upstream.
+// pool holds a node's connections to one upstream and lends them. Load pattern: all
+// nodes press on one upstream, as after a failover or in a burst. Each node lends no more
+// connections than its window, which shrinks when the upstream refuses work, lets the
+// rest wait in order, and refuses at once what would wait for too long.
 type pool struct {
 	target Target
 	dialer Dialer
 
 	mu   sync.Mutex
 	idle []*link
-	// open counts connections that are idle, lent or being dialled.
-	open      int
+	// open counts connections that are idle, lent or being dialled; lent the latter two.
+	open, lent int
+	// limit bounds open. window bounds lent as of busyAt, and grows from then on.
 	limit     int
-	share     int
+	window    float64
+	busyAt    time.Duration
 	fullUntil time.Duration
 	waiters   []*poolWaiter
 	closed    bool
@@ -56,29 +67,29 @@
 
 	position   position.Position
 	behindAt   time.Duration
-	inFlight   int
 	latency    time.Duration
 	latencyAt  time.Duration
 	failingAt  time.Duration
 	failing    bool
-	lastTeam   string
 	answeredAt time.Duration
+	lastTeam   string
 	reviving   bool
 }
 
 type poolWaiter struct {
 	team  string
+	since time.Duration
 	ready chan handover
 }
 
-// handover gives a waiter a link, or the right to dial one.
+// handover gives a waiter a link, or the right to dial one if link is nil.
 type handover struct {
-	link *link
-	dial bool
+	link   *link
+	closed bool
 }
 
 func newPool(t Target, place string, dialer Dialer) *pool {
-	return &pool{target: t, place: place, dialer: dialer, limit: 1, share: 1}
+	return &pool{target: t, place: place, dialer: dialer, limit: 1, window: 1}
 }
 
 // setShare sets how many connections the node may keep.
@@ -88,79 +99,127 @@
 	if maxConnections <= 0 {
 		maxConnections = math.MaxInt32
 	}
-	p.share = max(1, (maxConnections-spareConnections)/max(1, nodes))
-	p.limit = p.share
+	p.limit = max(1, (maxConnections-spareConnections)/max(1, nodes))
+	if p.busyAt == 0 {
+		p.window = float64(p.limit)
+	}
+	p.serve()
 }
 
-// allowed is how many connections may be open now. The caller holds mu.
-func (p *pool) allowed(now time.Duration) int {
-	if now < p.fullUntil {
-		return min(p.limit, max(p.share, p.open))
+// windowNow is how many connections may be lent. The caller holds mu.
+func (p *pool) windowNow(now time.Duration) int {
+	grown := p.window + windowGrowth*(now-p.busyAt).Seconds()
+	return max(1, min(p.limit, int(grown)))
+}
+
+// sawBusy notes that the upstream refused work because it has too much.
+func (p *pool) sawBusy() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	if p.busyAt != 0 && now-p.busyAt < windowPause {
+		return
 	}
-	return p.limit
+	p.window = max(1, windowCut*float64(p.windowNow(now)))
+	p.busyAt = now
 }
 
-// acquire lends a link for a team, waiting until deadline.
-func (p *pool) acquire(ctx context.Context, team string, deadline time.Time) (*link, *Refusal) {
+// acquire lends a link for a team, waiting until deadline. A caller that would wait for
+// longer than patience is refused at once.
+func (p *pool) acquire(ctx context.Context, team string, deadline time.Time, patience time.Duration) (*link, *Refusal) {
 	for {
-		l, w, refusal := p.start(team)
-		switch {
-		case refusal != nil:
-			return nil, refusal
-		case l != nil && l.conn != nil:
-			if l.conn.Quiet() {
-				return l, nil
-			}
-			l.broken = true
-			p.release(l)
-			continue
-		case w == nil:
-			return p.dial(ctx, team, deadline)
+		h, w, refusal := p.start(team, patience)
+		if refusal == nil && w != nil {
+			h, refusal = p.await(w, earlier(deadline, patience))
 		}
-		got, refusal := p.await(w, deadline)
 		switch {
 		case refusal != nil:
 			return nil, refusal
-		case got.dial:
+		case h.closed:
+			return nil, &Refusal{Code: rescode.NoUpstream, Reason: reasonUpstreamGone}
+		case h.link == nil:
 			return p.dial(ctx, team, deadline)
-		case got.link.conn.Quiet():
-			return got.link, nil
-		default:
-			got.link.broken = true
-			p.release(got.link)
+		case h.link.conn.Quiet():
+			return h.link, nil
 		}
+		h.link.broken = true
+		p.release(h.link)
+	}
+}
+
+// earlier returns the deadline, or the end of a time from now if that is earlier.
+func earlier(deadline time.Time, limit time.Duration) time.Time {
+	if end := time.Now().Add(limit); end.Before(deadline) {
+		return end
 	}
+	return deadline
 }
 
-// start returns an idle link, or nothing when the caller may dial, or a waiter.
-func (p *pool) start(team string) (*link, *poolWaiter, *Refusal) {
+// start takes a link or the right to dial one, or returns a waiter.
+func (p *pool) start(team string, patience time.Duration) (handover, *poolWaiter, *Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := clock.Now()
+	p.lastTeam = team
 	if p.closed {
-		return nil, nil, &Refusal{Code: rescode.NoUpstream, Reason: reasonUpstreamGone}
+		return handover{closed: true}, nil, nil
 	}
-	p.lastTeam = team
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		if l := p.idle[i]; l.team == team {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			return l, nil, nil
+	if len(p.waiters) == 0 {
+		if h, ok := p.take(now, team); ok {
+			return h, nil, nil
 		}
 	}
-	if p.open < p.allowed(clock.Now()) {
-		p.open++
-		return nil, nil, nil
+	if p.expectedWait(now) > patience {
+		return handover{}, nil, &Refusal{Code: rescode.QueueFull, Reason: reasonPoolFull, RetryAfter: p.expectedWait(now)}
+	}
+	w := &poolWaiter{team: team, since: now, ready: make(chan handover, 1)}
+	p.waiters = append(p.waiters, w)
+	metricPoolWaits.Inc()
+	return handover{}, w, nil
+}
+
+// expectedWait is how long one more waiter would wait. The caller holds mu.
+func (p *pool) expectedWait(now time.Duration) time.Duration {
+	return time.Duration(len(p.waiters)+1) * p.latencyNow(now) / time.Duration(p.windowNow(now))
+}
+
+// take takes an idle link of the team, or else the right to dial, possibly in place of
+// the link that was idle for longest. The caller holds mu.
+func (p *pool) take(now time.Duration, team string) (handover, bool) {
+	if p.lent >= p.windowNow(now) {
+		return handover{}, false
 	}
-	if len(p.idle) > 0 {
-		// The connection that was idle for longest gives its place to another team.
+	if i := p.idleOf(team); i >= 0 {
+		l := p.idle[i]
+		p.idle = append(p.idle[:i], p.idle[i+1:]...)
+		p.lent++
+		return handover{link: l}, true
+	}
+	switch {
+	case p.open < p.limit && now >= p.fullUntil:
+		p.open++
+	case len(p.idle) > 0:
 		p.idle[0].conn.Close()
 		p.idle = p.idle[1:]
 		metricReplaced.Inc()
-		return nil, nil, nil
+	case p.open < p.limit && p.open == 0:
+		// The upstream was full; one attempt shows whether it still is.
+		p.open++
+	default:
+		return handover{}, false
 	}
-	w := &poolWaiter{team: team, ready: make(chan handover, 1)}
-	p.waiters = append(p.waiters, w)
-	metricPoolWaits.Inc()
-	return nil, w, nil
+	p.lent++
+	return handover{}, true
+}
+
+// idleOf returns the index of the newest idle link of a team, or -1. The caller holds mu.
+func (p *pool) idleOf(team string) int {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].team == team {
+			return i
+		}
+	}
+	return -1
 }
 
 func (p *pool) await(w *poolWaiter, deadline time.Time) (handover, *Refusal) {
@@ -182,6 +241,35 @@
 	return <-w.ready, nil
 }
 
+// serve hands out what is free. The caller holds mu.
+func (p *pool) serve() {
+	now := clock.Now()
+	for len(p.waiters) > 0 {
+		i := p.nextWaiter(now)
+		w := p.waiters[i]
+		h, ok := p.take(now, w.team)
+		if !ok {
+			return
+		}
+		p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+		w.ready <- h
+	}
+}
+
+// nextWaiter prefers a waiter whose team has an idle link, which saves the upstream a new
+// connection, unless the first has waited for long. The caller holds mu.
+func (p *pool) nextWaiter(now time.Duration) int {
+	if now-p.waiters[0].since >= fairWait {
+		return 0
+	}
+	for i, w := range p.waiters {
+		if p.idleOf(w.team) >= 0 {
+			return i
+		}
+	}
+	return 0
+}
+
 // dial opens the connection that start or a handover has allowed.
 func (p *pool) dial(ctx context.Context, team string, deadline time.Time) (*link, *Refusal) {
 	limit := time.Now().Add(dialTimeout)
@@ -229,57 +317,34 @@
 func (p *pool) giveUpPlace() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.passPlace()
-}
-
-// passPlace gives the place of a closed connection to a waiter. The caller holds mu.
-func (p *pool) passPlace() {
-	if len(p.waiters) > 0 && !p.closed {
-		w := p.waiters[0]
-		p.waiters = p.waiters[1:]
-		w.ready <- handover{dial: true}
-		return
-	}
 	p.open--
+	p.lent--
+	p.serve()
 }
 
 // release takes a link back.
 func (p *pool) release(l *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lent--
 	if l.broken || p.closed {
 		l.conn.Close()
-		p.passPlace()
-		return
-	}
-	for i, w := range p.waiters {
-		if w.team == l.team {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			w.ready <- handover{link: l}
-			return
-		}
-	}
-	if len(p.waiters) > 0 {
-		l.conn.Close()
-		metricReplaced.Inc()
-		p.passPlace()
-		return
+		p.open--
+	} else {
+		l.idleAt = clock.Now()
+		p.idle = append(p.idle, l)
 	}
-	l.idleAt = clock.Now()
-	p.idle = append(p.idle, l)
+	p.serve()
 }
 
-// trim closes connections that were idle for too long.
+// trim closes connections that were idle for too long, and lets waiters profit from a
+// window that has grown.
 func (p *pool) trim(now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
 	for _, l := range p.idle {
-		limit := idleLimit
-		if p.open > p.share {
-			limit = idleBeyondShare
-		}
-		if now-l.idleAt < limit {
+		if now-l.idleAt < idleLimit {
 			kept = append(kept, l)
 			continue
 		}
@@ -287,6 +352,7 @@
 		p.open--
 	}
 	p.idle = kept
+	p.serve()
 }
 
 // close ends idle connections and refuses further use; lent ones end when they return.
@@ -300,7 +366,7 @@
 	}
 	p.idle = nil
 	for _, w := range p.waiters {
-		w.ready <- handover{dial: true}
+		w.ready <- handover{closed: true}
 	}
 	p.waiters = nil
 }
@@ -318,28 +384,39 @@
 	p.behindAt = clock.Now()
 }
 
-func (p *pool) started() {
+// answered notes an answer and its latency.
+func (p *pool) answered(latency time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.inFlight++
-}
-
-// finished notes the end of a statement and its latency, if it was answered.
-func (p *pool) finished(latency time.Duration, answered bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.inFlight--
-	if !answered {
-		return
-	}
-	p.failing = false
 	now := clock.Now()
+	p.failing = false
 	p.answeredAt = now
+	p.noteLatency(now, latency)
+}
+
+// noteLatency follows a rise quickly, so that attempts are not given up when an upstream
+// becomes slow. The caller holds mu.
+func (p *pool) noteLatency(now, latency time.Duration) {
 	current := p.latencyNow(now)
-	p.latency = current + time.Duration(latencyWeight*float64(latency-current))
+	weight := latencyWeight
+	if latency > 2*current {
+		weight = latencyRise
+	}
+	p.latency = current + time.Duration(weight*float64(latency-current))
 	p.latencyAt = now
 }
 
+// unanswered notes that no answer came within a time. The latency is at least that.
+func (p *pool) unanswered(waited time.Duration) {
+	p.mu.Lock()
+	now := clock.Now()
+	if waited > p.latencyNow(now) {
+		p.noteLatency(now, waited)
+	}
+	p.mu.Unlock()
+	p.failed()
+}
+
 // patience is how long an answer of the upstream is worth waiting for.
 func (p *pool) patience(now time.Duration) time.Duration {
 	p.mu.Lock()
@@ -390,26 +467,15 @@
 	return max(time.Millisecond, now-p.failingAt)
 }
 
-// connected reports whether an idle connection of the team is at hand. The caller
-// holds mu.
-func (p *pool) connected(team string) bool {
-	for _, l := range p.idle {
-		if l.team == team {
-			return true
-		}
-	}
-	return false
-}
-
 // status is what the choice of an upstream for a team depends on.
 func (p *pool) status(now time.Duration, team string) Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return Candidate{
 		ID: p.target.ID, Place: p.place, Draining: p.draining, Failing: p.failing || p.closed,
-		Connected: p.connected(team),
-		Full:      p.open >= p.allowed(now) && len(p.idle) == 0,
-		InFlight:  p.inFlight + len(p.waiters), Latency: p.latencyNow(now),
+		Connected: p.idleOf(team) >= 0,
+		Full:      p.lent >= p.windowNow(now),
+		InFlight:  p.lent + len(p.waiters), Latency: p.latencyNow(now),
 		Position: p.position, LatelyBehind: p.behindAt != 0 && now-p.behindAt < behindMemory,
 	}
 }
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -223,6 +223,12 @@
 	if refusal != nil {
 		return Answer{Refusal: refusal}
 	}
+	answer := s.runSingle(ctx, op, st, writes)
+	s.returnToken(op, answer.Refusal)
+	return answer
+}
+
+func (s *Session) runSingle(ctx context.Context, op *operation, st Statement, writes bool) Answer {
 	switch {
 	case writes:
 		return s.write(ctx, op, st)
@@ -233,6 +239,16 @@
 	}
 }
 
+// returnToken gives the operation's request token back if it has not run.
+func (s *Session) returnToken(op *operation, r *Refusal) {
+	if r == nil || op.team == publicTeam {
+		return
+	}
+	if info, ok := rescode.Lookup(r.Code); ok && info.Execution == rescode.NotRun {
+		s.engine.opts.Tokens.Return(clock.Now(), op.team)
+	}
+}
+
 // admitOperation also takes a request token of the team.
 func (s *Session) admitOperation(ctx context.Context, st Statement) (*operation, *Refusal) {
 	op, refusal := s.admit()
--- a/gateway/engine/single.go
+++ b/gateway/engine/single.go
@@ -19,14 +19,19 @@
 	// primaryWait bounds the wait for a primary while it is replaced. A longer one would
 	// use up the caller's time for another attempt.
 	primaryWait = 150 * time.Millisecond
+	// busyAttempts bounds the attempts after an upstream was busy.
+	busyAttempts = 2
 	// busyPause is the time before a busy upstream is asked again.
 	busyPause = 15 * time.Millisecond
 	// attemptShare is the part of the latency objective after which a read that has no
 	// answer is run elsewhere.
 	attemptShare = 0.6
+	// patienceShare is the part of the latency objective that is waited for a connection.
+	patienceShare = 0.5
+	minPatience   = 60 * time.Millisecond
 	// minAttempt is the least time for one attempt, and latencyFactor how many times
 	// the upstream's latency it lasts at least.
-	minAttempt    = 250 * time.Millisecond
+	minAttempt    = 400 * time.Millisecond
 	latencyFactor = 5
 )
 
@@ -38,6 +43,19 @@
 	again bool
 }
 
+// worthwhile reports whether another attempt helps the caller. One that was refused for
+// want of room is made once more at most: many would keep the upstream full.
+func (v verdict) worthwhile(n int) bool {
+	switch v.retry {
+	case retryBusy:
+		return n <= busyAttempts
+	case retryQueue:
+		return n <= 1
+	default:
+		return true
+	}
+}
+
 func final(a Answer) verdict { return verdict{answer: a} }
 
 // again keeps the refusal for the case that no attempt is left.
@@ -149,7 +167,7 @@
 	skip := map[string]bool{}
 	return s.attempts(op, st, func(int) verdict {
 		now := clock.Now()
-		p, floor, sendBy, ok := op.group.planRead(
+		p, ok := op.group.planRead(
 			now, op.route.MaxStaleness, s.engine.opts.Place, op.team, s.newest[op.group.service], skip)
 		if !ok {
 			primary, refusal := s.engine.primary(op)
@@ -162,7 +180,7 @@
 		countRead("any")
 		deadline := attemptDeadline(op, p)
 		v := s.onLink(ctx, op, p, deadline, func(l *link) verdict {
-			return s.readOn(op, l, st, floor, sendBy, deadline)
+			return s.readOn(op, l, st, deadline)
 		})
 		if v.again && v.retry != retryStale {
 			skip[p.target.ID] = true
@@ -171,9 +189,11 @@
 	})
 }
 
-func (s *Session) readOn(op *operation, l *link, st Statement, floor position.Position, sendBy time.Duration, deadline time.Time) verdict {
-	if clock.Now() > sendBy {
-		return again(retryStale, Refusal{Code: rescode.QueueTimeout, Reason: reasonPoolTimeout, RetryAfter: retrySoon})
+func (s *Session) readOn(op *operation, l *link, st Statement, deadline time.Time) verdict {
+	// The wait for the connection may have outlasted the floor of the plan.
+	floor, ok := op.group.floor(clock.Now(), op.route.MaxStaleness, s.newest[op.group.service])
+	if !ok {
+		return again(retryStale, Refusal{Code: rescode.NoUpstream, Reason: reasonNoReplica, RetryAfter: retrySoon})
 	}
 	st.After = floor
 	reply, v := s.exchange(op, l, deadline, st)
@@ -236,6 +256,12 @@
 	return g.lost
 }
 
+// patience is how long the operation may wait for a connection: a longer wait leaves no
+// time to meet the objective.
+func (op *operation) patience() time.Duration {
+	return max(minPatience, time.Duration(patienceShare*float64(op.route.LatencyObjective)))
+}
+
 // attempts repeats an attempt while the statement has not run and time is left.
 func (s *Session) attempts(op *operation, st Statement, attempt func(n int) verdict) Answer {
 	for n := 1; ; n++ {
@@ -243,7 +269,7 @@
 		if !v.again {
 			return v.answer
 		}
-		if n >= maxAttempts || time.Until(op.deadline) < busyPause {
+		if n >= maxAttempts || time.Until(op.deadline) < busyPause || !v.worthwhile(n) {
 			return v.answer
 		}
 		countRetry(v.retry)
@@ -257,25 +283,33 @@
 	}
 }
 
+// acquireVerdict decides what follows when no connection could be had.
+func acquireVerdict(refusal *Refusal) verdict {
+	switch refusal.Reason {
+	case reasonPoolFull, reasonPoolTimeout:
+		return again(retryQueue, *refusal)
+	case reasonUpstreamFull:
+		return again(retryBusy, *refusal)
+	default:
+		return again(retryDial, *refusal)
+	}
+}
+
 // onLink runs one attempt on a connection to an upstream.
 func (s *Session) onLink(ctx context.Context, op *operation, p *pool, deadline time.Time, f func(*link) verdict) verdict {
 	waiting := clock.Now()
-	p.started()
-	l, refusal := p.acquire(ctx, op.team, deadline)
+	l, refusal := p.acquire(ctx, op.team, deadline, op.patience())
 	observeSeconds(metricConnWaitSeconds, clock.Now()-waiting)
 	if refusal != nil {
-		p.finished(0, false)
-		if refusal.Reason == reasonUpstreamFull {
-			return again(retryBusy, *refusal)
-		}
-		return again(retryDial, *refusal)
+		return acquireVerdict(refusal)
 	}
 	defer p.release(l)
 	asked := clock.Now()
 	v := f(l)
-	p.finished(clock.Now()-asked, !l.broken)
 	if l.broken {
-		p.failed()
+		p.unanswered(clock.Now() - asked)
+	} else {
+		p.answered(clock.Now() - asked)
 	}
 	observeSeconds(metricUpstreamSeconds, clock.Now()-asked)
 	return v
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -9,7 +9,6 @@
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
-	"github.com/jayloom/jayloom/gateway/position"
 )
 
 // transaction is an open transaction of a caller. It takes a connection with its first
@@ -38,7 +37,6 @@
 	if t.link == nil {
 		return
 	}
-	t.link.pool.finished(0, false)
 	t.link.pool.release(t.link)
 	t.link = nil
 }
@@ -78,6 +76,7 @@
 	t.op.deadline = time.Now().Add(t.op.route.StatementTimeout)
 	t.op.id = st.ID
 	if refusal := s.connect(ctx, st); refusal != nil {
+		s.returnToken(t.op, refusal)
 		t.fail(refusal.Reason)
 		return Answer{Refusal: refusal}
 	}
@@ -152,18 +151,13 @@
 
 func (s *Session) connectOnce(ctx context.Context, skip map[string]bool) verdict {
 	t := s.tx
-	begin := Statement{Kind: Begin}
+	begin := Begin
 	var p *pool
-	var sendBy time.Duration
 	if t.readOnly && t.op.route.Consistency != controlpb.Consistency_CONSISTENCY_PRIMARY {
-		var floor position.Position
-		var ok bool
-		p, floor, sendBy, ok = t.op.group.planRead(
+		planned, ok := t.op.group.planRead(
 			clock.Now(), t.op.route.MaxStaleness, s.engine.opts.Place, t.op.team, s.newest[t.op.group.service], skip)
 		if ok {
-			begin = Statement{Kind: BeginRead, After: floor}
-		} else {
-			p = nil
+			begin, p = BeginRead, planned
 		}
 	}
 	if p == nil {
@@ -173,8 +167,8 @@
 		}
 		p = primary
 	}
-	v := s.beginOn(ctx, p, begin, sendBy)
-	if v.again && begin.Kind == BeginRead && v.retry != retryStale {
+	v := s.beginOn(ctx, p, begin)
+	if v.again && begin == BeginRead && v.retry != retryStale {
 		skip[p.target.ID] = true
 	}
 	return v
@@ -182,26 +176,27 @@
 
 // beginOn begins on an upstream. The first statement waits for the answer: behind a
 // refused beginning it would run by itself.
-func (s *Session) beginOn(ctx context.Context, p *pool, begin Statement, sendBy time.Duration) verdict {
+func (s *Session) beginOn(ctx context.Context, p *pool, kind Kind) verdict {
 	t := s.tx
-	p.started()
-	l, refusal := p.acquire(ctx, t.op.team, t.op.deadline)
+	l, refusal := p.acquire(ctx, t.op.team, t.op.deadline, t.op.patience())
 	if refusal != nil {
-		p.finished(0, false)
-		return again(retryDial, *refusal)
-	}
-	if begin.Kind == BeginRead && clock.Now() > sendBy {
-		p.finished(0, false)
-		p.release(l)
-		return again(retryStale, Refusal{Code: rescode.QueueTimeout, Reason: reasonPoolTimeout, RetryAfter: retrySoon})
+		return acquireVerdict(refusal)
 	}
+	begin := Statement{Kind: kind}
 	at := clock.Now()
+	if kind == BeginRead {
+		floor, ok := t.op.group.floor(at, t.op.route.MaxStaleness, s.newest[t.op.group.service])
+		if !ok {
+			p.release(l)
+			return again(retryStale, Refusal{Code: rescode.NoUpstream, Reason: reasonNoReplica, RetryAfter: retrySoon})
+		}
+		begin.After = floor
+	}
 	reply, v := s.exchange(t.op, l, attemptDeadline(t.op, p), begin)
 	if v != nil || reply.Outcome != Done {
-		p.finished(0, false)
 		p.release(l)
 		if v != nil {
-			p.failed()
+			p.unanswered(clock.Now() - at)
 			return *v
 		}
 		switch reply.Outcome {
@@ -212,7 +207,7 @@
 		}
 		return outcomeVerdict(reply.Outcome)
 	}
-	if begin.Kind == Begin {
+	if kind == Begin {
 		t.op.group.observed(at, p.target.ID, reply.Position)
 	}
 	t.link = l
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -69,6 +69,9 @@
 		if !r.Position.IsZero() {
 			l.pool.sawPosition(r.Position)
 		}
+		if r.Outcome == Busy {
+			l.pool.sawBusy()
+		}
 		replies = append(replies, r)
 	}
 	return replies, nil
--- a/policy/rate/holder.go
+++ b/policy/rate/holder.go
@@ -84,6 +84,15 @@
 	return taken
 }
 
+// Return gives back a token whose request has not run. It is kept for a moment, for the
+// request that follows.
+func (h *Holder) Return(now time.Duration, team string) {
+	t := h.holding(team)
+	t.mu.Lock()
+	t.giveToken(now)
+	t.mu.Unlock()
+}
+
 // raise makes the next report urgent once a gap since the last one has passed.
 func (h *Holder) raise(gap time.Duration) {
 	at := h.reportedAt.Load() + int64(gap)
--- a/policy/rate/holding.go
+++ b/policy/rate/holding.go
@@ -18,6 +18,8 @@
 	// spareFor is how long after its last use a team keeps one token ready, so that
 	// rare requests need not wait for the owner.
 	spareFor = 2500 * time.Millisecond
+	// returnedFor is how long a token stays that was given back unused.
+	returnedFor = time.Second
 )
 
 // holding is what a proxy holds of one team's tokens. Its methods need mu.
@@ -99,6 +101,17 @@
 	return true
 }
 
+// giveToken takes a token back that was used for nothing. The use that was or will be
+// reported stands for the next one.
+func (t *holding) giveToken(now time.Duration) {
+	if t.used == 0 {
+		return
+	}
+	t.used--
+	t.held++
+	t.lots = append(t.lots, heldLot{tokens: 1, until: now + returnedFor})
+}
+
 func (t *holding) noteUse(now time.Duration) {
 	t.advance(now)
 	t.slots[t.slot%demandSlots]++
--- a/proxy/admission/admission.go
+++ b/proxy/admission/admission.go
@@ -26,6 +26,8 @@
 	StreamStarted(now time.Duration)
 	// Answered says that the owner has answered a report.
 	Answered(now time.Duration)
+	// Return gives back the token of a request that has not run.
+	Return(now time.Duration, team string)
 }
 
 // Queue hands out request tokens, in order of arrival within a team.
@@ -155,6 +157,19 @@
 	a.holder.StreamStarted(now)
 }
 
+// Return gives back the token of a request that was refused as not run.
+func (a *Queue) Return(now time.Duration, team string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holder.Return(now, team)
+	queue := a.waiting[team]
+	if len(queue) > 0 && a.holder.Take(now, team) {
+		close(queue[0].granted)
+		a.holder.Waiting(team, -1)
+		a.setWaiting(team, queue[1:])
+	}
+}
+
 // Answered implements attend.TokenReporter.
 func (a *Queue) Answered(now time.Duration) {
 	a.mu.Lock()
--- a/proxy/admission/admission_test.go
+++ b/proxy/admission/admission_test.go
@@ -55,3 +55,4 @@
 func (f *fakeTokens) Grant(_, _ time.Duration, _ *controlpb.TokenGrant) {}
 func (f *fakeTokens) StreamStarted(time.Duration)                       {}
 func (f *fakeTokens) Answered(time.Duration)                            {}
+func (f *fakeTokens) Return(time.Duration, string)                      {}
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -61,6 +61,7 @@
 func (f *fakeTokens) Grant(time.Duration, time.Duration, *controlpb.TokenGrant) {}
 func (f *fakeTokens) StreamStarted(time.Duration)                               {}
 func (f *fakeTokens) Answered(time.Duration)                                    {}
+func (f *fakeTokens) Return(time.Duration, string)                              {}
 
 // fakeShares allows the same number of connections to each upstream.
 type fakeShares int
