--- /dev/null
+++ b/gateway/coordinator/coordinator_test.go
@@ -0,0 +1,278 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/control/replica"
+	"github.com/jayloom/jayloom/gateway/position"
+	"github.com/jayloom/jayloom/gateway/succession"
+	"github.com/jayloom/jayloom/gateway/topology"
+)
+
+const (
+	addLearner = controlpb.ChangeMembershipRequest_KIND_ADD_LEARNER
+	promote    = controlpb.ChangeMembershipRequest_KIND_PROMOTE_LEARNER
+	remove     = controlpb.ChangeMembershipRequest_KIND_REMOVE
+)
+
+func voter(id string, active bool) *controlpb.VoterStatus {
+	return &controlpb.VoterStatus{Identity: id, Address: "at-" + id, Active: active, MatchIndex: 9}
+}
+
+func learner(id string, active bool) *controlpb.VoterStatus {
+	v := voter(id, active)
+	v.Learner = true
+	return v
+}
+
+// Guards against a set of voters that is not repaired, or that shrinks although nobody
+// can take the place of a lost one.
+func TestNextMembershipChange(t *testing.T) {
+	three := []*controlpb.VoterStatus{voter("a", true), voter("b", true), voter("c", true)}
+	cLost := []*controlpb.VoterStatus{voter("a", true), voter("b", true), voter("c", false)}
+	lost := map[string]bool{"c": true}
+	for name, c := range map[string]struct {
+		members  []*controlpb.VoterStatus
+		spares   []spare
+		lost     map[string]bool
+		kind     controlpb.ChangeMembershipRequest_Kind
+		identity string
+	}{
+		"complete":                {members: three, spares: []spare{{"a", "at-a"}}},
+		"spare becomes learner":   {members: three, spares: []spare{{"d", "at-d"}}, kind: addLearner, identity: "d"},
+		"lost, nobody stands by":  {members: cLost, lost: lost},
+		"lost disk":               {members: cLost, spares: []spare{{"c2", "at-c"}}, kind: remove, identity: "c"},
+		"same address, but alive": {members: three, spares: []spare{{"c2", "at-c"}}},
+		"lost, learner stands by": {members: append(cLost[:3:3], learner("d", true)), lost: lost, kind: remove, identity: "c"},
+		"silent learner stays by": {members: append(cLost[:3:3], learner("d", false)), lost: lost},
+		"learner takes the place": {members: []*controlpb.VoterStatus{voter("a", true), voter("b", true), learner("d", true)}, kind: promote, identity: "d"},
+		"enough voters":           {members: append(three[:3:3], learner("d", true))},
+		"lost learner is removed": {members: append(three[:3:3], learner("d", false)), lost: map[string]bool{"d": true}, kind: remove, identity: "d"},
+		"leader is never removed": {members: []*controlpb.VoterStatus{voter("a", true), learner("d", true)}, lost: map[string]bool{"a": true}, kind: promote, identity: "d"},
+	} {
+		got := nextChange(c.members, c.spares, c.lost, 3, "a")
+		if c.identity == "" {
+			if got != nil {
+				t.Errorf("%s: %v", name, got)
+			}
+			continue
+		}
+		if got == nil || got.Kind != c.kind || got.Identity != c.identity {
+			t.Errorf("%s: %v, want %v of %s", name, got, c.kind, c.identity)
+		}
+	}
+}
+
+func put(version uint64, team string) *controlpb.Command {
+	return &controlpb.Command{Change: &controlpb.Command_PutCatalog{PutCatalog: &controlpb.Catalog{
+		Version: version, Teams: []*controlpb.CatalogTeam{{Name: team}},
+	}}}
+}
+
+// Guards against a configuration that goes back, and against two contents of one version.
+func TestFirstConfigurationOfHighestVersionIsKept(t *testing.T) {
+	s := newStore(func(storeEvent) {})
+	for i, c := range []*controlpb.Command{put(5, "a"), put(5, "b"), put(4, "c")} {
+		if got := s.Apply(uint64(i), c); got.Code != 0 || got.Revision != 5 {
+			t.Errorf("command %d: %v", i, got)
+		}
+	}
+	if got := s.current().Catalog.Teams[0].Name; got != "a" {
+		t.Errorf("in force is the one with team %s", got)
+	}
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := newStore(func(storeEvent) {})
+	if err := restored.Restore(data); err != nil || restored.current().Catalog.Version != 5 {
+		t.Errorf("restored %v, %v", restored.current(), err)
+	}
+}
+
+// fakeUpstreams answers probes with what a test sets.
+type fakeUpstreams struct{}
+
+func (fakeUpstreams) Probe(context.Context, topology.Upstream) (succession.Sample, error) {
+	return succession.Sample{}, errors.New("dark")
+}
+
+func (fakeUpstreams) Observe(context.Context, topology.Upstream) (position.Position, bool, error) {
+	return position.Position{}, false, errors.New("dark")
+}
+
+func (fakeUpstreams) Pause(context.Context, topology.Upstream, uint64) error { return nil }
+
+func newTestLeader(t *testing.T) (*Leader, *replica.Fake) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	l := NewLeader(Config{Upstreams: fakeUpstreams{}, Voters: 3, Log: logger.WithField("test", t.Name())})
+	fake := replica.NewFake(l.Store())
+	l.Use(fake)
+	fake.SetLeading(true)
+	fake.SetLease(true)
+	drainEvents(l)
+	return l, fake
+}
+
+// drainEvents handles what has been posted.
+func drainEvents(l *Leader) {
+	for {
+		select {
+		case e := <-l.events:
+			l.handle(context.Background(), e)
+		default:
+			return
+		}
+	}
+}
+
+func attending(l *Leader, node string, report *controlpb.NodeReport) *attendance {
+	a := &attendance{updates: make(chan *controlpb.NodeUpdate, updateQueue), end: func() {}}
+	report.Node = node
+	l.handle(context.Background(), reportReceived{a, report})
+	return a
+}
+
+// newest returns the last update that was queued.
+func newest(a *attendance) *controlpb.NodeUpdate {
+	var u *controlpb.NodeUpdate
+	for {
+		select {
+		case u = <-a.updates:
+		default:
+			return u
+		}
+	}
+}
+
+func wax(version uint64) *controlpb.Catalog {
+	return &controlpb.Catalog{
+		Version: version, Document: []byte("as sent"),
+		Services: []*controlpb.CatalogService{{Name: "wax", MaxConnections: 23}},
+		Routes:   []*controlpb.CatalogRoute{{Name: "r", Database: "lots", Service: "wax", StatementTimeoutMs: 100}},
+		Teams:    []*controlpb.CatalogTeam{{Name: "melt", Keys: []string{"k"}, Rate: 10, Burst: 10}},
+	}
+}
+
+// Guards against nodes that are not told of a change, or are told of it without the
+// leader's lease, and against an old version that replaces a newer one.
+func TestNodesLearnConfiguration(t *testing.T) {
+	l, _ := newTestLeader(t)
+	a := attending(l, "n1", &controlpb.NodeReport{Sequence: 7})
+	for _, version := range []uint64{3, 2} {
+		if held, err := l.putCatalog(context.Background(), wax(version)); err != nil || held != 3 {
+			t.Fatalf("put %d: %d in force, %v", version, held, err)
+		}
+	}
+	drainEvents(l)
+	u := newest(a)
+	if u == nil || u.Catalog.GetVersion() != 3 || u.Sequence != 7 {
+		t.Fatalf("node was told %v", u)
+	}
+	if len(u.Catalog.Document) > 0 {
+		t.Error("the operator's document was sent to a node")
+	}
+	if _, err := l.putCatalog(context.Background(), &controlpb.Catalog{Version: 4, Routes: wax(1).Routes}); err == nil {
+		t.Error("a route to an unknown service was accepted")
+	}
+}
+
+// Guards against reads of a configuration that may be old, from a leader without a lease.
+func TestReadNeedsTheLease(t *testing.T) {
+	l, fake := newTestLeader(t)
+	server := NewServer(noDirectory{}, l)
+	if _, err := l.putCatalog(context.Background(), wax(3)); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := server.GetCatalog(context.Background(), nil); err != nil || c.Version != 3 {
+		t.Errorf("read %v, %v", c, err)
+	}
+	fake.SetLease(false)
+	if c, err := server.GetCatalog(context.Background(), nil); err == nil {
+		t.Errorf("without the lease: %v", c)
+	}
+}
+
+type noDirectory struct{}
+
+func (noDirectory) Leader() (string, []string) { return "", nil }
+
+// Guards against nodes that go on with an upstream which has announced that it leaves,
+// and against a new leader that takes the known ones away from them.
+func TestNodesLearnUpstreams(t *testing.T) {
+	l, _ := newTestLeader(t)
+	told := &controlpb.Topology{
+		Revision: 5, Upstreams: []*controlpb.TopologyUpstream{{Id: "old", Service: "wax", Address: "10.0.0.1:1"}},
+		Primaries: []*controlpb.TopologyPrimary{{Service: "wax", Upstream: "old", Term: 4}},
+	}
+	a := attending(l, "n1", &controlpb.NodeReport{Sequence: 1, TopologyRevision: 5, Topology: told})
+	b := attending(l, "n2", &controlpb.NodeReport{Sequence: 1})
+	done := make(chan struct{})
+	l.handle(context.Background(), announced{&controlpb.UpstreamAnnouncement{
+		Id: "new", Service: "wax", Address: "10.0.0.2:1", StartedUnixMs: 1, Sequence: 1,
+		Phase: controlpb.UpstreamPhase_UPSTREAM_PHASE_DRAINING,
+	}, done})
+	<-done
+	for _, u := range []*controlpb.NodeUpdate{newest(a), newest(b)} {
+		got := map[string]bool{}
+		for _, upstream := range u.GetTopology().GetUpstreams() {
+			got[upstream.Id] = upstream.Draining
+		}
+		if diff := cmp.Diff(map[string]bool{"old": false, "new": true}, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+	if id, term, _ := l.groups["wax"].machine.Primary(); id != "old" || term != 4 {
+		t.Errorf("primary %s of term %d", id, term)
+	}
+}
+
+// Guards against nodes that divide connections among too few: a new leader counts those
+// that have not come back, and any leader those that were lost without a word.
+func TestConnectionsAreDividedAmongLostNodesToo(t *testing.T) {
+	l, _ := newTestLeader(t)
+	for _, name := range []string{"n1", "n2", "n3"} {
+		l.store.Apply(1, &controlpb.Command{Change: &controlpb.Command_RegisterNode{RegisterNode: &controlpb.NodeMember{Name: name}}})
+	}
+	drainEvents(l)
+	a := attending(l, "n1", &controlpb.NodeReport{Sequence: 1})
+	if u := newest(a); u.Nodes != 3 {
+		t.Errorf("%d nodes after the change of leader", u.Nodes)
+	}
+	b := attending(l, "n2", &controlpb.NodeReport{Sequence: 1})
+	c := attending(l, "n3", &controlpb.NodeReport{Sequence: 1})
+	l.leadAt -= returnTime
+	l.handle(context.Background(), attendanceEnded{b})
+	l.handle(context.Background(), reportReceived{c, &controlpb.NodeReport{Node: "n3", Sequence: 2, Leaving: true}})
+	if got := l.fleetSize(clock.Now()); got != 2 {
+		t.Errorf("%d nodes: one attends, one was lost, one has left", got)
+	}
+	if got := l.fleetSize(clock.Now() + lostTime + time.Second); got != 1 {
+		t.Errorf("%d nodes after the lost one is given up", got)
+	}
+}
+
+// Guards against positions without their age in updates that answer no report.
+func TestPositionsAnswerReportsOnly(t *testing.T) {
+	l, _ := newTestLeader(t)
+	g := l.groupOf(clock.Now(), "wax")
+	g.observed = observation{"p", position.Position{Term: 1, Number: 7}, clock.Now()}
+	a := attending(l, "n1", &controlpb.NodeReport{Sequence: 1})
+	if u := newest(a); len(u.Positions) != 1 || u.Positions[0].AgeMs == 0 {
+		t.Errorf("answer: %v", u.Positions)
+	}
+	l.pushAll()
+	if u := newest(a); len(u.Positions) != 0 {
+		t.Errorf("push: %v", u.Positions)
+	}
+}
