--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,7 @@
 # KNOWN-RED.txt run with their output printed and do not decide the result.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-modules=(api base cmd consensus control policy proxy standin wal)
+modules=(api base cmd consensus control gateway platform policy proxy standin wal)
 packages=("${modules[@]/%//...}")
 packages=("${packages[@]/#/./}")
 
