--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -54,7 +54,7 @@
 	address  string
 
 	grpc     *grpc.Server
-	replica  *replica.Replica
+	voter    replica.Slot
 	leader   *coordinator.Leader
 	client   *attend.Client
 	engine   *engine.Engine
@@ -92,9 +92,7 @@
 }
 
 func (n *node) start(ctx context.Context, o options) error {
-	if err := n.startVoter(); err != nil {
-		return err
-	}
+	n.prepareLeader()
 	n.startClient()
 	if err := n.serveNodes(ctx); err != nil {
 		return err
@@ -112,41 +110,16 @@
 	return n.serveCallers(ctx)
 }
 
-// startVoter opens the replicated state on a VM with a disk.
-func (n *node) startVoter() error {
+// prepareLeader makes what decides for the fleet on a VM with a disk.
+func (n *node) prepareLeader() {
 	s := n.settings
 	if s.DataFolder == "" {
-		return nil
+		return
 	}
 	n.leader = coordinator.NewLeader(coordinator.Config{
 		Upstreams: platform.NewServers(), Promoter: platform.NewPromoter(s.PromoteAddress, s.Node, n.log),
 		Voters: 2*s.LostMachines + 1, Log: n.log,
 	})
-	r, err := replica.Open(replica.Config{
-		Folder: s.DataFolder, Address: n.address, Voters: n.firstVoters(),
-		DialOptions: dialOptions(), Log: n.log,
-	}, n.leader.Store())
-	if err != nil {
-		return err
-	}
-	n.leader.Use(r)
-	n.replica = r
-	return nil
-}
-
-// firstVoters are the seeds when the whole system starts for the first time. Any other
-// VM with an empty disk waits until the leader takes it in.
-func (n *node) firstVoters() []string {
-	if !n.settings.FirstStart {
-		return nil
-	}
-	voters := n.seeds()
-	for _, v := range voters {
-		if v == n.address {
-			return voters
-		}
-	}
-	return nil
 }
 
 func (n *node) seeds() []string {
@@ -176,16 +149,11 @@
 }
 
 func (n *node) startClient() {
-	var tokens *admission.Queue
-	tokens = admission.New(rate.NewHolder(rate.GatewayConfig()), func() { n.client.ReportNow() })
-	voter := attend.Voter{}
-	if n.replica != nil {
-		voter = attend.Voter{Identity: n.replica.Status().Identity, Address: n.address}
-	}
+	tokens := admission.New(rate.NewHolder(rate.GatewayConfig()), func() { n.client.ReportNow() })
 	n.client = attend.New(attend.Options{
 		Node: n.settings.Node, Seeds: n.seeds,
 		Lease:  time.Duration(leaseShare * float64(n.settings.RevocationBound)),
-		Tokens: tokens, Voter: voter, DialOptions: dialOptions(), Log: n.log,
+		Tokens: tokens, Voter: n.voterIdentity, DialOptions: dialOptions(), Log: n.log,
 		Primaries: func(now time.Duration) []*controlpb.PrimaryView { return n.engine.Primaries(now) },
 	}, func(v *attend.View) { n.engine.Update(v) }, func(o attend.Observation) { n.engine.Observed(o) })
 	n.engine = engine.New(engine.Options{
@@ -202,14 +170,10 @@
 	n.grpc = grpc.NewServer(append(replica.ServerOptions(),
 		grpc.ReadBufferSize(grpcBuffer), grpc.WriteBufferSize(grpcBuffer))...)
 	coordinator.NewServer(directory{n}, n.leader).Register(n.grpc)
-	if n.replica != nil {
-		n.replica.Register(n.grpc)
+	if n.leader != nil {
+		n.voter.Register(n.grpc)
 		n.running.Go(func() { n.leader.Run(ctx) })
-		n.running.Go(func() {
-			if err := n.replica.Run(ctx); err != nil {
-				n.failed <- errors.Wrap(err, "replicated state")
-			}
-		})
+		n.running.Go(func() { n.runVoter(ctx) })
 	}
 	n.running.Go(func() {
 		if err := n.grpc.Serve(l); err != nil {
@@ -225,10 +189,11 @@
 // Leader implements coordinator.Directory.
 func (d directory) Leader() (string, []string) {
 	leader, voters := d.n.client.Leader()
-	if d.n.replica == nil {
+	r := d.n.voter.Get()
+	if r == nil {
 		return leader, voters
 	}
-	status := d.n.replica.Status()
+	status := r.Status()
 	members := []string{}
 	for _, m := range status.Members {
 		members = append(members, m.Address)
--- a/gateway/attend/attend.go
+++ b/gateway/attend/attend.go
@@ -60,8 +60,9 @@
 	Lease  time.Duration
 	Tokens Tokens
 	// Primaries tells how the node sees the primaries that it uses.
-	Primaries   func(now time.Duration) []*controlpb.PrimaryView
-	Voter       Voter
+	Primaries func(now time.Duration) []*controlpb.PrimaryView
+	// Voter describes the node's replica.
+	Voter       func() Voter
 	DialOptions []grpc.DialOption
 	Log         *logrus.Entry
 }
@@ -328,12 +329,12 @@
 	r.lastSend = now
 	c.sequence++
 	c.sentAt[c.sequence%sendTimes] = now
-	v := c.View()
+	v, voter := c.View(), c.opts.Voter()
 	report := &controlpb.NodeReport{
 		Sequence: c.sequence, Node: c.opts.Node, Incarnation: c.incarnation,
 		TopologyRevision: v.Topology.GetRevision(),
 		Tokens:           c.opts.Tokens.Report(now), Primaries: c.opts.Primaries(now),
-		VoterIdentity: c.opts.Voter.Identity, VoterAddress: c.opts.Voter.Address, Leaving: leaving,
+		VoterIdentity: voter.Identity, VoterAddress: voter.Address, Leaving: leaving,
 	}
 	if v.Catalog != nil {
 		report.CatalogVersion = v.Catalog.Version
--- a/gateway/coordinator/attendance.go
+++ b/gateway/coordinator/attendance.go
@@ -104,7 +104,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 		defer cancel()
-		_, err := l.replicator.Propose(ctx, &controlpb.Command{
+		_, err := l.replica().Propose(ctx, &controlpb.Command{
 			Change: &controlpb.Command_RegisterNode{RegisterNode: &controlpb.NodeMember{Name: node}},
 		})
 		if err != nil {
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -341,7 +341,7 @@
 // voterAddresses returns where nodes find the leader, or who names it.
 func (l *Leader) voterAddresses() []string {
 	addresses := []string{}
-	for _, m := range l.replicator.Status().Members {
+	for _, m := range l.replica().Status().Members {
 		addresses = append(addresses, m.Address)
 	}
 	return addresses
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -72,7 +73,7 @@
 	config     Config
 	log        *logrus.Entry
 	store      *Store
-	replicator replica.Replicator
+	replicator atomic.Pointer[replica.Replicator]
 	events     chan event
 
 	// The rest belongs to the goroutine of Run.
@@ -118,14 +119,22 @@
 	return l.store
 }
 
-// Use sets the replica. It is called before Run.
+// Use sets the replica, which may be another one after an error of the disk.
 func (l *Leader) Use(r replica.Replicator) {
-	l.replicator = r
+	l.replicator.Store(&r)
+}
+
+// replica returns the replica in use. One must have been set.
+func (l *Leader) replica() replica.Replicator {
+	return *l.replicator.Load()
 }
 
 // mayAct reports whether this process may act alone as leader.
 func (l *Leader) mayAct(now time.Duration) bool {
-	return l.replicator != nil && l.replicator.Status().Leading && l.replicator.LeaseValid(now)
+	if l.replicator.Load() == nil {
+		return false
+	}
+	return l.replica().Status().Leading && l.replica().LeaseValid(now)
 }
 
 // post hands an event to the leader's goroutine. It returns false when ctx ends first.
@@ -290,7 +299,7 @@
 	if held := l.store.current().Catalog.GetVersion(); in.Version <= held && l.mayAct(clock.Now()) {
 		return held, nil
 	}
-	result, err := l.replicator.Propose(ctx, &controlpb.Command{
+	result, err := l.replica().Propose(ctx, &controlpb.Command{
 		Change: &controlpb.Command_PutCatalog{PutCatalog: in},
 	})
 	if err != nil {
--- a/gateway/coordinator/membership.go
+++ b/gateway/coordinator/membership.go
@@ -36,9 +36,9 @@
 	if l.members.changing {
 		return
 	}
-	members := l.replicator.Status().Members
+	members := l.replica().Status().Members
 	l.members.observe(now, members)
-	change := nextChange(members, l.spares(), l.members.lost(now), l.config.Voters, l.replicator.Status().Identity)
+	change := nextChange(members, l.spares(), l.members.lost(now), l.config.Voters, l.replica().Status().Identity)
 	if change == nil {
 		return
 	}
@@ -51,7 +51,7 @@
 	defer l.post(ctx, membershipChanged{})
 	callCtx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	result, err := l.replicator.ChangeMembership(callCtx, change)
+	result, err := l.replica().ChangeMembership(callCtx, change)
 	fields := logrus.Fields{
 		"event": "membership_change", "kind": change.Kind.String(), "member": change.Identity, "address": change.Address,
 	}
--- a/gateway/succession/succession.go
+++ b/gateway/succession/succession.go
@@ -18,10 +18,8 @@
 	// suspectAfter is the time without an answer after which a primary that nobody
 	// reaches is replaced.
 	suspectAfter = 600 * time.Millisecond
-	// partialAfter is the time after which a primary that many nodes cannot reach is
-	// replaced although others reach it.
-	partialAfter = 1500 * time.Millisecond
-	// partialShare is the share of the nodes that must have lost the primary then.
+	// partialShare is the share of the nodes that must have lost a primary for long
+	// before it is replaced although others reach it.
 	partialShare = 0.4
 	// partialMaxMissing bounds the commits that the candidate may lack in that case:
 	// acknowledged writes are worth more than a few seconds of some nodes.
@@ -69,8 +67,8 @@
 
 // Reach is how many nodes reach the primary.
 type Reach struct {
-	// Nodes that have an opinion, and those whose attempts have failed for partialAfter
-	// and for suspectAfter.
+	// Nodes that have an opinion, and those whose attempts have failed for long and for
+	// a moment.
 	Nodes, LongFailing, Failing int
 }
 
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -88,6 +88,7 @@
 	metricCancelsDropped  = metrics.NewCounter("jayloom_proxy_cancels_dropped_total")
 	metricDials           = metrics.NewCounter("jayloom_proxy_upstream_dials_total")
 	metricDialFailures    = metrics.NewCounter("jayloom_proxy_upstream_dial_failures_total")
+	metricReachable       = metrics.NewCounter("jayloom_proxy_upstream_reachable_despite_control_total")
 	metricClosed          = metrics.NewCounter("jayloom_proxy_upstream_closed_total")
 	metricStale           = metrics.NewCounter("jayloom_proxy_upstream_stale_total")
 	metricResets          = metrics.NewCounter("jayloom_proxy_upstream_resets_total")
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/policy/fairq"
@@ -364,6 +367,25 @@
 	p.serveWaiting()
 }
 
+// cutUnlessReachable closes all connections unless the upstream answers a login from
+// here. One that refuses the login, as when it has its limit of connections, is alive.
+func (p *pool) cutUnlessReachable() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := p.set.dialer.Dial(ctx, p.address, p.service)
+	if err == nil {
+		_ = conn.net.Close()
+		metricReachable.Inc()
+		return
+	}
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) {
+		metricReachable.Inc()
+		return
+	}
+	p.cut()
+}
+
 func (p *pool) notePeak() {
 	p.peak = max(p.peak, len(p.busy)+p.queue.Len())
 }
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -178,8 +178,9 @@
 	return false
 }
 
-// cutReplica ends the reads that wait for a replica which control cannot reach.
-// A primary is left to the fence: control may have lost its own path only.
+// cutReplica ends the reads that wait for a replica which control cannot reach and this
+// proxy cannot either: control may have lost its own path only. A primary is left to the
+// fence.
 func (s *poolSet) cutReplica(snapshot *view.Snapshot, address string) {
 	upstream, ok := snapshot.Upstreams[address]
 	if !ok || snapshot.Groups[upstream.Group].Primary == address {
@@ -189,7 +190,7 @@
 	p := s.pools[address]
 	s.mu.Unlock()
 	if p != nil {
-		p.cut()
+		go p.cutUnlessReachable()
 	}
 }
 
