Say in the log which upstream, team and leader a refusal depended on

Cause: a refused request's line named the reason but neither where it was tried nor how old the node's knowledge was.

--- a/gateway/attend/attend.go
+++ b/gateway/attend/attend.go
@@ -169,8 +169,10 @@
 			return
 		}
 		if updates > 0 {
-			c.opts.Log.WithError(err).WithFields(logrus.Fields{"event": "leader_lost", "leader": address}).
-				Warn("stream to the leader ended")
+			c.opts.Log.WithError(err).WithFields(logrus.Fields{
+				"event": "leader_lost", "leader": address,
+				"serves_for_ms": (time.Duration(c.leaseUntil.Load()) - clock.Now()).Milliseconds(),
+			}).Warn("stream to the leader ended")
 		}
 		c.connections.drop(address)
 		c.setLeader("")
@@ -351,6 +353,9 @@
 	}
 	c, u := r.client, in.update
 	now := clock.Now()
+	if r.updates == 0 {
+		c.opts.Log.WithFields(logrus.Fields{"event": "leader_found", "leader": r.address, "nodes": u.Nodes}).Info("attends the leader")
+	}
 	r.updates++
 	if err := c.apply(u, r.address); err != nil {
 		return err
--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -75,7 +75,7 @@
 	defer e.mu.Unlock()
 	g := e.groups[service]
 	if g == nil {
-		g = newGroup(service, e.opts.Dialer)
+		g = newGroup(service, e.opts.Dialer, e.log)
 		e.groups[service] = g
 	}
 	return g
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -204,17 +204,21 @@
 
 const manyTokens = 1000
 
+func discard() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
+
 func newSystem(t *testing.T) *system {
 	start := position.Position{Term: 1, Number: 100}
 	s := &system{
 		t: t, fleet: &fakeFleet{}, tokens: &fakeTokens{left: manyTokens},
 		servers: fakeDialer{"p": {leads: true, position: start}, "r1": {position: start}, "r2": {position: start}},
 	}
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	s.engine = New(Options{
 		Fleet: s.fleet, Dialer: s.servers, Tokens: admission.New(s.tokens, func() {}), Place: "here",
-		Log: logger.WithField("test", t.Name()),
+		Log: discard(),
 	})
 	s.configure(1, "key", "melt")
 	return s
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/position"
@@ -26,6 +28,7 @@
 type group struct {
 	service string
 	dialer  Dialer
+	log     *logrus.Entry
 
 	mu      sync.Mutex
 	pools   map[string]*pool
@@ -42,9 +45,9 @@
 	changedPrimary chan struct{}
 }
 
-func newGroup(service string, dialer Dialer) *group {
+func newGroup(service string, dialer Dialer, log *logrus.Entry) *group {
 	return &group{
-		service: service, dialer: dialer, pools: map[string]*pool{}, changedPrimary: make(chan struct{}),
+		service: service, dialer: dialer, log: log, pools: map[string]*pool{}, changedPrimary: make(chan struct{}),
 	}
 }
 
@@ -62,7 +65,7 @@
 			p = nil
 		}
 		if p == nil {
-			p = newPool(Target{ID: u.Id, Service: g.service, Address: u.Address}, u.Place, g.dialer)
+			p = newPool(Target{ID: u.Id, Service: g.service, Address: u.Address}, u.Place, g.dialer, g.log)
 			g.pools[u.Id] = p
 		}
 		p.mu.Lock()
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/position"
@@ -50,6 +52,7 @@
 type pool struct {
 	target Target
 	dialer Dialer
+	log    *logrus.Entry
 
 	mu   sync.Mutex
 	idle []*link
@@ -88,8 +91,8 @@
 	closed bool
 }
 
-func newPool(t Target, place string, dialer Dialer) *pool {
-	return &pool{target: t, place: place, dialer: dialer, limit: 1, window: 1}
+func newPool(t Target, place string, dialer Dialer, log *logrus.Entry) *pool {
+	return &pool{target: t, place: place, dialer: dialer, log: log, limit: 1, window: 1}
 }
 
 // setShare sets how many connections the node may keep.
@@ -389,8 +392,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
-	p.failing = false
-	p.answeredAt = now
+	p.markAnswering(now)
 	p.noteLatency(now, latency)
 }
 
@@ -436,8 +438,7 @@
 func (p *pool) succeeded() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failing = false
-	p.answeredAt = clock.Now()
+	p.markAnswering(clock.Now())
 }
 
 // failed notes that the upstream did not answer. One that answered others lately is
@@ -452,9 +453,27 @@
 }
 
 func (p *pool) markFailing() {
+	if p.failing {
+		return
+	}
+	p.failing, p.failingAt = true, clock.Now()
+	p.log.WithFields(logrus.Fields{
+		"event": "upstream_lost", "upstream": p.target.ID, "service": p.target.Service,
+		"answered_ms_ago": (p.failingAt - p.answeredAt).Milliseconds(),
+	}).Warn("upstream does not answer")
+}
+
+// markAnswering ends a failure. The caller holds mu.
+func (p *pool) markAnswering(now time.Duration) {
+	p.answeredAt = now
 	if !p.failing {
-		p.failing, p.failingAt = true, clock.Now()
+		return
 	}
+	p.failing = false
+	p.log.WithFields(logrus.Fields{
+		"event": "upstream_regained", "upstream": p.target.ID, "service": p.target.Service,
+		"failed_ms": (now - p.failingAt).Milliseconds(),
+	}).Info("upstream answers again")
 }
 
 // failingFor returns for how long every attempt has failed, or 0.
--- a/gateway/engine/pool_test.go
+++ b/gateway/engine/pool_test.go
@@ -18,7 +18,7 @@
 
 func newTestPool(connections int) (*pool, *fakeServer) {
 	server := &fakeServer{leads: true}
-	p := newPool(Target{ID: "p"}, "here", fakeDialer{"p": server})
+	p := newPool(Target{ID: "p"}, "here", fakeDialer{"p": server}, discard())
 	p.setShare(connections+spareConnections, 1)
 	return p, server
 }
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -141,6 +141,7 @@
 	a := s.dispatch(ctx, st)
 	a.State = s.State()
 	if a.Refusal != nil {
+		a.Refusal.Elapsed = clock.Now() - started
 		s.engine.refused(st.ID, st.Kind.String(), a.Refusal, s)
 		a.Close = a.Refusal.Code == rescode.KeyWithdrawn || a.Refusal.Code == rescode.UnknownService
 	}
@@ -278,13 +279,21 @@
 	fields := logrus.Fields{
 		"event": "refused", "id": id, "statement": what, "code": uint32(r.Code), "result": r.Code.String(),
 		"reason": string(r.Reason), "retry_after_ms": r.RetryAfter.Milliseconds(),
+		"upstream": r.Upstream, "elapsed_ms": r.Elapsed.Milliseconds(),
 	}
 	view := e.opts.Fleet.View()
 	if view.Catalog != nil {
 		fields["catalog"] = view.Catalog.Version
+		fields["topology"] = view.Topology.GetRevision()
+		fields["leader"] = view.Leader
 	}
 	if s != nil {
 		fields["database"] = s.database
+		if view.Catalog != nil {
+			if team := view.Catalog.TeamOf(s.key); team != nil {
+				fields["team"] = team.Name
+			}
+		}
 	}
 	e.log.WithFields(fields).Info("request refused")
 }
--- a/gateway/engine/single.go
+++ b/gateway/engine/single.go
@@ -43,6 +43,14 @@
 	again bool
 }
 
+// upstream is where the attempt was made, if anywhere.
+func (v verdict) upstream() string {
+	if v.answer.Refusal == nil {
+		return ""
+	}
+	return v.answer.Refusal.Upstream
+}
+
 // worthwhile reports whether another attempt helps the caller. One that was refused for
 // want of room is made once more at most: many would keep the upstream full.
 func (v verdict) worthwhile(n int) bool {
@@ -274,7 +282,7 @@
 		}
 		countRetry(v.retry)
 		s.engine.log.WithFields(logrus.Fields{
-			"event": "retried", "id": st.ID, "reason": string(v.retry), "attempt": n,
+			"event": "retried", "id": st.ID, "reason": string(v.retry), "attempt": n, "upstream": v.upstream(),
 			"elapsed_ms": (clock.Now() - op.started).Milliseconds(), "service": op.group.service,
 		}).Info("request is tried again")
 		if v.retry == retryBusy || v.retry == retryReadOnly {
@@ -301,11 +309,15 @@
 	l, refusal := p.acquire(ctx, op.team, deadline, op.patience())
 	observeSeconds(metricConnWaitSeconds, clock.Now()-waiting)
 	if refusal != nil {
+		refusal.Upstream = p.target.ID
 		return acquireVerdict(refusal)
 	}
 	defer p.release(l)
 	asked := clock.Now()
 	v := f(l)
+	if v.answer.Refusal != nil {
+		v.answer.Refusal.Upstream = p.target.ID
+	}
 	if l.broken {
 		p.unanswered(clock.Now() - asked)
 	} else {
--- a/gateway/engine/statement.go
+++ b/gateway/engine/statement.go
@@ -75,6 +75,10 @@
 	Reason Reason
 	// RetryAfter is when another attempt may succeed; 0 when nothing is known.
 	RetryAfter time.Duration
+	// Upstream is where the newest attempt was made, if there was one.
+	Upstream string
+	// Elapsed is how long the caller has waited for the refusal.
+	Elapsed time.Duration
 }
 
 // Reason tells refusals with the same code apart.
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -111,6 +111,13 @@
 // failedInTransaction ends a transaction of which a statement failed. All of it is
 // rolled back, so the caller may repeat it, unless the statement itself is wrong.
 func (s *Session) failedInTransaction(reply Reply) Answer {
+	upstream := s.tx.link.pool.target.ID
+	answer := s.endFailed(reply)
+	answer.Refusal.Upstream = upstream
+	return answer
+}
+
+func (s *Session) endFailed(reply Reply) Answer {
 	t := s.tx
 	switch reply.Outcome {
 	case ReadOnly:
@@ -130,13 +137,14 @@
 // lostInTransaction ends a transaction whose connection broke. No commit was sent, so
 // the upstream rolls back.
 func (s *Session) lostInTransaction(v *verdict) Answer {
+	upstream := s.tx.link.pool.target.ID
 	s.tx.link.pool.failed()
 	s.tx.fail(reasonLostTransaction)
 	reason := reasonLostTransaction
 	if v.answer.Refusal != nil {
 		reason = v.answer.Refusal.Reason
 	}
-	return Answer{Refusal: &Refusal{Code: rescode.TransactionAborted, Reason: reason, RetryAfter: retrySoon}}
+	return Answer{Refusal: &Refusal{Code: rescode.TransactionAborted, Reason: reason, RetryAfter: retrySoon, Upstream: upstream}}
 }
 
 // connect begins the transaction at an upstream, if that was not done yet.
@@ -255,6 +263,9 @@
 	case v != nil:
 		t.link.pool.failed()
 		t.giveBack()
+		if v.answer.Refusal != nil {
+			v.answer.Refusal.Upstream = upstream
+		}
 		return *v
 	case reply.Outcome == Done:
 		if t.wrote {
