Halve the traffic between nodes and the leader

Cause: half of the bytes between places were reports and updates: five doubles for each team each 250 ms, names of node, process and voters in each, and gRPC's pings that measure a connection. Now counts are integers, what an owner needs only at the start of a stream is sent there, rate and burst go with tokens only, and the flow-control window is fixed.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -41,6 +41,9 @@
 	memoryShare = 0.6
 	// grpcBuffer is the size of the buffers of a connection between nodes.
 	grpcBuffer = 8 << 10
+	// grpcWindow is the flow-control window between nodes. A fixed one spares the pings
+	// with which gRPC would measure each connection.
+	grpcWindow = 1 << 20
 	// connectBackoff and connectTimeout bound connections between nodes.
 	connectBackoff = 50 * time.Millisecond
 	connectTimeout = 500 * time.Millisecond
@@ -141,6 +144,7 @@
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(grpcBuffer), grpc.WithWriteBufferSize(grpcBuffer),
+		grpc.WithInitialWindowSize(grpcWindow), grpc.WithInitialConnWindowSize(grpcWindow),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: connectBackoff, Multiplier: 1.5, Jitter: 0.2, MaxDelay: connectTimeout},
 			MinConnectTimeout: connectTimeout,
@@ -168,7 +172,8 @@
 		return errors.Wrap(err, "listen for other nodes")
 	}
 	n.grpc = grpc.NewServer(append(replica.ServerOptions(),
-		grpc.ReadBufferSize(grpcBuffer), grpc.WriteBufferSize(grpcBuffer))...)
+		grpc.ReadBufferSize(grpcBuffer), grpc.WriteBufferSize(grpcBuffer),
+		grpc.InitialWindowSize(grpcWindow), grpc.InitialConnWindowSize(grpcWindow))...)
 	coordinator.NewServer(directory{n}, n.leader).Register(n.grpc)
 	if n.leader != nil {
 		n.voter.Register(n.grpc)
--- a/gateway/attend/attend.go
+++ b/gateway/attend/attend.go
@@ -268,6 +268,7 @@
 	received chan received
 	updates  int
 	first    uint64
+	voter    Voter
 	lastSend time.Duration
 }
 
@@ -333,16 +334,18 @@
 	c.sentAt[c.sequence%sendTimes] = now
 	v, voter := c.View(), c.opts.Voter()
 	report := &controlpb.NodeReport{
-		Sequence: c.sequence, Node: c.opts.Node, Incarnation: c.incarnation,
-		TopologyRevision: v.Topology.GetRevision(),
-		Tokens:           c.opts.Tokens.Report(now), Primaries: c.opts.Primaries(now),
-		VoterIdentity: voter.Identity, VoterAddress: voter.Address, Leaving: leaving,
+		Sequence: c.sequence, TopologyRevision: v.Topology.GetRevision(),
+		Tokens: c.opts.Tokens.Report(now), Primaries: c.opts.Primaries(now), Leaving: leaving,
 	}
 	if v.Catalog != nil {
 		report.CatalogVersion = v.Catalog.Version
 	}
 	if c.sequence == r.first {
-		report.Topology = v.Topology
+		report.Node, report.Incarnation, report.Topology = c.opts.Node, c.incarnation, v.Topology
+	}
+	if c.sequence == r.first || voter != r.voter {
+		r.voter = voter
+		report.VoterIdentity, report.VoterAddress = voter.Identity, voter.Address
 	}
 	return r.stream.Send(report)
 }
@@ -387,6 +390,9 @@
 		Catalog: before.Catalog, Topology: before.Topology, Nodes: int(u.Nodes),
 		Voters: u.Voters, Leader: address,
 	}
+	if len(u.Voters) == 0 {
+		next.Voters = before.Voters
+	}
 	if u.Catalog != nil && (before.Catalog == nil || u.Catalog.Version > before.Catalog.Version) {
 		compiled, err := catalog.New(u.Catalog)
 		if err != nil {
--- a/gateway/coordinator/attendance.go
+++ b/gateway/coordinator/attendance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,13 +28,16 @@
 	end context.CancelFunc
 
 	// The rest belongs to the leader's goroutine.
-	node       string
-	stream     uint64
-	sequence   uint64
-	reportedAt time.Duration
+	node string
+	// incarnation is that of the node's process.
+	incarnation string
+	stream      uint64
+	sequence    uint64
+	reportedAt  time.Duration
 	// catalogSent and topologySent are what the node has or was sent.
 	catalogSent   uint64
 	topologySent  uint64
+	votersSent    []string
 	primaries     []*controlpb.PrimaryView
 	voterIdentity string
 	voterAddress  string
@@ -51,8 +55,10 @@
 	}
 	a.sequence, a.reportedAt = report.Sequence, now
 	a.primaries = report.Primaries
-	a.voterIdentity, a.voterAddress = report.VoterIdentity, report.VoterAddress
-	grants := l.owner.Report(now, a.node, report.Incarnation, a.stream, report.Tokens)
+	if report.VoterIdentity != "" {
+		a.voterIdentity, a.voterAddress = report.VoterIdentity, report.VoterAddress
+	}
+	grants := l.owner.Report(now, a.node, a.incarnation, a.stream, report.Tokens)
 	if report.Leaving {
 		l.handleEnded(a)
 		delete(l.lost, a.node)
@@ -71,7 +77,7 @@
 		}
 	}
 	l.streams++
-	a.node, a.stream = first.Node, l.streams
+	a.node, a.incarnation, a.stream = first.Node, first.Incarnation, l.streams
 	a.catalogSent, a.topologySent = first.CatalogVersion, first.TopologyRevision
 	l.attended[a] = true
 	l.adopt(now, first.Topology)
@@ -165,7 +171,10 @@
 // update states what the node lacks.
 func (l *Leader) update(a *attendance, grants []*controlpb.TokenGrant) *controlpb.NodeUpdate {
 	u := &controlpb.NodeUpdate{
-		Sequence: a.sequence, Grants: grants, Nodes: l.fleetSize(clock.Now()), Voters: l.voterAddresses(),
+		Sequence: a.sequence, Grants: grants, Nodes: l.fleetSize(clock.Now()),
+	}
+	if voters := l.voterAddresses(); !slices.Equal(voters, a.votersSent) {
+		u.Voters, a.votersSent = voters, voters
 	}
 	if c := l.store.current().Catalog; c != nil && c.Version != a.catalogSent {
 		u.Catalog = withoutDocument(c)
--- a/policy/rate/holding.go
+++ b/policy/rate/holding.go
@@ -240,15 +240,14 @@
 		return nil
 	}
 	t.reportedUsed, t.reportedReturned, t.reportedWanted = t.used, t.returned, wanted
-	return &controlpb.TokenDemand{
-		UsedTotal:      float64(t.used),
-		ReturnedTotal:  float64(t.returned),
-		HeldAtStart:    float64(t.heldAtStart),
-		Wanted:         float64(wanted),
-		UsedSinceGrant: float64(t.usedSinceGrant),
-		Rate:           t.rate,
-		Burst:          t.burst,
+	d := &controlpb.TokenDemand{
+		UsedTotal: uint64(t.used), ReturnedTotal: uint64(t.returned), Wanted: uint64(wanted),
 	}
+	if !t.answered {
+		d.HeldAtStart, d.UsedSinceGrant = uint64(t.heldAtStart), uint64(t.usedSinceGrant)
+		d.Rate, d.Burst = t.rate, t.burst
+	}
+	return d
 }
 
 func (t *holding) grant(now, until time.Duration, g *controlpb.TokenGrant) {
--- a/policy/rate/rate_test.go
+++ b/policy/rate/rate_test.go
@@ -182,7 +182,7 @@
 			used++
 		}
 		if granted.Tokens != 400 || used > 1000+5 {
-			t.Errorf("after %v: %g tokens used in 5 ms, rate 1000, burst 1000", wait, used)
+			t.Errorf("after %v: %d tokens used in 5 ms, rate 1000, burst 1000", wait, used)
 		}
 	}
 }
@@ -200,7 +200,7 @@
 	o.Report(time.Hour, "p", "1", 2, h.Report(time.Hour))
 	later := time.Hour + 2*time.Second
 	if more := o.Report(later, "p", "1", 2, h.Report(later))[0].Tokens; more != 0 {
-		t.Errorf("%g tokens granted beside 100 of a burst of 100", more)
+		t.Errorf("%d tokens granted beside 100 of a burst of 100", more)
 	}
 }
 
--- a/policy/rate/team.go
+++ b/policy/rate/team.go
@@ -190,10 +190,7 @@
 	if o.cfg.StandbyFor > 0 {
 		a.standby = t.rate * float64(a.wanted+1) / float64(t.wanted+int64(len(t.accounts)))
 	}
-	grant := &controlpb.TokenGrant{
-		Team: t.name, LifetimeMs: uint32(o.cfg.Lifetime.Milliseconds()), Rate: t.rate, Burst: t.burst,
-		StandbyRate: a.standby,
-	}
+	grant := &controlpb.TokenGrant{Team: t.name, StandbyRate: a.standby}
 	if (!o.settled && o.cfg.InterimShare == 0) || t.removed {
 		return grant
 	}
@@ -203,12 +200,15 @@
 		t.open += tokens
 		a.grant(o.now, tokens)
 		t.fair.granted(a, tokens)
-		grant.Tokens = float64(tokens)
+		grant.Tokens = uint64(tokens)
 		missing -= tokens
 	}
 	t.setDemand(a, a.wanted, missing > 0)
 	if t.unmet == 0 && o.settled {
-		grant.Tokens += float64(o.grantReserve(t, a))
+		grant.Tokens += uint64(o.grantReserve(t, a))
+	}
+	if grant.Tokens > 0 {
+		grant.LifetimeMs, grant.Rate, grant.Burst = uint32(o.cfg.Lifetime.Milliseconds()), t.rate, t.burst
 	}
 	empty := t.bucket < 1
 	if empty && missing > 0 {
