--- a/cmd/internal/docs/docs_test.go
+++ b/cmd/internal/docs/docs_test.go
@@ -13,7 +13,7 @@
 
 const (
 	root       = "../../.."
-	operations = root + "/docs/operations.md"
+	operations = root + "/docs/OPERATIONS.md"
 )
 
 func readFile(t *testing.T, path string) string {
--- a/cmd/internal/e2e/configuration_test.go
+++ b/cmd/internal/e2e/configuration_test.go
@@ -309,7 +309,7 @@
 }
 
 // replace makes a control process whose files are lost a voter again, as
-// docs/operations.md says.
+// docs/OPERATIONS.md says.
 func replace(t *testing.T, d *Deployment, c *Control) {
 	t.Helper()
 	lost := identityOf(d, c)
