Replace a lost primary although nodes without callers have not noticed

Cause: the leader waited until all nodes reported failed attempts, and nodes without callers make none; the group was saved only when the server's announcement lapsed after 20 s. Nodes now report when the primary last answered them: those that have neither tried nor been answered have no opinion, and without any the leader decides alone after 1.5 s.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -69,14 +69,17 @@
 	running  sync.WaitGroup
 }
 
-func run(o options, s *platform.Settings) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
-	n := &node{
-		settings: s, path: o.Settings,
-		log:      logging.NewBounded(os.Stdout, "jayloom-node", s.Node),
+func newNode(o options, s *platform.Settings, log *logrus.Entry) *node {
+	return &node{
+		settings: s, path: o.Settings, log: log,
 		address:  net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
 		draining: make(chan struct{}), failed: make(chan error, 4),
 	}
+}
+
+func run(o options, s *platform.Settings) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	n := newNode(o, s, logging.NewBounded(os.Stdout, "jayloom-node", s.Node))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if err := n.start(ctx, o); err != nil {
@@ -88,12 +91,24 @@
 	err := n.wait()
 	n.shutdown(ctx)
 	cancel()
-	n.grpc.Stop()
-	n.running.Wait()
+	n.stop()
 	n.log.WithField("event", "stopped").Info("node stopped")
 	return err
 }
 
+// stop ends what still runs. The context of start must have ended.
+func (n *node) stop() {
+	n.grpc.Stop()
+	if n.listener != nil {
+		_ = n.listener.Close()
+		n.front.CloseAll()
+	}
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	n.running.Wait()
+}
+
 func (n *node) start(ctx context.Context, o options) error {
 	n.prepareLeader()
 	n.startClient()
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -24,10 +24,12 @@
 	promoteTimeout = time.Second
 	// opinionFresh is the age up to which a node's report counts.
 	opinionFresh = time.Second
-	// failingAfter and longFailingAfter are the times of failed attempts after which a
-	// node counts as cut off from a primary.
-	failingAfter     = 500 * time.Millisecond
+	// longFailingAfter is the time of failed attempts after which a node counts as cut off
+	// from a primary that others reach.
 	longFailingAfter = 1500 * time.Millisecond
+	// answeredLately is the age up to which an answer to a node shows that a primary lives:
+	// the leader hears of it 250 ms later.
+	answeredLately = 600 * time.Millisecond
 	// fencesPerTerm is the room for fences of one leader, so that a later leader's are
 	// all higher.
 	fencesPerTerm = 1 << 20
@@ -162,8 +164,12 @@
 			}
 			r.Nodes++
 			failing := time.Duration(v.FailingMs) * time.Millisecond
-			if failing >= failingAfter {
+			answered := time.Duration(v.AnsweredMs) * time.Millisecond
+			switch {
+			case failing > 0:
 				r.Failing++
+			case v.AnsweredMs > 0 && answered+now-a.reportedAt < answeredLately:
+				r.Reaching++
 			}
 			if failing >= longFailingAfter {
 				r.LongFailing++
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -20,6 +20,8 @@
 	observeWhileUsed = 3 * time.Second
 	// observeTimeout bounds a question to the primary.
 	observeTimeout = 500 * time.Millisecond
+	// answerReported is the age up to which the leader is told of an answer.
+	answerReported = time.Second
 	// reviveInterval is the time between attempts to reach an upstream that failed.
 	reviveInterval = 250 * time.Millisecond
 )
@@ -168,10 +170,14 @@
 	if primary == nil {
 		return nil
 	}
-	return &controlpb.PrimaryView{
+	v := &controlpb.PrimaryView{
 		Service: g.service, Upstream: primary.target.ID,
 		FailingMs: uint32(primary.failingFor(now).Milliseconds()),
 	}
+	if age, ok := primary.answerAge(now); ok && age < answerReported {
+		v.AnsweredMs = uint32(age.Milliseconds()) + 1
+	}
+	return v
 }
 
 // maintain starts what is due: questions to the primary, and attempts to reach
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -486,6 +486,13 @@
 	return max(time.Millisecond, now-p.failingAt)
 }
 
+// answerAge is the time since the upstream last answered, if it ever has.
+func (p *pool) answerAge(now time.Duration) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(0, now-p.answeredAt), p.answeredAt != 0
+}
+
 // status is what the choice of an upstream for a team depends on.
 func (p *pool) status(now time.Duration, team string) Candidate {
 	p.mu.Lock()
--- a/gateway/succession/succession.go
+++ b/gateway/succession/succession.go
@@ -18,6 +18,8 @@
 	// suspectAfter is the time without an answer after which a primary that nobody
 	// reaches is replaced.
 	suspectAfter = 600 * time.Millisecond
+	// suspectAlone applies when no node has tried to reach the primary.
+	suspectAlone = 1500 * time.Millisecond
 	// partialShare is the share of the nodes that must have lost a primary for long
 	// before it is replaced although others reach it.
 	partialShare = 0.4
@@ -67,9 +69,11 @@
 
 // Reach is how many nodes reach the primary.
 type Reach struct {
-	// Nodes that have an opinion, and those whose attempts have failed for long and for
-	// a moment.
-	Nodes, LongFailing, Failing int
+	// Nodes is the number of nodes that report.
+	Nodes int
+	// LongFailing and Failing are those whose attempts have failed for long and for a
+	// moment, Reaching those that it has answered lately. The others have no opinion.
+	LongFailing, Failing, Reaching int
 }
 
 // Input is everything that a decision depends on.
@@ -220,7 +224,7 @@
 		// It answers as a replica and nobody leads: it came back after a promotion that
 		// this leader does not see, or it was demoted.
 		return PrimaryMissing
-	case now-m.answeredAt >= suspectAfter && in.Reach.Failing == in.Reach.Nodes:
+	case m.lostByAll(now, in):
 		return PrimaryLost
 	case now-m.ledSince >= reignTime && m.lostByMany(in):
 		return PrimaryUnshared
@@ -229,6 +233,16 @@
 	}
 }
 
+// lostByAll reports whether neither the leader nor any node reaches the primary. Without
+// a node that has tried, the leader alone decides, and waits longer.
+func (m *Machine) lostByAll(now time.Duration, in Input) bool {
+	silent := now - m.answeredAt
+	if in.Reach.Reaching > 0 || silent < suspectAfter {
+		return false
+	}
+	return in.Reach.Failing > 0 || silent >= suspectAlone
+}
+
 func (m *Machine) lostByMany(in Input) bool {
 	return in.Reach.Nodes > 1 && float64(in.Reach.LongFailing) >= partialShare*float64(in.Reach.Nodes)
 }
--- a/gateway/succession/succession_test.go
+++ b/gateway/succession/succession_test.go
@@ -72,6 +72,7 @@
 	w := newWorld(t)
 	w.in.Reach.Failing = 4
 	w.in.Reach.LongFailing = 4
+	w.in.Reach.Reaching = 7
 	if orders := w.pass(10*time.Second, "r1", "r2"); len(orders) > 0 {
 		t.Errorf("ordered %v", orders)
 	}
@@ -156,6 +157,24 @@
 	}
 }
 
+// Guards against a primary that is not replaced because nodes without callers have not
+// noticed its loss (TestFleetServesThePlatform took 20 s on 2026-12-04).
+func TestIdleNodesHaveNoOpinion(t *testing.T) {
+	w := newWorld(t)
+	w.in.Reach = Reach{Nodes: 11, Failing: 1}
+	if got := promotions(w.pass(time.Second, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("with one caller: promoted %v", got)
+	}
+	w = newWorld(t)
+	w.in.Reach = Reach{Nodes: 11}
+	if got := promotions(w.pass(time.Second, "r1", "r2")); len(got) > 0 {
+		t.Errorf("without callers promoted %v within 1 s, on the leader's word alone", got)
+	}
+	if got := promotions(w.pass(time.Second, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("without callers: promoted %v", got)
+	}
+}
+
 // Guards against a new leader that replaces a primary before it has heard of it.
 func TestNewLeaderListensFirst(t *testing.T) {
 	w := newWorld(t)
