Share the check of a quiet connection, and keep the platform's names in platform

The check stood in proxy and in platform; it is base/socket now, with a test of its own. The end-to-end test of jayloom-node named settings, calls and messages of the platform; the stand-in speaks them now.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -6,11 +6,11 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jayloom/jayloom/base/socket"
 	"github.com/jayloom/jayloom/proxy/wire"
 )
 
@@ -145,28 +145,14 @@
 	if c.rd.Buffered() > 0 {
 		return false
 	}
-	socket := c.net
+	plain := c.net
 	if secured, ok := c.net.(*tls.Conn); ok {
 		if !tlsQuiet(secured) {
 			return false
 		}
-		socket = secured.NetConn()
+		plain = secured.NetConn()
 	}
-	sc, ok := socket.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peeked error
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && (peeked == syscall.EAGAIN || peeked == syscall.EWOULDBLOCK)
+	return socket.Quiet(plain)
 }
 
 // tlsQuiet reports whether TLS holds no record that was taken from the socket but not
