Let a planned change wait for a replica that has the commits

Cause: a primary that leaves was replaced at once by the most advanced replica, however far behind; it serves on for seconds in which a replica can catch up. The test failed first (it did not compile without Pending, and by hand without the wait it promotes a replica that lacks 60 commits).

--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -123,6 +123,9 @@
 		for _, o := range g.machine.Step(now, l.input(now, service, g, byService[service])) {
 			l.carryOut(ctx, service, g, o, byService[service])
 		}
+		if g.machine.Pending() {
+			g.probeNow()
+		}
 		id, term, changing := g.machine.Primary()
 		if shown := (shownPrimary{id, term, changing}); shown != g.shown {
 			l.log.WithFields(logrus.Fields{
--- a/gateway/succession/succession.go
+++ b/gateway/succession/succession.go
@@ -23,9 +23,12 @@
 	// partialShare is the share of the nodes that must have lost a primary for long
 	// before it is replaced although others reach it.
 	partialShare = 0.4
-	// partialMaxMissing bounds the commits that the candidate may lack in that case:
-	// acknowledged writes are worth more than a few seconds of some nodes.
-	partialMaxMissing = 10
+	// maxMissing bounds the commits that the candidate may lack then, and when a primary
+	// leaves: acknowledged writes are worth more than a few seconds of some nodes.
+	maxMissing = 10
+	// leavingPatience is how long a primary that leaves is kept while every replica lacks
+	// commits. It serves on for 7 s on the sites that are known.
+	leavingPatience = 3 * time.Second
 	// reignTime is how long a new primary leads before it is replaced because many do
 	// not reach it: what they report may be of the time before.
 	reignTime = 3 * time.Second
@@ -115,7 +118,10 @@
 	ledSince time.Duration
 	position position.Position
 	ordered  *order
-	rejected map[string]time.Duration
+	// pending is why the primary has to be replaced, since pendingSince.
+	pending      Reason
+	pendingSince time.Duration
+	rejected     map[string]time.Duration
 }
 
 type order struct {
@@ -141,6 +147,12 @@
 	m.primary, m.term, m.answeredAt = primary, term, now
 }
 
+// Pending reports whether a change is due and has not been ordered. The servers should
+// then be probed more often, because the choice depends on their newest positions.
+func (m *Machine) Pending() bool {
+	return m.pending != "" && m.ordered == nil
+}
+
 // Rejected takes over that the platform refused to promote a server.
 func (m *Machine) Rejected(now time.Duration, id string) {
 	m.rejected[id] = now
@@ -162,6 +174,9 @@
 		m.ordered = nil
 	}
 	reason := m.reason(now, in)
+	if reason != m.pending {
+		m.pending, m.pendingSince = reason, now
+	}
 	if reason == "" {
 		return nil
 	}
@@ -292,10 +307,23 @@
 	return pauses, stopped > 0 && stopped >= replicas-in.SyncReplicas+1
 }
 
+// mustHaveAll reports whether the change can wait for a replica that has what the primary
+// has.
+func (m *Machine) mustHaveAll(now time.Duration, reason Reason) bool {
+	switch reason {
+	case PrimaryUnshared:
+		return true
+	case PrimaryLeaving:
+		return now-m.pendingSince < leavingPatience
+	default:
+		return false
+	}
+}
+
 // lacks reports whether a replica misses more than a few commits that the primary is
 // known to have had. A replica that receives nothing does not know how far it is behind.
 func (m *Machine) lacks(p position.Position) bool {
-	return p.Term != m.position.Term || p.Number+partialMaxMissing < m.position.Number
+	return p.Term != m.position.Term || p.Number+maxMissing < m.position.Number
 }
 
 func (m *Machine) candidate(now time.Duration, servers []Server, reason Reason) string {
@@ -307,7 +335,7 @@
 		if at, ok := m.rejected[s.ID]; ok && now-at < rejectedFor {
 			continue
 		}
-		if reason == PrimaryUnshared && m.lacks(s.Sample.Position) {
+		if m.mustHaveAll(now, reason) && m.lacks(s.Sample.Position) {
 			continue
 		}
 		if best < 0 || servers[best].Sample.Position.Before(s.Sample.Position) {
--- a/gateway/succession/succession_test.go
+++ b/gateway/succession/succession_test.go
@@ -113,6 +113,30 @@
 	}
 }
 
+// Guards against the loss of acknowledged commits in a planned change: a primary that
+// leaves serves on for some seconds, in which a lagging replica can catch up.
+func TestLeavingPrimaryWaitsForLaggingReplicas(t *testing.T) {
+	w := newWorld(t)
+	w.server("r1").Sample.Position.Number, w.server("r2").Sample.Position.Number = 40, 30
+	w.server("p").Draining = true
+	if got := promotions(w.pass(2*time.Second, "p", "r1", "r2")); len(got) > 0 {
+		t.Fatalf("promoted %v, which lacks 60 commits", got)
+	}
+	if !w.machine.Pending() {
+		t.Error("nobody is asked to look more often")
+	}
+	w.server("r2").Sample.Position.Number = 99
+	if got := promotions(w.pass(200*time.Millisecond, "p", "r1", "r2")); !cmp.Equal(got, []string{"r2"}) {
+		t.Errorf("promoted %v", got)
+	}
+	w = newWorld(t)
+	w.server("r1").Sample.Position.Number, w.server("r2").Sample.Position.Number = 40, 30
+	w.server("p").Draining = true
+	if got := promotions(w.pass(leavingPatience+200*time.Millisecond, "p", "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("after all patience promoted %v", got)
+	}
+}
+
 // Guards against an order whose answer was lost blocking the group, and against one that
 // is given again at once: the first may still be carried out.
 func TestUnansweredOrderIsGivenAgainLater(t *testing.T) {
