--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
 	"os"
@@ -273,7 +272,7 @@
 	n.listener = l
 	n.front = front.New(front.Options{
 		Engine: n.engine, Codec: platform.NewCallerCodec,
-		MaxCallers: front.MaxCallers(math.MaxInt16), Log: n.log,
+		MaxCallers: front.MaxCallers(n.settings.MaxDescriptors), Log: n.log,
 	})
 	n.running.Go(func() { n.front.Serve(ctx, l) })
 	return nil
--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -112,6 +112,8 @@
 
 func (fakeUpstreams) Pause(context.Context, topology.Upstream, uint64) error { return nil }
 
+func (fakeUpstreams) Release() {}
+
 func newTestLeader(t *testing.T) (*Leader, *replica.Fake) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -37,6 +37,8 @@
 	Observe(ctx context.Context, u topology.Upstream) (p position.Position, leads bool, err error)
 	// Pause stops a replica from receiving until it is promoted or told to resume.
 	Pause(ctx context.Context, u topology.Upstream, term uint64) error
+	// Release closes the connections that are kept for the next call.
+	Release()
 }
 
 // Promotion is the outcome of an order to promote.
@@ -93,7 +95,7 @@
 }
 
 // event is handled by the leader's goroutine.
-type event interface{}
+type event any
 
 type (
 	announced struct {
@@ -167,7 +169,7 @@
 func (l *Leader) handle(ctx context.Context, e event) {
 	switch e := e.(type) {
 	case storeEvent:
-		l.handleStore(ctx, e)
+		l.handleStore(e)
 	case announced:
 		l.handleAnnounced(e)
 	case reportReceived:
@@ -183,9 +185,9 @@
 	}
 }
 
-func (l *Leader) handleStore(ctx context.Context, e storeEvent) {
+func (l *Leader) handleStore(e storeEvent) {
 	if e.leadershipChanged && e.leading {
-		l.lead(ctx, e.term)
+		l.lead(e.term)
 		return
 	}
 	if e.leadershipChanged {
@@ -199,7 +201,7 @@
 	l.pushAll()
 }
 
-func (l *Leader) lead(_ context.Context, term uint64) {
+func (l *Leader) lead(term uint64) {
 	now := clock.Now()
 	l.follow()
 	l.leading, l.term, l.fences, l.leadAt = true, term, 0, now
@@ -233,6 +235,8 @@
 		a.end()
 	}
 	l.attended = nil
+	// The next leader needs the connections that are kept free for one.
+	l.config.Upstreams.Release()
 	l.log.WithFields(logrus.Fields{"event": "leadership_lost", "term": l.term}).Warn("no longer leads the fleet")
 }
 
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// isLost reports whether the primary was found not to lead.
+func (g *group) isLost() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lost
+}
+
 // observed notes a position of an upstream that led when it was asked at the time at.
 func (g *group) observed(at time.Duration, id string, p position.Position) {
 	if p.IsZero() {
--- a/gateway/engine/single.go
+++ b/gateway/engine/single.go
@@ -258,12 +258,6 @@
 	}
 }
 
-func (g *group) isLost() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.lost
-}
-
 // patience is how long the operation may wait for a connection: a longer wait leaves no
 // time to meet the objective.
 func (op *operation) patience() time.Duration {
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -23,8 +23,8 @@
 	writeTimeout = 5 * time.Second
 	// acceptPause is the time before accepting again after an error.
 	acceptPause = 50 * time.Millisecond
-	// notFull is the share of the descriptors that callers may take.
-	callersPerDescriptor = 0.7
+	// callerShare is the share of the descriptors that callers may take.
+	callerShare = 0.7
 )
 
 // Errors of a Codec.
@@ -124,7 +124,7 @@
 
 // MaxCallers returns how many callers fit a limit of descriptors.
 func MaxCallers(descriptors int) int {
-	return int(callersPerDescriptor * float64(descriptors))
+	return int(callerShare * float64(descriptors))
 }
 
 const reasonTooManyCallers engine.Reason = "too_many_callers"
