Keep the answer to an order to promote with the term that ordered it

Cause, found in the read-through: the goroutine of an order read the leader's term when the answer came, while the leader's goroutine may change it; an answer of an earlier term could count for a later one. The term is taken when the order is given.

--- a/gateway/attend/stream.go
+++ b/gateway/attend/stream.go
@@ -12,6 +12,7 @@
 	"github.com/jayloom/jayloom/gateway/position"
 )
 
+// received is an update, or the end of the stream.
 type received struct {
 	update *controlpb.NodeUpdate
 	err    error
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -199,6 +199,7 @@
 		"fence": fence, "replaces": primary, "replaces_term": term, "position": g.samples[o.Promote].Position.String(),
 	}).Warn("orders a promotion")
 	countPromotion(o.Reason)
+	leaderTerm := l.term
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 		defer cancel()
@@ -206,7 +207,7 @@
 			return
 		}
 		outcome := l.config.Promoter.Promote(ctx, service, o.Promote, fence)
-		l.post(context.Background(), promoted{service, o.Promote, l.term, fence, outcome})
+		l.post(context.Background(), promoted{service, o.Promote, leaderTerm, fence, outcome})
 	}()
 }
 
