Let a test fold the updates that a node was told

TestNodesLearnConfiguration failed in 1 of 2 runs with the race detector: the registration of the node runs beside the test, and an update that it pushes behind the one with the configuration was taken for all that the node was told.

--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -145,14 +145,23 @@
 	return a
 }
 
-// newest returns the last update that was queued.
+// newest returns the last update that was queued, with the configuration and topology of
+// the ones before it: each is sent once, and the registration of a node, which runs beside
+// the test, may push another update behind it.
 func newest(a *attendance) *controlpb.NodeUpdate {
-	var u *controlpb.NodeUpdate
+	var told *controlpb.NodeUpdate
 	for {
 		select {
-		case u = <-a.updates:
+		case u := <-a.updates:
+			if told != nil && u.Catalog == nil {
+				u.Catalog = told.Catalog
+			}
+			if told != nil && u.Topology == nil {
+				u.Topology = told.Topology
+			}
+			told = u
 		default:
-			return u
+			return told
 		}
 	}
 }
