Send between nodes only what has changed, and positions at an interval

Change: demands state changes only (silence is that of the stream); views of primaries go with regular reports, positions at most each 200 ms; announcements of one tick are told once. TestNodesLearnUpstreams now lets a tick pass, because nodes are told with it; what they must learn is unchanged.

Ruled out: statements and connections: at most 16 MB by their sizes.

Tests: TestUrgentReportsStayShort, TestReportsStateChangesOnly.

--- a/gateway/attend/stream.go
+++ b/gateway/attend/stream.go
@@ -48,7 +48,7 @@
 	c := r.client
 	c.opts.Tokens.StreamStarted(clock.Now())
 	r.first = c.sequence + 1
-	if err := r.report(false); err != nil {
+	if err := r.report(regular); err != nil {
 		return err
 	}
 	ticker := time.NewTicker(reportInterval)
@@ -62,17 +62,17 @@
 			silence.Reset(silenceLimit)
 			err = r.handle(in)
 		case <-ticker.C:
-			err = r.report(false)
+			err = r.report(regular)
 		case <-c.urgent:
 			if clock.Now()-r.lastSend < urgentGap {
 				time.AfterFunc(urgentGap, c.ReportNow)
 				continue
 			}
-			err = r.report(false)
+			err = r.report(urgent)
 		case <-silence.C:
 			err = errSilent
 		case <-c.leaving:
-			_ = r.report(true)
+			_ = r.report(last)
 			_ = r.stream.CloseSend()
 			return errLeft
 		case <-ctx.Done():
@@ -84,7 +84,19 @@
 	}
 }
 
-func (r *streamRun) report(leaving bool) error {
+// reportKind says why a report is sent.
+type reportKind uint8
+
+const (
+	// regular reports are sent at the interval and also say how the node sees primaries.
+	regular reportKind = iota
+	// urgent reports are sent for request tokens, many times a second under load.
+	urgent
+	// last is the report of a node that leaves.
+	last
+)
+
+func (r *streamRun) report(kind reportKind) error {
 	c := r.client
 	now := clock.Now()
 	r.lastSend = now
@@ -93,7 +105,10 @@
 	v, voter := c.View(), c.opts.Voter()
 	report := &controlpb.NodeReport{
 		Sequence: c.sequence, TopologyRevision: v.Topology.GetRevision(),
-		Tokens: c.opts.Tokens.Report(now), Primaries: c.opts.Primaries(now), Leaving: leaving,
+		Tokens: c.opts.Tokens.Report(now), Leaving: kind == last,
+	}
+	if kind == regular {
+		report.Primaries = c.opts.Primaries(now)
 	}
 	if v.Catalog != nil {
 		report.CatalogVersion = v.Catalog.Version
--- a/gateway/coordinator/attendance.go
+++ b/gateway/coordinator/attendance.go
@@ -14,6 +14,10 @@
 // returnTime is how long a new leader expects the nodes of an earlier one.
 const returnTime = 5 * time.Second
 
+// positionsInterval is the least time between two updates of a node that state positions.
+// Most reports are about tokens, many a second; positions would be most of their answers.
+const positionsInterval = 200 * time.Millisecond
+
 // observationLife is the age up to which a position is spread.
 const observationLife = 2 * time.Second
 
@@ -33,7 +37,10 @@
 	incarnation string
 	stream      uint64
 	sequence    uint64
-	reportedAt  time.Duration
+	// viewedAt is when the node last said how it sees the primaries, positionsAt when it
+	// was last told their positions.
+	viewedAt    time.Duration
+	positionsAt time.Duration
 	// catalogSent and topologySent are what the node has or was sent.
 	catalogSent   uint64
 	topologySent  uint64
@@ -53,8 +60,10 @@
 	if !l.attended[a] {
 		l.attend(ctx, now, a, report)
 	}
-	a.sequence, a.reportedAt = report.Sequence, now
-	a.primaries = report.Primaries
+	a.sequence = report.Sequence
+	if len(report.Primaries) > 0 {
+		a.primaries, a.viewedAt = report.Primaries, now
+	}
 	if report.VoterIdentity != "" {
 		a.voterIdentity, a.voterAddress = report.VoterIdentity, report.VoterAddress
 	}
@@ -96,7 +105,7 @@
 		l.groupOf(now, p.Service).machine.Adopt(now, p.Upstream, p.Term)
 	}
 	if l.registry.Hearsay(now, t) {
-		l.pushAll()
+		l.topologyChanged = true
 	}
 }
 
@@ -151,16 +160,26 @@
 // positions: the node knows when it sent the report.
 func (l *Leader) answer(a *attendance, now time.Duration, grants []*controlpb.TokenGrant) {
 	u := l.update(a, grants)
+	if now-a.positionsAt >= positionsInterval {
+		a.positionsAt = now
+		u.Positions = l.positions(now)
+	}
+	l.queue(a, u)
+}
+
+// positions states how far the logs of all primaries were when they were last asked.
+func (l *Leader) positions(now time.Duration) []*controlpb.PrimaryPosition {
+	var all []*controlpb.PrimaryPosition
 	for service, g := range l.groups {
 		if g.observed.at == 0 || now-g.observed.at > observationLife {
 			continue
 		}
-		u.Positions = append(u.Positions, &controlpb.PrimaryPosition{
+		all = append(all, &controlpb.PrimaryPosition{
 			Service: service, Upstream: g.observed.upstream, Term: g.observed.position.Term,
 			Number: g.observed.position.Number, AgeMs: uint32((now - g.observed.at).Milliseconds()) + 1,
 		})
 	}
-	l.queue(a, u)
+	return all
 }
 
 // send pushes an update.
--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -234,6 +234,7 @@
 		Phase: controlpb.UpstreamPhase_UPSTREAM_PHASE_DRAINING,
 	}, done})
 	<-done
+	l.tick(context.Background())
 	for _, u := range []*controlpb.NodeUpdate{newest(a), newest(b)} {
 		got := map[string]bool{}
 		for _, upstream := range u.GetTopology().GetUpstreams() {
@@ -287,3 +288,27 @@
 		t.Errorf("push: %v", u.Positions)
 	}
 }
+
+// Load pattern: each node reports many times a second because callers wait for tokens.
+// Guards against answers that repeat all positions, which were most of the traffic between
+// nodes, and against the loss of what a node has said of the primaries.
+func TestUrgentReportsStayShort(t *testing.T) {
+	l, _ := newTestLeader(t)
+	g := l.groupOf(clock.Now(), "wax")
+	g.observed = observation{"p", position.Position{Term: 1, Number: 7}, clock.Now()}
+	views := []*controlpb.PrimaryView{{Service: "wax", Upstream: "p", FailingMs: 2000}}
+	a := attending(l, "n1", &controlpb.NodeReport{Sequence: 1, Primaries: views})
+	newest(a)
+	l.handle(context.Background(), reportReceived{a, &controlpb.NodeReport{Sequence: 2}})
+	if u := newest(a); u.Sequence != 2 || len(u.Positions) != 0 {
+		t.Errorf("answer to the second report: %v", u)
+	}
+	if r := l.reach(clock.Now(), "wax", "p"); r.LongFailing != 1 {
+		t.Errorf("nodes that have lost the primary: %+v", r)
+	}
+	a.positionsAt -= positionsInterval
+	l.handle(context.Background(), reportReceived{a, &controlpb.NodeReport{Sequence: 3}})
+	if u := newest(a); len(u.Positions) != 1 {
+		t.Errorf("answer after the interval: %v", u)
+	}
+}
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -158,7 +158,7 @@
 func (l *Leader) reach(now time.Duration, service, primary string) succession.Reach {
 	r := succession.Reach{}
 	for a := range l.attended {
-		if now-a.reportedAt > opinionFresh {
+		if now-a.viewedAt > opinionFresh {
 			continue
 		}
 		for _, v := range a.primaries {
@@ -171,7 +171,7 @@
 			switch {
 			case failing > 0:
 				r.Failing++
-			case v.AnsweredMs > 0 && answered+now-a.reportedAt < answeredLately:
+			case v.AnsweredMs > 0 && answered+now-a.viewedAt < answeredLately:
 				r.Reaching++
 			}
 			if failing >= longFailingAfter {
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -90,8 +90,11 @@
 	// lost holds nodes whose stream ended without a last report.
 	lost    map[string]time.Duration
 	streams uint64
-	members membership
-	fences  uint64
+	// topologyChanged is set by announcements since the last tick. At a start all servers
+	// announce themselves at once, and each node is told once.
+	topologyChanged bool
+	members       membership
+	fences        uint64
 }
 
 // event is handled by the leader's goroutine.
@@ -269,7 +272,8 @@
 	now := clock.Now()
 	l.owner.Expire(now)
 	changed := l.registry.Expire(now)
-	changed = l.stepGroups(ctx, now) || changed
+	changed = l.stepGroups(ctx, now) || changed || l.topologyChanged
+	l.topologyChanged = false
 	if changed {
 		l.pushAll()
 	}
@@ -291,7 +295,7 @@
 		"started_ms": e.announcement.StartedUnixMs, "sequence": e.announcement.Sequence,
 	}).Info("upstream announced a change")
 	l.groupOf(now, e.announcement.Service).probeNow()
-	l.pushAll()
+	l.topologyChanged = true
 }
 
 // putCatalog commits a configuration. One whose version is not above the one in force
--- a/policy/rate/holding.go
+++ b/policy/rate/holding.go
@@ -227,7 +227,7 @@
 	}
 }
 
-// report returns nil when there is nothing to say.
+// report returns nil when there is nothing to say that the owner does not know.
 func (t *holding) report(now time.Duration) *controlpb.TokenDemand {
 	t.expire(now)
 	if t.answered {
@@ -241,6 +241,9 @@
 	first := !t.reported && t.usedSinceGrant > 0
 	t.reported = true
 	changed := first || t.used != t.reportedUsed || t.returned != t.reportedReturned || wanted != t.reportedWanted
+	if !changed && waiting == 0 && t.answered {
+		return nil
+	}
 	if !changed && t.held == 0 && wanted == 0 {
 		return nil
 	}
--- a/policy/rate/owner.go
+++ b/policy/rate/owner.go
@@ -123,6 +123,7 @@
 	o.tick(now)
 	// Later reports of the stream are ignored.
 	o.streams[name] = stream{number: o.streams[name].number + 1}
+	delete(o.heardAt, name)
 	o.evidence.incomplete = true
 	for _, t := range o.teams {
 		o.refill(t)
@@ -204,7 +205,7 @@
 	o.tick(now)
 	for name, t := range o.teams {
 		o.refill(t)
-		t.lapse(o.now, o.cfg.LapseAfter)
+		t.lapse(o.now, o.cfg.LapseAfter, o.heardAt)
 		if o.cfg.StandbyFor > 0 {
 			t.withhold(o.now, o.cfg.StandbyFor, o.heardAt)
 		}
--- a/policy/rate/spread_test.go
+++ b/policy/rate/spread_test.go
@@ -117,3 +117,27 @@
 	}
 	delete(s.waiting, name)
 }
+
+// Load pattern: a node reports many times a second for one team. Guards against reports that
+// repeat all teams of which the node holds tokens, and against an owner that forgets what a
+// node wants because its reports do not repeat it.
+func TestReportsStateChangesOnly(t *testing.T) {
+	f := newFleet("a", "b")
+	h := f.holders["a"]
+	for range 8 {
+		f.step(10, "a", "b")
+	}
+	f.report("a", h)
+	if d := h.Report(f.now); len(d) != 0 {
+		t.Errorf("nothing has changed, reported %v", d)
+	}
+	wanted := f.owner.teams["melt"].accounts["a"].wanted
+	for range 2 * int(staleAfter/reportStep) {
+		f.now += reportStep
+		f.owner.Report(f.now, "a", "a", f.streams["a"], nil)
+		f.owner.Expire(f.now)
+	}
+	if got := f.owner.teams["melt"].accounts["a"].wanted; got != wanted || wanted == 0 {
+		t.Errorf("the owner has %d wanted tokens, reported were %d", got, wanted)
+	}
+}
--- a/policy/rate/team.go
+++ b/policy/rate/team.go
@@ -85,7 +85,7 @@
 // lapse ends tokens that no proxy can use any more. They count as used, because
 // their holder may have used them without a report. It visits every account, so it
 // runs on Expire only; a late lapse costs refill and never adds any.
-func (t *team) lapse(now, lapseAfter time.Duration) {
+func (t *team) lapse(now, lapseAfter time.Duration, heardAt map[string]time.Duration) {
 	t.abandoned = slices.DeleteFunc(t.abandoned, func(a abandoned) bool {
 		if now < a.lapseAt {
 			return false
@@ -93,9 +93,9 @@
 		t.open -= a.tokens
 		return true
 	})
-	for _, a := range t.accounts {
+	for proxy, a := range t.accounts {
 		t.open -= a.lapse(now, lapseAfter)
-		if now-a.reportedAt >= staleAfter {
+		if now-heardAt[proxy] >= staleAfter {
 			t.setDemand(a, 0, false)
 		}
 	}
