Let many nodes share the few connections of an upstream by closing idle ones

Ruled out: lending connections through the leader (policy/share): 24 shares a node in each report cost more bytes than all other reports, for 13 connections in use on average.

Change: where the equal part is below two, a node keeps that many while idle and may have three for a moment; what is beyond is closed after 300 ms idle; after a refusal it keeps to its part for 3 s.

Test: TestManyNodesShareFewConnections.

--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -27,7 +27,9 @@
 	busy, lose int
 	dark       bool
 	dials      int
-	ran        []run
+	// full makes it refuse connections.
+	full bool
+	ran  []run
 }
 
 // run is a statement that a server ran, with the session that it ran in.
@@ -162,6 +164,9 @@
 	if s.dark {
 		return nil, position.Position{}, io.ErrClosedPipe
 	}
+	if s.full {
+		return nil, position.Position{}, &DialRefused{Outcome: TooMany}
+	}
 	return &fakeConn{server: s, team: team, values: map[string]string{}, prepared: map[string]string{}}, s.position, nil
 }
 
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -246,7 +246,7 @@
 // revive tries to reach an upstream that failed, so that no caller has to.
 func (p *pool) revive(ctx context.Context, now time.Duration) {
 	p.mu.Lock()
-	due := p.failing && !p.reviving && !p.closed && now-p.failingAt >= reviveInterval/2 && p.open < p.limit
+	due := p.failing && !p.reviving && !p.closed && now-p.failingAt >= reviveInterval/2 && p.open < p.share.limitNow(now)
 	if due {
 		p.reviving = true
 		p.open++
--- a/gateway/engine/health.go
+++ b/gateway/engine/health.go
@@ -166,7 +166,7 @@
 // windowNow is how many connections may be lent. The caller holds mu.
 func (p *pool) windowNow(now time.Duration) int {
 	grown := p.window + windowGrowth*(now-p.busyAt).Seconds()
-	return max(1, min(p.limit, int(grown)))
+	return max(1, min(p.share.limitNow(now), int(grown)))
 }
 
 // sawBusy notes that the upstream refused work because it has too much.
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"sync"
 	"time"
 
@@ -19,8 +18,6 @@
 	dialTimeout = 600 * time.Millisecond
 	// fullFor is how long an upstream that refused a connection is not dialled again.
 	fullFor = 500 * time.Millisecond
-	// spareConnections of each upstream stay for the leader's probes.
-	spareConnections = 1
 	// idleLimit closes idle connections.
 	idleLimit = 30 * time.Second
 	// fairWait is how long a waiter may be overtaken by those whose team has a link.
@@ -40,8 +37,8 @@
 	idle []*link
 	// open counts connections that are idle, lent or being dialled; lent the latter two.
 	open, lent int
-	// limit bounds open. window bounds lent as of busyAt, and grows from then on.
-	limit     int
+	// share bounds open. window bounds lent as of busyAt, and grows from then on.
+	share     share
 	window    float64
 	busyAt    time.Duration
 	fullUntil time.Duration
@@ -74,19 +71,18 @@
 }
 
 func newPool(t Target, place string, dialer Dialer, log *logrus.Entry) *pool {
-	return &pool{target: t, place: place, dialer: dialer, log: log, limit: 1, window: 1}
+	return &pool{target: t, place: place, dialer: dialer, log: log, share: share{limit: 1}, window: 1}
 }
 
-// setShare sets how many connections the node may keep.
+// setShare sets how many connections the node may have.
 func (p *pool) setShare(maxConnections, nodes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if maxConnections <= 0 {
-		maxConnections = math.MaxInt32
-	}
-	p.limit = max(1, (maxConnections-spareConnections)/max(1, nodes))
+	fullAt := p.share.fullAt
+	p.share = newShare(maxConnections, nodes)
+	p.share.fullAt = fullAt
 	if p.busyAt == 0 {
-		p.window = float64(p.limit)
+		p.window = float64(p.share.limit)
 	}
 	p.serve()
 }
@@ -162,14 +158,15 @@
 		p.lent++
 		return handover{link: l}, true
 	}
+	limit := p.share.limitNow(now)
 	switch {
-	case p.open < p.limit && now >= p.fullUntil:
+	case p.open < limit && now >= p.fullUntil:
 		p.open++
 	case len(p.idle) > 0:
 		p.idle[0].conn.Close()
 		p.idle = p.idle[1:]
 		metricReplaced.Inc()
-	case p.open < p.limit && p.open == 0:
+	case p.open == 0:
 		// The upstream was full; one attempt shows whether it still is.
 		p.open++
 	default:
@@ -270,6 +267,7 @@
 	switch o {
 	case TooMany:
 		p.fullUntil = clock.Now() + fullFor
+		p.share.fullAt = clock.Now()
 		return &Refusal{Code: rescode.TooManyConnections, Reason: reasonUpstreamFull}
 	case Misdirected:
 		// Another server has the address now.
@@ -311,7 +309,7 @@
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
 	for _, l := range p.idle {
-		if now-l.idleAt < idleLimit {
+		if now-l.idleAt < p.idleLimit() {
 			kept = append(kept, l)
 			continue
 		}
@@ -322,6 +320,15 @@
 	p.serve()
 }
 
+// idleLimit is how long the connection that was idle for longest may stay. The caller holds
+// mu.
+func (p *pool) idleLimit() time.Duration {
+	if p.open > p.share.kept {
+		return surplusIdle
+	}
+	return idleLimit
+}
+
 // close ends idle connections and refuses further use; lent ones end when they return.
 func (p *pool) close() {
 	p.mu.Lock()
--- a/gateway/engine/pool_test.go
+++ b/gateway/engine/pool_test.go
@@ -52,6 +52,34 @@
 	}
 }
 
+// Load pattern: more nodes than the upstream accepts connections, with callers of many teams.
+// Guards against a node that has one connection for all of them, which a pausing transaction
+// holds, and against idle connections that leave none for others (litbrot-ops-grown quiet-1).
+func TestManyNodesShareFewConnections(t *testing.T) {
+	const connections, nodes = 79, 83
+	p, server := newTestPool(1)
+	p.setShare(connections, nodes)
+	a, b := lend(t, p, "a"), lend(t, p, "b")
+	p.release(a)
+	p.release(b)
+	now := clock.Now()
+	p.trim(now)
+	if p.open != 2 {
+		t.Errorf("%d connections are open right after their use", p.open)
+	}
+	p.trim(now + surplusIdle)
+	if p.open != 0 {
+		t.Errorf("%d idle connections are kept although there are more nodes than connections", p.open)
+	}
+	server.full = true
+	if _, refusal := p.acquire(context.Background(), "c", time.Now().Add(longDeadline), longPatience); refusal == nil {
+		t.Fatal("connected to a full upstream")
+	}
+	if now = clock.Now(); p.share.limitNow(now) != 1 || p.share.limitNow(now+surplusPause) != surplusLimit {
+		t.Errorf("limit %d after the upstream was full, %d later", p.share.limitNow(now), p.share.limitNow(now+surplusPause))
+	}
+}
+
 // Load pattern: every node presses on one upstream that refuses work. Guards against
 // nodes that keep it overloaded, and against a window that never opens again.
 func TestWindowShrinksAndGrows(t *testing.T) {
