Tell nodes what has changed in a configuration instead of all of it

Change: the leader keeps 16 earlier configurations and sends the difference to a node that has one of them; any other node gets all of it. A change names the version that it applies to; on another one the stream ends and starts anew.

--- a/gateway/attend/attend.go
+++ b/gateway/attend/attend.go
@@ -89,6 +89,8 @@
 	changed     func(*View)
 	observed    func(Observation)
 
+	// held is the configuration of the newest view, as it was sent.
+	held        *controlpb.Catalog
 	connections connections
 	next        int
 	sequence    uint64
@@ -264,14 +266,8 @@
 	if len(u.Voters) == 0 {
 		next.Voters = before.Voters
 	}
-	if u.Catalog != nil && (before.Catalog == nil || u.Catalog.Version > before.Catalog.Version) {
-		compiled, err := catalog.New(u.Catalog)
-		if err != nil {
-			return errors.Wrap(err, "configuration from the leader")
-		}
-		next.Catalog = compiled
-		c.opts.Log.WithFields(logrus.Fields{"event": "catalog_in_force", "version": compiled.Version, "leader": address}).
-			Info("configuration in force")
+	if err := c.applyCatalog(u, next, address); err != nil {
+		return err
 	}
 	if u.Topology != nil {
 		next.Topology = u.Topology
@@ -282,3 +278,26 @@
 	}
 	return nil
 }
+
+// applyCatalog takes over the configuration of an update, or what has changed in it.
+func (c *Client) applyCatalog(u *controlpb.NodeUpdate, next *View, leader string) error {
+	sent := u.Catalog
+	if u.CatalogChange != nil {
+		changed, err := catalog.Apply(c.held, u.CatalogChange)
+		if err != nil {
+			return err
+		}
+		sent = changed
+	}
+	if sent == nil || (next.Catalog != nil && sent.Version <= next.Catalog.Version) {
+		return nil
+	}
+	compiled, err := catalog.New(sent)
+	if err != nil {
+		return errors.Wrap(err, "configuration from the leader")
+	}
+	c.held, next.Catalog = sent, compiled
+	c.opts.Log.WithFields(logrus.Fields{"event": "catalog_in_force", "version": compiled.Version, "leader": leader}).
+		Info("configuration in force")
+	return nil
+}
--- a/gateway/coordinator/attendance.go
+++ b/gateway/coordinator/attendance.go
@@ -195,10 +195,7 @@
 	if voters := l.voterAddresses(); !slices.Equal(voters, a.votersSent) {
 		u.Voters, a.votersSent = voters, voters
 	}
-	if c := l.store.current().Catalog; c != nil && c.Version != a.catalogSent {
-		u.Catalog = withoutDocument(c)
-		a.catalogSent = c.Version
-	}
+	l.addCatalog(a, u)
 	if revision := l.registry.Revision(); revision != a.topologySent {
 		u.Topology = l.topology()
 		a.topologySent = revision
@@ -242,13 +239,6 @@
 	return false
 }
 
-func withoutDocument(c *controlpb.Catalog) *controlpb.Catalog {
-	return &controlpb.Catalog{
-		Version: c.Version, Routes: c.Routes, Services: c.Services, Teams: c.Teams,
-		TransactionIdleMs: c.TransactionIdleMs,
-	}
-}
-
 func (l *Leader) topology() *controlpb.Topology {
 	t := &controlpb.Topology{Revision: l.registry.Revision()}
 	for _, u := range l.registry.Live() {
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -93,8 +93,10 @@
 	// topologyChanged is set by announcements since the last tick. At a start all servers
 	// announce themselves at once, and each node is told once.
 	topologyChanged bool
-	members       membership
-	fences        uint64
+	members         membership
+	fences          uint64
+	// catalogs holds the configurations that nodes may have.
+	catalogs catalogs
 }
 
 // event is handled by the leader's goroutine.
