Elect the leader again at once after a restart, and do not wait for a silent one

(2) A leader froze at 2.5 s, another led at 3.1 s, and nodes found it at 3.6 s only: other voters named the frozen one, and each node waited 500 ms for it. Until 3.7 s 1,900 requests were refused for want of tokens.

Change: (1) the empty entry of a term names its leader; a voter does not refuse the leader of its newest term, which has no lease while it asks for votes, and that leader asks at once when it restarts. (2) An address that went silent is not asked for 1 s while there are others.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -2,10 +2,23 @@
 
 import "time"
 
-// refusesVotes reports whether this member may be part of the quorum on which a
-// leader's lease rests.
-func (n *Node) refusesVotes() bool {
-	return n.role == Leader || n.now < n.heardAt+VoteRefusal
+// refusesVotes reports whether this member may be part of the quorum on which the lease of
+// another leader than the candidate rests.
+func (n *Node) refusesVotes(candidate ID) bool {
+	if n.role == Leader {
+		return true
+	}
+	return candidate != n.termLeader() && n.now < n.heardAt+VoteRefusal
+}
+
+// termLeader returns who led or leads the newest term, if the log tells. Only its lease can
+// rest on this member, and while it asks for votes it has none. So after a loss of all
+// processes the leader is elected again as soon as a quorum runs.
+func (n *Node) termLeader() ID {
+	if n.log.leaderTerm != n.hard.Term {
+		return ""
+	}
+	return n.log.leader
 }
 
 // hearLeader notes a message of the current leader.
@@ -47,7 +60,7 @@
 // that was away does not disturb the others this way.
 func (n *Node) preCampaign() {
 	n.electionDue = n.now + n.randomBetween(PreVoteRetryMin, PreVoteRetryMax)
-	if !n.log.membership().IsVoter(n.id) || n.refusesVotes() {
+	if !n.log.membership().IsVoter(n.id) || n.refusesVotes(n.id) {
 		return
 	}
 	n.role = PreCandidate
@@ -80,7 +93,7 @@
 }
 
 func (n *Node) handlePreVote(m Message) {
-	if n.refusesVotes() {
+	if n.refusesVotes(m.From) {
 		return
 	}
 	reply := Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term}
@@ -92,7 +105,7 @@
 }
 
 func (n *Node) handleVote(m Message) {
-	if n.refusesVotes() {
+	if n.refusesVotes(m.From) {
 		return
 	}
 	if m.Term > n.hard.Term {
@@ -145,7 +158,7 @@
 	n.role = Leader
 	n.leader = n.id
 	n.resetProgress()
-	n.termStart = n.appendOwn(EntryEmpty, nil)
+	n.termStart = n.appendOwn(EntryEmpty, []byte(n.id))
 	n.heartbeat()
 }
 
--- a/consensus/election_test.go
+++ b/consensus/election_test.go
@@ -86,6 +86,50 @@
 	}
 }
 
+// TestLeaderReturnsAtOnceWhenAllRestart guards against an election timeout, during which
+// nothing is served, after a loss of power of all members.
+func TestLeaderReturnsAtOnceWhenAllRestart(t *testing.T) {
+	for seed := range uint64(20) {
+		s := ledBy1(t, seed, 5)
+		s.runSim(time.Second)
+		for _, v := range s.vms {
+			s.crash(v)
+		}
+		for _, id := range []ID{"1", "4", "5"} {
+			s.start(s.vm(id))
+		}
+		began := s.now
+		s.until("a leader", func() bool { return s.leader() != nil })
+		if took := s.now - began; s.leader().id != "1" || took > VoteRefusal/2 {
+			t.Errorf("seed %d: %s leads after %s", seed, s.leader().id, took)
+		}
+	}
+}
+
+// TestRestartedVoterRefusesOthers guards against a vote for another member than the leader
+// whose lease the restarted voter may have supported.
+func TestRestartedVoterRefusesOthers(t *testing.T) {
+	s := ledBy1(t, 1, 3)
+	s.runSim(time.Second)
+	v := s.vm("3")
+	s.crash(v)
+	s.start(v)
+	now := v.clock(s.now)
+	ask := func(from ID, at time.Duration) ID {
+		v.node.Step(at, Message{Kind: MsgVote, From: from, To: "3", Term: v.node.Term() + 1, LogIndex: 100, LogTerm: v.node.Term()})
+		return v.node.hard.Vote
+	}
+	if vote := ask("2", now+VoteRefusal-1); vote == "2" {
+		t.Error("the voter chose another member while the leader may hold its lease")
+	}
+	if vote := ask("1", now+VoteRefusal-1); vote != "1" {
+		t.Error("the voter refused the leader of its term")
+	}
+	if vote := ask("2", now+VoteRefusal-1); vote == "2" {
+		t.Error("the voter chose another member although it knows no leader of the new term")
+	}
+}
+
 // TestLeaderThatIsHeardStays guards against a leader that votes for a member which
 // cannot hear it.
 func TestLeaderThatIsHeardStays(t *testing.T) {
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -19,6 +19,10 @@
 	// memberships are ordered by index; the first is in force at base.
 	memberships []indexedMembership
 	snapshot    SnapshotMeta
+	// leader led leaderTerm, the newest term of which the log has held the first entry. It
+	// is empty if that entry does not name it.
+	leader     ID
+	leaderTerm Term
 	// installing is a received snapshot that is not yet durable.
 	installing *Snapshot
 }
@@ -91,6 +95,9 @@
 }
 
 func (l *entryLog) push(e Entry) error {
+	if e.Kind == EntryEmpty && e.Term >= l.leaderTerm {
+		l.leader, l.leaderTerm = ID(e.Data), e.Term
+	}
 	if e.Kind == EntryMembership {
 		m, err := DecodeMembership(e.Data)
 		if err != nil {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -71,6 +71,9 @@
 	// A crash may have come between a snapshot or entries and their term.
 	n.setTerm(max(log.snapshot.Term, log.lastTerm()))
 	n.resetElectionTimer()
+	if n.termLeader() == n.id {
+		n.electionDue = now
+	}
 	return n, nil
 }
 
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -25,7 +25,9 @@
 	VoteRetryMax = 600 * time.Millisecond
 	// VoteRefusal is how long a member grants no vote after it heard from a leader
 	// and after its own start. A restarted member does not remember when it last
-	// heard from a leader, so it assumes that this was just before the restart.
+	// heard from a leader, so it assumes that this was just before the restart. The
+	// leader of the member's newest term is excepted: it gave up its lease when it
+	// stopped or stepped down.
 	VoteRefusal = ElectionTimeoutMin
 	// LeaseDuration counts from the send time of a heartbeat round that a quorum
 	// answered. With clocks that run up to 5 % wrong, 540 ms on the leader take at
@@ -81,8 +83,8 @@
 	EntryCommand EntryKind = iota
 	// EntryMembership holds an encoded Membership, in force once it is in the log.
 	EntryMembership
-	// EntryEmpty is appended by each new leader. Entries of earlier terms are
-	// committed with it and never by counting.
+	// EntryEmpty is appended by each new leader, whose identity is its data. Entries of
+	// earlier terms are committed with it and never by counting.
 	EntryEmpty
 )
 
--- a/gateway/attend/attend.go
+++ b/gateway/attend/attend.go
@@ -33,6 +33,9 @@
 	openLimit = 500 * time.Millisecond
 	// retryPause is the time between two attempts.
 	retryPause = 50 * time.Millisecond
+	// silentFor is how long a leader that went silent is not asked again while another node
+	// can be. Nodes that have not noticed yet still name it.
+	silentFor = time.Second
 	// sendTimes is how many reports may be unanswered.
 	sendTimes = 1024
 )
@@ -90,7 +93,10 @@
 	observed    func(Observation)
 
 	// held is the configuration of the newest view, as it was sent.
-	held        *controlpb.Catalog
+	held *controlpb.Catalog
+	// silent is an address that did not answer, at silentAt.
+	silent      string
+	silentAt    time.Duration
 	connections connections
 	next        int
 	sequence    uint64
@@ -175,6 +181,9 @@
 				"serves_for_ms": (time.Duration(c.leaseUntil.Load()) - clock.Now()).Milliseconds(),
 			}).Warn("stream to the leader ended")
 		}
+		if errors.Is(err, errSilent) {
+			c.silent, c.silentAt = address, clock.Now()
+		}
 		c.connections.drop(address)
 		c.setLeader("")
 		named = c.redirected(err, address, updates)
@@ -197,13 +206,18 @@
 		if len(r.Voters) > 0 {
 			c.learnVoters(r.Voters)
 		}
-		if r.Leader != address && updates == 0 {
+		if r.Leader != address && updates == 0 && !c.isSilent(r.Leader) {
 			return r.Leader
 		}
 	}
 	return ""
 }
 
+// isSilent reports whether an address did not answer lately.
+func (c *Client) isSilent(address string) bool {
+	return address == c.silent && clock.Now()-c.silentAt < silentFor
+}
+
 func (c *Client) learnVoters(voters []string) {
 	v := *c.View()
 	v.Voters = voters
@@ -230,6 +244,9 @@
 		return ""
 	}
 	c.next++
+	if len(addresses) > 1 && c.isSilent(addresses[c.next%len(addresses)]) {
+		c.next++
+	}
 	return addresses[c.next%len(addresses)]
 }
 
@@ -246,10 +263,12 @@
 	}
 	opening := time.AfterFunc(openLimit, cancel)
 	stream, err := controlpb.NewGatewayClient(connection).Attend(ctx)
+	if !opening.Stop() {
+		return 0, errSilent
+	}
 	if err != nil {
 		return 0, err
 	}
-	opening.Stop()
 	r := &streamRun{client: c, address: address, stream: stream, received: make(chan received, 16)}
 	go r.receive(ctx)
 	err = r.run(ctx)
--- a/policy/rate/config.go
+++ b/policy/rate/config.go
@@ -6,9 +6,10 @@
 // owner's.
 const driftBound = 1.05
 
-// standbyAfter is the silence of the owner after which a proxy goes on by itself. It is
-// above staleAfter, so that the owner withholds that part first.
-const standbyAfter = 600 * time.Millisecond
+// standbyAfter is the silence of the owner after which a proxy goes on by itself: a report
+// each 250 ms is answered at once. The owner withholds the proxy's part from staleAfter on,
+// so in between a team may be granted up to 0.2 s of its rate more.
+const standbyAfter = 300 * time.Millisecond
 
 // Config holds the time limits of an Owner.
 type Config struct {
