Try a node that does not answer anew each 100 ms

Ruled out: shorter attempts (tried before,: a slow VM is never reached).

Change: base/hedge starts another attempt each 100 ms, five in all, and takes the first connection.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/base/hedge"
 	"github.com/jayloom/jayloom/base/logging"
 	"github.com/jayloom/jayloom/base/metricsrv"
 	"github.com/jayloom/jayloom/control/replica"
@@ -47,6 +48,8 @@
 	// connectBackoff and connectTimeout bound connections between nodes.
 	connectBackoff = 50 * time.Millisecond
 	connectTimeout = 500 * time.Millisecond
+	// connectInterval is the time between two attempts to reach a node that does not answer.
+	connectInterval = 100 * time.Millisecond
 )
 
 // node holds the parts of a process.
@@ -159,7 +162,11 @@
 }
 
 func dialOptions() []grpc.DialOption {
+	hedged := hedge.Dialer{Interval: connectInterval, Most: int(connectTimeout / connectInterval)}
 	return []grpc.DialOption{
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return hedged.DialContext(ctx, "tcp4", address)
+		}),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(grpcBuffer), grpc.WithWriteBufferSize(grpcBuffer),
 		grpc.WithInitialWindowSize(grpcWindow), grpc.WithInitialConnWindowSize(grpcWindow),
