Keep half of a node's connections open while idle, so that a restart finds room

Cause: upstreams hold the connections of VMs without power for 3 s.

Change: beyond half of its equal part a node closes connections that were idle for 300 ms.

Test: TestIdleConnectionsLeaveRoomForARestart.

--- a/gateway/engine/pool_test.go
+++ b/gateway/engine/pool_test.go
@@ -80,6 +80,26 @@
 	}
 }
 
+// Load pattern: all nodes lose power, and each upstream holds their dead connections for 3 s.
+// Guards against idle connections that then leave no room for the restarted nodes
+// (paplate-riga-grown trouble-1, litbrot-ops inc-b6ac).
+func TestIdleConnectionsLeaveRoomForARestart(t *testing.T) {
+	const connections, nodes = 232, 70
+	p, _ := newTestPool(1)
+	p.setShare(connections, nodes)
+	var lent []*link
+	for range p.share.limit {
+		lent = append(lent, lend(t, p, "a"))
+	}
+	for _, l := range lent {
+		p.release(l)
+	}
+	p.trim(clock.Now() + surplusIdle)
+	if left := connections - nodes*p.open; left < nodes*p.share.kept || p.open == 0 {
+		t.Errorf("%d connections stay at each of %d nodes, %d of %d are left", p.open, nodes, left, connections)
+	}
+}
+
 // Load pattern: every node presses on one upstream that refuses work. Guards against
 // nodes that keep it overloaded, and against a window that never opens again.
 func TestWindowShrinksAndGrows(t *testing.T) {
--- a/gateway/engine/share.go
+++ b/gateway/engine/share.go
@@ -14,9 +14,13 @@
 	// surplusLimit is how many it may have open then: a transaction holds one while its
 	// caller pauses.
 	surplusLimit = 3
-	// surplusIdle is how long a connection beyond the equal part may stay idle.
+	// keptShare is the share of the equal part that may stay open while idle. An upstream
+	// holds the connections of VMs without power for seconds; when all have lost it, the
+	// rest is there for them at once.
+	keptShare = 0.5
+	// surplusIdle is how long a connection beyond that may stay idle.
 	surplusIdle = 300 * time.Millisecond
-	// surplusPause is how long a node keeps to its equal part after the upstream had no
+	// surplusPause is how long a node keeps to what may stay open after the upstream had no
 	// connection left.
 	surplusPause = 3 * time.Second
 )
@@ -39,10 +43,11 @@
 	}
 	all := max(1, maxConnections-spareConnections)
 	equal := all / max(1, nodes)
+	kept := int(keptShare * float64(all) / float64(max(1, nodes)))
 	if equal >= smallShare {
-		return share{kept: equal, limit: equal}
+		return share{kept: kept, limit: equal}
 	}
-	return share{kept: equal, limit: min(surplusLimit, all)}
+	return share{kept: kept, limit: min(surplusLimit, all)}
 }
 
 // limitNow is how many connections may be open.
