--- a/gateway/attend/attend.go
+++ b/gateway/attend/attend.go
@@ -18,6 +18,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/base/inbox"
 	"github.com/jayloom/jayloom/gateway/catalog"
 	"github.com/jayloom/jayloom/gateway/position"
 )
@@ -269,8 +270,7 @@
 	if err != nil {
 		return 0, err
 	}
-	r := &streamRun{client: c, address: address, stream: stream, received: make(chan received, 16)}
-	go r.receive(ctx)
+	r := &streamRun{client: c, address: address, stream: stream, received: inbox.Receive(ctx, stream.Recv)}
 	err = r.run(ctx)
 	return r.updates, err
 }
--- a/gateway/attend/stream.go
+++ b/gateway/attend/stream.go
@@ -9,41 +9,22 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/base/inbox"
 	"github.com/jayloom/jayloom/gateway/position"
 )
 
-// received is an update, or the end of the stream.
-type received struct {
-	update *controlpb.NodeUpdate
-	err    error
-}
-
 // streamRun is the life of one stream.
 type streamRun struct {
 	client   *Client
 	address  string
 	stream   grpc.BidiStreamingClient[controlpb.NodeReport, controlpb.NodeUpdate]
-	received chan received
+	received <-chan inbox.Message[*controlpb.NodeUpdate]
 	updates  int
 	first    uint64
 	voter    Voter
 	lastSend time.Duration
 }
 
-func (r *streamRun) receive(ctx context.Context) {
-	for {
-		u, err := r.stream.Recv()
-		select {
-		case r.received <- received{u, err}:
-		case <-ctx.Done():
-			return
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
 func (r *streamRun) run(ctx context.Context) error {
 	c := r.client
 	c.opts.Tokens.StreamStarted(clock.Now())
@@ -123,11 +104,11 @@
 	return r.stream.Send(report)
 }
 
-func (r *streamRun) handle(in received) error {
-	if in.err != nil {
-		return in.err
+func (r *streamRun) handle(in inbox.Message[*controlpb.NodeUpdate]) error {
+	if in.Err != nil {
+		return in.Err
 	}
-	c, u := r.client, in.update
+	c, u := r.client, in.Body
 	now := clock.Now()
 	if r.updates == 0 {
 		c.opts.Log.WithFields(logrus.Fields{"event": "leader_found", "leader": r.address, "nodes": u.Nodes}).Info("attends the leader")
--- a/proxy/attend/client.go
+++ b/proxy/attend/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/base/inbox"
 	"github.com/jayloom/jayloom/proxy/view"
 )
 
@@ -192,40 +193,20 @@
 		return 0, err
 	}
 	opening.Stop()
-	s := &streamRun{client: c, stream: stream, received: make(chan received, 16)}
-	go s.receive(ctx)
+	s := &streamRun{client: c, stream: stream, received: inbox.Receive(ctx, stream.Recv)}
 	err = s.run(ctx)
 	return s.updates, err
 }
 
-type received struct {
-	update *controlpb.Update
-	err    error
-}
-
 // streamRun is the life of one stream.
 type streamRun struct {
 	client   *Client
 	stream   grpc.BidiStreamingClient[controlpb.Report, controlpb.Update]
-	received chan received
+	received <-chan inbox.Message[*controlpb.Update]
 	updates  int
 	lastSend time.Duration
 }
 
-func (s *streamRun) receive(ctx context.Context) {
-	for {
-		update, err := s.stream.Recv()
-		select {
-		case s.received <- received{update, err}:
-		case <-ctx.Done():
-			return
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
 func (s *streamRun) run(ctx context.Context) error {
 	c := s.client
 	c.applier.sends.reset()
@@ -283,7 +264,7 @@
 		// The stream's end shows that the report has arrived.
 		timer := time.NewTimer(silenceLimit)
 		defer timer.Stop()
-		for r := (received{}); r.err == nil; {
+		for r := (inbox.Message[*controlpb.Update]{}); r.Err == nil; {
 			select {
 			case r = <-s.received:
 			case <-timer.C:
@@ -312,22 +293,22 @@
 	return s.stream.Send(report)
 }
 
-func (s *streamRun) handle(r received) error {
-	if r.err != nil {
-		return r.err
+func (s *streamRun) handle(r inbox.Message[*controlpb.Update]) error {
+	if r.Err != nil {
+		return r.Err
 	}
 	c := s.client
-	if r.update.LeaderTerm < c.applier.leaderTerm {
+	if r.Body.LeaderTerm < c.applier.leaderTerm {
 		return errIgnored
 	}
 	s.updates++
-	changed, sentAt, valid := c.applier.apply(r.update)
+	changed, sentAt, valid := c.applier.apply(r.Body)
 	now := clock.Now()
 	if valid {
-		for _, grant := range r.update.Grants {
+		for _, grant := range r.Body.Grants {
 			c.opts.Tokens.Grant(now, sentAt, grant)
 		}
-		for _, grant := range r.update.Shares {
+		for _, grant := range r.Body.Shares {
 			c.opts.Shares.Grant(now, sentAt, grant)
 		}
 	}
