Test a voter whose disk fails, and let its status say that it does not lead

The test shows that a replica whose log cannot be written ends with the error, confirms nothing, has no lease, and keeps what was confirmed when its folder is opened again; but Status went on saying that it leads. Nothing acted on that: the lease is checked beside it.

Change: the status of an ended replica names no leader.

--- a/control/replica/cluster_test.go
+++ b/control/replica/cluster_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,8 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/consensus"
+	"github.com/jayloom/jayloom/wal"
 )
 
 // memory is an Applier that applies each request once and counts.
@@ -80,6 +83,29 @@
 	cancel context.CancelFunc
 	server *grpc.Server
 	ended  chan error
+	disk   *testDisk
+}
+
+// testDisk is the log of a replica, whose writes fail when a test says so.
+type testDisk struct {
+	wal.Log
+	fails atomic.Bool
+}
+
+var errDisk = errors.New("no space left on device")
+
+func (d *testDisk) Append(hs consensus.HardState, entries []consensus.Entry) error {
+	if d.fails.Load() {
+		return errDisk
+	}
+	return d.Log.Append(hs, entries)
+}
+
+func (d *testDisk) SaveSnapshot(s consensus.Snapshot) error {
+	if d.fails.Load() {
+		return errDisk
+	}
+	return d.Log.SaveSnapshot(s)
 }
 
 // cluster runs replicas over loopback with real files.
@@ -145,8 +171,12 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	disk := &testDisk{Log: r.wal}
+	r.wal = disk
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{Replica: r, state: state, cancel: cancel, server: grpc.NewServer(ServerOptions()...), ended: make(chan error, 1)}
+	p := &process{
+		Replica: r, state: state, cancel: cancel, server: grpc.NewServer(ServerOptions()...), ended: make(chan error, 1), disk: disk,
+	}
 	r.Register(p.server)
 	go func() { _ = p.server.Serve(l) }()
 	go func() { p.ended <- r.Run(ctx) }()
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -66,7 +66,7 @@
 	leaseUntil atomic.Int64
 
 	// The rest belongs to the goroutine of Run.
-	wal       *wal.FolderLog
+	wal       wal.Log
 	loaded    *wal.Loaded
 	node      *consensus.Node
 	transport *transport
@@ -123,6 +123,7 @@
 	cancel()
 	r.leaseUntil.Store(0)
 	r.loseLeadership()
+	r.publishEnd()
 	r.failWaiting("the control process stops")
 	close(r.stopped)
 	r.transport.close()
@@ -132,6 +133,13 @@
 	return err
 }
 
+// publishEnd states that the replica neither leads nor knows who does.
+func (r *Replica) publishEnd() {
+	ended := *r.Status()
+	ended.Leading, ended.LeaderIdentity, ended.LeaderAddress = false, "", ""
+	r.status.Store(&ended)
+}
+
 func (r *Replica) run(ctx context.Context) error {
 	if err := r.start(ctx); err != nil {
 		return stoppedCleanly(ctx, err)
--- a/control/replica/replica_test.go
+++ b/control/replica/replica_test.go
@@ -66,6 +66,31 @@
 	c.awaitEqual(1)
 }
 
+// TestLeaderWhoseDiskFails guards against a leader that holds its lease or confirms commands
+// when its disk takes no more writes, and against the loss of what was confirmed when its folder
+// is opened again.
+func TestLeaderWhoseDiskFails(t *testing.T) {
+	c := newCluster(t, 3)
+	c.proposeMany("a", 10)
+	leader := c.awaitLeader()
+	at := c.position(leader)
+	leader.disk.fails.Store(true)
+	if result, err := leader.Propose(t.Context(), &controlpb.Command{RequestId: "unwritten"}); err == nil {
+		t.Errorf("confirmed %v without a disk", result)
+	}
+	if err := <-leader.ended; !errors.Is(err, errDisk) {
+		t.Errorf("the replica ended with %v", err)
+	}
+	if leader.LeaseValid(0) || leader.Status().Leading {
+		t.Error("the replica still leads")
+	}
+	leader.server.Stop()
+	c.processes[at] = nil
+	c.proposeMany("b", 10)
+	c.start(at)
+	c.until("the reopened replica to have all commands", func() bool { return len(c.processes[at].state.order()) >= 20 })
+}
+
 // TestSilentPartition guards against a leader behind a silent partition that keeps its
 // lease or confirms commands, and against one that does not catch up on return.
 func TestSilentPartition(t *testing.T) {
