Remember upstreams and primaries for a leader that starts from nothing

With the leader elected at 38.7 s, as the first process starts, the primaries of eight services were known from 38.9 to 40.7 s only, because no node remembers them and servers announce themselves each 1.2 s.

Connections name the server that they expect, so an outdated entry does no harm. Changes of the state that do not touch the configuration are no longer pushed.

Test: TestLeaderRemembersUpstreams.

--- a/gateway/coordinator/attendance.go
+++ b/gateway/coordinator/attendance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -246,8 +247,8 @@
 			Id: u.ID, Service: u.Service, Address: u.Address, Place: u.Place, Slots: u.Slots, Draining: u.Draining,
 		})
 	}
-	for service, g := range l.groups {
-		if id, term, changing := g.machine.Primary(); id != "" {
+	for _, service := range slices.Sorted(maps.Keys(l.groups)) {
+		if id, term, changing := l.groups[service].machine.Primary(); id != "" {
 			t.Primaries = append(t.Primaries, &controlpb.TopologyPrimary{
 				Service: service, Upstream: id, Term: term, Changing: changing,
 			})
--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -249,6 +249,39 @@
 	}
 }
 
+// Load pattern: all VMs lose power, so no node remembers any upstream. Guards against a leader
+// that leaves callers waiting until each upstream has announced itself again
+// (paplate-riga-grown trouble-2), and against one that commits the same topology for ever.
+func TestLeaderRemembersUpstreams(t *testing.T) {
+	l, _ := newTestLeader(t)
+	attending(l, "n1", &controlpb.NodeReport{Sequence: 1})
+	l.handle(context.Background(), announced{&controlpb.UpstreamAnnouncement{
+		Id: "p", Service: "wax", Address: "10.0.0.2:1", StartedUnixMs: 1, Sequence: 1, Primary: true,
+	}, make(chan struct{})})
+	l.groups["wax"].machine.Adopt(clock.Now(), "p", 4)
+	tickUntilRemembered(l)
+	committed := l.store.current().Topology
+	l.rememberedAt -= rememberInterval
+	tickUntilRemembered(l)
+	if again := l.store.current().Topology; again != committed {
+		t.Errorf("an unchanged topology was committed again: %v, %v", committed, again)
+	}
+	l.lead(2)
+	u := newest(attending(l, "n2", &controlpb.NodeReport{Sequence: 1}))
+	if got := u.GetTopology(); len(got.GetUpstreams()) != 1 || got.Upstreams[0].Address != "10.0.0.2:1" ||
+		len(got.Primaries) != 1 || got.Primaries[0].Upstream != "p" || got.Primaries[0].Term != 4 {
+		t.Errorf("the next leader tells %v", got)
+	}
+}
+
+// tickUntilRemembered lets a tick pass and waits for the commit that it may have begun.
+func tickUntilRemembered(l *Leader) {
+	l.tick(context.Background())
+	for l.remembering {
+		l.handle(context.Background(), <-l.events)
+	}
+}
+
 // Guards against nodes that divide connections among too few: a new leader counts those
 // that have not come back, and any leader those that were lost without a word.
 func TestConnectionsAreDividedAmongLostNodesToo(t *testing.T) {
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -93,8 +93,12 @@
 	// topologyChanged is set by announcements since the last tick. At a start all servers
 	// announce themselves at once, and each node is told once.
 	topologyChanged bool
-	members         membership
-	fences          uint64
+	// remembering is set while the topology is being committed, rememberedAt is when that was
+	// last begun.
+	remembering  bool
+	rememberedAt time.Duration
+	members      membership
+	fences       uint64
 	// catalogs holds the configurations that nodes may have.
 	catalogs catalogs
 }
@@ -187,6 +191,8 @@
 		l.handlePromoted(e)
 	case membershipChanged:
 		l.members.changing = false
+	case topologyRemembered:
+		l.remembering = false
 	}
 }
 
@@ -199,7 +205,8 @@
 		l.follow()
 		return
 	}
-	if !l.leading {
+	// Most changes are of nodes or of the topology.
+	if !l.leading || l.store.current().Catalog.GetVersion() == l.catalogs.current.GetVersion() {
 		return
 	}
 	l.syncCatalog(clock.Now())
@@ -216,6 +223,7 @@
 	l.teams = map[string]bool{}
 	l.lost = map[string]time.Duration{}
 	l.members = membership{}
+	l.remembering = false
 	l.owner = rate.NewOwner(rate.GatewayConfig())
 	names := []string{}
 	for _, node := range l.store.current().Nodes {
@@ -223,6 +231,7 @@
 	}
 	l.owner.Lead(now, names)
 	l.syncCatalog(now)
+	l.adopt(now, l.store.current().Topology)
 	l.log.WithFields(logrus.Fields{
 		"event": "leadership_gained", "term": term, "nodes": len(names), "catalog": l.store.current().Catalog.GetVersion(),
 	}).Info("leads the fleet")
@@ -280,6 +289,7 @@
 		l.pushAll()
 	}
 	l.stepMembership(ctx, now)
+	l.rememberTopology(ctx, now)
 }
 
 func (l *Leader) handleAnnounced(e announced) {
--- a/gateway/coordinator/store.go
+++ b/gateway/coordinator/store.go
@@ -50,12 +50,15 @@
 	case *controlpb.Command_PutCatalog:
 		// Of two configurations with the same version the first is kept.
 		if body.PutCatalog.Version > s.state.Catalog.GetVersion() {
-			s.state = &controlpb.GatewayState{Catalog: body.PutCatalog, Nodes: s.state.Nodes}
+			s.state = &controlpb.GatewayState{Catalog: body.PutCatalog, Nodes: s.state.Nodes, Topology: s.state.Topology}
 		}
 		return &controlpb.CommandResult{Revision: s.state.Catalog.GetVersion()}
 	case *controlpb.Command_RegisterNode:
 		s.register(body.RegisterNode)
 		return &controlpb.CommandResult{Revision: s.state.Catalog.GetVersion()}
+	case *controlpb.Command_PutTopology:
+		s.state = &controlpb.GatewayState{Catalog: s.state.Catalog, Nodes: s.state.Nodes, Topology: body.PutTopology}
+		return &controlpb.CommandResult{Revision: s.state.Catalog.GetVersion()}
 	default:
 		return &controlpb.CommandResult{Code: uint32(rescode.InvalidCommand), Message: "not a command of gateway nodes"}
 	}
@@ -68,7 +71,7 @@
 		}
 	}
 	nodes := append(append([]*controlpb.NodeMember(nil), s.state.Nodes...), node)
-	s.state = &controlpb.GatewayState{Catalog: s.state.Catalog, Nodes: nodes}
+	s.state = &controlpb.GatewayState{Catalog: s.state.Catalog, Nodes: nodes, Topology: s.state.Topology}
 }
 
 // Snapshot implements replica.Applier.
