--- a/cmd/internal/soak/callers_test.go
+++ b/cmd/internal/soak/callers_test.go
@@ -207,7 +207,7 @@
 		if s.err != nil || s.answer.Refusal != "" {
 			// A session that is not idle behind a refusal cannot go on, and one whose key was
 			// withdrawn is closed.
-			goesOn = s.err == nil && s.answer.Idle && s.answer.Refusal != "NOAUTH"
+			goesOn = s.err == nil && s.answer.Idle && s.answer.Refusal != standin.RefusedKey
 			break
 		}
 	}
--- a/cmd/internal/soak/violations_test.go
+++ b/cmd/internal/soak/violations_test.go
@@ -58,12 +58,12 @@
 		{"ran for", func(h *history) { h.runs[0].Team = smallTeam }},
 		{"mixed", func(h *history) { h.attempts[2].statements[0].answer.Rows = []string{"1"} }},
 		{"twice", func(h *history) { h.log = append(h.log, standin.Commit{Term: 1, Number: 3, IDs: []string{"a"}}) }},
-		{"refused", func(h *history) { h.attempts[0].statements[0].answer.Refusal = "BUSY" }},
+		{"refused", func(h *history) { h.attempts[0].statements[0].answer.Refusal = standin.RefusedNotRun }},
 		{"stale", func(h *history) { h.runs[2].Length = 1 }},
 		{"stale", func(h *history) {
 			h.runs[2].Length = 0
 			h.attempts[0].kind, h.attempts[2].kind = kindsOfCallers[1], kindsOfCallers[1]
-			h.attempts[1].statements[0].answer.Refusal = "UNSURE"
+			h.attempts[1].statements[0].answer.Refusal = standin.RefusedUnknown
 		}},
 		{"pinned: b (WRITE x 2) ran on connection", func(h *history) {
 			h.attempts[0].statements = append(h.attempts[0].statements, h.attempts[1].statements...)
