--- a/cmd/internal/soak/callers_test.go
+++ b/cmd/internal/soak/callers_test.go
@@ -72,6 +72,16 @@
 	return a.final().text == "ROLLBACK"
 }
 
+// writes reports whether the attempt has a statement that writes.
+func (a *attempt) writes() bool {
+	for _, s := range a.statements {
+		if strings.HasPrefix(s.text, "WRITE ") {
+			return true
+		}
+	}
+	return false
+}
+
 // done reports whether all statements succeeded.
 func (a *attempt) done() bool {
 	for _, s := range a.statements {
--- a/cmd/internal/soak/check_test.go
+++ b/cmd/internal/soak/check_test.go
@@ -46,12 +46,14 @@
 	runs  map[string][]standin.Run
 	// commits holds those that were not rolled back, by the statements in them.
 	commits map[string][]standin.Commit
+	// rolledBack holds the statements in commits that were.
+	rolledBack map[string]bool
 }
 
 func newIndex(h *history) *index {
 	x := &index{
 		history: h, owner: map[string]*attempt{}, text: map[string]string{},
-		runs: map[string][]standin.Run{}, commits: map[string][]standin.Commit{},
+		runs: map[string][]standin.Run{}, commits: map[string][]standin.Commit{}, rolledBack: map[string]bool{},
 	}
 	for _, a := range h.attempts {
 		for _, s := range a.statements {
@@ -62,10 +64,11 @@
 		x.runs[r.ID] = append(x.runs[r.ID], r)
 	}
 	for _, c := range h.log {
-		if c.RolledBack {
-			continue
-		}
 		for _, id := range c.IDs {
+			if c.RolledBack {
+				x.rolledBack[id] = true
+				continue
+			}
 			x.commits[id] = append(x.commits[id], c)
 		}
 	}
@@ -106,13 +109,19 @@
 	return found
 }
 
-// checkOnce finds writes that took effect twice, and successful ones that took none.
+// checkOnce finds writes that took effect twice, and confirmed ones that took none. What a
+// promotion has rolled back took effect before.
 func checkOnce(x *index) (found []string) {
 	for id, commits := range x.commits {
 		if len(commits) > 1 {
 			found = append(found, fmt.Sprintf("twice: %s is in %d commits", id, len(commits)))
 		}
 	}
+	for _, a := range x.attempts {
+		if id := a.final().id; a.done() && a.writes() && len(x.commits[id]) == 0 && !x.rolledBack[id] {
+			found = append(found, fmt.Sprintf("lost: %s (%s) was confirmed and is in no commit", id, a.final().text))
+		}
+	}
 	return found
 }
 
--- a/cmd/internal/soak/violations_test.go
+++ b/cmd/internal/soak/violations_test.go
@@ -58,6 +58,7 @@
 		{"ran for", func(h *history) { h.runs[0].Team = smallTeam }},
 		{"mixed", func(h *history) { h.attempts[2].statements[0].answer.Rows = []string{"1"} }},
 		{"twice", func(h *history) { h.log = append(h.log, standin.Commit{Term: 1, Number: 3, IDs: []string{"a"}}) }},
+		{"lost: a", func(h *history) { h.log[0].IDs = nil }},
 		{"refused", func(h *history) { h.attempts[0].statements[0].answer.Refusal = standin.RefusedNotRun }},
 		{"stale", func(h *history) { h.runs[2].Length = 1 }},
 		{"stale", func(h *history) {
