Let voters tell the seeds of the settings who votes

Cause: after an exchange of seeds the settings name VMs without a disk. When all VMs then lose power, the seeds know nothing, and every node, the leader's own control client too, asks only the seeds.

Change: each node with a replica announces the membership on its disk to the seeds that its settings name, at once after a change of either and each second, and uses it itself. Sets carry the committed index, so that an older set never replaces a newer one; a node connected to the leader takes voters only from there. Redirects carry the index too. The first membership is formed as before: an announced set is only a list of addresses to ask.

Ruled out: an election that fails (the leader was elected at 35.04 s); a replica that loses its membership (its log holds it). Weighed: nodes that write the voters to a disk of their own (seeds have none); voters that keep asking the seeds (seeds know nothing that could answer).

--- a/cmd/internal/soak/faults_test.go
+++ b/cmd/internal/soak/faults_test.go
@@ -50,6 +50,7 @@
 	{"replica_lags", false, (*schedule).lagReplica},
 	{"orders_late", false, (*schedule).delayOrders},
 	{"settings_reread", true, (*schedule).rereadSettings},
+	{"seeds_changed", true, (*schedule).changeSeeds},
 	{"configuration_changed", true, (*schedule).changeConfiguration},
 	{"operators_race", true, (*schedule).raceOperators},
 	{"key_withdrawn", true, (*schedule).withdrawKey},
@@ -257,6 +258,15 @@
 	s.fleet.randomNode(r).signal(syscall.SIGHUP)
 }
 
+// changeSeeds lists some nodes, with or without a disk, as the seeds.
+func (s *schedule) changeSeeds(r *rand.Rand, _ time.Duration) {
+	var seeds []*process
+	for _, i := range r.Perm(len(s.fleet.nodes))[:min(diskNodeCount, len(s.fleet.nodes))] {
+		seeds = append(seeds, s.fleet.nodes[i])
+	}
+	s.fleet.changeSeeds(seeds...)
+}
+
 func (s *schedule) changeConfiguration(*rand.Rand, time.Duration) {
 	s.operator.changeConfiguration(func(*plan) {})
 }
--- a/cmd/internal/soak/fleet_test.go
+++ b/cmd/internal/soak/fleet_test.go
@@ -43,6 +43,10 @@
 	promoteAddress string
 	nodes          []*process
 	upstreams      []*upstream
+
+	seedMu sync.Mutex
+	// seedNodes are the nodes that the settings of every node list as seeds.
+	seedNodes []standin.Node
 }
 
 // upstream is a database server and the relay in front of it.
@@ -87,6 +91,9 @@
 	for i := range *nodeCount {
 		f.nodes = append(f.nodes, f.newProcess(i, filepath.Join(folder, fmt.Sprintf("seed-%d", seed))))
 	}
+	for _, p := range f.nodes[:min(diskNodeCount, len(f.nodes))] {
+		f.seedNodes = append(f.seedNodes, p.node)
+	}
 	return f
 }
 
@@ -135,13 +142,27 @@
 	return r
 }
 
-// seeds returns the nodes with a disk; the settings of every node list them.
+// seeds returns the nodes that the settings of every node list.
 func (f *fleet) seeds() []standin.Node {
+	f.seedMu.Lock()
+	defer f.seedMu.Unlock()
+	return f.seedNodes
+}
+
+// changeSeeds lists other seeds in the settings of all nodes, without a signal to them.
+func (f *fleet) changeSeeds(processes ...*process) {
 	var seeds []standin.Node
-	for _, p := range f.nodes[:min(diskNodeCount, len(f.nodes))] {
+	for _, p := range processes {
 		seeds = append(seeds, p.node)
 	}
-	return seeds
+	f.seedMu.Lock()
+	f.seedNodes = seeds
+	f.seedMu.Unlock()
+	for _, p := range f.nodes {
+		p.mu.Lock()
+		p.writeSettings()
+		p.mu.Unlock()
+	}
 }
 
 func (f *fleet) randomNode(r *rand.Rand) *process {
@@ -162,11 +183,7 @@
 func (p *process) start() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	settings := filepath.Join(p.node.Folder, "settings.conf")
-	if err := os.WriteFile(settings, p.node.Settings(p.fleet.seeds(), p.fleet.promoteAddress), 0o600); err != nil {
-		p.fleet.t.Error(err)
-		return
-	}
+	settings := p.writeSettings()
 	log, err := os.OpenFile(filepath.Join(p.node.Folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		p.fleet.t.Error(err)
@@ -186,6 +203,20 @@
 	go p.reap(c, log, p.exited)
 }
 
+// writeSettings replaces the settings file in one step and returns its path. The caller holds mu.
+func (p *process) writeSettings() string {
+	path := filepath.Join(p.node.Folder, "settings.conf")
+	content := p.node.Settings(p.fleet.seeds(), p.fleet.promoteAddress)
+	if err := os.WriteFile(path+".new", content, 0o600); err != nil {
+		p.fleet.t.Error(err)
+		return path
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		p.fleet.t.Error(err)
+	}
+	return path
+}
+
 func (p *process) reap(c *exec.Cmd, log *os.File, ended chan struct{}) {
 	err := c.Wait()
 	p.mu.Lock()
--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -211,6 +211,7 @@
 		n.replicaEndpoint.Register(n.grpcServer)
 		n.goroutines.Go(func() { n.leader.Run(ctx) })
 		n.goroutines.Go(func() { n.runReplica(ctx) })
+		n.goroutines.Go(func() { n.voterAnnouncer().Run(ctx) })
 	}
 	n.goroutines.Go(func() {
 		if err := n.grpcServer.Serve(listener); err != nil {
@@ -224,23 +225,19 @@
 // new leader before the control client does.
 type directory struct{ n *node }
 
-// Leader implements coordinator.Directory. It returns the address of the leader and those
-// of the voters.
-func (d directory) Leader() (string, []string) {
+// Leader implements coordinator.Directory.
+func (d directory) Leader() (string, *controlpb.VoterSet) {
 	leader, voters := d.n.controlClient.Leader()
-	r := d.n.replicaEndpoint.Replica()
-	if r == nil {
-		return leader, voters
+	if r := d.n.replicaEndpoint.Replica(); r != nil {
+		leader = r.Status().LeaderAddress
+		voters = cmp.Or(r.Status().VoterSet(), voters)
 	}
-	status := r.Status()
-	members := []string{}
-	for _, m := range status.Members {
-		members = append(members, m.Address)
-	}
-	if len(members) == 0 {
-		members = voters
-	}
-	return status.LeaderAddress, members
+	return leader, voters
+}
+
+// LearnVoters implements coordinator.Directory.
+func (d directory) LearnVoters(voters *controlpb.VoterSet) bool {
+	return d.n.controlClient.LearnVoters(voters)
 }
 
 func (n *node) serveHTTP() error {
--- a/cmd/jayloom-node/replica.go
+++ b/cmd/jayloom-node/replica.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/control/replica"
 	"github.com/jayloom/jayloom/gateway/controlclient"
 )
@@ -54,6 +55,20 @@
 	return controlclient.Voter{Identity: r.Status().Identity, Address: n.address}
 }
 
+// voterAnnouncer returns the announcer of the voters that this node's replica knows.
+func (n *node) voterAnnouncer() *controlclient.VoterAnnouncer {
+	return &controlclient.VoterAnnouncer{
+		Self: n.address, Seeds: n.seeds, Learn: n.controlClient.LearnVoters, DialOptions: dialOptions(), Log: n.log,
+		Voters: func() *controlpb.VoterSet {
+			r := n.replicaEndpoint.Replica()
+			if r == nil {
+				return nil
+			}
+			return r.Status().VoterSet()
+		},
+	}
+}
+
 // initialVoters returns the seeds if the whole system starts for the first time and the node
 // is one of them, else nil. Any other VM with an empty disk waits until the leader adds it.
 func (n *node) initialVoters() []string {
--- a/control/replica/replicator.go
+++ b/control/replica/replicator.go
@@ -58,3 +58,16 @@
 	// Members have a match index and activity on the leader only.
 	Members []*controlpb.VoterStatus
 }
+
+// VoterSet returns the addresses of all members, each of which is the leader or redirects to it,
+// with the committed index that they were known at. It returns nil if there is no membership.
+func (s *Status) VoterSet() *controlpb.VoterSet {
+	if len(s.Members) == 0 {
+		return nil
+	}
+	out := &controlpb.VoterSet{Index: s.Committed}
+	for _, m := range s.Members {
+		out.Addresses = append(out.Addresses, m.Address)
+	}
+	return out
+}
--- a/gateway/controlclient/calls.go
+++ b/gateway/controlclient/calls.go
@@ -86,8 +86,15 @@
 }
 
 func (c *connectionCache) closeAll() {
+	c.closeOthers(nil)
+}
+
+// closeOthers closes the connections to all addresses but kept.
+func (c *connectionCache) closeOthers(kept []string) {
 	for _, address := range c.addresses() {
-		c.closeConnection(address)
+		if !slices.Contains(kept, address) {
+			c.closeConnection(address)
+		}
 	}
 }
 
--- a/gateway/controlclient/client.go
+++ b/gateway/controlclient/client.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -79,16 +80,20 @@
 	Catalog  *catalog.Catalog
 	Topology *controlpb.Topology
 	// Nodes is the number of nodes among which connections are divided.
-	Nodes  int
-	Voters []string
+	Nodes int
+	// Voters is nil if no voter is known.
+	Voters *controlpb.VoterSet
+	// Leader is the address of the leader that the node is connected to, or empty.
 	Leader string
 }
 
 // Client maintains the control stream to the leader. Run must be called once; the other
 // methods are safe for concurrent use.
 type Client struct {
-	opts            Options
-	incarnation     string
+	opts        Options
+	incarnation string
+	// viewMu serializes changes of view.
+	viewMu          sync.Mutex
 	view            atomic.Pointer[View]
 	leaseUntil      atomic.Int64
 	reportRequested chan struct{}
@@ -144,7 +149,7 @@
 
 // Leader returns the addresses of the leader, empty if the node has no stream to one, and of
 // the voters.
-func (c *Client) Leader() (string, []string) {
+func (c *Client) Leader() (string, *controlpb.VoterSet) {
 	v := c.View()
 	return v.Leader, v.Voters
 }
@@ -214,9 +219,7 @@
 		if !ok {
 			continue
 		}
-		if len(r.Voters) > 0 {
-			c.setVoters(r.Voters)
-		}
+		c.LearnVoters(&controlpb.VoterSet{Addresses: r.Voters, Index: r.VotersIndex})
 		if r.Leader != address && updates == 0 && !c.isSilent(r.Leader) {
 			return r.Leader
 		}
@@ -229,23 +232,11 @@
 	return address == c.silentAddress && clock.Now()-c.silentAt < silentBackoff
 }
 
-func (c *Client) setVoters(voters []string) {
-	v := *c.View()
-	v.Voters = voters
-	c.view.Store(&v)
-}
-
-func (c *Client) setLeader(address string) {
-	v := *c.View()
-	v.Leader = address
-	c.view.Store(&v)
-}
-
 // nextAddress returns the next address to try. It cycles through the known voters and the
 // seeds.
 func (c *Client) nextAddress() string {
 	known := map[string]bool{}
-	for _, a := range c.View().Voters {
+	for _, a := range c.View().Voters.GetAddresses() {
 		known[a] = true
 	}
 	for _, a := range c.opts.Seeds() {
@@ -291,11 +282,10 @@
 func (c *Client) apply(u *controlpb.NodeUpdate, address string) error {
 	previous := c.View()
 	next := &View{
-		Catalog: previous.Catalog, Topology: previous.Topology, Nodes: int(u.Nodes),
-		Voters: u.Voters, Leader: address,
+		Catalog: previous.Catalog, Topology: previous.Topology, Nodes: int(u.Nodes), Leader: address,
 	}
-	if len(u.Voters) == 0 {
-		next.Voters = previous.Voters
+	if len(u.Voters) > 0 {
+		next.Voters = &controlpb.VoterSet{Addresses: u.Voters, Index: u.VotersIndex}
 	}
 	if err := c.applyCatalog(u, next, address); err != nil {
 		return err
@@ -303,7 +293,7 @@
 	if u.Topology != nil {
 		next.Topology = u.Topology
 	}
-	c.view.Store(next)
+	c.publish(next)
 	if next.Catalog != previous.Catalog || next.Topology != previous.Topology || next.Nodes != previous.Nodes {
 		c.onViewChange(next)
 	}
--- a/gateway/controlclient/client_test.go
+++ b/gateway/controlclient/client_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -53,6 +55,74 @@
 	}
 }
 
+func voterSet(index uint64, addresses ...string) *controlpb.VoterSet {
+	return &controlpb.VoterSet{Addresses: addresses, Index: index}
+}
+
+// Load pattern: the settings name seeds without a data folder, and all VMs lose power. Guards
+// against a seed that knows no voter although one has told it (tfsg-seal trouble-2), and
+// against an old set, of a partitioned voter or a seed told by one, that replaces a newer one.
+func TestSeedLearnsVoters(t *testing.T) {
+	c := newTestClient("seed")
+	if c.LearnVoters(nil) || c.LearnVoters(&controlpb.VoterSet{Index: 9}) {
+		t.Error("a set without voters was recorded")
+	}
+	if !c.LearnVoters(voterSet(7, "a", "b")) {
+		t.Fatal("the first set was not recorded")
+	}
+	if c.LearnVoters(voterSet(6, "old")) {
+		t.Error("an older set replaced a newer one")
+	}
+	if _, voters := c.Leader(); !slices.Equal(voters.GetAddresses(), []string{"a", "b"}) {
+		t.Errorf("redirects to %v", voters)
+	}
+	tried := map[string]bool{}
+	for range 3 {
+		tried[c.nextAddress()] = true
+	}
+	if !tried["a"] || !tried["b"] || !tried["seed"] {
+		t.Errorf("the addresses tried are %v", tried)
+	}
+}
+
+// Guards against a node that gives up the voters of its leader for those of another fleet whose
+// settings name it as a seed.
+func TestConnectedNodeIgnoresAnnouncedVoters(t *testing.T) {
+	c := newTestClient("seed")
+	if err := c.apply(&controlpb.NodeUpdate{Voters: []string{"a"}, VotersIndex: 3}, "a"); err != nil {
+		t.Fatal(err)
+	}
+	if c.LearnVoters(voterSet(99, "other")) {
+		t.Error("the voters of another fleet were recorded")
+	}
+	c.setLeader("")
+	if !c.LearnVoters(voterSet(4, "a", "b")) {
+		t.Error("newer voters were not recorded after the leader was lost")
+	}
+}
+
+// Guards against voters that announce nothing after a change, and against ones that announce the
+// same without a pause.
+func TestAnnouncementIsDue(t *testing.T) {
+	last := announcement{voters: []string{"a"}, seeds: []string{"s"}, at: time.Minute}
+	soon := time.Minute + announceInterval/2
+	for name, c := range map[string]struct {
+		now           time.Duration
+		voters, seeds []string
+		due           bool
+	}{
+		"unchanged":        {soon, []string{"a"}, []string{"s"}, false},
+		"interval is over": {time.Minute + announceInterval, []string{"a"}, []string{"s"}, true},
+		"voter added":      {soon, []string{"a", "b"}, []string{"s"}, true},
+		"seeds exchanged":  {soon, []string{"a"}, []string{"t"}, true},
+		"no voter known":   {time.Hour, nil, []string{"t"}, false},
+	} {
+		if got := last.due(c.now, c.voters, c.seeds); got != c.due {
+			t.Errorf("%s: due is %t, want %t", name, got, c.due)
+		}
+	}
+}
+
 // Guards against a node without an address to try after its only seed did not answer.
 func TestOnlySeedIsRetried(t *testing.T) {
 	c := newTestClient("a")
--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -218,7 +218,9 @@
 
 type emptyDirectory struct{}
 
-func (emptyDirectory) Leader() (string, []string) { return "", nil }
+func (emptyDirectory) Leader() (string, *controlpb.VoterSet) { return "", nil }
+
+func (emptyDirectory) LearnVoters(*controlpb.VoterSet) bool { return false }
 
 // Guards against nodes that continue to use an upstream after it has announced that it is
 // draining, and against a new leader that removes the upstreams that nodes already know.
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -354,13 +354,3 @@
 	status.PositionAsPrimary = true
 	l.post(ctx, probeCompleted{u, term, *status})
 }
-
-// voterAddresses returns the addresses of all members, each of which is the leader or redirects
-// to it.
-func (l *Leader) voterAddresses() []string {
-	addresses := []string{}
-	for _, m := range l.replica().Status().Members {
-		addresses = append(addresses, m.Address)
-	}
-	return addresses
-}
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -200,8 +200,8 @@
 	u := &controlpb.NodeUpdate{
 		Sequence: s.sequence, Grants: grants, Nodes: l.fleetSize(clock.Now()),
 	}
-	if voters := l.voterAddresses(); !slices.Equal(voters, s.sentVoters) {
-		u.Voters, s.sentVoters = voters, voters
+	if voters := l.replica().Status().VoterSet(); !slices.Equal(voters.GetAddresses(), s.sentVoters) {
+		u.Voters, u.VotersIndex, s.sentVoters = voters.Addresses, voters.Index, voters.Addresses
 	}
 	l.addCatalog(s, u)
 	if revision := l.registry.Revision(); revision != s.sentTopologyRevision {
--- a/gateway/coordinator/server.go
+++ b/gateway/coordinator/server.go
@@ -18,8 +18,10 @@
 
 // Directory locates the leader on a node that is not the leader.
 type Directory interface {
-	// Leader returns the addresses of the leader, empty if unknown, and of the voters.
-	Leader() (leader string, voters []string)
+	// Leader returns the address of the leader, empty if unknown, and the voters.
+	Leader() (leader string, voters *controlpb.VoterSet)
+	// LearnVoters records the voters that another node names, unless newer ones are known.
+	LearnVoters(voters *controlpb.VoterSet) bool
 }
 
 // Server implements the Gateway service. On a node that is not the leader, it redirects to the
@@ -49,7 +51,9 @@
 func (s *Server) redirect() error {
 	leader, voters := s.directory.Leader()
 	st := status.New(codes.Unavailable, "this node is not the leader")
-	detailed, err := st.WithDetails(&controlpb.Redirect{Leader: leader, Voters: voters})
+	detailed, err := st.WithDetails(&controlpb.Redirect{
+		Leader: leader, Voters: voters.GetAddresses(), VotersIndex: voters.GetIndex(),
+	})
 	if err != nil {
 		return st.Err()
 	}
@@ -101,6 +105,12 @@
 	}
 }
 
+// AnnounceVoters implements controlpb.GatewayServer.
+func (s *Server) AnnounceVoters(_ context.Context, in *controlpb.VoterSet) (*controlpb.AnnounceVotersReply, error) {
+	s.directory.LearnVoters(in)
+	return &controlpb.AnnounceVotersReply{}, nil
+}
+
 // Attend implements controlpb.GatewayServer.
 func (s *Server) Attend(stream grpc.BidiStreamingServer[controlpb.NodeReport, controlpb.NodeUpdate]) error {
 	if !s.isLeader() {
