Limit teams by admitted fractions instead of tokens on gateway nodes

Cause: with 300 nodes and 190 teams nearly every request reaches a node without a token of its team and asks the leader for one: some 2,500 questions and answers a second in calm, more when the leader has changed, since tokens granted late stay at the node and a new leader's buckets start empty. A change of leader adds: every node sends the whole topology with each attempt to connect, 20 times a second, over a new connection each time. The leader's share of a processor and the links of 2 Mbit/s cannot carry that, so answers come late, streams end for 'no answer', and it feeds itself.

Change: - policy/throttle: nodes count the requests of each team and report the counts with their regular reports. The leader charges them to a bucket that may hold a debt and sends, for the few teams whose bucket runs low, the fraction of requests to admit; a sharp fall goes to all nodes at once. Nodes admit at random and refuse at once; no request waits for the leader. Messages depend on the nodes, not on the load. A new leader adopts the fractions of the earlier one from the nodes. - A node sends the topology of an earlier leader only when the leader asks, which asks one at a time. - Pauses between attempts to connect grow from 50 to 250 ms and vary; a redirect keeps the connection. Urgent reports of all nodes together are spaced by 0.25 ms. - A late report of a replaced stream no longer ends the newer stream of the node.

Use in any 5 s stays within 1.1 x (5 x rate + burst) + 20 in TestLoudTeamIsLimited up to 5 times the rate, for small teams 10 times; the former token tests have equals in policy/throttle with the same bounds.

TestFleetServesThePlatform: the test waits for the second node before it asks it (known red, cause 1). Nodes of this version cannot serve beside ones of an earlier version: they report other counts.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -30,8 +30,7 @@
 	"github.com/jayloom/jayloom/gateway/engine"
 	"github.com/jayloom/jayloom/gateway/server"
 	"github.com/jayloom/jayloom/platform"
-	"github.com/jayloom/jayloom/policy/rate"
-	"github.com/jayloom/jayloom/proxy/admission"
+	"github.com/jayloom/jayloom/policy/throttle"
 )
 
 const (
@@ -184,15 +183,15 @@
 }
 
 func (n *node) createClientAndEngine() {
-	tokens := admission.New(rate.NewHolder(rate.GatewayConfig()), func() { n.controlClient.ReportNow() })
+	gate := throttle.NewGate(func() { n.controlClient.ReportNow() })
 	n.controlClient = controlclient.New(controlclient.Options{
 		Node: n.settings.Node, Seeds: n.seeds,
 		Lease:  time.Duration(leaseFraction * float64(n.settings.MaxRevocationDelay)),
-		Tokens: tokens, Voter: n.voterIdentity, DialOptions: dialOptions(), Log: n.log,
+		Gate: gate, Voter: n.voterIdentity, DialOptions: dialOptions(), Log: n.log,
 		Primaries: func(now time.Duration) []*controlpb.PrimaryView { return n.engine.Primaries(now) },
 	}, func(v *controlclient.View) { n.engine.Update(v) }, func(p controlclient.PrimaryPosition) { n.engine.RecordPosition(p) })
 	n.engine = engine.New(engine.Options{
-		Control: n.controlClient, Dialer: platform.Dialer{}, Tokens: tokens, Place: n.settings.Place, Log: n.log,
+		Control: n.controlClient, Dialer: platform.Dialer{}, Gate: gate, Place: n.settings.Place, Log: n.log,
 	})
 }
 
--- a/cmd/jayloom-node/node_test.go
+++ b/cmd/jayloom-node/node_test.go
@@ -161,6 +161,8 @@
 			t.Errorf("%s was refused", statement)
 		}
 	}
+	// Before its stream to the leader is up, a node refuses everyone for another reason.
+	d.waitUntil("the second node", d.nodes[1].isReady)
 	if _, refusal := d.connect(d.nodes[1], "lots", "wrong"); !strings.HasPrefix(refusal, "ERR NOAUTH") {
 		t.Errorf("wrong key: %q", refusal)
 	}
--- a/gateway/controlclient/client.go
+++ b/gateway/controlclient/client.go
@@ -1,5 +1,5 @@
 // Package controlclient maintains a gateway node's control stream to the leader. It sends
-// reports, applies the updates of configuration, topology and request tokens, and holds the
+// reports, applies the updates of configuration, topology and limits, and holds the
 // node's serving lease.
 package controlclient
 
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
@@ -34,8 +35,13 @@
 	answerTimeout = 600 * time.Millisecond
 	// openTimeout limits one attempt to open a stream.
 	openTimeout = 500 * time.Millisecond
-	// retryInterval is the time between two attempts.
-	retryInterval = 50 * time.Millisecond
+	// retryInterval is the time between two attempts to call the leader, and the first pause
+	// between two attempts to open a stream. Each further pause is longer by retryFactor, up to
+	// maxRetryInterval, and varies by retryJitter: all nodes lose a leader at the same time.
+	retryInterval    = 50 * time.Millisecond
+	maxRetryInterval = 250 * time.Millisecond
+	retryFactor      = 1.6
+	retryJitter      = 0.3
 	// silentBackoff is how long an unresponsive address is skipped while there are others.
 	// Nodes that have not detected the failure yet still redirect to it.
 	silentBackoff = time.Second
@@ -44,12 +50,21 @@
 	maxUnansweredReports = 1024
 )
 
-// TokenHolder holds the node's request tokens.
-type TokenHolder interface {
-	Report(now time.Duration) []*controlpb.TokenDemand
-	ApplyGrant(now, sentAt time.Duration, g *controlpb.TokenGrant)
-	StartStream(now time.Duration)
-	RecordAnswer(now time.Duration)
+// Gate counts the requests of teams and limits them.
+type Gate interface {
+	// Report returns the counts for the next report.
+	Report(now time.Duration) []*controlpb.TeamUsage
+	// Throttles returns the limits in force, for the first report to another leader.
+	Throttles(now time.Duration) []*controlpb.TeamThrottle
+	// Apply sets limits. The first ones of a stream replace those of an earlier leader.
+	Apply(throttles []*controlpb.TeamThrottle, first bool)
+	// RecordAnswer records an answer of the leader, newest if it is to the newest report.
+	RecordAnswer(now time.Duration, newest bool)
+	StartStream()
+	// SetFleetSize sets the number of nodes that report to the leader.
+	SetFleetSize(nodes int)
+	// UrgentAt returns the time from which a report is urgent.
+	UrgentAt() time.Duration
 }
 
 // Voter identifies the replica of a node with a data folder. Both fields are empty on a node
@@ -65,8 +80,8 @@
 	Seeds func() []string
 	// Lease is the duration of the serving lease, which starts when an answered report
 	// was sent.
-	Lease  time.Duration
-	Tokens TokenHolder
+	Lease time.Duration
+	Gate  Gate
 	// Primaries returns the node's view of the primaries that it uses.
 	Primaries func(now time.Duration) []*controlpb.PrimaryView
 	// Voter returns the identity and address of the node's replica.
@@ -181,6 +196,7 @@
 	defer close(c.left)
 	defer c.connections.closeAll()
 	redirectAddress := ""
+	pause := newReconnectPause()
 	for ctx.Err() == nil {
 		address := redirectAddress
 		if address == "" {
@@ -199,18 +215,36 @@
 		if errors.Is(err, errNoAnswer) {
 			c.silentAddress, c.silentAt = address, clock.Now()
 		}
-		c.connections.closeConnection(address)
+		if !isRedirect(err) {
+			c.connections.closeConnection(address)
+		}
 		c.setLeader("")
 		redirectAddress = c.handleRedirect(err, address, updates)
+		if updates > 0 {
+			pause.Reset()
+		}
+		if redirectAddress != "" {
+			// The leader is asked at once; it answers a node that may not be served yet.
+			continue
+		}
 		select {
 		case <-ctx.Done():
 		case <-c.leaving:
 			return
-		case <-time.After(retryInterval):
+		case <-time.After(pause.NextBackOff()):
 		}
 	}
 }
 
+// newReconnectPause returns the pauses between attempts to open a stream.
+func newReconnectPause() *backoff.ExponentialBackOff {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = retryInterval, maxRetryInterval
+	pause.Multiplier, pause.RandomizationFactor = retryFactor, retryJitter
+	pause.Reset()
+	return pause
+}
+
 // handleRedirect updates the voters from a redirect in err, if there is one, and returns the
 // address of the leader to connect to next, or nothing.
 func (c *Client) handleRedirect(err error, address string, updates int) string {
@@ -294,6 +328,9 @@
 		next.Topology = u.Topology
 	}
 	c.publish(next)
+	if next.Nodes != previous.Nodes {
+		c.opts.Gate.SetFleetSize(next.Nodes)
+	}
 	if next.Catalog != previous.Catalog || next.Topology != previous.Topology || next.Nodes != previous.Nodes {
 		c.onViewChange(next)
 	}
--- a/gateway/controlclient/client_test.go
+++ b/gateway/controlclient/client_test.go
@@ -134,3 +134,24 @@
 		t.Errorf("redirected to %q without a redirect", got)
 	}
 }
+
+// Load pattern: hundreds of nodes lose the leader in the same moment. Guards against attempts to
+// reconnect that all come at the same times and as often as in the first moment.
+func TestPausesBetweenAttemptsGrowAndVary(t *testing.T) {
+	shortestLast := time.Duration((1 - retryJitter) * float64(maxRetryInterval))
+	different := map[time.Duration]bool{}
+	for range 100 {
+		pause := newReconnectPause()
+		first := pause.NextBackOff()
+		different[first] = true
+		for range 8 {
+			pause.NextBackOff()
+		}
+		if last := pause.NextBackOff(); last < shortestLast || first > 2*retryInterval {
+			t.Errorf("the first pause is %s, the tenth %s", first, last)
+		}
+	}
+	if len(different) < 50 {
+		t.Errorf("%d different first pauses among 100 nodes", len(different))
+	}
+}
--- a/gateway/controlclient/stream.go
+++ b/gateway/controlclient/stream.go
@@ -23,11 +23,13 @@
 	firstSequence uint64
 	reportedVoter Voter
 	lastReportAt  time.Duration
+	// wantedTopology is the topology of an earlier leader that the leader has asked for.
+	wantedTopology *controlpb.Topology
 }
 
 func (s *controlStream) run(ctx context.Context) error {
 	c := s.client
-	c.opts.Tokens.StartStream(clock.Now())
+	c.opts.Gate.StartStream()
 	s.firstSequence = c.sequence + 1
 	if err := s.sendReport(regularReport); err != nil {
 		return err
@@ -36,6 +38,8 @@
 	defer ticker.Stop()
 	answerTimer := time.NewTimer(answerTimeout)
 	defer answerTimer.Stop()
+	urgentTimer := time.NewTimer(reportInterval)
+	defer urgentTimer.Stop()
 	for {
 		var err error
 		select {
@@ -45,11 +49,9 @@
 		case <-ticker.C:
 			err = s.sendReport(regularReport)
 		case <-c.reportRequested:
-			if clock.Now()-s.lastReportAt < minUrgentInterval {
-				time.AfterFunc(minUrgentInterval, c.ReportNow)
-				continue
-			}
-			err = s.sendReport(urgentReport)
+			err = s.sendUrgentReport(urgentTimer)
+		case <-urgentTimer.C:
+			err = s.sendUrgentReport(urgentTimer)
 		case <-answerTimer.C:
 			err = errNoAnswer
 		case <-c.leaving:
@@ -65,13 +67,28 @@
 	}
 }
 
+// sendUrgentReport sends a report if one is urgent now, and else starts timer for the time from
+// which one will be.
+func (s *controlStream) sendUrgentReport(timer *time.Timer) error {
+	at := max(s.client.opts.Gate.UrgentAt(), s.lastReportAt+minUrgentInterval)
+	wait := at - clock.Now()
+	switch {
+	case wait <= 0:
+		return s.sendReport(urgentReport)
+	case wait < reportInterval:
+		timer.Reset(wait)
+	}
+	// A regular report comes before any later time.
+	return nil
+}
+
 // reportKind is the reason why a report is sent.
 type reportKind uint8
 
 const (
 	// regularReport is sent every reportInterval and includes the node's view of the primaries.
 	regularReport reportKind = iota
-	// urgentReport is sent when request tokens are needed, many times a second under load.
+	// urgentReport is sent when a team has used much since the last report.
 	urgentReport
 	// lastReport is sent when the node leaves.
 	lastReport
@@ -86,7 +103,7 @@
 	v, voter := c.View(), c.opts.Voter()
 	report := &controlpb.NodeReport{
 		Sequence: c.sequence, TopologyRevision: v.Topology.GetRevision(),
-		Tokens: c.opts.Tokens.Report(now), Leaving: kind == lastReport,
+		Usage: c.opts.Gate.Report(now), Leaving: kind == lastReport,
 	}
 	if kind == regularReport {
 		report.Primaries = c.opts.Primaries(now)
@@ -95,7 +112,10 @@
 		report.CatalogVersion = v.Catalog.Version
 	}
 	if c.sequence == s.firstSequence {
-		report.Node, report.Incarnation, report.Topology = c.opts.Node, c.incarnation, v.Topology
+		report.Node, report.Incarnation, report.Throttles = c.opts.Node, c.incarnation, c.opts.Gate.Throttles(now)
+	}
+	if s.wantedTopology != nil {
+		report.Topology, s.wantedTopology = s.wantedTopology, nil
 	}
 	if c.sequence == s.firstSequence || voter != s.reportedVoter {
 		s.reportedVoter = voter
@@ -114,9 +134,14 @@
 		c.opts.Log.WithFields(logrus.Fields{"event": "leader_found", "leader": s.address, "nodes": u.Nodes}).Info("control stream to the leader established")
 	}
 	s.updates++
+	if u.TopologyWanted {
+		// The update may replace it.
+		s.wantedTopology = c.View().Topology
+	}
 	if err := c.apply(u, s.address); err != nil {
 		return err
 	}
+	c.opts.Gate.Apply(u.Throttles, s.updates == 1)
 	if u.Sequence < s.firstSequence || u.Sequence+maxUnansweredReports <= c.sequence {
 		return nil
 	}
@@ -130,9 +155,6 @@
 			At: sentAt - time.Duration(p.AgeMs)*time.Millisecond,
 		})
 	}
-	c.opts.Tokens.RecordAnswer(now)
-	for _, g := range u.Grants {
-		c.opts.Tokens.ApplyGrant(now, sentAt, g)
-	}
+	c.opts.Gate.RecordAnswer(now, u.Sequence == c.sequence)
 	return nil
 }
--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -350,3 +351,79 @@
 		t.Errorf("answer after the interval: %v", u)
 	}
 }
+
+// Load pattern: a change of leader with 300 nodes. Guards against a topology from every node, which
+// filled the links of the leader and of the nodes (litbrot-ops-large scale-1), and against a change
+// that only nodes know and the leader does not ask for.
+func TestOneNodeIsAskedForTheTopology(t *testing.T) {
+	l, _ := newTestLeader(t)
+	l.startLeading(3)
+	known := uint64(2*revisionsPerTerm + 7)
+	asked := []*nodeStream{}
+	for i := range 300 {
+		s := startStream(l, fmt.Sprintf("n%d", i), &controlpb.NodeReport{Sequence: 1, TopologyRevision: known})
+		if latestUpdate(s).GetTopologyWanted() {
+			asked = append(asked, s)
+		}
+	}
+	if len(asked) != 1 {
+		t.Fatalf("%d nodes were asked, want 1", len(asked))
+	}
+	l.handle(context.Background(), reportReceived{asked[0], &controlpb.NodeReport{Sequence: 2, Topology: &controlpb.Topology{
+		Revision: known, Upstreams: []*controlpb.TopologyUpstream{{Id: "u", Service: "wax", Address: "10.0.0.1:1"}},
+	}}})
+	if got := l.currentTopology().Upstreams; len(got) != 1 || got[0].Id != "u" {
+		t.Errorf("the adopted topology has %v", got)
+	}
+	l.topologyAskedAt -= topologyAnswerTime
+	if s := startStream(l, "late", &controlpb.NodeReport{Sequence: 1, TopologyRevision: known}); latestUpdate(s).GetTopologyWanted() {
+		t.Error("a node was asked for a topology that was adopted")
+	}
+}
+
+// Guards against a node that is cut off from its topology because the node that was asked for it
+// has been lost.
+func TestAnotherNodeIsAskedForTheTopology(t *testing.T) {
+	l, _ := newTestLeader(t)
+	l.startLeading(3)
+	known := uint64(2*revisionsPerTerm + 7)
+	lost := startStream(l, "n1", &controlpb.NodeReport{Sequence: 1, TopologyRevision: known})
+	l.handle(context.Background(), streamEnded{lost})
+	l.topologyAskedAt -= topologyAnswerTime
+	if s := startStream(l, "n2", &controlpb.NodeReport{Sequence: 1, TopologyRevision: known}); !latestUpdate(s).GetTopologyWanted() {
+		t.Error("no other node was asked")
+	}
+}
+
+// Guards against a report of a replaced stream, still in the queue, that ends the newer stream of
+// the same node.
+func TestReportOfReplacedStreamIsIgnored(t *testing.T) {
+	l, _ := newTestLeader(t)
+	replaced := startStream(l, "n1", &controlpb.NodeReport{Sequence: 1})
+	newer := startStream(l, "n1", &controlpb.NodeReport{Sequence: 1})
+	l.handle(context.Background(), reportReceived{replaced, &controlpb.NodeReport{Node: "n1", Sequence: 2}})
+	l.handle(context.Background(), streamEnded{replaced})
+	if len(l.streams) != 1 || !l.streams[newer] || l.streamOf["n1"] != newer {
+		t.Error("the newer stream was removed")
+	}
+}
+
+// Load pattern: one team uses many times its rate at once. Guards against nodes that learn its
+// limit only with the answers to their next reports.
+func TestSharpLimitIsPushedToAllNodes(t *testing.T) {
+	l, _ := newTestLeader(t)
+	if _, err := l.putCatalog(context.Background(), waxCatalog(3)); err != nil {
+		t.Fatal(err)
+	}
+	drainEvents(l)
+	a := startStream(l, "n1", &controlpb.NodeReport{Sequence: 1})
+	b := startStream(l, "n2", &controlpb.NodeReport{Sequence: 1})
+	latestUpdate(b)
+	l.handle(context.Background(), reportReceived{a, &controlpb.NodeReport{Sequence: 2, Usage: []*controlpb.TeamUsage{
+		{Team: "melt", AdmittedTotal: 80, ArrivedTotal: 80},
+	}}})
+	u := latestUpdate(b)
+	if got := u.GetThrottles(); len(got) != 1 || got[0].Team != "melt" || got[0].AdmitPermille > 500 {
+		t.Errorf("the other node was sent %v", got)
+	}
+}
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -15,7 +15,7 @@
 	"github.com/jayloom/jayloom/gateway/failover"
 	"github.com/jayloom/jayloom/gateway/position"
 	"github.com/jayloom/jayloom/gateway/topology"
-	"github.com/jayloom/jayloom/policy/rate"
+	"github.com/jayloom/jayloom/policy/throttle"
 )
 
 const (
@@ -87,10 +87,12 @@
 	leading      bool
 	leadingSince time.Duration
 	registry     *topology.Registry
-	allocator    *rate.Allocator
+	limiter      *throttle.Limiter
 	teams        map[string]bool
 	groups       map[string]*group
 	streams      map[*nodeStream]bool
+	// streamOf holds the stream of each connected node.
+	streamOf map[string]*nodeStream
 	// lostNodes holds nodes whose stream ended without a last report.
 	lostNodes    map[string]time.Duration
 	lastStreamID uint64
@@ -103,7 +105,13 @@
 	savingTopology        bool
 	topologySaveStartedAt time.Duration
 	savedRevision         uint64
-	membership            membership
+	// adoptedRevision is the newest revision of an earlier leader's topology that was adopted;
+	// topologyAskedAt is when a node was last asked for one.
+	adoptedRevision uint64
+	topologyAskedAt time.Duration
+	// pushedFall is the revision of the newest sharp limit of a team that all nodes were sent.
+	pushedFall uint64
+	membership membership
 	// fences is the number of fences used in this term.
 	fences uint64
 	// catalogHistory holds the configurations that nodes may still have.
@@ -228,21 +236,17 @@
 	l.leading, l.term, l.fences, l.leadingSince = true, term, 0, now
 	l.registry = topology.NewRegistry(term * revisionsPerTerm)
 	l.groups = map[string]*group{}
-	l.streams = map[*nodeStream]bool{}
+	l.streams, l.streamOf = map[*nodeStream]bool{}, map[string]*nodeStream{}
 	l.teams = map[string]bool{}
 	l.lostNodes = map[string]time.Duration{}
 	l.membership = membership{}
 	l.savingTopology, l.savedRevision = false, 0
-	l.allocator = rate.NewAllocator(rate.GatewayConfig())
-	names := []string{}
-	for _, node := range l.store.current().Nodes {
-		names = append(names, node.Name)
-	}
-	l.allocator.StartLeading(now, names)
+	l.adoptedRevision, l.topologyAskedAt, l.pushedFall = 0, now-topologyAnswerTime, 0
+	l.limiter = throttle.NewLimiter(now)
 	l.syncCatalog(now)
 	l.adoptTopology(now, l.store.current().Topology)
 	l.log.WithFields(logrus.Fields{
-		"event": "leadership_gained", "term": term, "nodes": len(names), "catalog": l.store.current().Catalog.GetVersion(),
+		"event": "leadership_gained", "term": term, "nodes": len(l.store.current().Nodes), "catalog": l.store.current().Catalog.GetVersion(),
 	}).Info("became leader of the fleet")
 }
 
@@ -257,14 +261,14 @@
 	for s := range l.streams {
 		s.cancel()
 	}
-	l.streams = nil
+	l.streams, l.streamOf = nil, nil
 	// The next leader needs the connections that are reserved for the leader.
 	l.config.Upstreams.CloseIdleConnections()
 	l.log.WithFields(logrus.Fields{"event": "leadership_lost", "term": l.term}).Warn("no longer leader of the fleet")
 }
 
-// syncCatalog passes the teams and services of the current configuration to the token allocator
-// and the groups.
+// syncCatalog passes the teams and services of the current configuration to the limiter and the
+// groups.
 func (l *Leader) syncCatalog(now time.Duration) {
 	c := l.store.current().Catalog
 	if c == nil {
@@ -273,11 +277,11 @@
 	teams := map[string]bool{}
 	for _, t := range c.Teams {
 		teams[t.Name] = true
-		l.allocator.SetTeam(now, t.Name, t.Rate, t.Burst)
+		l.limiter.SetTeam(now, t.Name, t.Rate, t.Burst)
 	}
 	for name := range l.teams {
 		if !teams[name] {
-			l.allocator.RemoveTeam(now, name)
+			l.limiter.RemoveTeam(name)
 		}
 	}
 	l.teams = teams
@@ -291,7 +295,8 @@
 		return
 	}
 	now := clock.Now()
-	l.allocator.Expire(now)
+	l.limiter.Step(now)
+	l.pushFalls()
 	changed := l.registry.Expire(now)
 	changed = l.stepGroups(ctx, now) || changed || l.topologyChanged
 	l.topologyChanged = false
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -21,6 +21,10 @@
 // answer.
 const positionsInterval = 200 * time.Millisecond
 
+// topologyAnswerTime is how long the leader waits for the topology of one node before it asks
+// another.
+const topologyAnswerTime = 500 * time.Millisecond
+
 // maxPositionAge is the age up to which a position is sent to nodes.
 const maxPositionAge = 2 * time.Second
 
@@ -37,6 +41,9 @@
 	// The remaining fields belong to the leader's goroutine.
 
 	node string
+	// ended is set once the stream was removed. Its reports that still wait must not add it
+	// again in place of a newer one.
+	ended bool
 	// incarnation identifies the node's process.
 	incarnation string
 	id          uint64
@@ -53,6 +60,10 @@
 	primaries            []*controlpb.PrimaryView
 	voterIdentity        string
 	voterAddress         string
+	// topologyWanted is set until the node has been asked for its topology.
+	topologyWanted bool
+	// sentThrottles is the revision of the limits that was sent.
+	sentThrottles uint64
 }
 
 func (l *Leader) handleReport(ctx context.Context, e reportReceived) {
@@ -62,9 +73,13 @@
 		return
 	}
 	now := clock.Now()
+	if s.ended {
+		return
+	}
 	if !l.streams[s] {
 		l.addStream(ctx, now, s, report)
 	}
+	l.adoptTopology(now, report.Topology)
 	s.sequence = report.Sequence
 	if len(report.Primaries) > 0 {
 		s.primaries, s.primariesReceivedAt = report.Primaries, now
@@ -72,35 +87,46 @@
 	if report.VoterIdentity != "" {
 		s.voterIdentity, s.voterAddress = report.VoterIdentity, report.VoterAddress
 	}
-	grants := l.allocator.HandleReport(now, s.node, s.incarnation, s.id, report.Tokens)
+	l.limiter.Report(now, s.node, s.id, report.Usage)
 	if report.Leaving {
 		l.handleStreamEnded(s)
 		delete(l.lostNodes, s.node)
 		return
 	}
-	l.answerReport(s, now, grants)
-	l.pushRevocations(now)
+	l.answerReport(s, now)
+	l.pushFalls()
 }
 
 // addStream registers a new stream and ends an earlier stream of the same node.
 func (l *Leader) addStream(ctx context.Context, now time.Duration, s *nodeStream, first *controlpb.NodeReport) {
-	for other := range l.streams {
-		if other.node == first.Node {
-			other.cancel()
-			delete(l.streams, other)
-		}
+	if other := l.streamOf[first.Node]; other != nil {
+		other.cancel()
+		other.ended = true
+		delete(l.streams, other)
 	}
 	l.lastStreamID++
 	s.node, s.incarnation, s.id = first.Node, first.Incarnation, l.lastStreamID
 	s.sentCatalogVersion, s.sentTopologyRevision = first.CatalogVersion, first.TopologyRevision
-	l.streams[s] = true
-	l.adoptTopology(now, first.Topology)
+	l.streams[s], l.streamOf[s.node] = true, s
+	l.limiter.Adopt(now, first.Throttles)
+	s.topologyWanted = l.lacksTopology(now, first.TopologyRevision)
 	l.registerNode(ctx, s.node)
 	l.log.WithFields(logrus.Fields{
 		"event": "node_attended", "node": s.node, "catalog": first.CatalogVersion, "voter": first.VoterIdentity,
 	}).Info("node connected")
 }
 
+// lacksTopology reports whether a node has a topology of an earlier leader that is newer than the
+// adopted one and is to be asked for it. One node is asked at a time: after a change of leader
+// hundreds of nodes have the same one.
+func (l *Leader) lacksTopology(now time.Duration, revision uint64) bool {
+	if revision <= l.adoptedRevision || revision >= l.term*revisionsPerTerm || now-l.topologyAskedAt < topologyAnswerTime {
+		return false
+	}
+	l.topologyAskedAt = now
+	return true
+}
+
 // adoptTopology adds the primaries and upstreams of an earlier leader's topology.
 func (l *Leader) adoptTopology(now time.Duration, t *controlpb.Topology) {
 	if t == nil {
@@ -112,6 +138,7 @@
 	if l.registry.AddUnconfirmed(now, t) {
 		l.topologyChanged = true
 	}
+	l.adoptedRevision = max(l.adoptedRevision, t.Revision)
 }
 
 // registerNode commits the node's name, so that later leaders wait for its report before they
@@ -138,34 +165,41 @@
 	if !l.streams[s] {
 		return
 	}
+	s.ended = true
 	delete(l.streams, s)
+	delete(l.streamOf, s.node)
 	l.lostNodes[s.node] = clock.Now()
-	l.allocator.RemoveProxy(clock.Now(), s.node)
+	l.limiter.Forget(s.node)
 	l.log.WithFields(logrus.Fields{"event": "node_left", "node": s.node}).Warn("node's control stream ended")
 }
 
 // pushAll sends an update to every node.
 func (l *Leader) pushAll() {
 	for s := range l.streams {
-		l.push(s, nil)
+		l.push(s)
 	}
 }
 
-// pushRevocations sends the due revocations of unused tokens.
-func (l *Leader) pushRevocations(now time.Duration) {
-	for _, r := range l.allocator.TakeRevocations(now) {
-		for s := range l.streams {
-			if s.node == r.Proxy {
-				l.push(s, r.Grants)
-			}
+// pushFalls sends the limits to all nodes if a team's was lowered sharply. A team that uses much
+// more than its rate must be limited everywhere at once; other changes come with the answers to
+// reports.
+func (l *Leader) pushFalls() {
+	revision := l.limiter.FallRevision()
+	if revision == l.pushedFall {
+		return
+	}
+	l.pushedFall = revision
+	for s := range l.streams {
+		if s.sentThrottles < revision {
+			l.push(s)
 		}
 	}
 }
 
 // answerReport sends the update that answers a report. Only such an update contains positions:
 // the node computes their time from their age and the time at which it sent the report.
-func (l *Leader) answerReport(s *nodeStream, now time.Duration, grants []*controlpb.TokenGrant) {
-	u := l.newUpdate(s, grants)
+func (l *Leader) answerReport(s *nodeStream, now time.Duration) {
+	u := l.newUpdate(s)
 	if now-s.positionsSentAt >= positionsInterval {
 		s.positionsSentAt = now
 		u.Positions = l.primaryPositions(now)
@@ -190,19 +224,19 @@
 }
 
 // push sends an update that answers no report.
-func (l *Leader) push(s *nodeStream, grants []*controlpb.TokenGrant) {
-	l.enqueue(s, l.newUpdate(s, grants))
+func (l *Leader) push(s *nodeStream) {
+	l.enqueue(s, l.newUpdate(s))
 }
 
-// newUpdate returns an update with the configuration, topology and voters that have not been
-// sent to the node.
-func (l *Leader) newUpdate(s *nodeStream, grants []*controlpb.TokenGrant) *controlpb.NodeUpdate {
-	u := &controlpb.NodeUpdate{
-		Sequence: s.sequence, Grants: grants, Nodes: l.fleetSize(clock.Now()),
-	}
+// newUpdate returns an update with the configuration, topology, voters and limits that have not
+// been sent to the node.
+func (l *Leader) newUpdate(s *nodeStream) *controlpb.NodeUpdate {
+	u := &controlpb.NodeUpdate{Sequence: s.sequence, Nodes: l.fleetSize(clock.Now())}
 	if voters := l.replica().Status().VoterSet(); !slices.Equal(voters.GetAddresses(), s.sentVoters) {
 		u.Voters, u.VotersIndex, s.sentVoters = voters.Addresses, voters.Index, voters.Addresses
 	}
+	u.TopologyWanted, s.topologyWanted = s.topologyWanted, false
+	u.Throttles, s.sentThrottles = l.limiter.Throttles(s.sentThrottles)
 	l.addCatalog(s, u)
 	if revision := l.registry.Revision(); revision != s.sentTopologyRevision {
 		u.Topology = l.currentTopology()
@@ -229,7 +263,7 @@
 	}
 	lost := 0
 	for node, at := range l.lostNodes {
-		if now-at >= lostNodeRetention || l.hasStream(node) {
+		if now-at >= lostNodeRetention || l.streamOf[node] != nil {
 			delete(l.lostNodes, node)
 			continue
 		}
@@ -238,15 +272,6 @@
 	return uint32(len(l.streams) + lost)
 }
 
-func (l *Leader) hasStream(node string) bool {
-	for s := range l.streams {
-		if s.node == node {
-			return true
-		}
-	}
-	return false
-}
-
 func (l *Leader) currentTopology() *controlpb.Topology {
 	t := &controlpb.Topology{Revision: l.registry.Revision()}
 	for _, u := range l.registry.Live() {
--- a/gateway/coordinator/saved_topology.go
+++ b/gateway/coordinator/saved_topology.go
@@ -22,7 +22,7 @@
 		return
 	}
 	t := persistentTopology(l.currentTopology())
-	if proto.Equal(t, l.store.current().Topology) {
+	if isSameTopology(t, l.store.current().Topology) {
 		l.savedRevision = revision
 		return
 	}
@@ -42,9 +42,16 @@
 // committed topology with the current one.
 type topologySaved struct{}
 
+// isSameTopology reports whether two topologies differ in no more than their revisions.
+func isSameTopology(a, b *controlpb.Topology) bool {
+	if b == nil {
+		return false
+	}
+	return proto.Equal(a, &controlpb.Topology{Revision: a.Revision, Upstreams: b.Upstreams, Primaries: b.Primaries})
+}
+
 // persistentTopology clears the fields of t that have no meaning for a later leader.
 func persistentTopology(t *controlpb.Topology) *controlpb.Topology {
-	t.Revision = 0
 	for _, p := range t.Primaries {
 		p.Changing = false
 	}
--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -10,7 +10,7 @@
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/controlclient"
-	"github.com/jayloom/jayloom/proxy/admission"
+	"github.com/jayloom/jayloom/policy/throttle"
 )
 
 // maintainInterval is how often Run maintains the groups.
@@ -25,11 +25,19 @@
 	MayServe(now time.Duration) bool
 }
 
+// Gate limits the requests of teams.
+type Gate interface {
+	// Admit counts a request of a team with the given limits and decides on it.
+	Admit(now time.Duration, team string, rate, burst float64) throttle.Verdict
+	// Refund takes back the admission of a request that has not run.
+	Refund(team string)
+}
+
 // Options configure an Engine.
 type Options struct {
 	Control ControlClient
 	Dialer  Dialer
-	Tokens  *admission.Queue
+	Gate    Gate
 	// Place is the place of this node.
 	Place string
 	Log   *logrus.Entry
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -14,7 +14,7 @@
 	"github.com/jayloom/jayloom/gateway/catalog"
 	"github.com/jayloom/jayloom/gateway/controlclient"
 	"github.com/jayloom/jayloom/gateway/position"
-	"github.com/jayloom/jayloom/proxy/admission"
+	"github.com/jayloom/jayloom/policy/throttle"
 )
 
 // fakeServer is a database server whose behavior is set by its fields.
@@ -179,35 +179,29 @@
 func (f *fakeControl) View() *controlclient.View   { return &f.view }
 func (f *fakeControl) MayServe(time.Duration) bool { return !f.leaseExpired }
 
-// fakeTokens is a token holder with a fixed number of tokens for all teams.
-type fakeTokens struct{ left int }
+// fakeGate admits a fixed number of requests of all teams.
+type fakeGate struct{ left int }
 
-func (f *fakeTokens) Take(time.Duration, string) bool {
+func (f *fakeGate) Admit(time.Duration, string, float64, float64) throttle.Verdict {
 	if f.left <= 0 {
-		return false
+		return throttle.Limited
 	}
 	f.left--
-	return true
+	return throttle.Admitted
 }
-func (f *fakeTokens) Exhausted(time.Duration, string) bool                           { return true }
-func (f *fakeTokens) Urgent(time.Duration) bool                                      { return false }
-func (f *fakeTokens) AddWaiting(string, int)                                         {}
-func (f *fakeTokens) Report(time.Duration) []*controlpb.TokenDemand                  { return nil }
-func (f *fakeTokens) ApplyGrant(time.Duration, time.Duration, *controlpb.TokenGrant) {}
-func (f *fakeTokens) StartStream(time.Duration)                                      {}
-func (f *fakeTokens) RecordAnswer(time.Duration)                                     {}
-func (f *fakeTokens) Refund(time.Duration, string)                                   { f.left++ }
+
+func (f *fakeGate) Refund(string) { f.left++ }
 
 // testNode is a node with a primary p and the replicas r1 and r2.
 type testNode struct {
 	t       *testing.T
 	servers fakeDialer
 	control *fakeControl
-	tokens  *fakeTokens
+	gate    *fakeGate
 	engine  *Engine
 }
 
-const manyTokens = 1000
+const manyRequests = 1000
 
 func discardLog() *logrus.Entry {
 	logger := logrus.New()
@@ -218,11 +212,11 @@
 func newTestNode(t *testing.T) *testNode {
 	start := position.Position{Term: 1, Number: 100}
 	s := &testNode{
-		t: t, control: &fakeControl{}, tokens: &fakeTokens{left: manyTokens},
+		t: t, control: &fakeControl{}, gate: &fakeGate{left: manyRequests},
 		servers: fakeDialer{"p": {isPrimary: true, position: start}, "r1": {position: start}, "r2": {position: start}},
 	}
 	s.engine = New(Options{
-		Control: s.control, Dialer: s.servers, Tokens: admission.New(s.tokens, func() {}), Place: "here",
+		Control: s.control, Dialer: s.servers, Gate: s.gate, Place: "here",
 		Log: discardLog(),
 	})
 	s.configure(1, "key", "melt")
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -16,6 +16,8 @@
 	reasonUnknownKey      Reason = "unknown_key"
 	reasonKeyWithdrawn    Reason = "key_withdrawn"
 	reasonRate            Reason = "rate"
+	reasonRateHere        Reason = "rate_on_node"
+	reasonRateUnknown     Reason = "rate_unknown"
 	reasonNoPrimary       Reason = "no_primary"
 	reasonPrimaryFailing  Reason = "primary_failing"
 	reasonNoReplica       Reason = "no_upstream_for_read"
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -11,6 +11,7 @@
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/catalog"
 	"github.com/jayloom/jayloom/gateway/position"
+	"github.com/jayloom/jayloom/policy/throttle"
 )
 
 const (
@@ -20,12 +21,6 @@
 	failoverRetryAfter = 600 * time.Millisecond
 	// publicTeam is the team of callers that use a public route without a key.
 	publicTeam = ""
-	// emptyBucketWait bounds the wait for a request token while the team's bucket is empty.
-	emptyBucketWait = 100 * time.Millisecond
-	// tokenWaitFraction is the fraction of the latency objective that a caller waits for a
-	// request token. With a later token the request would miss its objective.
-	tokenWaitFraction = 0.25
-	minTokenWait      = 30 * time.Millisecond
 	// closeTimeout bounds the rollback when a session is closed inside a transaction.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -56,12 +51,14 @@
 
 // operation is a single statement outside a transaction, or a whole transaction.
 type operation struct {
-	id       string
-	route    *catalog.Route
-	team     string
-	group    *group
-	started  time.Duration
-	deadline time.Time
+	id    string
+	route *catalog.Route
+	team  string
+	// rate and burst are the limits of the team.
+	rate, burst float64
+	group       *group
+	started     time.Duration
+	deadline    time.Time
 }
 
 // admit checks that the caller may run a statement now. The result is not cached, because a
@@ -91,7 +88,7 @@
 	if team == nil {
 		return nil, &Refusal{Code: rescode.KeyWithdrawn, Reason: reasonUnknownKey}
 	}
-	op.team = team.Name
+	op.team, op.rate, op.burst = team.Name, team.Rate, team.Burst
 	return op, nil
 }
 
@@ -177,7 +174,7 @@
 		delete(s.prepared, st.Name)
 		return Answer{}
 	case Begin, BeginRead:
-		return s.begin(ctx, st)
+		return s.begin(st)
 	case Commit:
 		return s.commit(ctx, st)
 	case Rollback:
@@ -222,12 +219,12 @@
 	if s.tx != nil {
 		return s.runInTransaction(ctx, st, writes)
 	}
-	op, refusal := s.admitOperation(ctx, st)
+	op, refusal := s.admitOperation(st)
 	if refusal != nil {
 		return Answer{Refusal: refusal}
 	}
 	answer := s.runSingle(ctx, op, st, writes)
-	s.returnToken(op, answer.Refusal)
+	s.returnAdmission(op, answer.Refusal)
 	return answer
 }
 
@@ -242,18 +239,18 @@
 	}
 }
 
-// returnToken returns the request token of an operation that was refused without having run.
-func (s *Session) returnToken(op *operation, r *Refusal) {
+// returnAdmission takes an operation that was refused without having run from the team's use.
+func (s *Session) returnAdmission(op *operation, r *Refusal) {
 	if r == nil || op.team == publicTeam {
 		return
 	}
 	if info, ok := rescode.Lookup(r.Code); ok && info.Execution == rescode.NotRun {
-		s.engine.opts.Tokens.Refund(clock.Now(), op.team)
+		s.engine.opts.Gate.Refund(op.team)
 	}
 }
 
-// admitOperation is like admit, but also takes a request token of the team.
-func (s *Session) admitOperation(ctx context.Context, st Statement) (*operation, *Refusal) {
+// admitOperation is like admit, but also counts the operation against the team's limits.
+func (s *Session) admitOperation(st Statement) (*operation, *Refusal) {
 	op, refusal := s.admit()
 	if refusal != nil {
 		return nil, refusal
@@ -262,19 +259,26 @@
 	if op.team == publicTeam {
 		return op, nil
 	}
-	limit := min(op.route.StatementTimeout, max(minTokenWait, time.Duration(tokenWaitFraction*float64(op.route.LatencyObjective))))
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	if err := s.engine.opts.Tokens.Wait(ctx, clock.Now(), op.team, emptyBucketWait); err != nil {
-		return nil, &Refusal{Code: err.Code, Reason: reasonRate, RetryAfter: failoverRetryAfter}
-	}
-	// The serving lease may have expired during the wait.
-	if !s.engine.opts.Control.MayServe(clock.Now()) {
-		return nil, &Refusal{Code: rescode.ProxyDetached, Reason: reasonNoLease, RetryAfter: failoverRetryAfter}
+	if reason := rateRefusalReason(s.engine.opts.Gate.Admit(op.started, op.team, op.rate, op.burst)); reason != "" {
+		return nil, &Refusal{Code: rescode.RateExceeded, Reason: reason, RetryAfter: failoverRetryAfter}
 	}
 	return op, nil
 }
 
+// rateRefusalReason returns the reason for refusing a request, or nothing if it is admitted.
+func rateRefusalReason(v throttle.Verdict) Reason {
+	switch v {
+	case throttle.Admitted:
+		return ""
+	case throttle.Limited:
+		return reasonRate
+	case throttle.LimitedHere:
+		return reasonRateHere
+	default:
+		return reasonRateUnknown
+	}
+}
+
 // recordRefusal counts and logs a refusal.
 func (e *Engine) recordRefusal(id, statement string, r *Refusal, s *Session) {
 	countRefusal(r.Code, r.Reason)
--- a/gateway/engine/session_test.go
+++ b/gateway/engine/session_test.go
@@ -49,8 +49,8 @@
 	if got := len(s.servers["p"].runs()); got != 1 {
 		t.Errorf("the write ran %d times", got)
 	}
-	if s.tokens.left != manyTokens-1 {
-		t.Error("the token of a write that may have run was returned")
+	if s.gate.left != manyRequests-1 {
+		t.Error("a write that may have run was not counted")
 	}
 }
 
@@ -79,8 +79,8 @@
 			t.Errorf("%s ran %v", id, got)
 		}
 	}
-	if s.tokens.left != manyTokens {
-		t.Error("the token of a transaction that has not run was not returned")
+	if s.gate.left != manyRequests {
+		t.Error("a transaction that has not run was counted")
 	}
 	if session.State() != FailedTransaction {
 		t.Errorf("state %d", session.State())
@@ -211,7 +211,7 @@
 // Guards against requests beyond the team's rate.
 func TestRateLimitIsEnforced(t *testing.T) {
 	s := newTestNode(t)
-	s.tokens.left = 2
+	s.gate.left = 2
 	session := s.open("intake", "key")
 	s.mustSucceed(session, read("1"))
 	s.mustSucceed(session, Statement{ID: "2", Kind: Begin})
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -55,11 +55,11 @@
 }
 
 // begin opens a transaction. Nothing is sent to an upstream before its first statement.
-func (s *Session) begin(ctx context.Context, st Statement) Answer {
+func (s *Session) begin(st Statement) Answer {
 	if s.tx != nil {
 		return refusalAnswer(rescode.MalformedPacket, reasonBadStatement)
 	}
-	op, refusal := s.admitOperation(ctx, st)
+	op, refusal := s.admitOperation(st)
 	if refusal != nil {
 		return Answer{Refusal: refusal}
 	}
@@ -77,7 +77,7 @@
 	t.op.deadline = time.Now().Add(t.op.route.StatementTimeout)
 	t.op.id = st.ID
 	if refusal := s.ensureBegun(ctx, st); refusal != nil {
-		s.returnToken(t.op, refusal)
+		s.returnAdmission(t.op, refusal)
 		t.fail(refusal.Reason)
 		return Answer{Refusal: refusal}
 	}
--- a/gateway/server/server_test.go
+++ b/gateway/server/server_test.go
@@ -15,8 +15,7 @@
 	"github.com/jayloom/jayloom/gateway/controlclient"
 	"github.com/jayloom/jayloom/gateway/engine"
 	"github.com/jayloom/jayloom/gateway/position"
-	"github.com/jayloom/jayloom/policy/rate"
-	"github.com/jayloom/jayloom/proxy/admission"
+	"github.com/jayloom/jayloom/policy/throttle"
 )
 
 // byteCodec is a Codec with messages of one byte: r reads, b begins, c commits, q quits, and
@@ -117,7 +116,7 @@
 	log := logger.WithField("test", t.Name())
 	g := blockingDialer{make(chan struct{}, 1), make(chan struct{})}
 	e := engine.New(engine.Options{
-		Control: f, Dialer: g, Tokens: admission.New(rate.NewHolder(rate.GatewayConfig()), func() {}), Log: log,
+		Control: f, Dialer: g, Gate: throttle.NewGate(func() {}), Log: log,
 	})
 	e.Update(&f.view)
 	s := New(Options{
