Withhold what silent nodes may still admit from the team's rate

Change: from its last report on, the rate of each team at a silent or lost node is taken from the team's refill for as long as the node may go on, and given back when it reports what it has used.

--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -89,7 +89,7 @@
 	}
 	l.limiter.Report(now, s.node, s.id, report.Usage)
 	if report.Leaving {
-		l.handleStreamEnded(s)
+		l.removeStream(s, true)
 		delete(l.lostNodes, s.node)
 		return
 	}
@@ -162,6 +162,11 @@
 }
 
 func (l *Leader) handleStreamEnded(s *nodeStream) {
+	l.removeStream(s, false)
+}
+
+// removeStream removes the stream of a node that was lost or has left.
+func (l *Leader) removeStream(s *nodeStream, left bool) {
 	if !l.streams[s] {
 		return
 	}
@@ -169,7 +174,7 @@
 	delete(l.streams, s)
 	delete(l.streamOf, s.node)
 	l.lostNodes[s.node] = clock.Now()
-	l.limiter.Forget(s.node)
+	l.limiter.EndStream(clock.Now(), s.node, left)
 	l.log.WithFields(logrus.Fields{"event": "node_left", "node": s.node}).Warn("node's control stream ended")
 }
 
--- a/policy/throttle/bucket.go
+++ b/policy/throttle/bucket.go
@@ -8,6 +8,8 @@
 	// level is the number of tokens, below zero for a debt.
 	level      float64
 	refilledAt time.Duration
+	// withheld is the part of the rate that is expected to be used without a report.
+	withheld float64
 }
 
 func newBucket(now time.Duration, rate, burst, level float64) bucket {
@@ -19,7 +21,7 @@
 	if now <= b.refilledAt {
 		return
 	}
-	b.level = min(b.burst, b.level+b.rate*(now-b.refilledAt).Seconds())
+	b.level = min(b.burst, b.level+(b.rate-b.withheld)*(now-b.refilledAt).Seconds())
 	b.refilledAt = now
 }
 
--- a/policy/throttle/fleet_test.go
+++ b/policy/throttle/fleet_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand"
 	"time"
-
 )
 
 const (
@@ -38,7 +37,9 @@
 	stream    uint64
 	revision  uint64
 	connected bool
-	nextAt    time.Duration
+	// cut nodes neither report nor get answers.
+	cut    bool
+	nextAt time.Duration
 	// returnsAt is when the node connects to a new leader; a silent node never does.
 	returnsAt time.Duration
 }
@@ -135,7 +136,7 @@
 }
 
 func (f *simulatedFleet) advance(n *simulatedNode) {
-	if f.limiter == nil || f.now < n.returnsAt {
+	if f.limiter == nil || f.now < n.returnsAt || n.cut {
 		return
 	}
 	if !n.connected {
@@ -175,7 +176,7 @@
 
 func (f *simulatedFleet) pushFalls() {
 	for _, n := range f.nodes {
-		if n.connected && n.revision != 0 && n.revision < f.limiter.FallRevision() {
+		if n.connected && !n.cut && n.revision != 0 && n.revision < f.limiter.FallRevision() {
 			f.update(n, n.stream, false)
 		}
 	}
@@ -223,4 +224,3 @@
 	}
 	return refused
 }
-
--- a/policy/throttle/limiter.go
+++ b/policy/throttle/limiter.go
@@ -40,24 +40,12 @@
 type Limiter struct {
 	leadingSince time.Duration
 	teams        map[string]*team
-	nodes        map[string]*nodeCounts
+	nodes        map[string]*node
 	// revision grows with each change of a fraction; fallRevision is that of the newest change
 	// by which a team became limited or much more so.
 	revision, fallRevision uint64
 }
 
-// nodeCounts holds the newest counts of one stream of a node.
-type nodeCounts struct {
-	stream  uint64
-	byTeam  map[string]counts
-	reports int
-}
-
-type counts struct {
-	admitted int64
-	arrived  uint64
-}
-
 // team is the leader's state of a team.
 type team struct {
 	bucket
@@ -75,7 +63,7 @@
 
 // NewLimiter returns a Limiter for a leader that starts at the given time.
 func NewLimiter(now time.Duration) *Limiter {
-	return &Limiter{leadingSince: now, teams: map[string]*team{}, nodes: map[string]*nodeCounts{}, revision: 1}
+	return &Limiter{leadingSince: now, teams: map[string]*team{}, nodes: map[string]*node{}, revision: 1}
 }
 
 // SetTeam sets a team's rate and burst.
@@ -119,38 +107,39 @@
 
 // Report applies the counts of a node's report. stream grows with each stream that the leader
 // accepts; counts of an earlier stream are ignored.
-func (l *Limiter) Report(now time.Duration, node string, stream uint64, usage []*controlpb.TeamUsage) {
-	n := l.nodes[node]
-	if n == nil || n.stream < stream {
-		n = &nodeCounts{stream: stream, byTeam: map[string]counts{}}
-		l.nodes[node] = n
-	}
-	if n.stream > stream {
+func (l *Limiter) Report(now time.Duration, name string, stream uint64, usage []*controlpb.TeamUsage) {
+	n := l.nodes[name]
+	if n != nil && n.stream > stream {
 		return
 	}
+	if n != nil {
+		l.endWithholding(now, n)
+	}
+	if n == nil || n.stream < stream {
+		n = &node{stream: stream, byTeam: map[string]counts{}}
+		l.nodes[name] = n
+	}
 	n.reports++
+	n.reportedAt = now
 	for _, u := range usage {
-		t := l.teams[u.Team]
-		if t == nil {
-			continue
+		if t := l.teams[u.Team]; t != nil {
+			l.applyUsage(now, n, t, u)
 		}
-		before := n.byTeam[u.Team]
-		n.byTeam[u.Team] = counts{u.AdmittedTotal, u.ArrivedTotal}
-		t.refill(now)
-		admitted := float64(u.AdmittedTotal - before.admitted)
-		if n.reports == 1 {
-			admitted = t.chargeCarried(admitted)
-		} else if u.ArrivedTotal > before.arrived {
-			t.arrived.add(now, u.ArrivedTotal-before.arrived)
-		}
-		t.charge(admitted, maxDebt)
-		l.update(now, t)
 	}
 }
 
-// Forget drops the counts of a node whose stream has ended.
-func (l *Limiter) Forget(node string) {
-	delete(l.nodes, node)
+func (l *Limiter) applyUsage(now time.Duration, n *node, t *team, u *controlpb.TeamUsage) {
+	before := n.byTeam[u.Team]
+	admitted := float64(u.AdmittedTotal - before.admitted)
+	n.byTeam[u.Team] = counts{u.AdmittedTotal, u.ArrivedTotal, before.rate.add(now, admitted)}
+	t.refill(now)
+	if n.reports == 1 {
+		admitted = t.chargeCarried(admitted)
+	} else if u.ArrivedTotal > before.arrived {
+		t.arrived.add(now, u.ArrivedTotal-before.arrived)
+	}
+	t.charge(admitted, maxDebt)
+	l.update(now, t)
 }
 
 // chargeCarried returns what must be charged of the use that a node brings from the time before
@@ -163,6 +152,7 @@
 
 // Step updates the fractions of all teams. Call it about every 100 ms.
 func (l *Limiter) Step(now time.Duration) {
+	l.withholdForSilentNodes(now)
 	for name, t := range l.teams {
 		t.refill(now)
 		l.update(now, t)
--- a/policy/throttle/throttle_test.go
+++ b/policy/throttle/throttle_test.go
@@ -140,6 +140,87 @@
 	}
 }
 
+// Load pattern: part of the nodes is cut off from the leader while a team uses four times its rate
+// everywhere. Guards against the connected nodes using the whole rate beside the others, and
+// against nodes that go on for ever.
+func TestDisconnectedNodesStayWithinRate(t *testing.T) {
+	for _, c := range []struct{ nodes, cut int }{{4, 2}, {4, 3}, {84, 60}} {
+		team := &simulatedTeam{name: "melt", rate: 100, burst: 100, perSecond: 400}
+		f := newSimulatedFleet(c.nodes, team)
+		f.run(10 * time.Second)
+		team.clearCounts()
+		for _, n := range f.nodes[:c.cut] {
+			n.cut = true
+		}
+		f.run(window)
+		checkUse(t, "nodes cut off", team)
+		for _, n := range f.nodes {
+			n.cut = true
+		}
+		f.run(answerTTL)
+		team.clearCounts()
+		f.run(time.Second)
+		if got := len(team.admittedAt); got != 0 {
+			t.Errorf("%d requests were admitted after %s without an answer", got, answerTTL)
+		}
+	}
+}
+
+// Load pattern: nodes are cut off and come back while a team is inside its rate. Guards against
+// use that is charged both while it is expected and when it is reported.
+func TestReturningNodesAreChargedOnce(t *testing.T) {
+	team := &simulatedTeam{name: "melt", rate: 100, burst: 100, perSecond: 80}
+	f := newSimulatedFleet(84, team)
+	f.run(10 * time.Second)
+	team.clearCounts()
+	for range 5 {
+		for _, n := range f.nodes[:40] {
+			n.cut = true
+		}
+		f.run(2 * time.Second)
+		for _, n := range f.nodes {
+			n.cut = false
+		}
+		f.run(2 * time.Second)
+	}
+	if team.refused*50 > team.asked {
+		t.Errorf("%d of %d requests inside the rate were refused", team.refused, team.asked)
+	}
+	checkUse(t, "nodes return", team)
+}
+
+// Load pattern: the leader is lost for 2 s while teams send as usual. Guards against callers that
+// are refused for lack of a leader.
+func TestUseContinuesWithoutLeader(t *testing.T) {
+	team := &simulatedTeam{name: "melt", rate: 100, burst: 100, perSecond: 80}
+	f := newSimulatedFleet(2, team)
+	f.run(10 * time.Second)
+	f.loseLeader()
+	team.clearCounts()
+	f.run(2 * time.Second)
+	if admitted := team.asked - team.refused; admitted < team.asked*9/10 {
+		t.Errorf("%d of %d requests were admitted", admitted, team.asked)
+	}
+}
+
+// Load pattern: a new leader while a team uses four times its rate and a node is gone. Guards
+// against a leader that admits nothing until all nodes have reported, and against one that
+// admits a burst which was used under the earlier one.
+func TestNewLeaderAdmitsRateAtOnce(t *testing.T) {
+	team := &simulatedTeam{name: "melt", rate: 100, burst: 100, perSecond: 400}
+	f := newSimulatedFleet(3, team)
+	f.run(10 * time.Second)
+	f.loseLeader()
+	f.electLeader(0)
+	f.nodes[2].cut = true
+	team.clearCounts()
+	f.run(2 * time.Second)
+	expected := team.rate * 2
+	if got := float64(len(team.admittedAt)); got < 0.8*expected || got > 1.1*(expected+team.burst)+20 {
+		t.Errorf("%.0f requests were admitted in 2 s", got)
+	}
+}
+
 // Load pattern: leaders change while a team uses five times its rate. Guards against a full
 // burst from each new leader.
 func TestLoudTeamStaysLimitedAcrossLeaders(t *testing.T) {
