End only the connection or call in which a panic occurs

Nothing recovered a panic: one in a codec, in a statement of one caller or in a gRPC handler ended the node, and with it all its callers.

A connection to an upstream counts as broken while a round trip is under way, so that after a panic it is closed and never lent again.

Left: callers of the PostgreSQL proxy. Their connection to an upstream is released without a check of its state when a caller ends, so a recovered panic there could mix two sessions; the process still ends instead. The leader's own goroutine is not guarded either: its state would be unknown.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/base/guard"
 	"github.com/jayloom/jayloom/base/hedge"
 	"github.com/jayloom/jayloom/base/logging"
 	"github.com/jayloom/jayloom/base/metricsrv"
@@ -202,7 +203,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for other nodes")
 	}
-	n.grpcServer = grpc.NewServer(append(replica.ServerOptions(),
+	n.grpcServer = grpc.NewServer(append(append(replica.ServerOptions(), guard.ServerOptions(n.log)...),
 		grpc.ReadBufferSize(grpcBufferSize), grpc.WriteBufferSize(grpcBufferSize),
 		grpc.InitialWindowSize(grpcWindowSize), grpc.InitialConnWindowSize(grpcWindowSize))...)
 	coordinator.NewServer(directory{n}, n.leader).Register(n.grpcServer)
--- a/control/process/process.go
+++ b/control/process/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/guard"
 	"github.com/jayloom/jayloom/base/metricsrv"
 	"github.com/jayloom/jayloom/base/settings"
 	"github.com/jayloom/jayloom/control"
@@ -92,7 +93,8 @@
 	})
 	defer server.Close()
 
-	grpcServer := grpc.NewServer(append(replica.ServerOptions(), grpc.Creds(p.credentials))...)
+	options := append(replica.ServerOptions(), guard.ServerOptions(p.log)...)
+	grpcServer := grpc.NewServer(append(options, grpc.Creds(p.credentials))...)
 	controlpb.RegisterControlServer(grpcServer, server)
 	member.Register(grpcServer)
 	mux := http.NewServeMux()
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -26,7 +26,9 @@
 	// answers to drop after the statement ran.
 	refuseBusy, dropAnswers int
 	unreachable             bool
-	dials                   int
+	// panics makes the connection panic while it reads an answer.
+	panics bool
+	dials  int
 	// full makes it refuse connections.
 	full bool
 	ran  []run
@@ -77,6 +79,9 @@
 	if c.closed || c.server.unreachable {
 		return Reply{}, io.EOF
 	}
+	if c.server.panics {
+		panic("malformed answer")
+	}
 	st := c.queued[0]
 	c.queued = c.queued[1:]
 	lost := c.server.dropAnswers > 0 && st.ID != ""
--- a/gateway/engine/session_test.go
+++ b/gateway/engine/session_test.go
@@ -244,3 +244,26 @@
 		t.Errorf("reported primaries %v", views)
 	}
 }
+
+// Guards against a connection in an unknown state that the next caller gets after a panic in the
+// middle of an exchange, inside a transaction and outside one.
+func TestConnectionIsClosedAfterPanic(t *testing.T) {
+	for _, transaction := range []bool{false, true} {
+		s := newTestNode(t)
+		session := s.open("intake", "key")
+		if transaction {
+			s.mustSucceed(session, Statement{ID: "1", Kind: Begin})
+			s.mustSucceed(session, write("2"))
+		}
+		s.servers["p"].update(func(f *fakeServer) { f.panics = true })
+		func() {
+			defer func() { _ = recover() }()
+			s.handle(session, write("3"))
+			t.Error("the fake connection did not panic")
+		}()
+		session.Close()
+		if p := s.engine.group("wax").pools["p"]; p.open != 0 || p.inUse != 0 {
+			t.Errorf("in a transaction %t: %d connections are open, %d in use", transaction, p.open, p.inUse)
+		}
+	}
+}
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -47,6 +47,10 @@
 	if t.conn == nil {
 		return
 	}
+	if t.conn.broken {
+		t.releaseConn()
+		return
+	}
 	replies, err := t.conn.roundTrip(deadline, Statement{Kind: Rollback})
 	if err != nil || replies[0].State != Idle {
 		t.conn.broken = true
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -55,17 +55,17 @@
 }
 
 // roundTrip sends statements and reads all replies. It stops at the first error, after which
-// the connection is broken.
+// the connection is broken, as it is after a panic.
 func (c *upstreamConn) roundTrip(deadline time.Time, statements ...Statement) ([]Reply, error) {
+	wasBroken := c.broken
+	c.broken = true
 	if err := c.conn.Send(deadline, statements...); err != nil {
-		c.broken = true
 		return nil, err
 	}
 	replies := make([]Reply, 0, len(statements))
 	for range statements {
 		r, err := c.conn.Receive(deadline)
 		if err != nil {
-			c.broken = true
 			return replies, err
 		}
 		if !r.Position.IsZero() {
@@ -76,6 +76,7 @@
 		}
 		replies = append(replies, r)
 	}
+	c.broken = wasBroken
 	return replies, nil
 }
 
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/guard"
 	"github.com/jayloom/jayloom/gateway/engine"
 )
 
@@ -119,13 +120,18 @@
 		return
 	}
 	s.running.Go(func() {
+		defer s.remove(c)
+		defer guard.Recover(s.opts.Log, "caller connection")
 		c.run(ctx)
-		s.mu.Lock()
-		delete(s.callers, c)
-		s.mu.Unlock()
 	})
 }
 
+func (s *Server) remove(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.callers, c)
+}
+
 // MaxCallers returns the number of callers that fit within a limit of file descriptors.
 func MaxCallers(descriptors int) int {
 	return int(callerDescriptorFraction * float64(descriptors))
--- a/gateway/server/server_test.go
+++ b/gateway/server/server_test.go
@@ -18,8 +18,8 @@
 	"github.com/jayloom/jayloom/policy/throttle"
 )
 
-// byteCodec is a Codec with messages of one byte: r reads, b begins, c commits, q quits, and
-// anything else is malformed. Answers are one byte too.
+// byteCodec is a Codec with messages of one byte: r reads, b begins, c commits, q quits, p makes
+// the codec panic, and anything else is malformed. Answers are one byte too.
 type byteCodec struct{ conn net.Conn }
 
 func (c byteCodec) ReadStartup() (string, string, error) { return "lots", "", nil }
@@ -35,6 +35,9 @@
 	if b[0] == 'q' {
 		return engine.Statement{}, ErrQuit
 	}
+	if b[0] == 'p' {
+		panic("a message that the codec does not expect")
+	}
 	kind, ok := kinds[b[0]]
 	if !ok {
 		return engine.Statement{}, ErrMalformed
@@ -208,3 +211,25 @@
 	<-g.started
 	expectByte(t, c, 'D')
 }
+
+// Guards against a malformed message of one caller that ends the process, and with it the
+// connections of all others.
+func TestPanicEndsOnlyItsConnection(t *testing.T) {
+	s, l, g := newTestServer(t, 0)
+	close(g.release)
+	other, failing := connect(t, l), connect(t, l)
+	expectByte(t, other, 'W')
+	expectByte(t, failing, 'W')
+	sendByte(t, failing, 'p')
+	if _, err := failing.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("read of the failing caller returned %v, want EOF", err)
+	}
+	sendByte(t, other, 'r')
+	<-g.started
+	expectByte(t, other, 'D')
+	s.Drain()
+	s.Wait(context.Background())
+	if got := s.CallerCount(); got != 0 {
+		t.Errorf("%d callers are left", got)
+	}
+}
