Remove the token variant for gateway nodes from policy/rate

Gateway nodes no longer use tokens, so rate.GatewayConfig, the fallback rate, the initial rate of a new leader, refunds and the recording of answers have no caller.

--- a/policy/rate/account.go
+++ b/policy/rate/account.go
@@ -29,9 +29,6 @@
 	// the proxy used since its newest grant, and the team's limits in that grant.
 	usedBefore  int64
 	rate, burst float64
-	// fallbackRate is the part of the rate that the proxy may use while no allocator
-	// answers it.
-	fallbackRate float64
 }
 
 // grantRecord is one grant. Its tokens are consumed once the count reaches endCount.
--- a/policy/rate/allocator.go
+++ b/policy/rate/allocator.go
@@ -17,7 +17,7 @@
 	leadingSince time.Duration
 	// unreported holds the registered proxies that have not reported to this leader.
 	// Until it is empty, or ExpireAfter has passed, they may hold a whole burst of each
-	// team, and at most InitialRateFraction of the rate is granted.
+	// team, and nothing is granted.
 	unreported   map[string]bool
 	reconciled   bool
 	reconciledAt time.Duration
@@ -84,10 +84,8 @@
 	al.reconciledAt = al.now
 	sinceLastGrant := al.timeSinceLastGrant()
 	for _, t := range al.teams {
-		if al.cfg.InitialRateFraction == 0 {
-			t.bucket = t.refillSinceLastGrant(sinceLastGrant)
-			t.refilledAt = al.now
-		}
+		t.bucket = t.refillSinceLastGrant(sinceLastGrant)
+		t.refilledAt = al.now
 		t.recovering = true
 		// Requests that wait on any proxy have equal claims to the bucket.
 		t.fairness.addRefill(t.bucket, t.unmetAccounts)
@@ -131,7 +129,7 @@
 	al.grantHistory.incomplete = true
 	for _, t := range al.teams {
 		al.refill(t)
-		t.orphanAccount(name, al.now, al.cfg.ExpireAfter, al.cfg.FallbackPeriod)
+		t.orphanAccount(name, al.now, al.cfg.ExpireAfter)
 	}
 }
 
@@ -188,7 +186,7 @@
 			// stream.
 			t.dropAccount(proxy)
 		} else {
-			t.orphanAccount(proxy, al.now, al.cfg.ExpireAfter, al.cfg.FallbackPeriod)
+			t.orphanAccount(proxy, al.now, al.cfg.ExpireAfter)
 		}
 	}
 	return true
@@ -212,9 +210,6 @@
 	for name, t := range al.teams {
 		al.refill(t)
 		t.expire(al.now, al.cfg.ExpireAfter, al.lastContact)
-		if al.cfg.FallbackPeriod > 0 {
-			t.updateWithheldRate(al.now, al.cfg.FallbackPeriod, al.lastContact)
-		}
 		if t.removed && t.outstanding() == 0 && t.bucket >= t.burst {
 			delete(al.teams, name)
 		}
--- a/policy/rate/holder.go
+++ b/policy/rate/holder.go
@@ -36,8 +36,6 @@
 	streamStartedAt atomic.Int64
 	lastGrant       grantTracker
 	cfg             Config
-	// answeredAt is when an allocator last answered, whether it granted tokens or not.
-	answeredAt atomic.Int64
 }
 
 // NewHolder returns a Holder without tokens. Its allocator must use the same
@@ -75,7 +73,7 @@
 func (h *Holder) Take(now time.Duration, team string) bool {
 	t := h.team(team)
 	t.mu.Lock()
-	taken := t.take(now) || t.takeFallback(now, time.Duration(h.answeredAt.Load()))
+	taken := t.take(now)
 	urgent, interval := t.reportUrgent(), t.reportInterval(now)
 	t.mu.Unlock()
 	if urgent {
@@ -84,15 +82,6 @@
 	return taken
 }
 
-// Refund gives back a token whose request has not run. It stays for refundLifetime, for
-// the next request.
-func (h *Holder) Refund(now time.Duration, team string) {
-	t := h.team(team)
-	t.mu.Lock()
-	t.refund(now)
-	t.mu.Unlock()
-}
-
 // scheduleUrgentReport makes the next report urgent once interval has passed since the
 // last one.
 func (h *Holder) scheduleUrgentReport(interval time.Duration) {
@@ -105,11 +94,6 @@
 	}
 }
 
-// RecordAnswer records that the allocator has answered a report.
-func (h *Holder) RecordAnswer(now time.Duration) {
-	h.answeredAt.Store(int64(now))
-}
-
 // Exhausted reports whether the allocator has recently reported the team's bucket as
 // empty.
 func (h *Holder) Exhausted(now time.Duration, team string) bool {
--- a/policy/rate/team.go
+++ b/policy/rate/team.go
@@ -23,10 +23,6 @@
 	accounts    map[string]*account
 	// orphaned holds what processes and streams that no longer report may still use.
 	orphaned []orphanedTokens
-	// departedFallback holds the fallback rates of proxies whose streams have ended.
-	departedFallback []fallbackRight
-	// withheldRate is the sum of the fallback rates of proxies that may be using them.
-	withheldRate float64
 	// outstandingTotal counts the outstanding tokens of all accounts and in orphaned.
 	outstandingTotal int64
 	// wanted is the sum over all accounts. wantingAccounts and unmetAccounts count the
@@ -48,12 +44,6 @@
 	expiresAt time.Duration
 }
 
-// fallbackRight is a part of the rate that a proxy may use without an allocator.
-type fallbackRight struct {
-	rate      float64
-	expiresAt time.Duration
-}
-
 func newTeam(name string, now time.Duration) *team {
 	return &team{name: name, refilledAt: now, revokedAt: -time.Hour, accounts: map[string]*account{}}
 }
@@ -65,15 +55,11 @@
 
 // refill adds the tokens for the time since the last refill.
 func (al *Allocator) refill(t *team) {
-	fraction := 1.0
 	if !al.reconciled {
-		fraction = al.cfg.InitialRateFraction
-	}
-	if fraction == 0 {
 		return
 	}
 	before := t.bucket
-	t.bucket += fraction * max(0, t.rate-t.withheldRate) * max(0, (al.now-t.refilledAt).Seconds())
+	t.bucket += t.rate * max(0, (al.now-t.refilledAt).Seconds())
 	t.refilledAt = max(t.refilledAt, al.now)
 	t.clamp()
 	t.fairness.addRefill(t.bucket-before, t.unmetAccounts)
@@ -103,22 +89,6 @@
 	}
 }
 
-// updateWithheldRate sums the fallback rates of proxies that are silent and may be using
-// them. A proxy that reports does not use its fallback rate, even when its report does
-// not mention the team.
-func (t *team) updateWithheldRate(now, fallbackPeriod time.Duration, lastContact map[string]time.Duration) {
-	t.departedFallback = slices.DeleteFunc(t.departedFallback, func(s fallbackRight) bool { return now >= s.expiresAt })
-	t.withheldRate = 0
-	for _, s := range t.departedFallback {
-		t.withheldRate += s.rate
-	}
-	for proxy, a := range t.accounts {
-		if silent := now - lastContact[proxy]; silent >= demandTimeout && silent < fallbackDelay+fallbackPeriod {
-			t.withheldRate += a.fallbackRate
-		}
-	}
-}
-
 // applyReport applies a proxy's use and demand. Returned tokens go back to the bucket.
 func (t *team) applyReport(proxy string, now time.Duration, d *controlpb.TokenDemand) {
 	a, ok := t.accounts[proxy]
@@ -170,15 +140,12 @@
 }
 
 // orphanAccount removes an account whose process may still use what it holds.
-func (t *team) orphanAccount(proxy string, now, expireAfter, fallbackPeriod time.Duration) {
+func (t *team) orphanAccount(proxy string, now, expireAfter time.Duration) {
 	a, ok := t.accounts[proxy]
 	if !ok {
 		return
 	}
 	outstanding := a.outstanding()
-	if a.fallbackRate > 0 {
-		t.departedFallback = append(t.departedFallback, fallbackRight{a.fallbackRate, now + fallbackDelay + fallbackPeriod})
-	}
 	t.dropAccount(proxy)
 	if outstanding > 0 {
 		t.orphaned = append(t.orphaned, orphanedTokens{tokens: outstanding, expiresAt: a.newestGrantAt() + expireAfter})
@@ -191,11 +158,8 @@
 	a := t.accounts[proxy]
 	shortfall := a.wanted - a.outstanding()
 	t.setDemand(a, a.wanted, shortfall > 0 && a.waiting > 0)
-	if al.cfg.FallbackPeriod > 0 {
-		a.fallbackRate = t.rate * float64(a.wanted+1) / float64(t.wanted+int64(len(t.accounts)))
-	}
-	grant := &controlpb.TokenGrant{Team: t.name, StandbyRate: a.fallbackRate}
-	if (!al.reconciled && al.cfg.InitialRateFraction == 0) || t.removed {
+	grant := &controlpb.TokenGrant{Team: t.name}
+	if !al.reconciled || t.removed {
 		return grant
 	}
 	tokens := min(shortfall, t.holdingLimit(a)-a.outstanding(), t.available(a))
--- a/policy/rate/team_tokens.go
+++ b/policy/rate/team_tokens.go
@@ -15,8 +15,6 @@
 	// recentIntervals cover the last 50 ms and the current interval. A proxy keeps that
 	// much when the bucket is empty and others may need its tokens.
 	recentIntervals = 2
-	// refundLifetime is how long a refunded token can be used.
-	refundLifetime = time.Second
 )
 
 // teamTokens holds a proxy's tokens of one team. Its methods need mu.
@@ -28,12 +26,6 @@
 	renewBefore   time.Duration
 	// spareTokenPeriod is Config.SpareTokenPeriod.
 	spareTokenPeriod time.Duration
-	// fallbackRate is the proxy's part of the rate, fallbackUsed the number of tokens used
-	// from it since the allocator last answered, at fallbackSince.
-	fallbackRate   float64
-	fallbackPeriod time.Duration
-	fallbackSince  time.Duration
-	fallbackUsed   int64
 	// grants are consumed in the order in which they were made.
 	grants []heldGrant
 	held   int64
@@ -68,7 +60,7 @@
 func newTeamTokens(cfg Config) *teamTokens {
 	return &teamTokens{
 		lastUsedAt: -cfg.SpareTokenPeriod, reserveFactor: cfg.ReserveFactor, renewBefore: cfg.Lifetime / 2,
-		spareTokenPeriod: cfg.SpareTokenPeriod, fallbackPeriod: cfg.FallbackPeriod,
+		spareTokenPeriod: cfg.SpareTokenPeriod,
 	}
 }
 
@@ -85,35 +77,6 @@
 	return true
 }
 
-// takeFallback uses a token of the fallback rate while no allocator answers. answeredAt
-// is the time of the last answer.
-func (t *teamTokens) takeFallback(now, answeredAt time.Duration) bool {
-	fallbackTime := now - answeredAt - fallbackDelay
-	if t.fallbackRate == 0 || fallbackTime < 0 || fallbackTime > t.fallbackPeriod {
-		return false
-	}
-	if answeredAt != t.fallbackSince {
-		t.fallbackSince, t.fallbackUsed = answeredAt, 0
-	}
-	if float64(t.fallbackUsed) >= 1+t.fallbackRate*fallbackTime.Seconds() {
-		return false
-	}
-	t.fallbackUsed++
-	t.recordUse(now)
-	return true
-}
-
-// refund takes back a token whose request has not run. The use that was or will be
-// reported is counted for the next request instead.
-func (t *teamTokens) refund(now time.Duration) {
-	if t.used == 0 {
-		return
-	}
-	t.used--
-	t.held++
-	t.grants = append(t.grants, heldGrant{tokens: 1, expiresAt: now + refundLifetime})
-}
-
 func (t *teamTokens) recordUse(now time.Duration) {
 	t.advanceUsage(now)
 	t.usage[t.usageIndex%demandIntervals]++
@@ -261,7 +224,6 @@
 func (t *teamTokens) applyGrant(now, expiresAt time.Duration, g *controlpb.TokenGrant) {
 	t.exhausted, t.exhaustedAt = g.Exhausted, now
 	t.answered = true
-	t.fallbackRate = g.StandbyRate
 	if tokens := int64(g.Tokens); tokens > 0 {
 		t.grants = append(t.grants, heldGrant{tokens: tokens, expiresAt: expiresAt})
 		t.held += tokens
--- a/proxy/admission/admission.go
+++ b/proxy/admission/admission.go
@@ -26,10 +26,6 @@
 	Report(now time.Duration) []*controlpb.TokenDemand
 	ApplyGrant(now, sentAt time.Duration, grant *controlpb.TokenGrant)
 	StartStream(now time.Duration)
-	// RecordAnswer records that the allocator has answered a report.
-	RecordAnswer(now time.Duration)
-	// Refund gives back the token of a request that was not executed.
-	Refund(now time.Duration, team string)
 }
 
 // Queue hands out request tokens, in order of arrival within a team. It is safe for
@@ -164,27 +160,6 @@
 	q.holder.StartStream(now)
 }
 
-// Refund gives back the token of a request that was refused without being executed. The
-// first waiting request of the team may take it.
-func (q *Queue) Refund(now time.Duration, team string) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.holder.Refund(now, team)
-	queue := q.waiting[team]
-	if len(queue) > 0 && q.holder.Take(now, team) {
-		close(queue[0].granted)
-		q.holder.AddWaiting(team, -1)
-		q.setWaiting(team, queue[1:])
-	}
-}
-
-// RecordAnswer records that the allocator has answered a report.
-func (q *Queue) RecordAnswer(now time.Duration) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.holder.RecordAnswer(now)
-}
-
 // ApplyGrant adds the granted tokens and hands them to waiting requests. sentAt is when the
 // report that the grant answers was sent. Revoked tokens are reported at once, because
 // requests of other processes wait for them.
--- a/proxy/admission/admission_test.go
+++ b/proxy/admission/admission_test.go
@@ -55,20 +55,18 @@
 func (f *fakeTokens) Report(time.Duration) []*controlpb.TokenDemand          { return nil }
 func (f *fakeTokens) ApplyGrant(_, _ time.Duration, _ *controlpb.TokenGrant) {}
 func (f *fakeTokens) StartStream(time.Duration)                              {}
-func (f *fakeTokens) RecordAnswer(time.Duration)                             {}
-func (f *fakeTokens) Refund(time.Duration, string)                           {}
 
 // Guards against revoked tokens that a process without callers keeps until its next regular
 // report while requests elsewhere wait for them (seen in litbrot-ops-grown quiet-1).
 func TestRevokedTokensAreReturnedAtOnce(t *testing.T) {
 	reports := 0
-	q := New(rate.NewHolder(rate.GatewayConfig()), func() { reports++ })
+	q := New(rate.NewHolder(rate.DefaultConfig()), func() { reports++ })
 	q.StartStream(time.Second)
 	q.Report(time.Second)
 	now := 2 * time.Second
-	q.ApplyGrant(now, now, &controlpb.TokenGrant{Team: "driver", Tokens: 3, LifetimeMs: 5000})
+	q.ApplyGrant(now, now, &controlpb.TokenGrant{Team: "driver", Tokens: 3, LifetimeMs: 2500})
 	reports = 0
-	q.ApplyGrant(now, now, &controlpb.TokenGrant{Team: "driver", Exhausted: true, LifetimeMs: 5000})
+	q.ApplyGrant(now, now, &controlpb.TokenGrant{Team: "driver", Exhausted: true, LifetimeMs: 2500})
 	if reports != 1 {
 		t.Fatalf("%d reports were requested, want 1", reports)
 	}
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -60,8 +60,6 @@
 func (f *fakeTokens) Report(time.Duration) []*controlpb.TokenDemand                  { return nil }
 func (f *fakeTokens) ApplyGrant(time.Duration, time.Duration, *controlpb.TokenGrant) {}
 func (f *fakeTokens) StartStream(time.Duration)                                      {}
-func (f *fakeTokens) RecordAnswer(time.Duration)                                     {}
-func (f *fakeTokens) Refund(time.Duration, string)                                   {}
 
 // fakeShares allows the same number of connections to each upstream.
 type fakeShares int
