--- a/cmd/internal/e2e/deploy_build_test.go
+++ b/cmd/internal/e2e/deploy_build_test.go
@@ -11,6 +11,11 @@
 	"testing"
 )
 
+// programs are all programs of the repository.
+var programs = []string{
+	"jayloom-control", "jayloom-load", "jayloom-node", "jayloom-proxy", "jayloom-relay", "jayloom-standin", "jayloomctl",
+}
+
 // binaries is the folder of the built programs, set by Main.
 var binaries string
 
@@ -22,11 +27,11 @@
 		return 1
 	}
 	defer os.RemoveAll(folder)
-	build := osexec.Command("go", "build", "-o", folder+string(filepath.Separator),
-		"github.com/jayloom/jayloom/cmd/jayloom-control",
-		"github.com/jayloom/jayloom/cmd/jayloom-proxy",
-		"github.com/jayloom/jayloom/cmd/jayloom-standin",
-		"github.com/jayloom/jayloom/cmd/jayloomctl")
+	args := []string{"build", "-o", folder + string(filepath.Separator)}
+	for _, program := range programs {
+		args = append(args, "github.com/jayloom/jayloom/cmd/"+program)
+	}
+	build := osexec.Command("go", args...)
 	if output, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
 		return 1
--- a/cmd/internal/e2e/keys_test.go
+++ b/cmd/internal/e2e/keys_test.go
@@ -56,8 +56,14 @@
 		exec(t, inTransaction[i], "BEGIN")
 		exec(t, inTransaction[i], fmt.Sprintf("INSERT INTO lot VALUES (%d, 'inside')", 100+i))
 	}
+	// Connections that one proxy gains while another is filled are taken in the second round, so
+	// that the queued requests stay in the queue.
+	for range 2 {
+		for _, p := range d.Proxies {
+			exhaustConnections(t, d, p)
+		}
+	}
 	for i, p := range d.Proxies {
-		exhaustConnections(t, d, p)
 		ended[i] = make(chan error, 1)
 		before := d.Metric(p.HTTP, queuedMetric)
 		go func() {
--- a/cmd/jayloom-node/main.go
+++ b/cmd/jayloom-node/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/jayloom/jayloom/cmd/internal/version"
 	"github.com/jayloom/jayloom/platform"
 )
 
@@ -16,6 +17,7 @@
 	Settings    string `long:"settings" value-name:"FILE" description:"settings file; the default is named by the infrastructure"`
 	Check       bool   `long:"check" description:"check the settings file and exit"`
 	NodeListen  string `long:"node-listen" value-name:"ADDRESS" description:"address to listen on for other nodes if it is not the one that they dial, as behind a relay"`
+	Version     bool   `long:"version" description:"print the version and exit"`
 	MetricsPort int    `long:"metrics-port" default:"9464" description:"port of GET /metrics on the address of the VM; 0 serves none"`
 }
 
@@ -27,6 +29,10 @@
 		}
 		os.Exit(2)
 	}
+	if o.Version {
+		fmt.Println(version.String("jayloom-node"))
+		return
+	}
 	if o.Settings == "" {
 		o.Settings = platform.SettingsPath()
 	}
--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -187,8 +187,8 @@
 	gate := throttle.NewGate(func() { n.controlClient.ReportNow() })
 	n.controlClient = controlclient.New(controlclient.Options{
 		Node: n.settings.Node, Seeds: n.seeds,
-		Lease:  time.Duration(leaseFraction * float64(n.settings.MaxRevocationDelay)),
-		Gate: gate, Voter: n.voterIdentity, DialOptions: dialOptions(), Log: n.log,
+		Lease: time.Duration(leaseFraction * float64(n.settings.MaxRevocationDelay)),
+		Gate:  gate, Voter: n.voterIdentity, DialOptions: dialOptions(), Log: n.log,
 		Primaries: func(now time.Duration) []*controlpb.PrimaryView { return n.engine.Primaries(now) },
 	}, func(v *controlclient.View) { n.engine.Update(v) }, func(p controlclient.PrimaryPosition) { n.engine.RecordPosition(p) })
 	n.engine = engine.New(engine.Options{
--- a/cmd/jayloom-node/node_test.go
+++ b/cmd/jayloom-node/node_test.go
@@ -72,7 +72,7 @@
 		d.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := newNode(options{Settings: path}, s, logging.NewRateLimited(io.Discard, "test", s.Node))
+	n := newNode(options{Settings: path}, s, logging.NewRateLimited(d.logOf(endpoint), "test", s.Node))
 	if err := n.start(ctx, options{}); err != nil {
 		cancel()
 		d.t.Fatal(err)
@@ -82,6 +82,23 @@
 	return r
 }
 
+// logOf returns the file for the log of a node. Its content is printed if the test fails.
+func (d *deployment) logOf(endpoint standin.Node) io.Writer {
+	d.t.Helper()
+	path := filepath.Join(endpoint.Folder, "log")
+	log, err := os.Create(path)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() {
+		_ = log.Close()
+		if content, err := os.ReadFile(path); err == nil && d.t.Failed() {
+			d.t.Logf("log of %s:\n%s", endpoint.Name, content)
+		}
+	})
+	return log
+}
+
 // waitUntil polls condition and fails the test if it does not hold within waitTimeout.
 func (d *deployment) waitUntil(what string, condition func() bool) {
 	d.t.Helper()
