Keep upstreams in use that answer though their announcements do not arrive

An upstream without an announcement for 20 s, or for 4 s behind a change of leader, was removed and its connections closed, although the leader's probes or the nodes were answered: a server that is cut off from the control addresses only.

Change: an answer to the leader, and for primaries to a node, counts as contact. What decides between two processes under one id is still the time of the last announcement. failover.Server.LastContact, which nobody read, is gone.

TestAnsweringUpstreamIsKept fails without the change after 20 s and, adopted, after 4 s.

--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -155,7 +155,7 @@
 	in := failover.Input{SyncReplicas: g.syncReplicas, Reachability: l.reachability(now, service, primary)}
 	for _, u := range upstreams {
 		in.Servers = append(in.Servers, failover.Server{
-			ID: u.ID, Draining: u.Draining, ClaimsPrimary: u.ClaimsPrimary, LastContact: u.LastContact, Sample: g.samples[u.ID],
+			ID: u.ID, Draining: u.Draining, ClaimsPrimary: u.ClaimsPrimary, Sample: g.samples[u.ID],
 		})
 	}
 	return in
@@ -266,6 +266,7 @@
 		return
 	}
 	g.samples[e.upstream.ID] = e.sample
+	l.registry.RecordContact(clock.Now(), e.upstream.ID)
 	if e.sample.PositionAsPrimary {
 		g.primaryPosition = measuredPosition{e.upstream.ID, e.sample.Position, e.sample.At}
 	}
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -87,6 +87,9 @@
 	if report.Regular {
 		s.primaries, s.primariesReceivedAt = report.Primaries, now
 		s.answered = l.sentPrimaries.resolve(report.TopologyRevision, report.AnsweredPrimaries)
+		for _, primary := range s.answered {
+			l.registry.RecordContact(now, primary)
+		}
 	}
 	if report.VoterIdentity != "" {
 		s.voterIdentity, s.voterAddress = report.VoterIdentity, report.VoterAddress
--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -54,9 +54,7 @@
 	// ClaimsPrimary is set if the upstream stated in its newest announcement that it is
 	// the primary.
 	ClaimsPrimary bool
-	// LastContact is when that announcement was received.
-	LastContact time.Duration
-	Sample      Sample
+	Sample        Sample
 }
 
 // Sample is the newest result of a probe or position query.
--- a/gateway/topology/topology.go
+++ b/gateway/topology/topology.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// AnnouncementTimeout is the time without an announcement after which an upstream is
-	// removed. Until then, proxies keep the connections that still answer.
+	// AnnouncementTimeout is the time without an announcement or an answer after which an
+	// upstream is removed. Until then, proxies keep the connections that still answer.
 	AnnouncementTimeout = 20 * time.Second
 	// leftRetention is how long the entry of an upstream that has left is kept, so that a
 	// delayed announcement does not add it again.
@@ -22,7 +22,7 @@
 	// set back.
 	earlierStartTimeout = 5 * time.Second
 	// unconfirmedTimeout is how long an upstream is kept that is known only from an earlier
-	// leader's topology: three announcement intervals.
+	// leader's topology and does not answer: three announcement intervals.
 	unconfirmedTimeout = 4 * time.Second
 )
 
@@ -40,7 +40,10 @@
 	// startedUnixMs, the start time of the process, and sequence order its announcements.
 	startedUnixMs int64
 	sequence      uint64
-	LastContact   time.Duration
+	// LastContact is when the upstream last announced itself or answered; announcedAt is the
+	// former.
+	LastContact time.Duration
+	announcedAt time.Duration
 	// unconfirmed is true until the upstream has announced itself to this leader.
 	unconfirmed bool
 }
@@ -84,7 +87,7 @@
 	next := &Upstream{
 		ID: a.Id, Service: a.Service, Address: a.Address, Place: a.Place, Slots: a.Slots,
 		Draining:      a.Phase == controlpb.UpstreamPhase_UPSTREAM_PHASE_DRAINING,
-		ClaimsPrimary: a.Primary, startedUnixMs: a.StartedUnixMs, sequence: a.Sequence, LastContact: now,
+		ClaimsPrimary: a.Primary, startedUnixMs: a.StartedUnixMs, sequence: a.Sequence, LastContact: now, announcedAt: now,
 	}
 	// A draining process never becomes ready again.
 	if u != nil && !u.unconfirmed && u.startedUnixMs == a.StartedUnixMs {
@@ -98,6 +101,14 @@
 	return a.Primary != u.ClaimsPrimary || a.StartedUnixMs != u.startedUnixMs
 }
 
+// RecordContact records that an upstream has answered. One whose announcements do not arrive stays
+// in use for as long as it answers.
+func (r *Registry) RecordContact(now time.Duration, id string) {
+	if u := r.upstreams[id]; u != nil && !u.Left {
+		u.LastContact = max(u.LastContact, now)
+	}
+}
+
 // AddUnconfirmed adds the upstreams of an earlier leader's topology that are not in the
 // registry, and reports whether there were any. Known upstreams are not changed.
 func (r *Registry) AddUnconfirmed(now time.Duration, t *controlpb.Topology) bool {
@@ -125,7 +136,7 @@
 		return true
 	}
 	if a.StartedUnixMs != u.startedUnixMs {
-		return a.StartedUnixMs > u.startedUnixMs || now-u.LastContact > earlierStartTimeout
+		return a.StartedUnixMs > u.startedUnixMs || now-u.announcedAt > earlierStartTimeout
 	}
 	return a.Sequence > u.sequence && !u.Left
 }
--- a/gateway/topology/topology_test.go
+++ b/gateway/topology/topology_test.go
@@ -97,3 +97,37 @@
 		t.Errorf("after unconfirmedTimeout: %v", live(r))
 	}
 }
+
+// Guards against an upstream that is taken out of use, and whose work is given up, because only its
+// announcements do not arrive; against one that stays although it answers nobody; and against an
+// answer that brings one back that has left.
+func TestAnsweringUpstreamIsKept(t *testing.T) {
+	for _, adopted := range []bool{false, true} {
+		r := NewRegistry(0)
+		now := time.Hour
+		if adopted {
+			r.AddUnconfirmed(now, &controlpb.Topology{Upstreams: []*controlpb.TopologyUpstream{{Id: "u", Service: "wax", Address: "a"}}})
+		} else {
+			r.ApplyAnnouncement(now, &controlpb.UpstreamAnnouncement{Id: "u", Service: "wax", Address: "a", StartedUnixMs: 1, Sequence: 1})
+		}
+		for range 30 {
+			now += time.Second
+			r.RecordContact(now, "u")
+			if r.Expire(now); len(r.Live()) != 1 {
+				t.Fatalf("adopted %t: the upstream was removed %s after its announcement", adopted, now-time.Hour)
+			}
+		}
+		r.Expire(now + AnnouncementTimeout)
+		if len(r.Live()) != 0 {
+			t.Errorf("adopted %t: an upstream that answers nobody was kept", adopted)
+		}
+	}
+	r := NewRegistry(0)
+	r.ApplyAnnouncement(time.Hour, &controlpb.UpstreamAnnouncement{Id: "u", Service: "wax", Address: "a", StartedUnixMs: 1, Sequence: 1})
+	r.ApplyAnnouncement(time.Hour, &controlpb.UpstreamAnnouncement{Id: "u", Phase: controlpb.UpstreamPhase_UPSTREAM_PHASE_LEFT})
+	r.RecordContact(time.Hour+leftRetention, "u")
+	r.Expire(time.Hour + leftRetention)
+	if len(r.upstreams) != 0 {
+		t.Error("an answer extended the entry of an upstream that has left")
+	}
+}
