Bound the pushes of lowered limits and follow one redirect at a time without a pause

From reading the change again: (1) a redirect was followed at once however often, so two voters that have not noticed a change of leader would send hundreds of nodes in a circle; every second one is now behind a pause. (2) In a burst each team whose limit falls caused a push to all nodes, 190 x 300 messages; pushes are now 50 ms apart and carry all. (3) A new leader lifted an adopted limit at its next tick, before any node had reported; it now keeps it.

--- a/gateway/controlclient/client.go
+++ b/gateway/controlclient/client.go
@@ -200,7 +200,7 @@
 func (c *Client) Run(ctx context.Context) {
 	defer close(c.left)
 	defer c.connections.closeAll()
-	redirectAddress := ""
+	redirectAddress, redirected := "", false
 	pause := newReconnectPause()
 	for ctx.Err() == nil {
 		address := redirectAddress
@@ -231,8 +231,7 @@
 		if isRedirect(err) && c.receivedCatalog == nil {
 			c.preload(ctx, address)
 		}
-		if redirectAddress != "" {
-			// The leader is asked at once; it answers a node that may not be served yet.
+		if redirected = followAtOnce(redirectAddress, redirected); redirected {
 			continue
 		}
 		select {
@@ -244,6 +243,12 @@
 	}
 }
 
+// followAtOnce reports whether a redirect is followed without a pause. A second one in a row is
+// not: nodes that have not learned of a new leader yet may redirect to each other.
+func followAtOnce(redirectAddress string, redirectedBefore bool) bool {
+	return redirectAddress != "" && !redirectedBefore
+}
+
 // newReconnectPause returns the pauses between attempts to open a stream.
 func newReconnectPause() *backoff.ExponentialBackOff {
 	pause := backoff.NewExponentialBackOff()
--- a/gateway/controlclient/client_test.go
+++ b/gateway/controlclient/client_test.go
@@ -155,3 +155,20 @@
 		t.Errorf("%d different first pauses among 100 nodes", len(different))
 	}
 }
+
+// Load pattern: a change of leader that two voters have not noticed. Guards against hundreds of nodes
+// that follow their redirects in a circle without a pause.
+func TestRedirectsInACircleArePaused(t *testing.T) {
+	pauses, redirected := 0, false
+	for range 10 {
+		if redirected = followAtOnce("other", redirected); !redirected {
+			pauses++
+		}
+	}
+	if pauses != 5 {
+		t.Errorf("%d pauses in 10 redirects, want 5", pauses)
+	}
+	if followAtOnce("", false) {
+		t.Error("followed a redirect without an address")
+	}
+}
--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -514,3 +514,41 @@
 		t.Error("the draining upstream was not sent")
 	}
 }
+
+// Load pattern: a burst in which the limits of many teams fall one after the other. Guards against a
+// push to all of hundreds of nodes for each of them.
+func TestLoweredLimitsArePushedTogether(t *testing.T) {
+	l, _ := newTestLeader(t)
+	c := waxCatalog(3)
+	for i := range 40 {
+		c.Teams = append(c.Teams, &controlpb.CatalogTeam{Name: fmt.Sprintf("t%d", i), Keys: []string{fmt.Sprintf("k%d", i)}, Rate: 10, Burst: 10})
+	}
+	if _, err := l.putCatalog(context.Background(), c); err != nil {
+		t.Fatal(err)
+	}
+	drainEvents(l)
+	a := startStream(l, "n1", &controlpb.NodeReport{Sequence: 1})
+	b := startStream(l, "n2", &controlpb.NodeReport{Sequence: 1})
+	latestUpdate(b)
+	l.fallsPushedAt = clock.Now() + time.Hour
+	for i := range 40 {
+		l.handle(context.Background(), reportReceived{a, &controlpb.NodeReport{Sequence: uint64(2 + i), Usage: []*controlpb.TeamUsage{
+			{Team: fmt.Sprintf("t%d", i), AdmittedTotal: 80, ArrivedTotal: 80},
+		}}})
+		latestUpdate(a)
+	}
+	if pushed := len(b.updates); pushed > 0 {
+		t.Errorf("%d updates were pushed before the interval was over", pushed)
+	}
+	l.fallsPushedAt = clock.Now() - fallPushInterval
+	l.tick(context.Background())
+	limited := map[string]bool{}
+	for len(b.updates) > 0 {
+		for _, h := range (<-b.updates).Throttles {
+			limited[h.Team] = true
+		}
+	}
+	if len(limited) != 40 {
+		t.Errorf("the other node knows of %d limited teams, want 40", len(limited))
+	}
+}
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -110,7 +110,8 @@
 	adoptedRevision uint64
 	topologyAskedAt time.Duration
 	// pushedFall is the revision of the newest sharp limit of a team that all nodes were sent.
-	pushedFall uint64
+	pushedFall    uint64
+	fallsPushedAt time.Duration
 	// topology is the topology of the newest revision that was needed.
 	topology *controlpb.Topology
 	// sentPrimaries holds the primaries of the newest topologies that nodes were sent.
@@ -245,7 +246,8 @@
 	l.lostNodes = map[string]time.Duration{}
 	l.membership, l.topology, l.sentPrimaries = membership{}, nil, primaryHistory{}
 	l.savingTopology, l.savedRevision = false, 0
-	l.adoptedRevision, l.topologyAskedAt, l.pushedFall = 0, now-topologyAnswerTime, 0
+	l.adoptedRevision, l.topologyAskedAt = 0, now-topologyAnswerTime
+	l.pushedFall, l.fallsPushedAt = 0, now-fallPushInterval
 	l.limiter = throttle.NewLimiter(now)
 	l.syncCatalog(now)
 	l.adoptTopology(now, l.store.current().Topology)
@@ -300,7 +302,7 @@
 	}
 	now := clock.Now()
 	l.limiter.Step(now)
-	l.pushFalls()
+	l.pushFalls(now)
 	changed := l.registry.Expire(now)
 	changed = l.stepGroups(ctx, now) || changed || l.topologyChanged
 	l.topologyChanged = false
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -21,6 +21,10 @@
 // answer.
 const positionsInterval = 400 * time.Millisecond
 
+// fallPushInterval is the minimum time between two pushes of lowered limits to all nodes. In a burst
+// the limits of many teams fall one after the other.
+const fallPushInterval = 50 * time.Millisecond
+
 // topologyAnswerTime is how long the leader waits for the topology of one node before it asks
 // another.
 const topologyAnswerTime = 500 * time.Millisecond
@@ -101,7 +105,7 @@
 		return
 	}
 	l.answerReport(s, now)
-	l.pushFalls()
+	l.pushFalls(now)
 }
 
 // addStream registers a new stream and ends an earlier stream of the same node.
@@ -195,12 +199,12 @@
 // pushFalls sends the limits to all nodes if a team's was lowered sharply. A team that uses much
 // more than its rate must be limited everywhere at once; other changes come with the answers to
 // reports.
-func (l *Leader) pushFalls() {
+func (l *Leader) pushFalls(now time.Duration) {
 	revision := l.limiter.FallRevision()
-	if revision == l.pushedFall {
+	if revision == l.pushedFall || now-l.fallsPushedAt < fallPushInterval {
 		return
 	}
-	l.pushedFall = revision
+	l.pushedFall, l.fallsPushedAt = revision, now
 	for s := range l.streams {
 		if s.sentThrottles < revision {
 			l.push(s)
--- a/policy/throttle/gate.go
+++ b/policy/throttle/gate.go
@@ -22,7 +22,8 @@
 	// one node that follows from it is at most maxReportInterval.
 	reportSpacing     = 250 * time.Microsecond
 	maxReportInterval = 100 * time.Millisecond
-	// maxLocalDebt is the time of refill by which a node by itself exceeds a team's limits.
+	// maxLocalDebt is the debt of a team on one node, as time of refill: a node by itself does
+	// not exceed the team's limits.
 	maxLocalDebt = 0
 	// never is the time of an urgent report while none is.
 	never = time.Duration(math.MaxInt64)
@@ -42,7 +43,7 @@
 	NoLeader
 )
 
-// String returns the name of the verdict in metrics and logs.
+// String returns the name of the verdict.
 func (v Verdict) String() string {
 	return [...]string{"admitted", "fleet", "node", "no_leader"}[v]
 }
--- a/policy/throttle/limiter.go
+++ b/policy/throttle/limiter.go
@@ -187,11 +187,16 @@
 // enough is in the bucket, the team may use its burst. Below that it is admitted what is
 // refilled, corrected so that the bucket comes back to its target.
 func (t *team) wantedAdmit(now time.Duration) uint32 {
-	arriving := t.arrived.perSecond(now)
 	enough := max(0, limitBelow*t.burst-unevenTokens)
-	if t.level >= enough || arriving == 0 {
+	if t.level >= enough {
 		return unlimited
 	}
+	arriving := t.arrived.perSecond(now)
+	if arriving == 0 {
+		// Nothing tells which fraction would do. A new leader keeps the adopted one until
+		// nodes have reported.
+		return t.admit
+	}
 	allowed := t.rate + (t.level-targetFill*enough)/correctionTime.Seconds()
 	return uint32(unlimited * max(0, min(1, allowed/arriving)))
 }
