--- /dev/null
+++ b/gateway/controlclient/preload.go
@@ -0,0 +1,39 @@
+package controlclient
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/gateway/catalog"
+)
+
+// preload gets the configuration that a voter has stored, so that hundreds of nodes which start
+// at the same time need not all get it from the leader. The node does not use it before the leader
+// has answered, because it serves only with a lease.
+func (c *Client) preload(ctx context.Context, address string) {
+	connection, err := c.connections.get(address)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, preloadTimeout)
+	defer cancel()
+	reply, err := controlpb.NewGatewayClient(connection).Preload(ctx, &controlpb.PreloadRequest{})
+	if err != nil || reply.Catalog == nil {
+		// The leader sends it.
+		return
+	}
+	compiled, refusal := catalog.New(reply.Catalog)
+	if refusal != nil {
+		c.opts.Log.WithError(refusal).WithFields(logrus.Fields{"event": "preload_invalid", "from": address}).
+			Warn("a voter has stored an invalid configuration")
+		return
+	}
+	c.receivedCatalog = reply.Catalog
+	next := *c.View()
+	next.Catalog, next.Voters = compiled, nil
+	c.publish(&next)
+	c.opts.Log.WithFields(logrus.Fields{"event": "catalog_preloaded", "version": compiled.Version, "from": address}).
+		Info("stored configuration received; the leader has to confirm it")
+}
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -17,18 +16,13 @@
 const reconnectPeriod = 5 * time.Second
 
 // positionsInterval is the minimum time between two updates to a node that contain positions.
-// Under load, a node sends many token reports a second, and positions would be most of each
-// answer.
+// Under load a node also sends urgent reports, and positions would be most of each answer.
 const positionsInterval = 400 * time.Millisecond
 
 // fallPushInterval is the minimum time between two pushes of lowered limits to all nodes. In a burst
 // the limits of many teams fall one after the other.
 const fallPushInterval = 50 * time.Millisecond
 
-// topologyAnswerTime is how long the leader waits for the topology of one node before it asks
-// another.
-const topologyAnswerTime = 500 * time.Millisecond
-
 // maxPositionAge is the age up to which a position is sent to nodes.
 const maxPositionAge = 2 * time.Second
 
@@ -127,33 +121,8 @@
 	}).Info("node connected")
 }
 
-// lacksTopology reports whether a node has a topology of an earlier leader that is newer than the
-// adopted one and is to be asked for it. One node is asked at a time: after a change of leader
-// hundreds of nodes have the same one.
-func (l *Leader) lacksTopology(now time.Duration, revision uint64) bool {
-	if revision <= l.adoptedRevision || revision >= l.term*revisionsPerTerm || now-l.topologyAskedAt < topologyAnswerTime {
-		return false
-	}
-	l.topologyAskedAt = now
-	return true
-}
-
-// adoptTopology adds the primaries and upstreams of an earlier leader's topology.
-func (l *Leader) adoptTopology(now time.Duration, t *controlpb.Topology) {
-	if t == nil {
-		return
-	}
-	for _, p := range t.Primaries {
-		l.groupOf(now, p.Service).machine.Adopt(now, p.Upstream, p.Term)
-	}
-	if l.registry.AddUnconfirmed(now, t) {
-		l.topologyChanged = true
-	}
-	l.adoptedRevision = max(l.adoptedRevision, t.Revision)
-}
-
-// registerNode commits the node's name, so that later leaders wait for its report before they
-// grant tokens.
+// registerNode commits the node's name, so that later leaders divide connections among it too
+// before it has reconnected.
 func (l *Leader) registerNode(ctx context.Context, node string) {
 	for _, known := range l.store.current().Nodes {
 		if known.Name == node {
@@ -296,30 +265,3 @@
 	}
 	return uint32(len(l.streams) + lost)
 }
-
-// currentTopology returns the topology, which must not be modified. All nodes get the same one of
-// each revision, because reports name primaries by their position in it.
-func (l *Leader) currentTopology() *controlpb.Topology {
-	if l.topology.GetRevision() != l.registry.Revision() {
-		l.topology = l.newTopology()
-		l.sentPrimaries.add(l.topology.Revision, l.topology.Primaries)
-	}
-	return l.topology
-}
-
-func (l *Leader) newTopology() *controlpb.Topology {
-	t := &controlpb.Topology{Revision: l.registry.Revision()}
-	for _, u := range l.registry.Live() {
-		t.Upstreams = append(t.Upstreams, &controlpb.TopologyUpstream{
-			Id: u.ID, Service: u.Service, Address: u.Address, Place: u.Place, Slots: u.Slots, Draining: u.Draining,
-		})
-	}
-	for _, service := range slices.Sorted(maps.Keys(l.groups)) {
-		if id, term, changing := l.groups[service].machine.Primary(); id != "" {
-			t.Primaries = append(t.Primaries, &controlpb.TopologyPrimary{
-				Service: service, Upstream: id, Term: term, Changing: changing,
-			})
-		}
-	}
-	return t
-}
--- a/gateway/coordinator/store.go
+++ b/gateway/coordinator/store.go
@@ -1,6 +1,6 @@
 // Package coordinator implements the leader of a fleet of gateway nodes. It stores the
 // replicated configuration, receives the announcements of upstreams and the reports of nodes,
-// allocates request tokens, and replaces failed primaries.
+// limits teams, and replaces failed primaries.
 package coordinator
 
 import (
--- /dev/null
+++ b/gateway/coordinator/topology.go
@@ -0,0 +1,65 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+)
+
+// topologyAnswerTime is how long the leader waits for the topology of one node before it asks
+// another.
+const topologyAnswerTime = 500 * time.Millisecond
+
+// lacksTopology reports whether a node has a topology of an earlier leader that is newer than the
+// adopted one and is to be asked for it. One node is asked at a time: after a change of leader
+// hundreds of nodes have the same one.
+func (l *Leader) lacksTopology(now time.Duration, revision uint64) bool {
+	if revision <= l.adoptedRevision || revision >= l.term*revisionsPerTerm || now-l.topologyAskedAt < topologyAnswerTime {
+		return false
+	}
+	l.topologyAskedAt = now
+	return true
+}
+
+// adoptTopology adds the primaries and upstreams of an earlier leader's topology.
+func (l *Leader) adoptTopology(now time.Duration, t *controlpb.Topology) {
+	if t == nil {
+		return
+	}
+	for _, p := range t.Primaries {
+		l.groupOf(now, p.Service).machine.Adopt(now, p.Upstream, p.Term)
+	}
+	if l.registry.AddUnconfirmed(now, t) {
+		l.topologyChanged = true
+	}
+	l.adoptedRevision = max(l.adoptedRevision, t.Revision)
+}
+
+// currentTopology returns the topology, which must not be modified. All nodes get the same one of
+// each revision, because reports name primaries by their position in it.
+func (l *Leader) currentTopology() *controlpb.Topology {
+	if l.topology.GetRevision() != l.registry.Revision() {
+		l.topology = l.newTopology()
+		l.sentPrimaries.add(l.topology.Revision, l.topology.Primaries)
+	}
+	return l.topology
+}
+
+func (l *Leader) newTopology() *controlpb.Topology {
+	t := &controlpb.Topology{Revision: l.registry.Revision()}
+	for _, u := range l.registry.Live() {
+		t.Upstreams = append(t.Upstreams, &controlpb.TopologyUpstream{
+			Id: u.ID, Service: u.Service, Address: u.Address, Place: u.Place, Slots: u.Slots, Draining: u.Draining,
+		})
+	}
+	for _, service := range slices.Sorted(maps.Keys(l.groups)) {
+		if id, term, changing := l.groups[service].machine.Primary(); id != "" {
+			t.Primaries = append(t.Primaries, &controlpb.TopologyPrimary{
+				Service: service, Upstream: id, Term: term, Changing: changing,
+			})
+		}
+	}
+	return t
+}
