Bound what a node admits of a team after the newest answer

Change: after the newest answer a node admits 8 requests of a team and 1.5 times the rate at which it admitted them before, or its equal part of the rate. A new leader assumes half of the burst in the bucket of a team that was not limited, three quarters before.

TestOneNodeKeepsTheLimitsByItself now has an answer between requests, so that it still tests the node's own bucket; TestUseSinceTheNewestAnswerIsBounded is new.

--- a/policy/throttle/gate.go
+++ b/policy/throttle/gate.go
@@ -13,6 +13,11 @@
 	// answerTTL is how long a node goes on with the newest fractions while no leader answers:
 	// an election and the return of all nodes.
 	answerTTL = 3300 * time.Millisecond
+	// unansweredBase and unansweredFactor limit what a node admits of a team after the newest
+	// answer: so many requests, and so many times the rate at which it admitted them before, or
+	// its equal part of the team's rate if that is more.
+	unansweredBase   = 8.0
+	unansweredFactor = 1.5
 	// urgentRequests is the number of unreported requests of a team that make a report urgent.
 	urgentRequests = 4
 	// minReportInterval is the least time between a report and an urgent one.
@@ -39,7 +44,8 @@
 	Limited
 	// LimitedHere: the team uses more than its rate and burst on this node alone.
 	LimitedHere
-	// NoLeader: no leader has answered for so long that the limits are not known.
+	// NoLeader: no leader has answered for so long that the limits are not known, or the team
+	// has used much more than before since the newest answer.
 	NoLeader
 )
 
@@ -64,6 +70,8 @@
 	reportedAt                time.Duration
 	urgentAt                  time.Duration
 	reportInterval            time.Duration
+	// nodes is the number of nodes that report to the leader.
+	nodes int
 }
 
 // localTeam is a node's state of a team.
@@ -73,6 +81,11 @@
 	// total counts since the stream started; reported is what of it the newest report
 	// contained and answered what a leader has certainly heard.
 	total, reported, answered counts
+	// admittedRate is the rate of admitted requests up to the answer at answeredAt, unanswered
+	// their number since.
+	admittedRate decayingRate
+	answeredAt   time.Duration
+	unanswered   float64
 }
 
 // NewGate returns a Gate that admits nothing before a leader has answered. It calls
@@ -80,7 +93,7 @@
 func NewGate(requestReport func()) *Gate {
 	return &Gate{
 		requestReport: requestReport, draw: rand.Uint32N,
-		teams: map[string]*localTeam{}, urgentAt: never, reportInterval: minReportInterval,
+		teams: map[string]*localTeam{}, urgentAt: never, reportInterval: minReportInterval, nodes: 1,
 	}
 }
 
@@ -111,11 +124,30 @@
 	if t.level < 1 {
 		return LimitedHere
 	}
+	if !g.recordAdmission(now, t) {
+		return NoLeader
+	}
 	t.charge(1, maxLocalDebt)
 	t.total.admitted++
 	return Admitted
 }
 
+// recordAdmission records the admission of a request. It returns false if the node may admit no
+// more of the team before the next answer: until then the leader cannot see that the team uses
+// more than before, and only withholds from the others what this node used to admit.
+func (g *Gate) recordAdmission(now time.Duration, t *localTeam) bool {
+	if t.answeredAt != g.answeredAt {
+		t.admittedRate = t.admittedRate.add(g.answeredAt, t.unanswered)
+		t.answeredAt, t.unanswered = g.answeredAt, 0
+	}
+	rate := max(unansweredFactor*t.admittedRate.value(g.answeredAt), t.rate/float64(g.nodes))
+	if t.unanswered >= unansweredBase+rate*(now-g.answeredAt).Seconds() {
+		return false
+	}
+	t.unanswered++
+	return true
+}
+
 // team returns a team's state and adds the team at its first request. The caller holds mu.
 func (g *Gate) team(now time.Duration, name string, rate, burst float64) *localTeam {
 	t := g.teams[name]
@@ -230,6 +262,7 @@
 func (g *Gate) SetFleetSize(nodes int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.nodes = max(1, nodes)
 	g.reportInterval = max(minReportInterval, min(maxReportInterval, time.Duration(nodes)*reportSpacing))
 }
 
--- a/policy/throttle/limiter.go
+++ b/policy/throttle/limiter.go
@@ -23,7 +23,7 @@
 	correctionTime = time.Second
 	// initialFill is the fraction of the burst in the bucket of a team that a new leader does
 	// not know to be limited.
-	initialFill = 0.75
+	initialFill = 0.5
 	// leaderlessTime is the shortest time between the last answer of one leader and the start
 	// of the next. Its refill covers use that was reported to neither.
 	leaderlessTime = 600 * time.Millisecond
--- a/policy/throttle/throttle_test.go
+++ b/policy/throttle/throttle_test.go
@@ -264,6 +264,9 @@
 		if g.Admit(now, "a", 10, 20) == Admitted {
 			admitted++
 		}
+		// The leader answers, and has not seen the use of other nodes yet.
+		now++
+		g.RecordAnswer(now, true)
 	}
 	if admitted != 20 {
 		t.Errorf("%d of 50 requests were admitted at once, the burst is 20", admitted)
@@ -277,6 +280,42 @@
 	}
 }
 
+// Load pattern: a team suddenly uses many times its rate while a node is cut off. Guards against a
+// node that admits a burst of its own which the leader cannot see, and against one that refuses
+// what it used to admit.
+func TestUseSinceTheNewestAnswerIsBounded(t *testing.T) {
+	const usual = 20
+	g := NewGate(func() {})
+	g.SetFleetSize(300)
+	now := time.Hour
+	g.RecordAnswer(now, true)
+	for range 10 {
+		for range usual / 4 {
+			if v := g.Admit(now, "a", 1000, 1000); v != Admitted {
+				t.Fatalf("a usual request: %s", v)
+			}
+		}
+		now += reportPeriod
+		g.Report(now)
+		g.RecordAnswer(now, true)
+	}
+	admitted := 0
+	for range 500 {
+		now += 4 * time.Millisecond
+		if g.Admit(now, "a", 1000, 1000) == Admitted {
+			admitted++
+		}
+	}
+	// In 2 s, at least what it used to and at most twice as much beside the base.
+	if most := int(unansweredBase) + 2*2*usual; admitted < 2*usual || admitted > most {
+		t.Errorf("%d requests were admitted in 2 s without an answer, used to %d/s; the most is %d", admitted, usual, most)
+	}
+	g.RecordAnswer(now, true)
+	if v := g.Admit(now, "a", 1000, 1000); v != Admitted {
+		t.Errorf("after an answer: %s", v)
+	}
+}
+
 // Guards against use that is lost when a stream ends before the leader has answered, and against
 // use that is charged twice although it has.
 func TestUnansweredUseIsReportedAgain(t *testing.T) {
