--- a/gateway/controlclient/connect.go
+++ b/gateway/controlclient/connect.go
@@ -27,11 +27,13 @@
 		if address == "" {
 			address = c.nextAddress()
 		}
+		metricStreamAttempts.Inc()
 		updates, err := c.runStream(ctx, address)
 		if errors.Is(err, errLeft) {
 			return
 		}
 		if updates > 0 {
+			metricLeaderLosses.Inc()
 			c.opts.Log.WithError(err).WithFields(logrus.Fields{
 				"event": "leader_lost", "leader": address,
 				"serves_for_ms": (time.Duration(c.leaseUntil.Load()) - clock.Now()).Milliseconds(),
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -268,6 +268,7 @@
 		s.cancel()
 	}
 	l.streams, l.streamOf = nil, nil
+	metricConnectedNodes.Set(0)
 	// The next leader needs the connections that are reserved for the leader.
 	l.config.Upstreams.CloseIdleConnections()
 	l.log.WithFields(logrus.Fields{"event": "leadership_lost", "term": l.term}).Warn("no longer leader of the fleet")
@@ -301,6 +302,7 @@
 		return
 	}
 	now := clock.Now()
+	metricConnectedNodes.Set(float64(len(l.streams)))
 	l.limiter.Step(now)
 	l.pushFalls(now)
 	changed := l.registry.Expire(now)
--- a/gateway/coordinator/metrics.go
+++ b/gateway/coordinator/metrics.go
@@ -3,15 +3,34 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/gateway/failover"
 )
 
 var (
 	metricProbeFailures     = metrics.NewCounter("jayloom_gateway_probe_failures_total")
 	metricMembershipChanges = metrics.NewCounter("jayloom_gateway_membership_changes_total")
+	// The following are those of the leader; a process that does not lead reports no node.
+	metricConnectedNodes   = metrics.NewGauge("jayloom_gateway_connected_nodes", nil)
+	metricReports          = metrics.NewCounter("jayloom_gateway_reports_total")
+	metricUpdates          = metrics.NewCounter("jayloom_gateway_updates_total")
+	metricTopologiesSent   = metrics.NewCounter("jayloom_gateway_topologies_sent_total")
+	metricConfigurations   = metrics.NewCounter("jayloom_gateway_configurations_sent_total")
+	metricSlowNodesDropped = metrics.NewCounter("jayloom_gateway_slow_nodes_dropped_total")
 )
 
 // countPromotion counts an ordered promotion by its reason.
 func countPromotion(reason failover.Reason) {
 	metrics.GetOrCreateCounter(`jayloom_gateway_promotions_total{reason="` + string(reason) + `"}`).Inc()
 }
+
+// countUpdate counts an update to a node and its large parts.
+func countUpdate(u *controlpb.NodeUpdate) {
+	metricUpdates.Inc()
+	if u.Topology != nil {
+		metricTopologiesSent.Inc()
+	}
+	if u.Catalog != nil {
+		metricConfigurations.Inc()
+	}
+}
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -73,6 +73,7 @@
 		s.cancel()
 		return
 	}
+	metricReports.Inc()
 	now := clock.Now()
 	if s.ended {
 		return
@@ -242,9 +243,11 @@
 // enqueue queues an update for sending. If the queue is full because the node does not read,
 // the stream is ended and the node reconnects.
 func (l *Leader) enqueue(s *nodeStream, u *controlpb.NodeUpdate) {
+	countUpdate(u)
 	select {
 	case s.updates <- u:
 	default:
+		metricSlowNodesDropped.Inc()
 		s.cancel()
 	}
 }
