--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -117,6 +118,9 @@
 	return lost > 0
 }
 
+// slowCall is how long a call to a slow infrastructure takes.
+const slowCall = 800 * time.Millisecond
+
 // drainOutage replaces the primary while the infrastructure is down. DRAIN: a request reaches a server
 // later than drain_ms after a node acknowledged that it is draining.
 func drainOutage(w *world, trouble bool) (bool, error) {
@@ -127,7 +131,13 @@
 	g := w.group
 	l := w.startLoad("intake", 12, 20*time.Millisecond)
 	time.Sleep(2 * time.Second)
-	if trouble {
+	// With INFRA=slow, the infrastructure is up and takes slowCall for each call.
+	slow := os.Getenv("INFRA") == "slow"
+	switch {
+	case trouble && slow:
+		w.infra.setLatency(slowCall)
+		w.rec.note("the infrastructure takes %v for a call", slowCall)
+	case trouble:
 		w.infra.stop()
 		w.rec.note("the infrastructure is down")
 	}
@@ -141,7 +151,7 @@
 		return false, fmt.Errorf("draining was not acknowledged")
 	}
 	time.Sleep(drainTime + 3*time.Second + 500*time.Millisecond)
-	if trouble {
+	if trouble && !slow {
 		if err := w.infra.start(); err != nil {
 			return false, err
 		}
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -195,7 +195,8 @@
 	mu      sync.Mutex
 	server  *http.Server
 	fence   uint64
-	orders  int
+	// latency is how long a call takes. Its fence is checked again when it is carried out.
+	latency time.Duration
 }
 
 func (i *infrastructure) start() error {
@@ -229,12 +230,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	i.mu.Lock()
-	accepted := fence >= i.fence
-	if accepted {
-		i.fence = fence
+	accepted, latency := i.see(fence)
+	if latency > 0 {
+		time.Sleep(latency)
+		accepted, _ = i.see(fence)
 	}
-	i.mu.Unlock()
 	i.rec.note("promote server=%s holder=%s fence=%d accepted=%v", body.ID, r.Header.Get("Duty-Holder"), fence, accepted)
 	if !accepted || !i.group.running(body.ID) {
 		w.WriteHeader(http.StatusConflict)
@@ -243,6 +243,21 @@
 	time.AfterFunc(i.group.promoteAfter, func() { i.group.promote(body.ID) })
 }
 
+// see records a fence and reports whether it is not lower than one seen before.
+func (i *infrastructure) see(fence uint64) (accepted bool, latency time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	accepted = fence >= i.fence
+	i.fence = max(i.fence, fence)
+	return accepted, i.latency
+}
+
+func (i *infrastructure) setLatency(d time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.latency = d
+}
+
 func (g *group) running(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
