--- a/review/harness/database.go
+++ b/review/harness/database.go
@@ -60,7 +60,6 @@
 	receive   time.Duration
 	up        bool
 	draining  bool
-	left      bool
 	log       []entry
 	paused    uint64
 	busy      int
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -14,7 +14,6 @@
 	file  *os.File
 	out   *bufio.Writer
 	start time.Time
-	echo  bool
 }
 
 func newRecord(path string) (*record, error) {
