--- a/review/harness/load.go
+++ b/review/harness/load.go
@@ -17,12 +17,13 @@
 	// acknowledged are the identities of the acknowledged writes; unclear counts the writes without
 	// an answer or with one that promises nothing.
 	acknowledged map[string]time.Time
+	unclearIDs   map[string]bool
 	unclear      int
 	refused      int
 }
 
 func (w *world) startLoad(database string, sessions int, pause time.Duration) *load {
-	l := &load{w: w, stop: make(chan struct{}), acknowledged: map[string]time.Time{}}
+	l := &load{w: w, stop: make(chan struct{}), acknowledged: map[string]time.Time{}, unclearIDs: map[string]bool{}}
 	for i := range sessions {
 		l.wg.Go(func() { l.run(database, i, pause) })
 	}
@@ -72,6 +73,7 @@
 		l.acknowledged[a.id] = time.Now()
 	case a.err != nil || len(a.code) >= 6 && a.code[:6] == "UNSURE":
 		l.unclear++
+		l.unclearIDs[a.id] = true
 	default:
 		l.refused++
 	}
