Log what a stop cuts: the request, its phase and when it was received

'drained' said only how many connections were closed; an idle open transaction and a cut request looked the same, and no line named the request. No change of behaviour.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -333,6 +333,8 @@
 // statements are sent in the same write as st; their replies are discarded. Without a reply
 // to st, it returns the result of the attempt instead.
 func (s *Session) exchange(op *operation, c *upstreamConn, deadline time.Time, st Statement, extra ...Statement) (Reply, *attemptResult) {
+	s.setPhase(PhaseUpstream)
+	defer s.setPhase(PhaseWaiting)
 	alignment := c.alignValues(s.values)
 	if len(alignment) > 0 {
 		replies, err := c.roundTrip(deadline, alignment...)
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,6 +37,9 @@
 	// newestCommits holds the position of the session's newest commit for each service.
 	newestCommits map[string]position.Position
 	tx            *transaction
+
+	// phase holds the Phase of the current statement.
+	phase atomic.Uint32
 }
 
 // OpenSession begins a session for a caller of a database, or refuses it.
@@ -136,7 +140,9 @@
 // Handle runs one statement.
 func (s *Session) Handle(ctx context.Context, st Statement) Answer {
 	started := clock.Now()
+	s.setPhase(PhaseWaiting)
 	a := s.dispatch(ctx, st)
+	s.setPhase(PhaseAnswered)
 	a.State = s.State()
 	if a.Refusal != nil {
 		a.Refusal.Elapsed = clock.Now() - started
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/base/guard"
 	"github.com/jayloom/jayloom/gateway/engine"
 )
@@ -83,6 +84,10 @@
 	session *engine.Session
 	// waiting is true while no statement of the caller runs.
 	waiting atomic.Bool
+	// inTransaction is true while the session has an open transaction and waits for its next
+	// statement.
+	inTransaction atomic.Bool
+	current       currentRequest
 }
 
 // New returns a Server.
@@ -177,26 +182,46 @@
 // serveStatement reads and runs one statement. It returns false when the session has ended.
 func (c *callerConn) serveStatement(ctx context.Context) bool {
 	st, err := c.nextStatement()
-	answer := engine.Answer{}
-	switch {
-	case errors.Is(err, ErrMalformed), errors.Is(err, ErrTooLarge):
-		answer = c.session.Reject(st.ID, errors.Is(err, ErrTooLarge))
-	case err != nil:
+	if err != nil && !isAnswerable(err) {
 		return false
-	default:
-		answer = c.session.Handle(ctx, st)
 	}
+	c.current.begin(st, c.session.State() != engine.Idle)
+	defer c.current.end()
+	answer := c.answer(ctx, st, err)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := c.codec.WriteAnswer(answer); err != nil {
+		c.recordUnsentAnswer(st, err)
 		return false
 	}
 	return !answer.Close
 }
 
+// isAnswerable reports whether a message that could not be read gets an answer.
+func isAnswerable(err error) bool {
+	return errors.Is(err, ErrMalformed) || errors.Is(err, ErrTooLarge)
+}
+
+// answer runs a statement, or rejects one that could not be read because of err.
+func (c *callerConn) answer(ctx context.Context, st engine.Statement, err error) engine.Answer {
+	if err != nil {
+		return c.session.Reject(st.ID, errors.Is(err, ErrTooLarge))
+	}
+	return c.session.Handle(ctx, st)
+}
+
+// recordUnsentAnswer counts and logs an answer that did not reach the caller.
+func (c *callerConn) recordUnsentAnswer(st engine.Statement, err error) {
+	metricUnsentAnswers.Inc()
+	c.server.opts.Log.WithError(err).WithFields(logrus.Fields{
+		"event": "answer_unsent", "id": st.ID, "statement": st.Kind.String(),
+	}).Info("answer could not be sent to the caller")
+}
+
 // nextStatement reads the next statement. If the server is draining, it ends an idle session
 // instead of waiting.
 func (c *callerConn) nextStatement() (engine.Statement, error) {
 	for {
+		c.inTransaction.Store(c.session.State() != engine.Idle)
 		c.waiting.Store(true)
 		if err := c.setReadDeadline(); err != nil {
 			return engine.Statement{}, err
@@ -259,6 +284,29 @@
 	}
 }
 
+// recordCuts counts and logs what a stop that began at stoppedAt is about to cut: statements
+// without an answer, and open transactions. It returns the number of statements.
+func (s *Server) recordCuts(stoppedAt time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	cut := 0
+	for c := range s.callers {
+		r, running := c.current.get()
+		switch {
+		case running:
+			cut++
+			phase := c.session.Phase()
+			countCutRequest(phase)
+			s.opts.Log.WithField("event", "request_cut").WithFields(r.fields(now, stoppedAt, phase)).
+				Warn("connection closed before the request was answered")
+		case c.inTransaction.Load():
+			metricCutTransactions.Inc()
+		}
+	}
+	return cut
+}
+
 // Wait returns when all sessions have ended or ctx is done.
 func (s *Server) Wait(ctx context.Context) {
 	done := make(chan struct{})
--- a/gateway/server/shutdown.go
+++ b/gateway/server/shutdown.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/jayloom/jayloom/base/clock"
 )
 
 const (
@@ -25,6 +27,9 @@
 // become idle. It returns when all have ended, or when the grace period is nearly over.
 func (s *Server) Shutdown(ctx context.Context, l net.Listener, grace time.Duration) {
 	started := time.Now()
+	stoppedAt := clock.Now()
+	s.opts.Log.WithFields(logrus.Fields{"event": "draining", "callers": s.CallerCount(), "grace_ms": grace.Milliseconds()}).
+		Info("stop has begun")
 	sleep(ctx, min(balancerDelay, time.Duration(transactionGraceFraction*float64(grace))))
 	_ = l.Close()
 	end := started.Add(max(0, grace-exitReserve))
@@ -33,9 +38,10 @@
 		sleep(ctx, drainPollInterval)
 	}
 	cut := s.CallerCount()
+	cutRequests := s.recordCuts(stoppedAt)
 	s.CloseAll()
 	s.opts.Log.WithFields(logrus.Fields{
-		"event": "drained", "cut": cut, "took_ms": time.Since(started).Milliseconds(),
+		"event": "drained", "cut": cut, "cut_requests": cutRequests, "took_ms": time.Since(started).Milliseconds(),
 	}).Info("sessions ended")
 }
 
