Show that a stop cuts statements that were passed on

TestStopDeliversAnswersUntilTheLastSixth: read EOF, want 'D' (H1: due at 2.4 s, cut at 1.8 s) TestStopRefusesStatementsThatMayOutliveIt: read EOF, want 'E' (H2: passed on at 1.65 s, cut at 1.8 s) TestStopAnswersUnfinishedStatements: read EOF, want 'E' TestStopEndsWaitsForConnections: read EOF, want 'E' (H3)

--- a/gateway/server/server_test.go
+++ b/gateway/server/server_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -59,20 +61,27 @@
 	return err
 }
 
+// testMaxConnections is the number of upstream connections of a test server.
+const testMaxConnections = 9
+
 // blockingDialer connects to a fake upstream that blocks the statements of callers: it
 // signals the start of each on started, and answers when release allows it.
 type blockingDialer struct{ started, release chan struct{} }
 
 func (d blockingDialer) Dial(context.Context, engine.Target, string) (engine.Conn, position.Position, error) {
-	return &blockingConn{blockingDialer: d}, position.Position{Term: 1, Number: 1}, nil
+	return &blockingConn{blockingDialer: d, interrupted: make(chan struct{})}, position.Position{Term: 1, Number: 1}, nil
 }
 
 type blockingConn struct {
 	blockingDialer
-	queued []engine.Statement
-	tx     bool
+	queued      []engine.Statement
+	tx          bool
+	interrupt   sync.Once
+	interrupted chan struct{}
 }
 
+func (c *blockingConn) Interrupt() { c.interrupt.Do(func() { close(c.interrupted) }) }
+
 func (c *blockingConn) Send(_ time.Time, s ...engine.Statement) error {
 	c.queued = append(c.queued, s...)
 	return nil
@@ -84,7 +93,11 @@
 	c.tx = st.Kind == engine.Begin || (c.tx && st.Kind == engine.Read)
 	if st.ID != "" {
 		c.started <- struct{}{}
-		<-c.release
+		select {
+		case <-c.release:
+		case <-c.interrupted:
+			return engine.Reply{}, os.ErrDeadlineExceeded
+		}
 	}
 	r := engine.Reply{Digest: "d", Position: position.Position{Term: 1, Number: 1}}
 	if c.tx {
@@ -104,7 +117,7 @@
 // upstream.
 func newTestServer(t *testing.T, maxCallers int) (*Server, net.Listener, blockingDialer) {
 	c, refused := catalog.New(&controlpb.Catalog{
-		Version: 1, Services: []*controlpb.CatalogService{{Name: "wax", MaxConnections: 9}},
+		Version: 1, Services: []*controlpb.CatalogService{{Name: "wax", MaxConnections: testMaxConnections}},
 		Routes: []*controlpb.CatalogRoute{{Database: "lots", Service: "wax", StatementTimeoutMs: 60000, LatencyObjectiveMs: 60000, Public: true}},
 	})
 	if refused != nil {
--- /dev/null
+++ b/gateway/server/shutdown_test.go
@@ -0,0 +1,152 @@
+package server
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// testGrace is the grace period of the stops in these tests.
+const testGrace = 3 * time.Second
+
+// testUsableConnections is the number of upstream connections of a test server that callers can
+// use; one is reserved for probes.
+const testUsableConnections = testMaxConnections - 1
+
+// startStop begins a stop of the server and returns a channel that is closed when it is over,
+// and the time of its beginning.
+func startStop(s *Server, l net.Listener) (stopped chan struct{}, begun time.Time) {
+	stopped = make(chan struct{})
+	begun = time.Now()
+	go func() {
+		defer close(stopped)
+		s.Shutdown(context.Background(), l, testGrace)
+	}()
+	return stopped, begun
+}
+
+// sleepUntil sleeps until a fraction of the grace period has passed since begun.
+func sleepUntil(begun time.Time, fraction float64) {
+	time.Sleep(time.Until(begun.Add(time.Duration(fraction * float64(testGrace)))))
+}
+
+// expectStarted waits until the upstream has received a statement.
+func expectStarted(t *testing.T, g blockingDialer) {
+	t.Helper()
+	select {
+	case <-g.started:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the upstream received no statement")
+	}
+}
+
+// openTransaction connects a caller that has begun a transaction and run one statement in it.
+func openTransaction(t *testing.T, l net.Listener, g blockingDialer) net.Conn {
+	t.Helper()
+	c := connect(t, l)
+	expectByte(t, c, 'W')
+	sendByte(t, c, 'b')
+	expectByte(t, c, 'D')
+	sendByte(t, c, 'r')
+	expectStarted(t, g)
+	g.release <- struct{}{}
+	expectByte(t, c, 'D')
+	return c
+}
+
+// Guards against a stop that closes connections while more than a sixth of the grace period is
+// left, and so cuts answers that are due before.
+func TestStopDeliversAnswersUntilTheLastSixth(t *testing.T) {
+	s, l, g := newTestServer(t, 0)
+	c := connect(t, l)
+	expectByte(t, c, 'W')
+	stopped, begun := startStop(s, l)
+	sendByte(t, c, 'r')
+	expectStarted(t, g)
+	sleepUntil(begun, 0.8)
+	g.release <- struct{}{}
+	expectByte(t, c, 'D')
+	<-stopped
+}
+
+// Guards against a stop that passes on a statement of an open transaction although its answer
+// may come after the connections are closed.
+func TestStopRefusesStatementsThatMayOutliveIt(t *testing.T) {
+	s, l, g := newTestServer(t, 0)
+	statement, commit := openTransaction(t, l, g), openTransaction(t, l, g)
+	stopped, begun := startStop(s, l)
+	sleepUntil(begun, 0.55)
+	sendByte(t, statement, 'r')
+	expectByte(t, statement, 'E')
+	sendByte(t, commit, 'c')
+	expectByte(t, commit, 'E')
+	select {
+	case <-g.started:
+		t.Error("a statement was passed on")
+	default:
+	}
+	<-stopped
+}
+
+// Guards against a stop that closes the connection of a statement without an answer: a statement
+// that its upstream does not answer in time is answered as unsure.
+func TestStopAnswersUnfinishedStatements(t *testing.T) {
+	s, l, g := newTestServer(t, 0)
+	single, transaction := connect(t, l), openTransaction(t, l, g)
+	expectByte(t, single, 'W')
+	stopped, _ := startStop(s, l)
+	for _, c := range []net.Conn{single, transaction} {
+		sendByte(t, c, 'r')
+		expectStarted(t, g)
+	}
+	for _, c := range []net.Conn{single, transaction} {
+		expectByte(t, c, 'E')
+	}
+	<-stopped
+}
+
+// Guards against a statement that waits for a connection when the stop ends, and that is sent to
+// the upstream after its caller was disconnected.
+func TestStopEndsWaitsForConnections(t *testing.T) {
+	s, l, g := newTestServer(t, 0)
+	var callers []net.Conn
+	for range testUsableConnections + 1 {
+		c := connect(t, l)
+		expectByte(t, c, 'W')
+		callers = append(callers, c)
+	}
+	stopped, _ := startStop(s, l)
+	for _, c := range callers[:testUsableConnections] {
+		sendByte(t, c, 'r')
+		expectStarted(t, g)
+	}
+	waiting := callers[testUsableConnections]
+	sendByte(t, waiting, 'r')
+	expectByte(t, waiting, 'E')
+	<-stopped
+	select {
+	case <-g.started:
+		t.Error("the waiting statement was passed on")
+	default:
+	}
+}
+
+// Guards against a stop that takes longer than the grace period although an upstream never
+// answers.
+func TestStopEndsWithinTheGracePeriod(t *testing.T) {
+	s, l, g := newTestServer(t, 0)
+	c := connect(t, l)
+	expectByte(t, c, 'W')
+	stopped, begun := startStop(s, l)
+	sendByte(t, c, 'r')
+	expectStarted(t, g)
+	<-stopped
+	if took := time.Since(begun); took >= testGrace {
+		t.Errorf("the stop took %s", took)
+	}
+	if _, err := io.ReadAll(c); err != nil {
+		t.Errorf("the connection ended with %v", err)
+	}
+}
