End a stop at answers instead of at a time

What callers saw: around a SIGTERM the connection ended without an answer to a statement that a server had run.

Cause: the stop closed all connections 1.2 s before the end of the grace period, whatever ran on them (H1). Open transactions could send statements until that moment, and nothing compared the time that a statement may take with the time that was left (H2). Nothing ended the waits of statements in queues, so that some were sent to a server after their caller was disconnected (H3).

Now a plan (gateway/stop, without clock and I/O) divides the grace period. A node that the load balancer has left begins nothing new. In the second half of the grace period a transaction may send what is answered or timed out before statements are given up; the rest is refused at once with the promise that nothing is kept. At 11/12 of the grace period, behind the start of its last sixth, waits and round trips are interrupted, so that each statement gets an answer of its own: not run, aborted, or unsure. Sessions end behind that answer, and connections are closed by force only where a caller does not read. An interrupted statement says nothing about its upstream and is not counted as its failure.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -53,6 +53,12 @@
 	return result.answer.Refusal.Upstream
 }
 
+// interrupted reports whether the stop of the node ended the attempt, which says nothing about
+// the upstream.
+func (result attemptResult) interrupted() bool {
+	return result.answer.Refusal != nil && result.answer.Refusal.Reason == reasonStopping
+}
+
 // shouldRetry reports whether attempt n+1 may help the caller. Retries after a busy or full
 // upstream are few, because many of them would keep it overloaded.
 func (result attemptResult) shouldRetry(n int) bool {
@@ -76,18 +82,18 @@
 
 // write runs a write outside a transaction on the primary.
 func (s *Session) write(ctx context.Context, op *operation, st Statement) Answer {
-	return s.runWithRetries(op, st, func(int) attemptResult {
-		p, refusal := s.engine.primary(op)
+	return s.runWithRetries(ctx, op, st, func(int) attemptResult {
+		p, refusal := s.engine.primary(ctx, op)
 		if refusal != nil {
 			return finalResult(Answer{Refusal: refusal})
 		}
-		return s.withConn(ctx, op, p, op.deadline, func(c *upstreamConn) attemptResult { return s.writeOn(op, c, st) })
+		return s.withConn(ctx, op, p, op.deadline, func(c *upstreamConn) attemptResult { return s.writeOn(ctx, op, c, st) })
 	})
 }
 
-func (s *Session) writeOn(op *operation, c *upstreamConn, st Statement) attemptResult {
+func (s *Session) writeOn(ctx context.Context, op *operation, c *upstreamConn, st Statement) attemptResult {
 	at := clock.Now()
-	reply, result := s.exchange(op, c, op.deadline, st)
+	reply, result := s.exchange(ctx, op, c, op.deadline, st)
 	if result != nil {
 		return *result
 	}
@@ -139,20 +145,20 @@
 // readPrimary runs a read that must see every commit. It wraps the read in a transaction,
 // because a replaced primary refuses to begin transactions but still answers plain reads.
 func (s *Session) readPrimary(ctx context.Context, op *operation, st Statement) Answer {
-	return s.runWithRetries(op, st, func(int) attemptResult {
-		p, refusal := s.engine.primary(op)
+	return s.runWithRetries(ctx, op, st, func(int) attemptResult {
+		p, refusal := s.engine.primary(ctx, op)
 		if refusal != nil {
 			return finalResult(Answer{Refusal: refusal})
 		}
 		countRead("primary")
-		return s.withConn(ctx, op, p, op.deadline, func(c *upstreamConn) attemptResult { return s.readPrimaryOn(op, c, st) })
+		return s.withConn(ctx, op, p, op.deadline, func(c *upstreamConn) attemptResult { return s.readPrimaryOn(ctx, op, c, st) })
 	})
 }
 
-func (s *Session) readPrimaryOn(op *operation, c *upstreamConn, st Statement) attemptResult {
+func (s *Session) readPrimaryOn(ctx context.Context, op *operation, c *upstreamConn, st Statement) attemptResult {
 	deadline := op.deadline
 	at := clock.Now()
-	begun, result := s.exchange(op, c, deadline, Statement{Kind: Begin})
+	begun, result := s.exchange(ctx, op, c, deadline, Statement{Kind: Begin})
 	if result != nil {
 		return *result
 	}
@@ -163,7 +169,7 @@
 		return outcomeResult(begun.Outcome)
 	}
 	op.group.recordPosition(at, c.pool.target.ID, begun.Position)
-	reply, result := s.exchange(op, c, deadline, st, Statement{Kind: Rollback})
+	reply, result := s.exchange(ctx, op, c, deadline, st, Statement{Kind: Rollback})
 	if result != nil {
 		return *result
 	}
@@ -177,22 +183,22 @@
 // primary if no upstream is known to be fresh enough.
 func (s *Session) read(ctx context.Context, op *operation, st Statement) Answer {
 	skip := map[string]bool{}
-	return s.runWithRetries(op, st, func(int) attemptResult {
+	return s.runWithRetries(ctx, op, st, func(int) attemptResult {
 		now := clock.Now()
 		p, ok := op.group.planRead(
 			now, op.route.MaxStaleness, s.engine.opts.Place, op.team, s.newestCommits[op.group.service], skip)
 		if !ok {
-			primary, refusal := s.engine.primary(op)
+			primary, refusal := s.engine.primary(ctx, op)
 			if refusal != nil {
 				return finalResult(Answer{Refusal: refusal})
 			}
 			countRead("primary_fallback")
-			return s.withConn(ctx, op, primary, op.deadline, func(c *upstreamConn) attemptResult { return s.readPrimaryOn(op, c, st) })
+			return s.withConn(ctx, op, primary, op.deadline, func(c *upstreamConn) attemptResult { return s.readPrimaryOn(ctx, op, c, st) })
 		}
 		countRead("any")
 		deadline := attemptDeadline(op, p)
 		result := s.withConn(ctx, op, p, deadline, func(c *upstreamConn) attemptResult {
-			return s.readOn(op, c, st, deadline)
+			return s.readOn(ctx, op, c, st, deadline)
 		})
 		if result.retryable && result.retryReason != retryPlanExpired {
 			skip[p.target.ID] = true
@@ -201,7 +207,7 @@
 	})
 }
 
-func (s *Session) readOn(op *operation, c *upstreamConn, st Statement, deadline time.Time) attemptResult {
+func (s *Session) readOn(ctx context.Context, op *operation, c *upstreamConn, st Statement, deadline time.Time) attemptResult {
 	// The minimum position is computed again, because the wait for the connection may have
 	// made the one of the plan too old.
 	minPosition, ok := op.group.minReadPosition(clock.Now(), op.route.MaxStaleness, s.newestCommits[op.group.service])
@@ -209,7 +215,7 @@
 		return retryResult(retryPlanExpired, Refusal{Code: rescode.NoUpstream, Reason: reasonNoReplica, RetryAfter: shortRetryAfter})
 	}
 	st.MinPosition = minPosition
-	reply, result := s.exchange(op, c, deadline, st)
+	reply, result := s.exchange(ctx, op, c, deadline, st)
 	if result != nil {
 		return *result
 	}
@@ -236,7 +242,7 @@
 
 // primary returns the pool of the primary. During a failover it waits up to primaryWait for
 // the new one.
-func (e *Engine) primary(op *operation) (*pool, *Refusal) {
+func (e *Engine) primary(ctx context.Context, op *operation) (*pool, *Refusal) {
 	limit := time.Now().Add(primaryWait)
 	if op.deadline.Before(limit) {
 		limit = op.deadline
@@ -254,6 +260,8 @@
 		}
 		select {
 		case <-changed:
+		case <-ctx.Done():
+			return nil, stoppedWaiting()
 		case <-timer.C:
 			// A primary that is being replaced keeps its role until the change takes effect.
 			if p != nil && p.failingFor(clock.Now()) == 0 {
@@ -271,13 +279,13 @@
 }
 
 // runWithRetries repeats an attempt while its result is retryable and time is left.
-func (s *Session) runWithRetries(op *operation, st Statement, attempt func(n int) attemptResult) Answer {
+func (s *Session) runWithRetries(ctx context.Context, op *operation, st Statement, attempt func(n int) attemptResult) Answer {
 	for n := 1; ; n++ {
 		result := attempt(n)
 		if !result.retryable {
 			return result.answer
 		}
-		if n >= maxAttempts || time.Until(op.deadline) < busyBackoff || !result.shouldRetry(n) {
+		if ctx.Err() != nil || n >= maxAttempts || time.Until(op.deadline) < busyBackoff || !result.shouldRetry(n) {
 			return result.answer
 		}
 		countRetry(result.retryReason)
@@ -294,6 +302,8 @@
 // acquireFailureResult maps a failure to acquire a connection to a retryable result.
 func acquireFailureResult(refusal *Refusal) attemptResult {
 	switch refusal.Reason {
+	case reasonStopping:
+		return finalResult(Answer{Refusal: refusal})
 	case reasonPoolFull, reasonPoolTimeout:
 		return retryResult(retryQueue, *refusal)
 	case reasonUpstreamFull:
@@ -319,9 +329,11 @@
 	if result.answer.Refusal != nil {
 		result.answer.Refusal.Upstream = p.target.ID
 	}
-	if c.broken {
+	switch {
+	case result.interrupted():
+	case c.broken:
 		p.recordNoAnswer(clock.Now() - sentAt)
-	} else {
+	default:
 		p.recordAnswer(clock.Now() - sentAt)
 	}
 	observeSeconds(metricUpstreamSeconds, clock.Now()-sentAt)
@@ -332,14 +344,25 @@
 // those of the caller's session, and prepares the statement if necessary. The extra
 // statements are sent in the same write as st; their replies are discarded. Without a reply
 // to st, it returns the result of the attempt instead.
-func (s *Session) exchange(op *operation, c *upstreamConn, deadline time.Time, st Statement, extra ...Statement) (Reply, *attemptResult) {
+func (s *Session) exchange(ctx context.Context, op *operation, c *upstreamConn, deadline time.Time, st Statement, extra ...Statement) (Reply, *attemptResult) {
+	if refusal := s.engine.refuseRunning(clock.Now()); refusal != nil {
+		// The connection may be inside the caller's transaction.
+		c.broken = true
+		result := finalResult(Answer{Refusal: refusal})
+		return Reply{}, &result
+	}
 	s.setPhase(PhaseUpstream)
 	defer s.setPhase(PhaseWaiting)
+	defer interruptWhenDone(ctx, c)()
 	alignment := c.alignValues(s.values)
 	if len(alignment) > 0 {
 		replies, err := c.roundTrip(deadline, alignment...)
 		if err != nil || !allDone(replies) {
 			c.broken = true
+			if errors.Is(err, ErrInterrupted) {
+				result := finalResult(Answer{Refusal: stoppedWaiting()})
+				return Reply{}, &result
+			}
 			result := retryResult(retryAnswerLost, Refusal{Code: rescode.UpstreamLost, Reason: reasonUpstreamGone, RetryAfter: shortRetryAfter})
 			return Reply{}, &result
 		}
@@ -363,6 +386,12 @@
 	return Reply{}, &result
 }
 
+// interruptWhenDone interrupts the statements on a connection when ctx ends. The returned function
+// ends the watch.
+func interruptWhenDone(ctx context.Context, c *upstreamConn) func() bool {
+	return context.AfterFunc(ctx, c.conn.Interrupt)
+}
+
 func allDone(replies []Reply) bool {
 	for _, r := range replies {
 		if r.Outcome != Done {
@@ -376,7 +405,10 @@
 // retried; a write may have taken effect, so it is not.
 func (s *Session) lostAnswerResult(op *operation, st Statement, err error) attemptResult {
 	code, reason := rescode.AnswerLost, reasonAnswerLost
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, ErrInterrupted):
+		reason = reasonStopping
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		code, reason = rescode.StatementTimeout, reasonTimeout
 	}
 	if s.mayWrite(st) {
--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -10,6 +11,7 @@
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/controlclient"
+	"github.com/jayloom/jayloom/gateway/stop"
 	"github.com/jayloom/jayloom/policy/throttle"
 )
 
@@ -48,6 +50,9 @@
 	opts Options
 	log  *logrus.Entry
 
+	// stop is the plan of a stop once one has begun.
+	stop atomic.Pointer[stop.Plan]
+
 	mu     sync.Mutex
 	groups map[string]*group
 }
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -157,6 +157,7 @@
 
 func (c *fakeConn) Usable() bool { return !c.closed && !c.server.unreachable && len(c.queued) == 0 }
 func (c *fakeConn) Close()       { c.closed = true }
+func (c *fakeConn) Interrupt()   {}
 
 // fakeDialer connects to servers by their identity.
 type fakeDialer map[string]*fakeServer
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -37,6 +37,7 @@
 	reasonLostTransaction Reason = "transaction_lost"
 	reasonIdleTransaction Reason = "transaction_idle"
 	reasonAttempts        Reason = "attempts_used_up"
+	reasonStopping        Reason = "node_stopping"
 )
 
 // retryReason is the reason of a retry. Each has its own counter.
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -96,9 +96,12 @@
 // once if the expected wait is longer than maxWait.
 func (p *pool) acquire(ctx context.Context, team string, deadline time.Time, maxWait time.Duration) (*upstreamConn, *Refusal) {
 	for {
+		if ctx.Err() != nil {
+			return nil, stoppedWaiting()
+		}
 		h, w, refusal := p.acquireOrEnqueue(team, maxWait)
 		if refusal == nil && w != nil {
-			h, refusal = p.await(w, earlierDeadline(deadline, maxWait))
+			h, refusal = p.await(ctx, w, earlierDeadline(deadline, maxWait))
 		}
 		switch {
 		case refusal != nil:
@@ -193,21 +196,24 @@
 	return -1
 }
 
-// await waits until w is served, but no longer than until deadline.
-func (p *pool) await(w *waiter, deadline time.Time) (handover, *Refusal) {
+// await waits until w is served, but no longer than until deadline or the end of ctx.
+func (p *pool) await(ctx context.Context, w *waiter, deadline time.Time) (handover, *Refusal) {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
+	refusal := &Refusal{Code: rescode.QueueTimeout, Reason: reasonPoolTimeout}
 	select {
 	case h := <-w.ready:
 		return h, nil
 	case <-timer.C:
+	case <-ctx.Done():
+		refusal = stoppedWaiting()
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, other := range p.waiters {
 		if other == w {
 			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			return handover{}, &Refusal{Code: rescode.QueueTimeout, Reason: reasonPoolTimeout}
+			return handover{}, refusal
 		}
 	}
 	return <-w.ready, nil
@@ -247,12 +253,12 @@
 }
 
 // dial opens a connection. The caller has acquired the right to do so.
-func (p *pool) dial(ctx context.Context, team string, deadline time.Time) (*upstreamConn, *Refusal) {
+func (p *pool) dial(parent context.Context, team string, deadline time.Time) (*upstreamConn, *Refusal) {
 	limit := time.Now().Add(dialTimeout)
 	if deadline.Before(limit) {
 		limit = deadline
 	}
-	ctx, cancel := context.WithDeadline(ctx, limit)
+	ctx, cancel := context.WithDeadline(parent, limit)
 	defer cancel()
 	conn, pos, err := p.dialer.Dial(ctx, p.target, team)
 	if err == nil {
@@ -269,6 +275,9 @@
 	if errors.As(err, &refused) {
 		return nil, p.recordDialRefusal(refused.Outcome)
 	}
+	if parent.Err() != nil {
+		return nil, stoppedWaiting()
+	}
 	p.recordFailure()
 	return nil, &Refusal{Code: rescode.UpstreamConnectFailed, Reason: reasonDialFailed}
 }
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -45,7 +45,11 @@
 // OpenSession begins a session for a caller of a database, or refuses it.
 func (e *Engine) OpenSession(database, key string) (*Session, *Refusal) {
 	s := &Session{engine: e, database: database, key: key}
-	if _, refusal := s.admit(); refusal != nil {
+	refusal := e.refuseBeginning(clock.Now())
+	if refusal == nil {
+		_, refusal = s.admit()
+	}
+	if refusal != nil {
 		e.recordRefusal("", "open", refusal, nil)
 		return nil, refusal
 	}
@@ -147,12 +151,17 @@
 	if a.Refusal != nil {
 		a.Refusal.Elapsed = clock.Now() - started
 		s.engine.recordRefusal(st.ID, st.Kind.String(), a.Refusal, s)
-		a.Close = a.Refusal.Code == rescode.KeyWithdrawn || a.Refusal.Code == rescode.UnknownService
+		a.Close = endsSession(a.Refusal.Code)
 	}
 	observeSeconds(metricStatementSeconds, clock.Now()-started)
 	return a
 }
 
+// endsSession reports whether a session ends after a refusal.
+func endsSession(code rescode.Code) bool {
+	return code == rescode.KeyWithdrawn || code == rescode.UnknownService || code == rescode.ProxyDraining
+}
+
 // Reject returns the answer to a message that cannot be parsed or is too large.
 func (s *Session) Reject(id string, tooLarge bool) Answer {
 	a := refusalAnswer(rescode.MalformedPacket, reasonBadStatement)
@@ -184,7 +193,7 @@
 	case Commit:
 		return s.commit(ctx, st)
 	case Rollback:
-		return s.rollback()
+		return s.rollback(ctx)
 	case Read, Write, Execute:
 		return s.runStatement(ctx, st)
 	default:
@@ -257,6 +266,9 @@
 
 // admitOperation is like admit, but also counts the operation against the team's limits.
 func (s *Session) admitOperation(st Statement) (*operation, *Refusal) {
+	if refusal := s.engine.refuseBeginning(clock.Now()); refusal != nil {
+		return nil, refusal
+	}
 	op, refusal := s.admit()
 	if refusal != nil {
 		return nil, refusal
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -86,7 +86,7 @@
 		return Answer{Refusal: refusal}
 	}
 	at := clock.Now()
-	reply, result := s.exchange(t.op, t.conn, t.op.deadline, st)
+	reply, result := s.exchange(ctx, t.op, t.conn, t.op.deadline, st)
 	if result != nil {
 		return s.failLostTransaction(result)
 	}
@@ -112,7 +112,7 @@
 	if op.team != s.tx.op.team {
 		return &Refusal{Code: rescode.KeyWithdrawn, Reason: reasonKeyWithdrawn}
 	}
-	return nil
+	return s.engine.refuseContinuing(clock.Now(), s.tx.op.route.StatementTimeout)
 }
 
 // failTransaction ends a transaction after a failed statement. All of it is rolled back, so
@@ -147,7 +147,9 @@
 // upstream rolls it back.
 func (s *Session) failLostTransaction(result *attemptResult) Answer {
 	upstream := s.tx.conn.pool.target.ID
-	s.tx.conn.pool.recordFailure()
+	if !result.interrupted() {
+		s.tx.conn.pool.recordFailure()
+	}
 	s.tx.fail(reasonLostTransaction)
 	reason := reasonLostTransaction
 	if result.answer.Refusal != nil {
@@ -162,7 +164,7 @@
 		return nil
 	}
 	skip := map[string]bool{}
-	answer := s.runWithRetries(s.tx.op, st, func(int) attemptResult { return s.beginOnce(ctx, skip) })
+	answer := s.runWithRetries(ctx, s.tx.op, st, func(int) attemptResult { return s.beginOnce(ctx, skip) })
 	return answer.Refusal
 }
 
@@ -180,7 +182,7 @@
 		}
 	}
 	if p == nil {
-		primary, refusal := s.engine.primary(t.op)
+		primary, refusal := s.engine.primary(ctx, t.op)
 		if refusal != nil {
 			return finalResult(Answer{Refusal: refusal})
 		}
@@ -211,11 +213,13 @@
 		}
 		begin.MinPosition = minPosition
 	}
-	reply, result := s.exchange(t.op, c, attemptDeadline(t.op, p), begin)
+	reply, result := s.exchange(ctx, t.op, c, attemptDeadline(t.op, p), begin)
 	if result != nil || reply.Outcome != Done {
 		p.release(c)
 		if result != nil {
-			p.recordNoAnswer(clock.Now() - at)
+			if !result.interrupted() {
+				p.recordNoAnswer(clock.Now() - at)
+			}
 			return *result
 		}
 		switch reply.Outcome {
@@ -259,22 +263,24 @@
 		t.fail(refusal.Reason)
 		return Answer{Refusal: refusal}
 	}
-	return s.runWithRetries(t.op, st, func(int) attemptResult { return s.commitOnce(st) })
+	return s.runWithRetries(ctx, t.op, st, func(int) attemptResult { return s.commitOnce(ctx, st) })
 }
 
 // commitOnce makes one attempt to commit. Only a commit that the upstream refused as busy,
 // with the transaction still open, is retried.
-func (s *Session) commitOnce(st Statement) attemptResult {
+func (s *Session) commitOnce(ctx context.Context, st Statement) attemptResult {
 	t := s.tx
 	if t.conn == nil {
 		return finalResult(refusalAnswer(rescode.TransactionAborted, reasonLostTransaction))
 	}
 	at := clock.Now()
 	upstream := t.conn.pool.target.ID
-	reply, result := s.exchange(t.op, t.conn, t.op.deadline, st)
+	reply, result := s.exchange(ctx, t.op, t.conn, t.op.deadline, st)
 	switch {
 	case result != nil:
-		t.conn.pool.recordFailure()
+		if !result.interrupted() {
+			t.conn.pool.recordFailure()
+		}
 		t.releaseConn()
 		if result.answer.Refusal != nil {
 			result.answer.Refusal.Upstream = upstream
@@ -299,11 +305,14 @@
 	return outcomeResult(reply.Outcome)
 }
 
-func (s *Session) rollback() Answer {
+func (s *Session) rollback(ctx context.Context) Answer {
 	t := s.tx
 	if t == nil {
 		return refusalAnswer(rescode.MalformedPacket, reasonBadStatement)
 	}
+	if t.conn != nil {
+		defer interruptWhenDone(ctx, t.conn)()
+	}
 	t.rollBack(time.Now().Add(t.op.route.StatementTimeout))
 	s.tx = nil
 	return Answer{}
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jayloom/jayloom/gateway/position"
 )
 
@@ -29,12 +31,17 @@
 	return "the upstream refused the connection: " + r.Outcome.String()
 }
 
-// Conn is a connection to an upstream. It is not safe for concurrent use.
+// ErrInterrupted is returned by a Conn after Interrupt.
+var ErrInterrupted = errors.New("the statement was interrupted")
+
+// Conn is a connection to an upstream. Only Interrupt is safe for concurrent use.
 type Conn interface {
 	// Send sends statements in one write.
 	Send(deadline time.Time, statements ...Statement) error
 	// Receive reads the reply to the oldest statement that has none yet.
 	Receive(deadline time.Time) (Reply, error)
+	// Interrupt ends a running Send or Receive, and all later ones, with ErrInterrupted.
+	Interrupt()
 	// Usable reports whether the connection is open and has no unread input.
 	Usable() bool
 	Close()
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -68,9 +68,11 @@
 
 // Server accepts caller connections and runs their sessions.
 type Server struct {
-	opts     Options
-	draining atomic.Bool
-	running  sync.WaitGroup
+	opts Options
+	// draining is set when idle sessions end, and ending when all sessions do that are not
+	// writing an answer.
+	draining, ending atomic.Bool
+	running          sync.WaitGroup
 
 	mu      sync.Mutex
 	callers map[*callerConn]bool
@@ -82,6 +84,9 @@
 	conn    net.Conn
 	codec   Codec
 	session *engine.Session
+	// giveUp ends the running statement of the session, and all later ones, without the answer
+	// of an upstream.
+	giveUp context.CancelFunc
 	// waiting is true while no statement of the caller runs.
 	waiting atomic.Bool
 	// inTransaction is true while the session has an open transaction and waits for its next
@@ -112,7 +117,8 @@
 }
 
 func (s *Server) accept(ctx context.Context, conn net.Conn) {
-	c := &callerConn{server: s, conn: conn, codec: s.opts.Codec(conn)}
+	ctx, cancel := context.WithCancel(ctx)
+	c := &callerConn{server: s, conn: conn, codec: s.opts.Codec(conn), giveUp: cancel}
 	s.mu.Lock()
 	full := s.opts.MaxCallers > 0 && len(s.callers) >= s.opts.MaxCallers
 	if !full {
@@ -120,11 +126,13 @@
 	}
 	s.mu.Unlock()
 	if full {
+		cancel()
 		c.refuse(&engine.Refusal{Code: rescode.TooManyConnections, Reason: reasonTooManyCallers})
 		_ = conn.Close()
 		return
 	}
 	s.running.Go(func() {
+		defer cancel()
 		defer s.remove(c)
 		defer guard.Recover(s.opts.Log, "caller connection")
 		c.run(ctx)
@@ -245,6 +253,9 @@
 
 // shouldClose reports whether the session is to end now because the server is draining.
 func (c *callerConn) shouldClose() bool {
+	if c.server.ending.Load() {
+		return true
+	}
 	return c.server.draining.Load() && c.session.State() == engine.Idle && !c.codec.Buffered()
 }
 
@@ -268,6 +279,18 @@
 	}
 }
 
+// endSessions gives up the running statements, whose callers get an answer that says so, and ends
+// each session after its current answer.
+func (s *Server) endSessions() {
+	s.ending.Store(true)
+	s.mu.Lock()
+	for c := range s.callers {
+		c.giveUp()
+	}
+	s.mu.Unlock()
+	s.Drain()
+}
+
 // CallerCount returns the number of caller connections.
 func (s *Server) CallerCount() int {
 	s.mu.Lock()
--- a/gateway/server/server_test.go
+++ b/gateway/server/server_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -96,7 +95,7 @@
 		select {
 		case <-c.release:
 		case <-c.interrupted:
-			return engine.Reply{}, os.ErrDeadlineExceeded
+			return engine.Reply{}, engine.ErrInterrupted
 		}
 	}
 	r := engine.Reply{Digest: "d", Position: position.Position{Term: 1, Number: 1}}
--- a/gateway/server/shutdown.go
+++ b/gateway/server/shutdown.go
@@ -8,43 +8,44 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/gateway/stop"
 )
 
-const (
-	// balancerDelay is the time until the load balancer sends no new callers to this node: it
-	// checks every second and stops after two failed checks.
-	balancerDelay = 2300 * time.Millisecond
-	// transactionGraceFraction is the fraction of the grace period that is left for open
-	// transactions.
-	transactionGraceFraction = 0.5
-	// exitReserve is the part of the grace period that is left to end the process.
-	exitReserve = 1200 * time.Millisecond
-	// drainPollInterval is how often sessions that have become idle are ended.
-	drainPollInterval = 50 * time.Millisecond
-)
+// drainPollInterval is how often sessions that have become idle are ended.
+const drainPollInterval = 50 * time.Millisecond
 
 // Shutdown keeps serving until the load balancer has noticed, then ends sessions as they
-// become idle. It returns when all have ended, or when the grace period is nearly over.
+// become idle. Statements that have no answer near the end of the grace period are given up,
+// and their callers are told. Shutdown returns when all sessions have ended, and always within
+// the grace period.
 func (s *Server) Shutdown(ctx context.Context, l net.Listener, grace time.Duration) {
-	started := time.Now()
-	stoppedAt := clock.Now()
+	plan := stop.NewPlan(clock.Now(), grace)
 	s.opts.Log.WithFields(logrus.Fields{"event": "draining", "callers": s.CallerCount(), "grace_ms": grace.Milliseconds()}).
 		Info("stop has begun")
-	sleep(ctx, min(balancerDelay, time.Duration(transactionGraceFraction*float64(grace))))
+	s.opts.Engine.BeginStop(plan)
+	sleep(ctx, plan.ServesUntil-clock.Now())
 	_ = l.Close()
-	end := started.Add(max(0, grace-exitReserve))
-	for time.Now().Before(end) && s.CallerCount() > 0 {
-		s.Drain()
-		sleep(ctx, drainPollInterval)
-	}
+	s.drainUntil(ctx, plan.AnswersUntil)
+	givenUp := s.CallerCount()
+	s.endSessions()
+	s.drainUntil(ctx, plan.ClosesAt)
 	cut := s.CallerCount()
-	cutRequests := s.recordCuts(stoppedAt)
+	cutRequests := s.recordCuts(plan.BeganAt)
 	s.CloseAll()
 	s.opts.Log.WithFields(logrus.Fields{
-		"event": "drained", "cut": cut, "cut_requests": cutRequests, "took_ms": time.Since(started).Milliseconds(),
+		"event": "drained", "given_up": givenUp, "cut": cut, "cut_requests": cutRequests,
+		"took_ms": (clock.Now() - plan.BeganAt).Milliseconds(),
 	}).Info("sessions ended")
 }
 
+// drainUntil ends sessions as they may end, until none is left or the time is end.
+func (s *Server) drainUntil(ctx context.Context, end time.Duration) {
+	for clock.Now() < end && s.CallerCount() > 0 {
+		s.Drain()
+		sleep(ctx, min(drainPollInterval, end-clock.Now()))
+	}
+}
+
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
