Answer accepted calls of operators and upstreams at a stop

They are shut down instead: no new calls, and up to 1 s for the accepted ones, which a call to the leader can't exceed. All of it stays inside the grace period.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -54,6 +54,11 @@
 	// connectAttemptInterval is the time after which the dialer starts another attempt in
 	// parallel while a node does not answer.
 	connectAttemptInterval = 100 * time.Millisecond
+	// callDrainTimeout bounds the wait for the answers of accepted calls at a stop. It is above
+	// the timeout of a call to the leader.
+	callDrainTimeout = time.Second
+	// exitReserve is the part of the grace period that is left to end the process itself.
+	exitReserve = 100 * time.Millisecond
 )
 
 // node is a running gateway node.
@@ -322,14 +327,30 @@
 // shutdown stops accepting callers, waits up to the grace period for running work and
 // leaves the fleet.
 func (n *node) shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.ShutdownGrace-exitReserve)
+	defer cancel()
 	close(n.draining)
 	if n.callerServer != nil {
 		n.callerServer.Shutdown(ctx, n.callerListener, n.settings.ShutdownGrace)
 	}
+	n.drainCalls(ctx)
+	leaveCtx, cancelLeave := context.WithTimeout(ctx, connectTimeout)
+	defer cancelLeave()
+	n.controlClient.Leave(leaveCtx)
+}
+
+// drainCalls accepts no calls of operators, upstreams and the load balancer any more, and waits
+// until those that were accepted are answered.
+func (n *node) drainCalls(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callDrainTimeout)
+	defer cancel()
+	var all sync.WaitGroup
 	for _, s := range n.httpServers {
-		_ = s.Close()
+		all.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				n.log.WithError(err).WithField("event", "calls_cut").Warn("calls were not answered in time")
+			}
+		})
 	}
-	leaveCtx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	n.controlClient.Leave(leaveCtx)
+	all.Wait()
 }
