Keep a message whole that a stop interrupts between two segments

While a node drains, it interrupts the reads of its sessions every 50 ms. If a message was half there, its first part was dropped: the caller of an open transaction got the answer to its second part, which was taken for a statement, and an idle session was closed.

The reader of lines keeps the part that it has, so that an interrupted read goes on where it stopped, and a session with a part of a message is not idle.

--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -41,7 +41,8 @@
 	ErrTooLarge = errors.New("the message is too large")
 )
 
-// Codec reads and writes the messages of one caller connection.
+// Codec reads and writes the messages of one caller connection. A read that fails at a deadline
+// keeps what it has read of a message for the next one.
 type Codec interface {
 	// ReadStartup reads the caller's startup message.
 	ReadStartup() (database, key string, err error)
@@ -242,9 +243,6 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return st, err
 		}
-		if c.codec.Buffered() {
-			return st, err
-		}
 		if !c.server.draining.Load() {
 			c.session.AbortIdleTransaction()
 		}
--- a/gateway/server/server_test.go
+++ b/gateway/server/server_test.go
@@ -115,6 +115,10 @@
 // newTestServer returns a server with one upstream, its listener, and the dialer of the
 // upstream.
 func newTestServer(t *testing.T, maxCallers int) (*Server, net.Listener, blockingDialer) {
+	return newTestServerWithCodec(t, maxCallers, func(c net.Conn) Codec { return byteCodec{c} })
+}
+
+func newTestServerWithCodec(t *testing.T, maxCallers int, codec func(net.Conn) Codec) (*Server, net.Listener, blockingDialer) {
 	c, refused := catalog.New(&controlpb.Catalog{
 		Version: 1, Services: []*controlpb.CatalogService{{Name: "wax", MaxConnections: testMaxConnections}},
 		Routes: []*controlpb.CatalogRoute{{Database: "lots", Service: "wax", StatementTimeoutMs: 60000, LatencyObjectiveMs: 60000, Public: true}},
@@ -135,7 +139,7 @@
 	})
 	e.Update(&f.view)
 	s := New(Options{
-		Engine: e, Codec: func(c net.Conn) Codec { return byteCodec{c} }, MaxCallers: maxCallers, Log: log,
+		Engine: e, Codec: codec, MaxCallers: maxCallers, Log: log,
 	})
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/gateway/server/shutdown_test.go
+++ b/gateway/server/shutdown_test.go
@@ -6,6 +6,10 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jayloom/jayloom/gateway/engine"
 )
 
 // testGrace is the grace period of the stops in these tests.
@@ -150,3 +154,43 @@
 		t.Errorf("the connection ended with %v", err)
 	}
 }
+
+// pairCodec is a byteCodec whose messages have two bytes, of which the second counts.
+type pairCodec struct {
+	byteCodec
+	first *bool
+}
+
+func (c pairCodec) Buffered() bool { return *c.first }
+
+func (c pairCodec) ReadStatement() (engine.Statement, error) {
+	if !*c.first {
+		if _, err := io.ReadFull(c.conn, make([]byte, 1)); err != nil {
+			return engine.Statement{}, err
+		}
+		*c.first = true
+	}
+	st, err := c.byteCodec.ReadStatement()
+	*c.first = err != nil
+	return st, err
+}
+
+// Guards against a stop that ends a session while a message of its caller is arriving.
+func TestDrainWaitsForUnfinishedMessage(t *testing.T) {
+	s, l, g := newTestServerWithCodec(t, 0, func(c net.Conn) Codec { return pairCodec{byteCodec{c}, new(bool)} })
+	c := connect(t, l)
+	expectByte(t, c, 'W')
+	sendByte(t, c, '-')
+	time.Sleep(50 * time.Millisecond)
+	for range 3 {
+		s.Drain()
+		time.Sleep(50 * time.Millisecond)
+	}
+	sendByte(t, c, 'r')
+	expectStarted(t, g)
+	g.release <- struct{}{}
+	expectByte(t, c, 'D')
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("read after the answer returned %v, want EOF", err)
+	}
+}
