Refuse the next statement of a busy caller at a stop instead of resetting it

What callers saw: a draining node closed a session right behind its answer. The next statement of a busy caller, on its way by then, met a closed connection; it had not run, but the caller of a single write can't know that and can't repeat it.

A session now stays open for 100 ms behind an answer, and one whose statement has arrived is not idle even if the node has not read it. The statement is refused at once as not run, and the session ends.

Before: TestStopRefusesNextStatementOfBusyCaller read EOF, want 'E'.

--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -29,6 +29,9 @@
 	acceptBackoff = 50 * time.Millisecond
 	// callerDescriptorFraction is the fraction of the file descriptors that callers may use.
 	callerDescriptorFraction = 0.7
+	// busyCallerDelay is how long a session of a draining server stays open behind an answer. A
+	// busy caller's next statement is then refused instead of meeting a closed connection.
+	busyCallerDelay = 100 * time.Millisecond
 )
 
 // Errors of a Codec.
@@ -50,7 +53,7 @@
 	WriteReady() error
 	// ReadStatement reads a statement.
 	ReadStatement() (engine.Statement, error)
-	// Buffered reports whether at least a part of a statement has arrived.
+	// Buffered reports whether at least a part of a statement has arrived, read or not.
 	Buffered() bool
 	// WriteAnswer writes the answer to a statement.
 	WriteAnswer(a engine.Answer) error
@@ -229,13 +232,14 @@
 // nextStatement reads the next statement. If the server is draining, it ends an idle session
 // instead of waiting.
 func (c *callerConn) nextStatement() (engine.Statement, error) {
+	idleSince := clock.Now()
 	for {
 		c.inTransaction.Store(c.session.State() != engine.Idle)
 		c.waiting.Store(true)
-		if err := c.setReadDeadline(); err != nil {
+		if err := c.setReadDeadline(idleSince); err != nil {
 			return engine.Statement{}, err
 		}
-		if c.shouldClose() {
+		if c.shouldClose(clock.Now() - idleSince) {
 			return engine.Statement{}, ErrQuit
 		}
 		st, err := c.codec.ReadStatement()
@@ -249,15 +253,27 @@
 	}
 }
 
-// shouldClose reports whether the session is to end now because the server is draining.
-func (c *callerConn) shouldClose() bool {
-	if c.server.ending.Load() {
+// shouldClose reports whether the session, which has waited for its next statement for the time
+// idle, is to end now because the server is draining.
+func (c *callerConn) shouldClose(idle time.Duration) bool {
+	switch {
+	case c.server.ending.Load():
 		return true
+	case !c.server.draining.Load() || c.session.State() != engine.Idle || idle < busyCallerDelay:
+		return false
+	default:
+		return !c.codec.Buffered()
 	}
-	return c.server.draining.Load() && c.session.State() == engine.Idle && !c.codec.Buffered()
 }
 
-func (c *callerConn) setReadDeadline() error {
+// setReadDeadline limits the wait for the next statement of a session that is idle since the given
+// time.
+func (c *callerConn) setReadDeadline(idleSince time.Duration) error {
+	if c.server.draining.Load() && c.session.State() == engine.Idle {
+		// What has arrived is read even if the session is due to end.
+		wait := max(idleSince+busyCallerDelay-clock.Now(), drainPollInterval)
+		return c.conn.SetReadDeadline(time.Now().Add(wait))
+	}
 	if limit := c.session.IdleTimeout(); limit > 0 {
 		return c.conn.SetReadDeadline(time.Now().Add(limit))
 	}
--- a/gateway/server/shutdown_test.go
+++ b/gateway/server/shutdown_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jayloom/jayloom/base/socket"
 	"github.com/jayloom/jayloom/gateway/engine"
 )
 
@@ -194,3 +195,66 @@
 		t.Errorf("read after the answer returned %v, want EOF", err)
 	}
 }
+
+// Guards against a stop that closes the connection of a busy caller right behind an answer: the
+// caller's next statement, perhaps a write that it can't repeat, would meet a closed connection.
+func TestStopRefusesNextStatementOfBusyCaller(t *testing.T) {
+	s, l, g := newTestServer(t, 0)
+	c := connect(t, l)
+	expectByte(t, c, 'W')
+	stopped, begun := startStop(s, l)
+	sleepUntil(begun, 0.45)
+	sendByte(t, c, 'r')
+	expectStarted(t, g)
+	sleepUntil(begun, 0.6)
+	g.release <- struct{}{}
+	expectByte(t, c, 'D')
+	time.Sleep(20 * time.Millisecond)
+	sendByte(t, c, 'r')
+	expectByte(t, c, 'E')
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("read after the refusal returned %v, want EOF", err)
+	}
+	<-stopped
+}
+
+// Guards against a stop that closes the connection of an idle caller whose statement has arrived.
+func TestSessionWithInputIsNotIdle(t *testing.T) {
+	s, _, _ := newTestServer(t, 0)
+	s.draining.Store(true)
+	near, other := tcpPair(t)
+	session, refusal := s.opts.Engine.OpenSession("lots", "")
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	c := &callerConn{server: s, conn: near, codec: inputCodec{byteCodec{near}}, session: session}
+	if !c.shouldClose(busyCallerDelay) {
+		t.Error("an idle session stays open")
+	}
+	sendByte(t, other, 'r')
+	if c.shouldClose(busyCallerDelay) {
+		t.Error("a session with a statement that was not read yet is closed")
+	}
+}
+
+// tcpPair returns both ends of a connection.
+func tcpPair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	far = connect(t, l)
+	near, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = near.Close() })
+	return near, far
+}
+
+// inputCodec is a byteCodec that sees unread input.
+type inputCodec struct{ byteCodec }
+
+func (c inputCodec) Buffered() bool { return socket.HasInput(c.conn) }
