Refuse entries whose text cannot be sent to nodes or upstreams

Callers saw: after one report with a percent-encoded id that is not UTF-8 (`.../Instances.Heartbeat/i-%ff`) no node is sent a topology any more, so all of them lose the leader, and the topology is not saved. A report whose id holds CR LF was answered with 200 and its rest became a line of its own behind START.

Cause: the id is decoded from the path and was not checked. protobuf refuses to encode text that is not UTF-8, and the leader's own node passes announcements on without encoding them, so such an id got into the registry, of which every update of every node is made.

Fix: topology.CheckAnnouncement decides, without a clock or I/O, whether an announcement names an upstream. Text that passes it is printable UTF-8 of at most 256 bytes and, where it is a field of START, has no blanks, so it can always be encoded and never ends a field or a line.

--- a/gateway/coordinator/metrics.go
+++ b/gateway/coordinator/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/gateway/failover"
+	"github.com/jayloom/jayloom/gateway/topology"
 )
 
 var (
@@ -38,3 +40,18 @@
 		metricConfigurations.Inc()
 	}
 }
+
+// entrySource says where an entry came from.
+type entrySource string
+
+// entryFromNode is an announcement that another node or the same one passed on.
+const entryFromNode entrySource = "node"
+
+// countRefusedEntry counts an entry that names no upstream to use.
+func countRefusedEntry(source entrySource, err error) {
+	var refused *topology.EntryError
+	if errors.As(err, &refused) {
+		metrics.GetOrCreateCounter(
+			`jayloom_gateway_refused_entries_total{source="` + string(source) + `",reason="` + string(refused.Reason) + `"}`).Inc()
+	}
+}
--- a/gateway/coordinator/server.go
+++ b/gateway/coordinator/server.go
@@ -13,6 +13,7 @@
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/gateway/topology"
 )
 
 // updateQueueSize is the number of updates that may wait to be sent to a node.
@@ -116,6 +117,12 @@
 	if !s.Leads() {
 		return nil, s.redirect()
 	}
+	if err := topology.CheckAnnouncement(in); err != nil {
+		countRefusedEntry(entryFromNode, err)
+		s.leader.log.WithFields(logrus.Fields{"event": "announcement_refused", "cause": err.Error()}).
+			Warn("announcement passed on by a node refused")
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
 	done := make(chan struct{})
 	if !s.leader.post(ctx, announcementReceived{in, done}) {
 		return nil, s.redirect()
--- /dev/null
+++ b/gateway/topology/check.go
@@ -0,0 +1,88 @@
+package topology
+
+import (
+	"fmt"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+)
+
+// maxNameBytes bounds the ID, service, address and place of an entry. Names are a few dozen bytes long;
+// each of them is sent to all nodes.
+const maxNameBytes = 256
+
+// Reason says why an entry names no upstream to use.
+type Reason string
+
+// Reasons why an entry names no upstream to use.
+const (
+	Missing Reason = "missing"
+	TooLong Reason = "too_long"
+	// BadCharacters means text that protobuf cannot encode or that would end a field or a line of a
+	// message to an upstream.
+	BadCharacters Reason = "bad_characters"
+)
+
+// EntryError refuses an entry that names no upstream to use.
+type EntryError struct {
+	// Field is the name of the field, as in the messages between nodes.
+	Field  string
+	Reason Reason
+}
+
+// Error implements error.
+func (e *EntryError) Error() string {
+	return fmt.Sprintf("field %s of the entry: %s", e.Field, e.Reason)
+}
+
+// CheckAnnouncement returns an EntryError if an announcement names no upstream to use. The check is the
+// same for all ways in: a report from outside and a call of another node.
+func CheckAnnouncement(a *controlpb.UpstreamAnnouncement) error {
+	if a.GetPhase() == controlpb.UpstreamPhase_UPSTREAM_PHASE_LEFT {
+		return checkWord("id", a.GetId())
+	}
+	return firstError(
+		checkWord("id", a.GetId()),
+		checkWord("service", a.GetService()),
+		checkWord("address", a.GetAddress()),
+		checkPrintable("place", a.GetPlace()),
+	)
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkWord checks text that is one field of a message to an upstream, between blanks.
+func checkWord(field, text string) error {
+	for _, r := range text {
+		if unicode.IsSpace(r) {
+			return &EntryError{field, BadCharacters}
+		}
+	}
+	return checkPrintable(field, text)
+}
+
+// checkPrintable checks text that is compared and sent to nodes.
+func checkPrintable(field, text string) error {
+	if text == "" {
+		return &EntryError{field, Missing}
+	}
+	if len(text) > maxNameBytes {
+		return &EntryError{field, TooLong}
+	}
+	for _, r := range text {
+		// A byte that is not UTF-8 is read as the replacement character, which JSON decoders put in
+		// its place.
+		if r == utf8.RuneError || !unicode.IsPrint(r) {
+			return &EntryError{field, BadCharacters}
+		}
+	}
+	return nil
+}
