Refuse upstreams whose address nobody can dial

Callers saw: nothing ended, but a report with port 65536, without a port or with a host name became an upstream of its service. Requests planned for it fail to connect, and ":8080" or "0.0.0.0:8080" reaches the node's own VM.

Cause: the address of a report was only checked for being there.

Fix: the check of entries asks for an IPv4 address of one host and a port from 1 to 65535 in its canonical text, by which upstreams at one address are compared.

--- a/gateway/topology/check.go
+++ b/gateway/topology/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"unicode"
 	"unicode/utf8"
 
@@ -22,6 +23,8 @@
 	// BadCharacters means text that protobuf cannot encode or that would end a field or a line of a
 	// message to an upstream.
 	BadCharacters Reason = "bad_characters"
+	// BadAddress means text that is not an IPv4 address of one host with a port from 1 to 65535.
+	BadAddress Reason = "bad_address"
 )
 
 // EntryError refuses an entry that names no upstream to use.
@@ -45,7 +48,7 @@
 	return firstError(
 		checkWord("id", a.GetId()),
 		checkWord("service", a.GetService()),
-		checkWord("address", a.GetAddress()),
+		checkAddress("address", a.GetAddress()),
 		checkPrintable("place", a.GetPlace()),
 	)
 }
@@ -69,6 +72,22 @@
 	return checkPrintable(field, text)
 }
 
+// checkAddress checks an address and its text, by which upstreams at one address are compared.
+func checkAddress(field, text string) error {
+	if err := checkWord(field, text); err != nil {
+		return err
+	}
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || !a.Addr().Is4() || a.Port() == 0 || a.String() != text {
+		return &EntryError{field, BadAddress}
+	}
+	// A connection to the unspecified address would reach this VM itself.
+	if a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		return &EntryError{field, BadAddress}
+	}
+	return nil
+}
+
 // checkPrintable checks text that is compared and sent to nodes.
 func checkPrintable(field, text string) error {
 	if text == "" {
