Refuse entries whose numbers no upstream counts up to

Callers saw: a report with `born` and another id displaces the server at its address for as long as it is repeated, and for 20 s after it; one with the server's own id and `seq` makes all later reports of the server count as late.

Cause: the numbers of a report were bounded by their Go types only.

Fix: the check bounds the start time to the years 1970 to 2099 and the sequence to 2^53. The bound of the start time is a constant: compared with its clock, a VM whose clock was set back would refuse every server.

--- a/gateway/topology/check.go
+++ b/gateway/topology/check.go
@@ -13,13 +13,23 @@
 // each of them is sent to all nodes.
 const maxNameBytes = 256
 
+const (
+	// maxStartedUnixMs is the end of 2099 in Unix milliseconds. It is a constant, because the clocks of
+	// VMs may be wrong: by a clock, a VM would refuse every upstream.
+	maxStartedUnixMs = 4_102_444_799_999
+	// maxSequence is the largest number that every writer of JSON can write exactly. A process that
+	// announces itself each millisecond would reach it after 285,000 years.
+	maxSequence = 1 << 53
+)
+
 // Reason says why an entry names no upstream to use.
 type Reason string
 
 // Reasons why an entry names no upstream to use.
 const (
-	Missing Reason = "missing"
-	TooLong Reason = "too_long"
+	Missing    Reason = "missing"
+	TooLong    Reason = "too_long"
+	OutOfRange Reason = "out_of_range"
 	// BadCharacters means text that protobuf cannot encode or that would end a field or a line of a
 	// message to an upstream.
 	BadCharacters Reason = "bad_characters"
@@ -50,9 +60,18 @@
 		checkWord("service", a.GetService()),
 		checkAddress("address", a.GetAddress()),
 		checkPrintable("place", a.GetPlace()),
+		checkRange("started_unix_ms", a.GetStartedUnixMs(), 0, maxStartedUnixMs),
+		checkRange("sequence", a.GetSequence(), 0, maxSequence),
 	)
 }
 
+func checkRange[T int64 | uint64](field string, value, lowest, highest T) error {
+	if value < lowest || value > highest {
+		return &EntryError{field, OutOfRange}
+	}
+	return nil
+}
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/gateway/topology/check_test.go
+++ b/gateway/topology/check_test.go
@@ -1,6 +1,7 @@
 package topology
 
 import (
+	"math"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -45,3 +46,32 @@
 		}
 	}
 }
+
+// Guards against numbers that no upstream counts up to: a start time far in the future displaces each
+// later process at the address, and after the largest sequence number every further announcement counts
+// as late.
+func TestNumbersOutOfRangeAreRefused(t *testing.T) {
+	for name, change := range map[string]func(*controlpb.UpstreamAnnouncement){
+		"negative start":        func(a *controlpb.UpstreamAnnouncement) { a.StartedUnixMs = -1 },
+		"lowest start":          func(a *controlpb.UpstreamAnnouncement) { a.StartedUnixMs = math.MinInt64 },
+		"start in microseconds": func(a *controlpb.UpstreamAnnouncement) { a.StartedUnixMs *= 1000 },
+		"highest start":         func(a *controlpb.UpstreamAnnouncement) { a.StartedUnixMs = math.MaxInt64 },
+		"highest sequence":      func(a *controlpb.UpstreamAnnouncement) { a.Sequence = math.MaxUint64 },
+	} {
+		a := goodAnnouncement()
+		change(a)
+		wantReason(t, name, CheckAnnouncement(a), OutOfRange)
+	}
+	for name, change := range map[string]func(*controlpb.UpstreamAnnouncement){
+		"no start":       func(a *controlpb.UpstreamAnnouncement) { a.StartedUnixMs = 0 },
+		"start in 2099":  func(a *controlpb.UpstreamAnnouncement) { a.StartedUnixMs = 4_070_908_800_000 },
+		"first sequence": func(a *controlpb.UpstreamAnnouncement) { a.Sequence = 0 },
+		"no slots":       func(a *controlpb.UpstreamAnnouncement) { a.Slots = 0 },
+	} {
+		a := goodAnnouncement()
+		change(a)
+		if err := CheckAnnouncement(a); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
