Accept announcements again 20 s after one with a wrong sequence number

Callers saw: after one report with the server's id and `born` and a large `seq`, the leader ignores all later reports of the server while it answers. It never learns that the server is draining.

Cause: announcements of one process are ordered by sequence alone.

Evidence: TestWrongSequenceIsNotKeptForGood printed, before the change, "after 40s of announcements that it is draining: &{ID:a ... Draining:false ... sequence: ...}".

Fix: when none was accepted for AnnouncementTimeout, the next one is, whatever its sequence; an upstream that does not answer is removed after the same time and begins anew. A process that left stays left, and one that drains stays draining. TestEntryThatDoesNotAnswerGivesUpItsAddress passed before: an entry with a later start takes an address for at most 20 s unless it answers.

--- a/gateway/topology/topology.go
+++ b/gateway/topology/topology.go
@@ -158,7 +158,8 @@
 }
 
 // isNewer reports whether an announcement is newer than a registered upstream. Announcements
-// are ordered by the start time of the process, then by sequence number.
+// are ordered by the start time of the process, then by sequence number. An upstream that answers is kept
+// without announcements, so that neither may shut out all others for good.
 func isNewer(now time.Duration, u *Upstream, a *controlpb.UpstreamAnnouncement) bool {
 	if u.unconfirmed {
 		return true
@@ -166,7 +167,10 @@
 	if a.StartedUnixMs != u.startedUnixMs {
 		return a.StartedUnixMs > u.startedUnixMs || now-u.announcedAt > earlierStartTimeout
 	}
-	return a.Sequence > u.sequence && !u.Left
+	// A late announcement arrives seconds after it was sent. When only late ones have come for so long,
+	// the highest number was wrong.
+	sequenceIsWrong := now-u.announcedAt > AnnouncementTimeout
+	return (a.Sequence > u.sequence || sequenceIsWrong) && !u.Left
 }
 
 // isReplaced reports whether another process that started later is registered at the address of a
--- a/gateway/topology/topology_test.go
+++ b/gateway/topology/topology_test.go
@@ -133,6 +133,39 @@
 	}
 }
 
+// Guards against one announcement with a wrong sequence number after which those of the process are
+// ignored for good: as long as it answers it is not removed, and nobody learns that it is draining.
+func TestWrongSequenceIsNotKeptForGood(t *testing.T) {
+	r := NewRegistry(0)
+	now := time.Hour
+	r.ApplyAnnouncement(now, announce("a", 100, maxSequence, ready))
+	for sequence := uint64(5); now < time.Hour+2*AnnouncementTimeout; sequence++ {
+		now += time.Second
+		r.RecordContact(now, "a")
+		r.ApplyAnnouncement(now, announce("a", 100, sequence, draining))
+	}
+	if u := live(r)["a"]; u == nil || !u.Draining {
+		t.Errorf("after %s of announcements that it is draining: %+v", 2*AnnouncementTimeout, u)
+	}
+}
+
+// Guards against an announcement of another writer with a start time in the future that takes the
+// address of an upstream for longer than an upstream is kept that does not answer.
+func TestEntryThatDoesNotAnswerGivesUpItsAddress(t *testing.T) {
+	r := NewRegistry(0)
+	now := time.Hour
+	r.ApplyAnnouncement(now, announce("real", 100, 1, ready))
+	r.ApplyAnnouncement(now, announce("odd", 5_000_000, 1, ready))
+	for sequence := uint64(2); now < time.Hour+AnnouncementTimeout; sequence++ {
+		now += time.Second
+		r.Expire(now)
+		r.ApplyAnnouncement(now, announce("real", 100, sequence, ready))
+	}
+	if l := live(r); l["real"] == nil || l["odd"] != nil {
+		t.Errorf("after %s without an answer: %v", AnnouncementTimeout, l)
+	}
+}
+
 // Guards against a leader that is busy with announcements alone: the time that one takes must not grow
 // with the number of upstreams.
 func TestAnnouncementTimeDoesNotGrowWithUpstreams(t *testing.T) {
