Skip odd entries of an earlier leader's topology

Callers saw: what an earlier leader, of a version that did not check them, once believed came back with each change of leader: from the saved topology and from the nodes.

Cause: a leader adopted the topology of the earlier one as a whole.

Evidence: TestOddEntriesOfEarlierLeaderAreSkipped printed, before the change, saved: the topology has [... id:"i-1\r\nQUERY - PAUSE 9" ... address:"10.0.0.1:65536" ...] saved: the topology has primaries [upstream:"good" term:1 service:"wane" upstream:"i 1" ...], there are 4 groups node: (the same)

Fix: each entry is asked the same check as an announcement, except for the place, which earlier versions did not require. Odd ones are logged, counted and left out; the others hold. The next save replaces the stored ones.

--- a/gateway/coordinator/entries_test.go
+++ b/gateway/coordinator/entries_test.go
@@ -60,3 +60,44 @@
 		}
 	}
 }
+
+// oddTopology returns the topology of an earlier leader that believed odd entries, and one good one.
+func oddTopology() *controlpb.Topology {
+	t := &controlpb.Topology{
+		Revision: 5,
+		Upstreams: []*controlpb.TopologyUpstream{
+			{Id: "good", Service: "wax", Address: "10.0.0.1:1", Slots: 3},
+			{Id: "i-1\r\nQUERY - PAUSE 9", Service: "wax", Address: "10.0.0.1:2"},
+			{Id: "no service", Address: "10.0.0.1:3"},
+			{Id: "port", Service: "wax", Address: "10.0.0.1:65536"},
+			{Id: "blank", Service: "wax and wane", Address: "10.0.0.1:4"},
+			{Service: "wax", Address: "10.0.0.1:5"},
+			{Id: "place", Service: "wax", Address: "10.0.0.1:6", Place: "a\x00"},
+		},
+		Primaries: []*controlpb.TopologyPrimary{
+			{Service: "wax", Upstream: "good", Term: 4}, {Service: "wane\n", Upstream: "good", Term: 1},
+			{Service: "wane", Upstream: "i 1", Term: 1}, {Service: "", Upstream: "good", Term: 1},
+		},
+	}
+	return t
+}
+
+// Guards against an odd entry that an earlier leader believed, saved or sent to nodes: it must neither be
+// used nor keep the leader from using the others.
+func TestOddEntriesOfEarlierLeaderAreSkipped(t *testing.T) {
+	l, _ := newTestLeader(t)
+	l.store.Apply(1, &controlpb.Command{Change: &controlpb.Command_PutTopology{PutTopology: oddTopology()}})
+	l.startLeading(1)
+	for _, from := range []string{"saved", "node"} {
+		current := l.newTopology()
+		if len(current.Upstreams) != 1 || current.Upstreams[0].Id != "good" {
+			t.Errorf("%s: the topology has %v", from, current.Upstreams)
+		}
+		if len(current.Primaries) != 1 || current.Primaries[0].Upstream != "good" || len(l.groups) != 1 {
+			t.Errorf("%s: the topology has primaries %v, there are %d groups", from, current.Primaries, len(l.groups))
+		}
+		l.store.Apply(2, &controlpb.Command{Change: &controlpb.Command_PutTopology{PutTopology: &controlpb.Topology{}}})
+		l.startLeading(2)
+		startStream(l, "n1", &controlpb.NodeReport{Sequence: 1, TopologyRevision: 5, Topology: oddTopology()})
+	}
+}
--- a/gateway/coordinator/metrics.go
+++ b/gateway/coordinator/metrics.go
@@ -44,8 +44,12 @@
 // entrySource says where an entry came from.
 type entrySource string
 
-// entryFromNode is an announcement that another node or the same one passed on.
-const entryFromNode entrySource = "node"
+const (
+	// entryFromNode is an announcement that another node or the same one passed on.
+	entryFromNode entrySource = "node"
+	// entryFromEarlierLeader is an entry of a topology that an earlier leader saved or sent to nodes.
+	entryFromEarlierLeader entrySource = "earlier_leader"
+)
 
 // countRefusedEntry counts an entry that names no upstream to use.
 func countRefusedEntry(source entrySource, err error) {
--- a/gateway/coordinator/topology.go
+++ b/gateway/coordinator/topology.go
@@ -5,13 +5,19 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/gateway/topology"
 )
 
 // topologyAnswerTime is how long the leader waits for the topology of one node before it asks
 // another.
 const topologyAnswerTime = 500 * time.Millisecond
 
+// maxLoggedBytes bounds what is logged of an ID that may have any length.
+const maxLoggedBytes = 64
+
 // lacksTopology reports whether a node has a topology of an earlier leader that is newer than the
 // adopted one and is to be asked for it. One node is asked at a time: after a change of leader
 // hundreds of nodes have the same one.
@@ -23,11 +29,13 @@
 	return true
 }
 
-// adoptTopology adds the primaries and upstreams of an earlier leader's topology.
+// adoptTopology adds the primaries and upstreams of an earlier leader's topology. Odd entries, which an
+// earlier version may have believed, are skipped.
 func (l *Leader) adoptTopology(now time.Duration, t *controlpb.Topology) {
 	if t == nil {
 		return
 	}
+	t = l.withoutOddEntries(t)
 	for _, p := range t.Primaries {
 		l.groupOf(now, p.Service).machine.Adopt(now, p.Upstream, p.Term)
 	}
@@ -37,6 +45,32 @@
 	l.adoptedRevision = max(l.adoptedRevision, t.Revision)
 }
 
+// withoutOddEntries returns a topology without the entries that name no upstream to use.
+func (l *Leader) withoutOddEntries(t *controlpb.Topology) *controlpb.Topology {
+	kept := &controlpb.Topology{Revision: t.Revision}
+	for _, u := range t.Upstreams {
+		if err := topology.CheckUpstream(u); err != nil {
+			l.logSkippedEntry(u.GetId(), err)
+			continue
+		}
+		kept.Upstreams = append(kept.Upstreams, u)
+	}
+	for _, p := range t.Primaries {
+		if err := topology.CheckPrimary(p); err != nil {
+			l.logSkippedEntry(p.GetUpstream(), err)
+			continue
+		}
+		kept.Primaries = append(kept.Primaries, p)
+	}
+	return kept
+}
+
+func (l *Leader) logSkippedEntry(id string, err error) {
+	countRefusedEntry(entryFromEarlierLeader, err)
+	l.log.WithFields(logrus.Fields{"event": "entry_skipped", "upstream": id[:min(len(id), maxLoggedBytes)], "cause": err.Error()}).
+		Warn("entry of an earlier leader's topology skipped")
+}
+
 // currentTopology returns the topology, which must not be modified. All nodes get the same one of
 // each revision, because reports name primaries by their position in it.
 func (l *Leader) currentTopology() *controlpb.Topology {
--- a/gateway/topology/check.go
+++ b/gateway/topology/check.go
@@ -56,15 +56,31 @@
 		return checkWord("id", a.GetId())
 	}
 	return firstError(
-		checkWord("id", a.GetId()),
-		checkWord("service", a.GetService()),
-		checkAddress("address", a.GetAddress()),
+		checkIdentity(a.GetId(), a.GetService(), a.GetAddress()),
 		checkPrintable("place", a.GetPlace()),
 		checkRange("started_unix_ms", a.GetStartedUnixMs(), 0, maxStartedUnixMs),
 		checkRange("sequence", a.GetSequence(), 0, maxSequence),
 	)
 }
 
+// CheckUpstream returns an EntryError if an entry of a topology that was saved or sent by an earlier leader
+// names no upstream to use. Earlier versions believed announcements without a place.
+func CheckUpstream(u *controlpb.TopologyUpstream) error {
+	if err := checkIdentity(u.GetId(), u.GetService(), u.GetAddress()); err != nil || u.GetPlace() == "" {
+		return err
+	}
+	return checkPrintable("place", u.GetPlace())
+}
+
+// CheckPrimary returns an EntryError if an entry of such a topology names no primary to use.
+func CheckPrimary(p *controlpb.TopologyPrimary) error {
+	return firstError(checkWord("service", p.GetService()), checkWord("upstream", p.GetUpstream()))
+}
+
+func checkIdentity(id, service, address string) error {
+	return firstError(checkWord("id", id), checkWord("service", service), checkAddress("address", address))
+}
+
 func checkRange[T int64 | uint64](field string, value, lowest, highest T) error {
 	if value < lowest || value > highest {
 		return &EntryError{field, OutOfRange}
