--- a/gateway/coordinator/entries_test.go
+++ b/gateway/coordinator/entries_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -101,3 +103,33 @@
 		startStream(l, "n1", &controlpb.NodeReport{Sequence: 1, TopologyRevision: 5, Topology: oddTopology()})
 	}
 }
+
+// Guards against orders for a service that no configuration names, which an entry of another writer made
+// up: the infrastructure accepts few orders, and others wait for theirs.
+func TestMadeUpServiceGetsNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		orders := &recordingPromoter{}
+		l, _ := newPromotingLeader(orders, 3)
+		if _, err := l.putCatalog(ctx, waxCatalog(3)); err != nil {
+			t.Fatal(err)
+		}
+		drainEvents(l)
+		for second := range uint64(60) {
+			for _, role := range []string{"primary", "replica"} {
+				a := goodAnnouncement("made-up-" + role)
+				a.Service, a.Sequence, a.Primary = "nowhere", second+1, role == "primary"
+				l.handle(ctx, announcementReceived{a, make(chan struct{})})
+			}
+			time.Sleep(time.Second)
+			l.tick(ctx)
+			drainEvents(l)
+		}
+		synctest.Wait()
+		if len(orders.fences) > 0 {
+			t.Errorf("%d orders were sent", len(orders.fences))
+		}
+		l.stopLeading()
+	})
+}
