--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/base/guard"
 	"github.com/jayloom/jayloom/gateway/engine"
 )
@@ -28,6 +29,9 @@
 	acceptBackoff = 50 * time.Millisecond
 	// callerDescriptorFraction is the fraction of the file descriptors that callers may use.
 	callerDescriptorFraction = 0.7
+	// busyCallerDelay is how long a session of a draining server stays open behind an answer. A
+	// busy caller's next statement is then refused instead of meeting a closed connection.
+	busyCallerDelay = 100 * time.Millisecond
 )
 
 // Errors of a Codec.
@@ -40,7 +44,8 @@
 	ErrTooLarge = errors.New("the message is too large")
 )
 
-// Codec reads and writes the messages of one caller connection.
+// Codec reads and writes the messages of one caller connection. A read that fails at a deadline
+// keeps what it has read of a message for the next one.
 type Codec interface {
 	// ReadStartup reads the caller's startup message.
 	ReadStartup() (database, key string, err error)
@@ -48,7 +53,7 @@
 	WriteReady() error
 	// ReadStatement reads a statement.
 	ReadStatement() (engine.Statement, error)
-	// Buffered reports whether at least a part of a statement has arrived.
+	// Buffered reports whether at least a part of a statement has arrived, read or not.
 	Buffered() bool
 	// WriteAnswer writes the answer to a statement.
 	WriteAnswer(a engine.Answer) error
@@ -67,9 +72,11 @@
 
 // Server accepts caller connections and runs their sessions.
 type Server struct {
-	opts     Options
-	draining atomic.Bool
-	running  sync.WaitGroup
+	opts Options
+	// draining is set when idle sessions end, and ending when all sessions do that are not
+	// writing an answer.
+	draining, ending atomic.Bool
+	running          sync.WaitGroup
 
 	mu      sync.Mutex
 	callers map[*callerConn]bool
@@ -81,8 +88,15 @@
 	conn    net.Conn
 	codec   Codec
 	session *engine.Session
+	// giveUp ends the running statement of the session, and all later ones, without the answer
+	// of an upstream.
+	giveUp context.CancelFunc
 	// waiting is true while no statement of the caller runs.
 	waiting atomic.Bool
+	// inTransaction is true while the session has an open transaction and waits for its next
+	// statement.
+	inTransaction atomic.Bool
+	current       currentRequest
 }
 
 // New returns a Server.
@@ -107,7 +121,8 @@
 }
 
 func (s *Server) accept(ctx context.Context, conn net.Conn) {
-	c := &callerConn{server: s, conn: conn, codec: s.opts.Codec(conn)}
+	ctx, cancel := context.WithCancel(ctx)
+	c := &callerConn{server: s, conn: conn, codec: s.opts.Codec(conn), giveUp: cancel}
 	s.mu.Lock()
 	full := s.opts.MaxCallers > 0 && len(s.callers) >= s.opts.MaxCallers
 	if !full {
@@ -115,11 +130,13 @@
 	}
 	s.mu.Unlock()
 	if full {
+		cancel()
 		c.refuse(&engine.Refusal{Code: rescode.TooManyConnections, Reason: reasonTooManyCallers})
 		_ = conn.Close()
 		return
 	}
 	s.running.Go(func() {
+		defer cancel()
 		defer s.remove(c)
 		defer guard.Recover(s.opts.Log, "caller connection")
 		c.run(ctx)
@@ -177,31 +194,52 @@
 // serveStatement reads and runs one statement. It returns false when the session has ended.
 func (c *callerConn) serveStatement(ctx context.Context) bool {
 	st, err := c.nextStatement()
-	answer := engine.Answer{}
-	switch {
-	case errors.Is(err, ErrMalformed), errors.Is(err, ErrTooLarge):
-		answer = c.session.Reject(st.ID, errors.Is(err, ErrTooLarge))
-	case err != nil:
+	if err != nil && !isAnswerable(err) {
 		return false
-	default:
-		answer = c.session.Handle(ctx, st)
 	}
+	c.current.begin(st, c.session.State() != engine.Idle)
+	defer c.current.end()
+	answer := c.answer(ctx, st, err)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := c.codec.WriteAnswer(answer); err != nil {
+		c.recordUnsentAnswer(st, err)
 		return false
 	}
 	return !answer.Close
 }
 
+// isAnswerable reports whether a message that could not be read gets an answer.
+func isAnswerable(err error) bool {
+	return errors.Is(err, ErrMalformed) || errors.Is(err, ErrTooLarge)
+}
+
+// answer runs a statement, or rejects one that could not be read because of err.
+func (c *callerConn) answer(ctx context.Context, st engine.Statement, err error) engine.Answer {
+	if err != nil {
+		return c.session.Reject(st.ID, errors.Is(err, ErrTooLarge))
+	}
+	return c.session.Handle(ctx, st)
+}
+
+// recordUnsentAnswer counts and logs an answer that did not reach the caller.
+func (c *callerConn) recordUnsentAnswer(st engine.Statement, err error) {
+	metricUnsentAnswers.Inc()
+	c.server.opts.Log.WithError(err).WithFields(logrus.Fields{
+		"event": "answer_unsent", "id": st.ID, "statement": st.Kind.String(),
+	}).Info("answer could not be sent to the caller")
+}
+
 // nextStatement reads the next statement. If the server is draining, it ends an idle session
 // instead of waiting.
 func (c *callerConn) nextStatement() (engine.Statement, error) {
+	idleSince := clock.Now()
 	for {
+		c.inTransaction.Store(c.session.State() != engine.Idle)
 		c.waiting.Store(true)
-		if err := c.setReadDeadline(); err != nil {
+		if err := c.setReadDeadline(idleSince); err != nil {
 			return engine.Statement{}, err
 		}
-		if c.shouldClose() {
+		if c.shouldClose(clock.Now() - idleSince) {
 			return engine.Statement{}, ErrQuit
 		}
 		st, err := c.codec.ReadStatement()
@@ -209,21 +247,33 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return st, err
 		}
-		if c.codec.Buffered() {
-			return st, err
-		}
 		if !c.server.draining.Load() {
 			c.session.AbortIdleTransaction()
 		}
 	}
 }
 
-// shouldClose reports whether the session is to end now because the server is draining.
-func (c *callerConn) shouldClose() bool {
-	return c.server.draining.Load() && c.session.State() == engine.Idle && !c.codec.Buffered()
+// shouldClose reports whether the session, which has waited for its next statement for the time
+// idle, is to end now because the server is draining.
+func (c *callerConn) shouldClose(idle time.Duration) bool {
+	switch {
+	case c.server.ending.Load():
+		return true
+	case !c.server.draining.Load() || c.session.State() != engine.Idle || idle < busyCallerDelay:
+		return false
+	default:
+		return !c.codec.Buffered()
+	}
 }
 
-func (c *callerConn) setReadDeadline() error {
+// setReadDeadline limits the wait for the next statement of a session that is idle since the given
+// time.
+func (c *callerConn) setReadDeadline(idleSince time.Duration) error {
+	if c.server.draining.Load() && c.session.State() == engine.Idle {
+		// What has arrived is read even if the session is due to end.
+		wait := max(idleSince+busyCallerDelay-clock.Now(), drainPollInterval)
+		return c.conn.SetReadDeadline(time.Now().Add(wait))
+	}
 	if limit := c.session.IdleTimeout(); limit > 0 {
 		return c.conn.SetReadDeadline(time.Now().Add(limit))
 	}
@@ -243,6 +293,18 @@
 	}
 }
 
+// endSessions gives up the running statements, whose callers get an answer that says so, and ends
+// each session after its current answer.
+func (s *Server) endSessions() {
+	s.ending.Store(true)
+	s.mu.Lock()
+	for c := range s.callers {
+		c.giveUp()
+	}
+	s.mu.Unlock()
+	s.Drain()
+}
+
 // CallerCount returns the number of caller connections.
 func (s *Server) CallerCount() int {
 	s.mu.Lock()
@@ -259,6 +321,29 @@
 	}
 }
 
+// recordCuts counts and logs what a stop that began at stoppedAt is about to cut: statements
+// without an answer, and open transactions. It returns the number of statements.
+func (s *Server) recordCuts(stoppedAt time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	cut := 0
+	for c := range s.callers {
+		r, running := c.current.get()
+		switch {
+		case running:
+			cut++
+			phase := c.session.Phase()
+			countCutRequest(phase)
+			s.opts.Log.WithField("event", "request_cut").WithFields(r.fields(now, stoppedAt, phase)).
+				Warn("connection closed before the request was answered")
+		case c.inTransaction.Load():
+			metricCutTransactions.Inc()
+		}
+	}
+	return cut
+}
+
 // Wait returns when all sessions have ended or ctx is done.
 func (s *Server) Wait(ctx context.Context) {
 	done := make(chan struct{})
