--- a/gateway/server/shutdown_test.go
+++ b/gateway/server/shutdown_test.go
@@ -258,3 +258,32 @@
 type inputCodec struct{ byteCodec }
 
 func (c inputCodec) Buffered() bool { return socket.HasInput(c.conn) }
+
+// Guards against a stop of a full node that needs more than its share of a short grace period to
+// tell all callers, and so is killed before it has answered them.
+func TestStopOfFullNodeAnswersAllCallers(t *testing.T) {
+	const callerCount = 700
+	const shortGrace = 2 * time.Second
+	s, l, g := newTestServer(t, 0)
+	go func() {
+		for range g.started {
+			// Statements that reach the upstream stay unanswered.
+		}
+	}()
+	callers := make([]net.Conn, callerCount)
+	for i := range callers {
+		callers[i] = connect(t, l)
+		expectByte(t, callers[i], 'W')
+		sendByte(t, callers[i], 'r')
+	}
+	begun := time.Now()
+	s.Shutdown(context.Background(), l, shortGrace)
+	took := time.Since(begun)
+	t.Logf("the stop took %s", took)
+	if took >= shortGrace {
+		t.Errorf("the stop took %s of a grace period of %s", took, shortGrace)
+	}
+	for _, c := range callers {
+		expectByte(t, c, 'E')
+	}
+}
