Report an unknown outcome when a session ends during its write

What callers saw: a write on a route that waits for a replica, committed on the primary, was answered with "key_withdrawn (not run)" when the team's key was withdrawn during the wait. A caller that sends such a request again writes twice. The end of a session by a draining proxy takes the same path.

Cause: caller.refuse replaced every refusal by the reason for which the session ended, also those that say that the request may have run.

Why it works: finalOutcome lets the reason replace only a refusal that itself says "not run". The other refusals end the session too, with their own code.

--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -312,7 +312,7 @@
 // the refused statement.
 func (s *caller) refuse(refused *rescode.Error, ready bool) error {
 	if reason := s.endReason(); reason != nil {
-		return reason
+		return finalOutcome(refused, reason)
 	}
 	if closesConnection(refused.Code) {
 		return refused
@@ -330,6 +330,16 @@
 	return nil
 }
 
+// finalOutcome returns what a caller whose session was ended is told about its last
+// request. The reason of the end says that the request has not run, so it never replaces
+// an outcome that leaves this open.
+func finalOutcome(refused, reason *rescode.Error) *rescode.Error {
+	if info, ok := rescode.Lookup(refused.Code); ok && info.Execution != rescode.NotRun {
+		return refused
+	}
+	return reason
+}
+
 // failTransaction puts the transaction on txConn into the failed state.
 func (s *caller) failTransaction() error {
 	conn := s.txConn.conn
