Answer every caller before a drain closes its connection

What callers saw: at the drain timeout the connection was closed with no answer. Neither the caller of a running statement nor that of an open transaction learned whether its work has an effect.

Cause: registry.endAll closed the network connection of each caller right after it had asked the session to end, and nothing interrupted a session that waited for its upstream, so it could not have answered either.

Why it works: shortly before the deadline of Drain all sessions are ended and then the upstream connections are closed, which interrupts every wait of a session. Each takes its usual path for a lost upstream, which knows whether a COMMIT was sent; an idle transaction is reported as aborted.

batch.mayCommit is now set when a part is sent, as its comment says; a part that was refused cannot have committed.

--- a/proxy/batch.go
+++ b/proxy/batch.go
@@ -139,7 +139,6 @@
 		}
 		r.tag, tagged = m.stmt.tag, true
 	}
-	s.batch.mayCommit = s.batch.mayCommit || r.mayCommit()
 	return r, nil
 }
 
--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -148,7 +148,7 @@
 
 // run serves requests until the caller disconnects or the session is ended.
 func (s *caller) run() {
-	err := s.serve()
+	err := s.lastOutcome(s.serve())
 	s.releaseConns()
 	s.sendFatal(err)
 	s.server.registry.remove(s)
@@ -156,6 +156,19 @@
 	_ = s.net.Close()
 }
 
+// lastOutcome returns what the caller is told when err ends its session. The end of an
+// open transaction by a drain is reported as such: its caller must begin it again.
+func (s *caller) lastOutcome(err error) error {
+	var reason *rescode.Error
+	if s.txConn == nil || !errors.As(err, &reason) || reason.Code != rescode.ProxyDraining {
+		return err
+	}
+	if s.batch.mayCommit {
+		return rescode.New(rescode.AnswerLost, "upstream %s", s.txConn.target.pool.address)
+	}
+	return s.transactionLostError(s.txConn.target)
+}
+
 func (s *caller) serve() error {
 	for {
 		frame, err := s.nextMessage()
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -94,6 +94,9 @@
 func (s *caller) execute(conn *upstreamConn, t target, r *request) result {
 	x := &exchange{caller: s, conn: conn, target: t, r: r, holdFrom: -1, startTx: s.tx, awaitingFirst: true}
 	x.completed, x.effects.writes = s.batch.completed, s.batch.writes
+	if r.messages != nil {
+		s.batch.mayCommit = s.batch.mayCommit || r.mayCommit()
+	}
 	s.runningConn.Store(conn)
 	defer s.runningConn.Store(nil)
 	res := x.run()
--- a/proxy/registry.go
+++ b/proxy/registry.go
@@ -101,12 +101,23 @@
 	r.closeIfDrained()
 }
 
-// endAll ends all callers when the drain timeout is reached.
-func (r *registry) endAll() {
+// endAll ends all sessions and returns how many there are. Their connections stay open
+// until each caller has its last answer.
+func (r *registry) endAll() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.sessions {
 		s.end(rescode.New(rescode.ProxyDraining, ""))
+	}
+	return len(r.sessions)
+}
+
+// closeAll closes the connections of all callers.
+func (r *registry) closeAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.sessions {
+		// An error means that the connection is closed already.
 		_ = s.net.Close()
 	}
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -179,23 +179,6 @@
 	authenticated.run()
 }
 
-// Drain stops accepting callers, ends idle ones, and waits for running transactions.
-// When ctx ends, it closes the remaining callers.
-func (s *Server) Drain(ctx context.Context) {
-	s.listenerMu.Lock()
-	s.closed = true
-	for _, listener := range s.listeners {
-		_ = listener.Close()
-	}
-	s.listenerMu.Unlock()
-	s.registry.drain()
-	select {
-	case <-s.registry.drained:
-	case <-ctx.Done():
-		s.registry.endAll()
-	}
-}
-
 // Close ends all callers and closes all upstream connections without waiting.
 func (s *Server) Close() {
 	expired, cancel := context.WithCancel(context.Background())
