Send nothing for a session that was ended in a queue

What callers saw: a write ran although its caller had been ended while the write waited for a connection, by the drain timeout or by the withdrawal of its key.

Cause: nothing was checked between the wait for a connection and the send. The wait ends with the session's context, but a connection that arrives at the same moment (opened, or handed over by another session) is used all the same.

Why it works: execute checks the session's context when it already holds the connection. A drain ends the sessions first and closes the held connections then, so each request either sees the end or loses its connection and is answered so.

--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -99,3 +99,48 @@
 	}
 	eventually(t, "the caller is gone", func() bool { return p.registry.count() == 0 })
 }
+
+// lateDialer opens connections that become ready only after release, whether or not the
+// request still waits.
+type lateDialer struct {
+	accountDialer
+	opened, release chan struct{}
+}
+
+// Dial implements Dialer.
+func (d lateDialer) Dial(ctx context.Context, address, service string) (*upstreamConn, error) {
+	conn, err := d.accountDialer.Dial(context.WithoutCancel(ctx), address, service)
+	close(d.opened)
+	<-d.release
+	return conn, err
+}
+
+// Guards against a statement that waits for a connection and is sent to the upstream after
+// its session was ended.
+func TestEndedSessionSendsNothing(t *testing.T) {
+	ends := map[string]struct {
+		end  func(s *system, p *testProxy)
+		want rescode.Code
+	}{
+		"drain":         {func(_ *system, p *testProxy) { p.endSessions() }, rescode.ProxyDraining},
+		"key withdrawn": {func(s *system, _ *testProxy) { s.withdrawDriverKeys() }, rescode.KeyWithdrawn},
+	}
+	for name, c := range ends {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 0)
+			d := lateDialer{opened: make(chan struct{}), release: make(chan struct{})}
+			p := s.proxy(func(o *Options) {
+				d.accountDialer = accountDialer{account: s.account()}
+				o.Dialer = d
+			})
+			outcome := sendAsync(p.driver(t), "INSERT INTO intake VALUES (1, 'queued')")
+			<-d.opened
+			c.end(s, p)
+			close(d.release)
+			wantCode(t, <-outcome, c.want)
+			if n := len(statements(s.primary, "queued")); n != 0 {
+				t.Errorf("the statement of the ended session was sent %d times", n)
+			}
+		})
+	}
+}
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -90,8 +90,12 @@
 	writes     bool
 }
 
-// execute runs a request on a connection and forwards the answer.
+// execute runs a request on a connection and forwards the answer. The session may have
+// been ended while the request waited for the connection; it is then not sent.
 func (s *caller) execute(conn *upstreamConn, t target, r *request) result {
+	if err := s.ctx.Err(); err != nil {
+		return result{kind: resultUnsent, err: err, startTx: s.tx}
+	}
 	x := &exchange{caller: s, conn: conn, target: t, r: r, holdFrom: -1, startTx: s.tx, awaitingFirst: true}
 	x.completed, x.effects.writes = s.batch.completed, s.batch.writes
 	if r.messages != nil {
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -67,9 +67,11 @@
 		s.discardConn(held)
 		return nil, res.err
 	case resultUnsent:
+		// Only a connection with session state, or a session that was ended, gets here; other
+		// requests are retried.
+		unsent := s.lastOutcome(firstError(s.endReason(), rescode.New(rescode.UpstreamLost, "upstream %s", held.target.pool.address)))
 		s.discardConn(held)
-		// Only a connection with session state gets here; on others the request is retried.
-		return nil, firstError(s.endReason(), rescode.New(rescode.UpstreamLost, "upstream %s", held.target.pool.address))
+		return nil, unsent
 	}
 	lost := s.lostAnswerError(held, r, res)
 	hadState := s.sessionConn == held
