Refuse statements that a drain cannot answer any more

What callers saw: a COMMIT sent to a draining proxy shortly before the drain timeout was passed on and then cut, so that the outcome of the transaction was unknown.

Cause: an open transaction might begin statements until the cut; nothing compared the time that a statement may take with the time left.

Why it works: drainWindow.mayBegin, a pure function, compares the time left with the deadline of the request's route. A refused statement ends its session; the COMMIT was not sent, so transaction_aborted is certain. In a short window statements begin during its first half; TestDrainServesTransactionsThatFit guards against refusing too much.

Limit: the deadline of a route bounds the waits of a request, not the run time of a statement on its upstream, which has no limit. A statement that runs for longer is still interrupted at the end of the window and answered as such.

--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -144,3 +144,74 @@
 		})
 	}
 }
+
+// Guards against a decision on what may begin that ignores the time left, and against one
+// that lets a short drain begin nothing.
+func TestDrainWindowAdmitsWhatFits(t *testing.T) {
+	start := time.Unix(0, 0)
+	cases := []struct {
+		name                  string
+		drain, passed, demand time.Duration
+		want                  bool
+	}{
+		{"at the start", time.Minute, 0, 2 * time.Second, true},
+		{"enough time left", time.Minute, 56 * time.Second, 2 * time.Second, true},
+		{"too little time left", time.Minute, 57 * time.Second, 2 * time.Second, false},
+		{"after the window", time.Minute, 59 * time.Second, 0, false},
+		{"short drain, first half of the window", 2 * time.Second, 700 * time.Millisecond, 2 * time.Second, true},
+		{"short drain, second half of the window", 2 * time.Second, 800 * time.Millisecond, 2 * time.Second, false},
+	}
+	for _, c := range cases {
+		window := newDrainWindow(start, start.Add(c.drain))
+		if got := window.mayBegin(start.Add(c.passed), c.demand); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against a COMMIT that a draining proxy sends although it can't await the answer,
+// which leaves the outcome of the transaction unknown.
+func TestDrainRefusesCommitThatCannotBeAnswered(t *testing.T) {
+	for protocol, send := range protocols {
+		t.Run(protocol, func(t *testing.T) {
+			s := newSystem(t, 0)
+			p := s.proxy()
+			conn := p.driver(t)
+			exec(t, conn, "BEGIN")
+			exec(t, conn, "INSERT INTO intake VALUES (1, 'x')")
+			s.primary.SetStatementDelay(testDrainTimeout)
+			began := time.Now()
+			drained := make(chan struct{})
+			go func() {
+				defer close(drained)
+				p.drainWithin(testDrainTimeout)
+			}()
+			time.Sleep(testDrainTimeout/2 - time.Since(began))
+			_, err := send(conn, "COMMIT")
+			wantCode(t, err, rescode.TransactionAborted)
+			if took := time.Since(began); took > testDrainTimeout*5/8 {
+				t.Errorf("the refusal came %v after the drain began, not at once", took)
+			}
+			<-drained
+			s.primary.SetStatementDelay(0)
+			if n := len(statements(s.primary, "COMMIT")); n != 0 {
+				t.Errorf("the refused COMMIT was sent %d times", n)
+			}
+		})
+	}
+}
+
+// Guards against a draining proxy that refuses what it can answer in the time left.
+func TestDrainServesTransactionsThatFit(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy()
+	conn := p.driver(t)
+	exec(t, conn, "BEGIN")
+	go p.drainWithin(20 * testDrainTimeout)
+	eventually(t, "the proxy drains", func() bool { return p.window.Load() != nil })
+	exec(t, conn, "INSERT INTO intake VALUES (1, 'x')")
+	exec(t, conn, "COMMIT")
+	if n := len(statements(s.primary, "COMMIT")); n != 1 {
+		t.Errorf("the COMMIT was sent %d times, want 1", n)
+	}
+}
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/jayloom/jayloom/api/rescode"
 )
 
 const (
@@ -27,6 +29,24 @@
 	return drainWindow{start: now, end: deadline.Add(-max(reserve, 0))}
 }
 
+// mayBegin reports whether a request that may take the time demand can still be answered.
+// In a short window requests begin during its first half, whatever they may take:
+// otherwise no transaction could be finished.
+func (w drainWindow) mayBegin(now time.Time, demand time.Duration) bool {
+	left := w.end.Sub(now)
+	return left > 0 && left >= min(demand, w.end.Sub(w.start)/2)
+}
+
+// checkTimeLeft returns an error if the proxy is draining and a request, which may take
+// the time demand, cannot be answered any more.
+func (s *Server) checkTimeLeft(demand time.Duration) *rescode.Error {
+	window := s.window.Load()
+	if window == nil || window.mayBegin(time.Now(), demand) {
+		return nil
+	}
+	return rescode.New(rescode.ProxyDraining, "")
+}
+
 // Drain stops accepting callers, ends idle ones, and waits for running transactions.
 // Shortly before ctx ends, it ends the remaining sessions, each with an answer that says
 // what became of its request. When ctx ends, it closes the connections that are left.
@@ -35,6 +55,7 @@
 	running := ctx
 	if deadline, ok := ctx.Deadline(); ok {
 		window := newDrainWindow(time.Now(), deadline)
+		s.window.Store(&window)
 		var cancel context.CancelFunc
 		running, cancel = context.WithDeadline(ctx, window.end)
 		defer cancel()
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -88,6 +88,10 @@
 	if deadline == 0 {
 		deadline = time.Duration(s.server.settings.DefaultDeadlineMs) * time.Millisecond
 	}
+	// A refusal ends the session, and with it the transaction that the request belongs to.
+	if refused := s.server.checkTimeLeft(deadline); refused != nil {
+		return refused, nil
+	}
 	ctx := newRequestContext(s.ctx, deadline)
 	defer ctx.stop()
 	r.ctx = ctx
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -69,6 +69,8 @@
 	listeners  []net.Listener
 	closed     bool
 	stop       chan struct{}
+	// window is set once the proxy drains with a deadline.
+	window atomic.Pointer[drainWindow]
 }
 
 // shareCheckInterval is how often pools are checked against shares that have expired.
