Answer a COPY whose session was ended

What callers saw: a COPY FROM STDIN that was running when the proxy drained or the team's key was withdrawn ended without an error response, as did one in which the caller broke the protocol.

Cause: copyMessage attached the reason as a secondary error to errCallerGone, where errors.As does not find it, so the caller's last error was taken for a disconnect.

Why it works: the reason is now the error itself and errCallerGone marks it, so the session ends with the reason, and waits until the caller has read it, which also keeps unread COPY data from resetting the connection. A COPY without its end is rolled back with its connection; only a COMMIT before it in the same request may have an effect, and is then reported as unknown.

--- a/proxy/copy.go
+++ b/proxy/copy.go
@@ -34,7 +34,7 @@
 	}
 	frame, err := x.caller.rd.Next()
 	if err != nil {
-		return false, errors.CombineErrors(errCallerGone, x.caller.sessionError(err))
+		return false, errors.Mark(x.caller.sessionError(err), errCallerGone)
 	}
 	switch frame.Type {
 	case 'd':
@@ -57,7 +57,7 @@
 		// PostgreSQL ignores Flush and Sync during COPY.
 		return false, nil
 	default:
-		return false, errors.CombineErrors(errCallerGone, malformed("unexpected message during COPY"))
+		return false, errors.Mark(malformed("unexpected message during COPY"), errCallerGone)
 	}
 }
 
--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -215,3 +215,54 @@
 		t.Errorf("the COMMIT was sent %d times, want 1", n)
 	}
 }
+
+// Guards against a COPY that a drain or the withdrawal of a key ends without an answer.
+func TestInterruptedCopyIsAnswered(t *testing.T) {
+	drain := func(_ *system, p *testProxy) { go p.drainWithin(testDrainTimeout) }
+	withdraw := func(s *system, _ *testProxy) { s.withdrawDriverKeys() }
+	cases := map[string]struct {
+		before, copy string
+		end          func(s *system, p *testProxy)
+		want         rescode.Code
+	}{
+		"drain":                 {"", "COPY intake FROM STDIN", drain, rescode.ProxyDraining},
+		"drain, transaction":    {"BEGIN", "COPY intake FROM STDIN", drain, rescode.TransactionAborted},
+		"drain after a COMMIT":  {"BEGIN", "COMMIT; COPY intake FROM STDIN", drain, rescode.AnswerLost},
+		"key withdrawn":         {"", "COPY intake FROM STDIN", withdraw, rescode.KeyWithdrawn},
+		"key withdrawn, COMMIT": {"BEGIN", "COMMIT; COPY intake FROM STDIN", withdraw, rescode.AnswerLost},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 0)
+			p := s.proxy()
+			conn := p.driver(t)
+			if c.before != "" {
+				exec(t, conn, c.before)
+			}
+			f := conn.PgConn().Frontend()
+			f.Send(&pgproto3.Query{String: c.copy})
+			receive(t, f, 'G')
+			f.Send(&pgproto3.CopyData{Data: []byte("1\tx\n")})
+			if err := f.Flush(); err != nil {
+				t.Fatal(err)
+			}
+			c.end(s, p)
+			wantCode(t, receiveError(conn), c.want)
+			if got := s.rowCount(); got != "0" {
+				t.Errorf("%s rows of an interrupted COPY were stored", got)
+			}
+		})
+	}
+}
+
+// rowCount returns the number of rows that the primary has.
+func (s *system) rowCount() string {
+	s.t.Helper()
+	ctx := context.Background()
+	conn, err := pgx.Connect(ctx, "postgres://jayloom:pw@"+s.primary.Addr()+"/wax?sslmode=prefer")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	return queryText(s.t, conn, "SELECT count(*)::text FROM intake")
+}
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -23,7 +23,7 @@
 	resultLost
 	// resultUnleased: the answer arrived after the primary lease had ended.
 	resultUnleased
-	// resultCallerGone: the caller's connection ended.
+	// resultCallerGone: the caller's connection or session ended.
 	resultCallerGone
 	// resultRefused: the answer was replaced by a result code.
 	resultRefused
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/jayloom/jayloom/api/rescode"
@@ -64,8 +65,9 @@
 	case resultRefused:
 		return s.finishRefused(held, r, res)
 	case resultCallerGone:
+		gone := s.goneOutcome(held, r, res.err)
 		s.discardConn(held)
-		return nil, res.err
+		return nil, gone
 	case resultUnsent:
 		// Only a connection with session state, or a session that was ended, gets here; other
 		// requests are retried.
@@ -83,6 +85,16 @@
 	return lost, nil
 }
 
+// goneOutcome returns what a caller is told whose request ended in the middle of its COPY
+// data. The COPY has no effect, but an earlier COMMIT of the same request may have one.
+func (s *caller) goneOutcome(held *heldConn, r *request, err error) error {
+	var reason *rescode.Error
+	if errors.As(err, &reason) && (r.mayCommit() || s.batch.mayCommit) {
+		return rescode.New(rescode.AnswerLost, "upstream %s", held.target.pool.address)
+	}
+	return s.lastOutcome(err)
+}
+
 func firstError(reason, other *rescode.Error) error {
 	if reason != nil {
 		return reason
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -20,6 +20,8 @@
 )
 
 var (
+	// errCallerGone marks errors after which the caller sends nothing more: it has
+	// disconnected, broken the protocol, or its session was ended.
 	errCallerGone         = errors.New("the caller has disconnected")
 	errUnleased           = errors.New("the primary lease has ended")
 	errHeldAnswerTooLarge = errors.New("the answer is too large to hold until it is acknowledged")
@@ -39,10 +41,10 @@
 	var refused *rescode.Error
 	switch {
 	case err == nil:
-	case errors.As(err, &refused):
-		kind = resultRefused
 	case errors.Is(err, errCallerGone):
 		kind = resultCallerGone
+	case errors.As(err, &refused):
+		kind = resultRefused
 	case errors.Is(err, errUnleased):
 		kind = resultUnleased
 	default:
