Write pending answers before Terminate ends a session

What callers saw: a caller that sent Terminate together with its last request, and then read the answer, got the connection's end instead.

Cause: answers to pipelined messages are buffered until the proxy waits for the next message; Terminate ended the session without a flush.

Why it works: the buffer is written before the session ends.

--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -176,7 +176,9 @@
 			return err
 		}
 		if frame.Type == 'X' {
-			return nil
+			// Requests that were sent together with Terminate may have answers pending.
+			_, err := s.out.Flush()
+			return err
 		}
 		if err := s.dispatch(frame); err != nil {
 			return err
--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -266,3 +266,34 @@
 	defer func() { _ = conn.Close(ctx) }()
 	return queryText(s.t, conn, "SELECT count(*)::text FROM intake")
 }
+
+// Guards against an answer that is not written because the caller has sent Terminate
+// together with its request.
+func TestTerminateAfterRequestLosesNoAnswer(t *testing.T) {
+	requests := map[string]string{
+		"read":          "/*route='read'*/ SELECT 'answer'",
+		"write":         "INSERT INTO intake VALUES (1, 'x')",
+		"local command": "SHOW jayloom.session",
+		"refusal":       "/*route='unknown'*/ SELECT 1",
+	}
+	for name, sql := range requests {
+		t.Run(name, func(t *testing.T) {
+			conn := newSystem(t, 0).proxy().driver(t)
+			f := conn.PgConn().Frontend()
+			f.Send(&pgproto3.Query{String: sql})
+			f.Send(&pgproto3.Terminate{})
+			if err := f.Flush(); err != nil {
+				t.Fatal(err)
+			}
+			for {
+				message, err := f.Receive()
+				if err != nil {
+					t.Fatalf("no end of the answer: %v", err)
+				}
+				if _, ok := message.(*pgproto3.ReadyForQuery); ok {
+					return
+				}
+			}
+		})
+	}
+}
