Answer the calls that a stopping control process has accepted

What callers saw: an upstream that announced itself while a control process stopped got the end of its connection instead of an answer. A gRPC call of an operator that waits for another control VM for longer than 2 s was cut, too.

Cause: the stop closed the HTTP server with http.Server.Close, which cuts calls in progress, and nothing ended the wait of a gRPC call before grpc.Server.Stop.

Evidence: TestStopAnswersAnnouncement printed before the announcement got no answer: unexpected EOF and the test that is now TestStopAnswersAcceptedCalls, run against process.stop, soon done: HTTP call: Get "http://...": EOF never done: HTTP call: Get "http://...": EOF never done: gRPC call: rpc error: code = Unavailable desc = closing transport ...

Why it works: graceful.Calls shuts both servers down and ends the contexts of the calls after three quarters of the time, so a call that waits is answered with an error of its own. The stop takes at most the 2 s it took before; what ignores its context is cut then, which is logged now.

--- a/base/metricsrv/metricsrv.go
+++ b/base/metricsrv/metricsrv.go
@@ -20,9 +20,9 @@
 	})
 }
 
-// Serve serves mux on listener in a goroutine until the returned server is closed.
-func Serve(listener net.Listener, mux *http.ServeMux) *http.Server {
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+// Serve serves handler on listener in a goroutine until the returned server is closed.
+func Serve(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	go func() {
 		// Serve always returns an error, http.ErrServerClosed after Close or Shutdown.
 		_ = server.Serve(listener)
--- a/control/process/process.go
+++ b/control/process/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/graceful"
 	"github.com/jayloom/jayloom/base/guard"
 	"github.com/jayloom/jayloom/base/metricsrv"
 	"github.com/jayloom/jayloom/base/settings"
@@ -23,7 +24,7 @@
 	"github.com/jayloom/jayloom/control/replica"
 )
 
-// stopTimeout bounds the graceful stop while callers are still connected.
+// stopTimeout bounds the wait for accepted calls when the process stops.
 const stopTimeout = 2 * time.Second
 
 // process holds what run needs to assemble a control process.
@@ -93,14 +94,16 @@
 	})
 	defer server.Close()
 
+	calls := graceful.NewCalls()
 	options := append(replica.ServerOptions(), guard.ServerOptions(p.log)...)
+	options = append(options, calls.ServerOption())
 	grpcServer := grpc.NewServer(append(options, grpc.Creds(p.credentials))...)
 	controlpb.RegisterControlServer(grpcServer, server)
 	member.Register(grpcServer)
 	mux := http.NewServeMux()
 	metricsrv.Handle(mux)
 	server.HandleAnnouncements(mux)
-	httpServer := metricsrv.Serve(p.http, mux)
+	httpServer := metricsrv.Serve(p.http, calls.Handler(mux))
 
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return member.Run(groupCtx) })
@@ -108,7 +111,10 @@
 	group.Go(func() error { return errors.Wrap(grpcServer.Serve(p.grpc), "serve gRPC") })
 	group.Go(func() error {
 		<-groupCtx.Done()
-		stop(grpcServer, httpServer)
+		// The control streams of proxies end when Leader.Run returns.
+		if err := calls.Stop(stopTimeout, grpcServer, httpServer); err != nil {
+			p.log.WithError(err).Warn("the stop has cut open calls")
+		}
 		return nil
 	})
 	p.log.WithField("grpc", p.grpc.Addr()).WithField("http", p.http.Addr()).Info("control process started")
@@ -116,13 +122,3 @@
 	p.log.Info("control process stopped")
 	return err
 }
-
-// stop stops the servers. The control streams of proxies end when Leader.Run returns;
-// calls that are still open after stopTimeout are cut.
-func stop(grpcServer *grpc.Server, httpServer *http.Server) {
-	timer := time.AfterFunc(stopTimeout, grpcServer.Stop)
-	defer timer.Stop()
-	// An error means only that a connection was cut.
-	_ = httpServer.Close()
-	grpcServer.GracefulStop()
-}
