Answer the calls that a stopping proxy has accepted from its peers

What callers saw: a cancel request that came through another proxy was dropped when the proxy that held its statement stopped; a scrape of the metrics was cut as well.

Cause: shutDown closed the peering server with grpc.Server.Stop, which cuts calls in progress, and never closed the server of the metrics.

Why it works: graceful.Calls waits for the accepted calls for up to 1 s and ends their contexts shortly before. A stop without such calls takes no longer.

--- a/cmd/jayloom-proxy/main.go
+++ b/cmd/jayloom-proxy/main.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"net/http"
 	"os/signal"
 	"syscall"
 	"time"
@@ -16,6 +17,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/graceful"
 	"github.com/jayloom/jayloom/base/metricsrv"
 	"github.com/jayloom/jayloom/base/settings"
 	"github.com/jayloom/jayloom/cmd/internal/settingsflags"
@@ -26,6 +28,13 @@
 	"github.com/jayloom/jayloom/proxy/view"
 )
 
+const (
+	// leaveTimeout bounds the report to control that the proxy leaves.
+	leaveTimeout = time.Second
+	// callsTimeout bounds the wait for accepted calls of peers and requests for metrics.
+	callsTimeout = time.Second
+)
+
 func main() {
 	settingsflags.Main("jayloom-proxy", settings.RoleProxy, run)
 }
@@ -38,6 +47,10 @@
 	controlClient  *controlclient.Client
 	peeringServer  *grpc.Server
 	callerListener net.Listener
+	// metricsServer is nil unless the settings name an address for it.
+	metricsServer *http.Server
+	// calls are those that peeringServer and metricsServer have accepted.
+	calls *graceful.Calls
 }
 
 func run(s *settings.Settings, log *logrus.Entry) error {
@@ -72,10 +85,12 @@
 	// The allocator lends the proxy's shares to other proxies as soon as it learns that the
 	// proxy has left, so the upstream connections must be closed first.
 	p.proxyServer.Close()
-	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), time.Second)
+	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
 	p.controlClient.Leave(leaveCtx)
-	p.peeringServer.Stop()
+	if err := p.calls.Stop(callsTimeout, p.peeringServer, p.metricsServer); err != nil {
+		p.log.WithError(err).Warn("the stop has cut open calls")
+	}
 	p.log.Info("stopped")
 }
 
@@ -90,7 +105,7 @@
 	}
 	dialOptions := []grpc.DialOption{grpc.WithTransportCredentials(transportCredentials)}
 	store := view.NewStore()
-	p := &process{settings: s, log: log}
+	p := &process{settings: s, log: log, calls: graceful.NewCalls()}
 	p.proxyServer = proxy.New(proxy.Options{
 		Settings: s.Proxy,
 		Store:    store,
@@ -125,11 +140,11 @@
 	if err != nil {
 		return err
 	}
-	p.peeringServer = grpc.NewServer(grpc.Creds(transportCredentials))
+	p.peeringServer = grpc.NewServer(grpc.Creds(transportCredentials), p.calls.ServerOption())
 	controlpb.RegisterPeeringServer(p.peeringServer, &proxy.PeeringServer{Server: p.proxyServer})
 	go func() { _ = p.peeringServer.Serve(peeringListener) }()
 	if s.ListenHTTP != "" {
-		if _, err := metricsrv.Start(s.ListenHTTP); err != nil {
+		if p.metricsServer, err = metricsrv.Start(s.ListenHTTP); err != nil {
 			return errors.Join(rescode.New(rescode.AddressInUse, "%s", s.ListenHTTP), err)
 		}
 	}
