Report an unknown outcome when only the repetition of a write was not sent

What callers saw: a write on an idempotent route ran, its answer was lost, and while its repetition waited for a primary the deadline, a drain or the withdrawal of the key ended the wait. The caller was told that the request has not run.

Cause: runUnbound returned the refusal of the last attempt and forgot that an earlier one had been sent.

Why it works: the outcome of an attempt at a write that may have run is kept, and a later refusal that says "not run" does not replace it. Reads have no effect, so a refusal of their repetition stays as it is.

--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -349,10 +349,16 @@
 // request. The reason of the end says that the request has not run, so it never replaces
 // an outcome that leaves this open.
 func finalOutcome(refused, reason *rescode.Error) *rescode.Error {
-	if info, ok := rescode.Lookup(refused.Code); ok && info.Execution != rescode.NotRun {
-		return refused
+	if isNotRun(refused) {
+		return reason
 	}
-	return reason
+	return refused
+}
+
+// isNotRun reports whether a refusal says that the request has not run.
+func isNotRun(refused *rescode.Error) bool {
+	info, ok := rescode.Lookup(refused.Code)
+	return ok && info.Execution == rescode.NotRun
 }
 
 // failTransaction puts the transaction on txConn into the failed state.
--- a/proxy/ended_test.go
+++ b/proxy/ended_test.go
@@ -36,3 +36,34 @@
 		t.Error("the caller stays connected although its key was withdrawn")
 	}
 }
+
+// Guards against a write that has run and is reported as not run, because its repetition
+// after a lost answer could not be sent any more.
+func TestUnsentRepetitionReportsUnknownOutcome(t *testing.T) {
+	ends := map[string]func(s *system, p *testProxy){
+		"deadline":      func(*system, *testProxy) {},
+		"drain":         func(_ *system, p *testProxy) { p.endSessions() },
+		"key withdrawn": func(s *system, _ *testProxy) { s.withdrawDriverKeys() },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 0)
+			// The answer is lost and the repetition has to wait for a primary.
+			p, d := s.faultyProxy("marker", func(int64) bool {
+				s.change(func(state *controlpb.FleetState) {
+					state.Groups["wax-1"].Phase = controlpb.GroupPhase_GROUP_PHASE_FENCED
+				})
+				return true
+			})
+			outcome := sendAsync(p.driver(t, "jayloom.route=upsert"), "INSERT INTO intake VALUES (1, 'marker')")
+			eventually(t, "the answer is lost", func() bool { return d.hits.Load() == 1 })
+			// Time for the repetition to begin its wait.
+			time.Sleep(50 * time.Millisecond)
+			end(s, p)
+			wantCode(t, <-outcome, rescode.PrimaryReplaced)
+			if n := len(statements(s.primary, "marker")); n != 1 {
+				t.Errorf("the write ran %d times, want 1", n)
+			}
+		})
+	}
+}
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -43,6 +43,11 @@
 	uncommitted bool
 }
 
+// mayHaveRun reports whether the request was sent and its outcome is not known.
+func (r result) mayHaveRun() bool {
+	return r.kind == resultLost || r.kind == resultUnleased
+}
+
 // exchange is the execution of one request on one connection. It sends the proxy's own
 // statements, the request and the position query that follows it in one flush.
 type exchange struct {
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -156,6 +156,24 @@
 	return res.refused, nil
 }
 
+// outcomeOfAttempts returns what is known about a request after its last attempt was
+// refused. That this one has not run says nothing about an earlier one.
+func outcomeOfAttempts(earlier, refused *rescode.Error) *rescode.Error {
+	if earlier == nil || refused == nil || !isNotRun(refused) {
+		return refused
+	}
+	return finalOutcome(earlier, refused)
+}
+
+// errorOfAttempts is outcomeOfAttempts for an error that ends the session.
+func errorOfAttempts(earlier *rescode.Error, err error) error {
+	var refused *rescode.Error
+	if !errors.As(err, &refused) {
+		return err
+	}
+	return outcomeOfAttempts(earlier, refused)
+}
+
 // discardConn closes a connection after a failure, which ends any transaction on it.
 func (s *caller) discardConn(held *heldConn) {
 	if s.txConn == held {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -210,6 +210,8 @@
 	if lost := s.checkPinnedState(); lost != nil {
 		return nil, lost
 	}
+	// earlier is the outcome of an attempt at a write that may have run, or nil.
+	var earlier *rescode.Error
 	for {
 		onReplicas := !r.primaryOnly
 		held, refused := s.acquireConn(r)
@@ -217,15 +219,19 @@
 			if s.retryUnsent(r, refused, onReplicas && r.primaryOnly) {
 				continue
 			}
-			return refused, nil
+			return outcomeOfAttempts(earlier, refused), nil
 		}
 		result := s.execute(held.conn, held.target, r)
 		if result.kind == resultDone || !s.mayRetry(held, r, result) {
-			return s.finishRequest(held, r, result)
+			refused, err := s.finishRequest(held, r, result)
+			return outcomeOfAttempts(earlier, refused), errorOfAttempts(earlier, err)
+		}
+		if result.mayHaveRun() && !r.plan.Read {
+			earlier = s.lostAnswerError(held, r, result)
 		}
 		s.releaseAttempt(held, result)
 		if s.ctx.Err() != nil {
-			return nil, s.sessionError(s.ctx.Err())
+			return nil, errorOfAttempts(earlier, s.sessionError(s.ctx.Err()))
 		}
 	}
 }
