--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -23,7 +23,7 @@
 	resultLost
 	// resultUnleased: the answer arrived after the primary lease had ended.
 	resultUnleased
-	// resultCallerGone: the caller's connection ended.
+	// resultCallerGone: the caller's connection or session ended.
 	resultCallerGone
 	// resultRefused: the answer was replaced by a result code.
 	resultRefused
@@ -43,6 +43,11 @@
 	uncommitted bool
 }
 
+// mayHaveRun reports whether the request was sent and its outcome is not known.
+func (r result) mayHaveRun() bool {
+	return r.kind == resultLost || r.kind == resultUnleased
+}
+
 // exchange is the execution of one request on one connection. It sends the proxy's own
 // statements, the request and the position query that follows it in one flush.
 type exchange struct {
@@ -90,10 +95,17 @@
 	writes     bool
 }
 
-// execute runs a request on a connection and forwards the answer.
+// execute runs a request on a connection and forwards the answer. The session may have
+// been ended while the request waited for the connection; it is then not sent.
 func (s *caller) execute(conn *upstreamConn, t target, r *request) result {
+	if err := s.ctx.Err(); err != nil {
+		return result{kind: resultUnsent, err: err, startTx: s.tx}
+	}
 	x := &exchange{caller: s, conn: conn, target: t, r: r, holdFrom: -1, startTx: s.tx, awaitingFirst: true}
 	x.completed, x.effects.writes = s.batch.completed, s.batch.writes
+	if r.messages != nil {
+		s.batch.mayCommit = s.batch.mayCommit || r.mayCommit()
+	}
 	s.runningConn.Store(conn)
 	defer s.runningConn.Store(nil)
 	res := x.run()
