Soak: planned stops under load, checked by the users' rule

Three to five nodes before servers with three slots (8 to 40 ms of work) are stopped by SIGTERM in series that overlap, with configuration changes and SIGHUPs beside some; 60 callers keep single statements in the queues and transactions with pauses open. The check applies rule LOST around a SIGTERM, counts apart what crossed the end of an idle session, and finds statements that reach a server after their caller was disconnected.

--- a/cmd/internal/soak/callers_test.go
+++ b/cmd/internal/soak/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand"
 	"strings"
 	"sync"
@@ -16,6 +17,8 @@
 	callersPerWorkload = 6
 	// itemCount is the number of items that callers read and write.
 	itemCount = 30
+	// shortTransaction is the largest number of statements of a short transaction.
+	shortTransaction = 3
 	// maxThinkTime is the longest pause between two attempts of a caller.
 	maxThinkTime = 60 * time.Millisecond
 	// maxSessionAttempts is the largest number of attempts in one session.
@@ -28,15 +31,19 @@
 	database, team, key          string
 	writeRatio, transactionRatio float64
 	callers                      int
+	// maxStatements is the largest number of statements between BEGIN and the end of a
+	// transaction, maxPause the longest pause between two of them.
+	maxStatements int
+	maxPause      time.Duration
 }
 
 var workloads = []workload{
-	{"intake", largeTeam, largeKey, 0.4, 0.3, callersPerWorkload},
-	{"lots", largeTeam, largeKey, 0.3, 0.3, callersPerWorkload},
-	{"lots", largeTeam, spareKey, 0.3, 0.3, callersPerWorkload / 2},
-	{"codes", largeTeam, largeKey, 0, 0.2, callersPerWorkload},
+	{"intake", largeTeam, largeKey, 0.4, 0.3, callersPerWorkload, shortTransaction, 0},
+	{"lots", largeTeam, largeKey, 0.3, 0.3, callersPerWorkload, shortTransaction, 0},
+	{"lots", largeTeam, spareKey, 0.3, 0.3, callersPerWorkload / 2, shortTransaction, 0},
+	{"codes", largeTeam, largeKey, 0, 0.2, callersPerWorkload, shortTransaction, 0},
 	// This team asks for about three times its rate.
-	{"lots", smallTeam, smallKey, 0.1, 0, callersPerWorkload / 2},
+	{"lots", smallTeam, smallKey, 0.1, 0, callersPerWorkload / 2, shortTransaction, 0},
 }
 
 // statement is one statement of an attempt and its answer.
@@ -106,7 +113,7 @@
 
 // startCallers starts the callers of all workloads. The returned function stops them and
 // waits for them.
-func startCallers(ctx context.Context, f *fleet, h *history, seed int64) func() {
+func startCallers(ctx context.Context, f *fleet, h *history, workloads []workload, seed int64) func() {
 	ctx, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
 	number := 0
@@ -163,7 +170,7 @@
 			}
 			prepared = true
 		}
-		if !c.runAttempt(node, session, values, prepared) {
+		if !c.runAttempt(ctx, node, session, values, prepared) {
 			return
 		}
 	}
@@ -199,20 +206,24 @@
 		end = "ROLLBACK"
 	}
 	texts := []string{begin}
-	for range 1 + r.Intn(3) {
+	for range 1 + r.Intn(c.workload.maxStatements) {
 		texts = append(texts, drawStatement())
 	}
 	return append(texts, end)
 }
 
 // runAttempt runs one operation. It returns false when the session must end.
-func (c *caller) runAttempt(node string, session *standin.Caller, values map[string]string, prepared bool) bool {
+func (c *caller) runAttempt(ctx context.Context, node string, session *standin.Caller, values map[string]string, prepared bool) bool {
 	a := &attempt{workload: c.workload, node: node, sessionID: c.sessionID, values: map[string]string{}}
 	for name, value := range values {
 		a.values[name] = value
 	}
 	usable := true
-	for _, text := range c.drawOperation(prepared) {
+	for i, text := range c.drawOperation(prepared) {
+		if i > 0 && c.workload.maxPause > 0 {
+			// Most pauses are short.
+			sleep(ctx, time.Duration(math.Pow(c.random.Float64(), 3)*float64(c.workload.maxPause)))
+		}
 		s := statement{id: c.nextStatementID(), text: text, sentAt: time.Now()}
 		s.answer, s.err = session.QueryWithID(s.id, text)
 		s.endedAt = time.Now()
--- a/cmd/internal/soak/check_test.go
+++ b/cmd/internal/soak/check_test.go
@@ -27,8 +27,12 @@
 		checkOrigin, checkResults, checkExactlyOnce, checkRefusals, checkFreshness, checkTransactions,
 		checkKeys, checkRate, checkConfiguration, checkFenceHolders, checkUnanswered, checkRecovery,
 	}
-	all := h.unexpectedExits
-	x := newIndex(h)
+	return append(h.unexpectedExits, newIndex(h).violationsOf(checks)...)
+}
+
+// violationsOf returns what the given checks find, limited to maxViolationsPerCheck for each.
+func (x *index) violationsOf(checks []func(*index) []string) []string {
+	var all []string
 	for _, check := range checks {
 		found := check(x)
 		if len(found) > maxViolationsPerCheck {
--- a/cmd/internal/soak/fleet_test.go
+++ b/cmd/internal/soak/fleet_test.go
@@ -71,7 +71,17 @@
 	exitExpected bool
 	// unexpectedExits describes the exits that the test did not cause.
 	unexpectedExits []string
-	log             *os.File
+	// stops are the ends by SIGTERM, and by SIGKILL after it.
+	stops []nodeStop
+	log   *os.File
+}
+
+// nodeStop is the planned stop of a node.
+type nodeStop struct {
+	node               string
+	signalledAt, endAt time.Time
+	// killed is set when the process did not exit within the grace period.
+	killed bool
 }
 
 // layout is the number of nodes, how many of them have a disk, and how many disks may be lost
@@ -253,14 +263,25 @@
 	p.exitExpected = true
 	ended := p.exited
 	p.mu.Unlock()
+	stop := nodeStop{node: p.node.Name, signalledAt: time.Now()}
 	p.signal(s)
 	select {
 	case <-ended:
-		return
 	case <-time.After(shutdownGracePeriod):
+		stop.killed = true
+		p.signal(syscall.SIGKILL)
+		<-ended
+	}
+	if s == syscall.SIGTERM {
+		p.recordStop(stop)
 	}
-	p.signal(syscall.SIGKILL)
-	<-ended
+}
+
+func (p *process) recordStop(s nodeStop) {
+	s.endAt = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stops = append(p.stops, s)
 }
 
 func (p *process) kill() {
--- a/cmd/internal/soak/history_test.go
+++ b/cmd/internal/soak/history_test.go
@@ -25,6 +25,10 @@
 	faultsStartedAt time.Time
 	faultsEndedAt   time.Time
 	endedAt         time.Time
+	// stops are the planned stops, and cutLines the nodes' log lines on cut requests, by
+	// statement.
+	stops    []nodeStop
+	cutLines map[string]cutLine
 }
 
 func (h *history) newSession() uint64 {
--- a/cmd/internal/soak/lost_disks_test.go
+++ b/cmd/internal/soak/lost_disks_test.go
@@ -29,14 +29,19 @@
 
 // logLines returns the structured lines of a node's log.
 func (p *process) logLines() []logLine {
+	return readLog[logLine](p)
+}
+
+// readLog returns the lines of a node's log that have the structure of L.
+func readLog[L any](p *process) []L {
 	file, err := os.Open(filepath.Join(p.node.Folder, "log"))
 	if err != nil {
 		p.fleet.t.Fatal(err)
 	}
 	defer file.Close()
-	var out []logLine
+	var out []L
 	for lines := bufio.NewScanner(file); lines.Scan(); {
-		var l logLine
+		var l L
 		// Lines of the Go runtime are not structured.
 		if json.Unmarshal(lines.Bytes(), &l) == nil {
 			out = append(out, l)
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -54,18 +54,23 @@
 // Guards against broken guarantees under overlapping faults. The seed determines the faults
 // and their times; the interleaving of processes differs from run to run.
 func TestSoak(t *testing.T) {
-	seeds := regressionSeeds
-	if *firstSeed != 0 {
-		seeds = nil
-		for i := range *seedCount {
-			seeds = append(seeds, *firstSeed+i)
-		}
-	}
-	for _, seed := range seeds {
+	for _, seed := range seedsOr(regressionSeeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSeed(t, seed) })
 	}
 }
 
+// seedsOr returns the seeds that the flags name, or the given ones if they name none.
+func seedsOr(regression []int64) []int64 {
+	if *firstSeed == 0 {
+		return regression
+	}
+	var seeds []int64
+	for i := range *seedCount {
+		seeds = append(seeds, *firstSeed+i)
+	}
+	return seeds
+}
+
 // Phases of a run.
 const (
 	// startTimeout bounds the first election, configuration and announcements.
@@ -88,7 +93,7 @@
 	f.group.OnExecution(h.recordExecution)
 	o := newOperator(f, h)
 	o.start(ctx, t)
-	stopCallers := startCallers(ctx, f, h, seed)
+	stopCallers := startCallers(ctx, f, h, workloads, seed)
 	sleep(ctx, warmUpTime)
 	s := newSchedule(f, o, seed)
 	h.faultsStartedAt = time.Now()
