Handle signals that arrive while a node starts

Found by the soak of planned stops, whose SIGHUPs overlap restarts: a process that was starting ended by one.

The node registers for signals before it opens anything; SIGTERM has a channel of its own.

TestSignalsDuringStartAreHandled: 'signal: hangup' ended the test process before; passes now.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -82,16 +82,24 @@
 	httpServers     []*http.Server
 	draining        chan struct{}
 	failures        chan error
-	goroutines      sync.WaitGroup
+	// terminations and reloads receive signals from the creation of the node on. Each holds one,
+	// and they are separate so that no number of SIGHUPs displaces a SIGTERM.
+	terminations, reloads chan os.Signal
+	goroutines            sync.WaitGroup
 }
 
 func newNode(o options, s *platform.Settings, log *logrus.Entry) *node {
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.FirstInternalPort))
-	return &node{
+	n := &node{
 		settings: s, settingsPath: o.Settings, log: log,
 		address: address, listenAddress: cmp.Or(o.NodeListen, address),
 		draining: make(chan struct{}), failures: make(chan error, 4),
+		terminations: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1),
 	}
+	// A signal that arrives while the node starts is handled once it runs.
+	signal.Notify(n.terminations, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(n.reloads, syscall.SIGHUP)
+	return n
 }
 
 func run(o options, s *platform.Settings) error {
@@ -307,23 +315,25 @@
 
 // waitForStop blocks until a server fails or a termination signal arrives.
 func (n *node) waitForStop() error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
 		select {
 		case err := <-n.failures:
 			n.log.WithError(err).WithField("event", "failed").Error("node failed, stopping")
 			return err
-		case sig := <-signals:
-			n.log.WithFields(logrus.Fields{"event": "signal", "signal": sig.String()}).Info("signal received")
-			if sig != syscall.SIGHUP {
-				return nil
-			}
-			// SIGHUP needs no action: the seeds are read from the file on each use.
+		case sig := <-n.terminations:
+			n.logSignal(sig)
+			return nil
+		case sig := <-n.reloads:
+			// No action is needed: the seeds are read from the file on each use.
+			n.logSignal(sig)
 		}
 	}
 }
 
+func (n *node) logSignal(sig os.Signal) {
+	n.log.WithFields(logrus.Fields{"event": "signal", "signal": sig.String()}).Info("signal received")
+}
+
 // shutdown stops accepting callers, waits up to the grace period for running work and
 // leaves the fleet.
 func (n *node) shutdown(ctx context.Context) {
--- a/cmd/jayloom-node/shutdown_test.go
+++ b/cmd/jayloom-node/shutdown_test.go
@@ -4,10 +4,17 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/jayloom/jayloom/base/logging"
+	"github.com/jayloom/jayloom/platform"
+	"github.com/jayloom/jayloom/platform/standin"
 )
 
 // Guards against a stop that closes the connection of an operator's or upstream's call that has
@@ -43,3 +50,22 @@
 	_ = response.Body.Close()
 	<-stopped
 }
+
+// Guards against a signal that ends a node while it starts: a SIGHUP would kill it, and a SIGTERM
+// would cut the callers that it has accepted by then.
+func TestSignalsDuringStartAreHandled(t *testing.T) {
+	endpoint := standin.Node{Name: "n0", IP: "127.0.7.9", Folder: t.TempDir()}
+	settings, err := platform.ParseSettings(endpoint.Settings([]standin.Node{endpoint}, "127.0.7.9:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := newNode(options{}, settings, logging.NewRateLimited(io.Discard, "test", "n0"))
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		if err := syscall.Kill(os.Getpid(), sig); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := n.waitForStop(); err != nil {
+		t.Errorf("the signals ended the node with %v", err)
+	}
+}
