Leave a full node 0.4 s to answer its callers in a short grace period

With a grace period of 2 s, 700 callers and load 17, a stop under the race detector took 2.05 s once, so the process would have been killed before all callers were told. Statements are now given up 0.4 s before the end at the latest, but never before the last sixth (as before with grace periods from 4.8 s).

--- a/gateway/stop/plan.go
+++ b/gateway/stop/plan.go
@@ -11,12 +11,13 @@
 	// transactionFraction is the fraction of the grace period in which open transactions may
 	// send statements of any length.
 	transactionFraction = 1.0 / 2
-	// answerFraction is the fraction of the grace period after which statements that have no
-	// answer are given up, so that their callers are told before the process is killed.
-	answerFraction = 11.0 / 12
-	// closeFraction is the fraction of the grace period after which callers that have not read
-	// their answers are disconnected. What is left is for the end of the process.
-	closeFraction = 23.0 / 24
+	// Statements that have no answer are given up after maxAnswerFraction of the grace period, so
+	// that their callers are told before the process is killed. In a short grace period this is
+	// endTime before its end, but not before minAnswerFraction of it.
+	minAnswerFraction = 5.0 / 6
+	maxAnswerFraction = 11.0 / 12
+	// endTime is what a full node needs on a busy VM to answer all callers and to end.
+	endTime = 400 * time.Millisecond
 )
 
 // Plan divides the grace period of a stop. The times are in this order.
@@ -30,7 +31,8 @@
 	TransactionsUntil time.Duration
 	// AnswersUntil is when statements without an answer are given up.
 	AnswersUntil time.Duration
-	// ClosesAt is when all connections are closed.
+	// ClosesAt is when callers that have not read their answers are disconnected. Half of the time
+	// since AnswersUntil is left for the end of the process.
 	ClosesAt time.Duration
 	// EndsAt is when the process is killed.
 	EndsAt time.Duration
@@ -41,13 +43,15 @@
 	part := func(fraction float64) time.Duration {
 		return now + time.Duration(fraction*float64(grace))
 	}
+	end := now + grace
+	answersUntil := max(part(minAnswerFraction), min(part(maxAnswerFraction), end-endTime))
 	return Plan{
 		BeganAt:           now,
 		ServesUntil:       min(now+balancerDelay, part(transactionFraction)),
 		TransactionsUntil: part(transactionFraction),
-		AnswersUntil:      part(answerFraction),
-		ClosesAt:          part(closeFraction),
-		EndsAt:            now + grace,
+		AnswersUntil:      answersUntil,
+		ClosesAt:          answersUntil + (end-answersUntil)/2,
+		EndsAt:            end,
 	}
 }
 
--- a/gateway/stop/plan_test.go
+++ b/gateway/stop/plan_test.go
@@ -58,8 +58,8 @@
 		if p.AnswersUntil < begun+grace*5/6 {
 			t.Errorf("grace period %s: answers are given up %s after its beginning", grace, p.AnswersUntil-begun)
 		}
-		if p.ClosesAt >= p.EndsAt {
-			t.Errorf("grace period %s: no time is left to end the process", grace)
+		if left := p.EndsAt - p.AnswersUntil; left < min(endTime, grace/6)-time.Microsecond || p.ClosesAt >= p.EndsAt {
+			t.Errorf("grace period %s: %s are left to answer all callers, and %s to end the process", grace, left, p.EndsAt-p.ClosesAt)
 		}
 	}
 }
