Close a caller's connection before its transaction is rolled back

At the end of a session with an open transaction the connection stayed open, unread, for up to 200 ms while the transaction was rolled back; a commit sent in that time met a reset.

--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -164,15 +164,23 @@
 }
 
 func (c *callerConn) run(ctx context.Context) {
-	defer func() { _ = c.conn.Close() }()
+	defer c.endSession()
 	if !c.openSession() {
 		return
 	}
-	defer c.session.Close()
 	for c.serveStatement(ctx) {
 	}
 }
 
+// endSession closes the caller's connection and then rolls back its open transaction, which may
+// take a while: what the caller sends meanwhile would not be read.
+func (c *callerConn) endSession() {
+	_ = c.conn.Close()
+	if c.session != nil {
+		c.session.Close()
+	}
+}
+
 // openSession reads the startup message and opens the session. It reports whether that
 // succeeded.
 func (c *callerConn) openSession() bool {
