--- a/gateway/server/shutdown.go
+++ b/gateway/server/shutdown.go
@@ -38,9 +38,9 @@
 	}).Info("sessions ended")
 }
 
-// drainUntil ends sessions as they may end, until none is left or the time is end.
+// drainUntil ends sessions as they may end, until none is left, the time is end or ctx ends.
 func (s *Server) drainUntil(ctx context.Context, end time.Duration) {
-	for clock.Now() < end && s.CallerCount() > 0 {
+	for ctx.Err() == nil && clock.Now() < end && s.CallerCount() > 0 {
 		s.Drain()
 		sleep(ctx, min(drainPollInterval, end-clock.Now()))
 	}
