--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,7 +24,10 @@
 skip=$(sed -n 's/^test: [^ ]* \(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
 if [ -n "$skip" ]; then
   echo "known red, not deciding: $skip"
-  go test -count=1 -run "^($skip)\$" "${packages[@]}" || true
+  known=$(mktemp)
+  trap 'rm -rf "$tools" "$known"' EXIT
+  go test -count=1 -run "^($skip)\$" "${packages[@]}" 2>&1 | tee "$known" || true
+  ./scripts/known-red.sh KNOWN-RED.txt "$known"
   go test -count=1 -skip "^($skip)\$" "${packages[@]}"
 else
   go test -count=1 "${packages[@]}"
