Test that a drain answers a caller in the middle of a request

Segments of one request around the start of a drain: the proxy waits for the rest of a request that has begun to arrive; over TLS, where a part of a record is not visible, it refuses the request as not run.

--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -81,3 +86,94 @@
 	}
 	eventually(t, "its connections are closed", func() bool { return s.replicas[0].Sessions() == 0 })
 }
+
+// Guards against a drain that ends an idle caller between two segments of its request: the
+// request is either served or refused as not run, and never dropped half read.
+func TestDrainAwaitsRestOfRequest(t *testing.T) {
+	for name, complete := range map[string]bool{"completed": true, "never completed": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 0)
+			p := s.proxy()
+			conn := p.driver(t)
+			text, err := (&pgproto3.Query{String: "INSERT INTO intake VALUES (1, 'halves')"}).Encode(nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			half := len(text) / 2
+			if _, err := conn.PgConn().Conn().Write(text[:half]); err != nil {
+				t.Fatal(err)
+			}
+			go p.drainWithin(testDrainTimeout)
+			time.Sleep(3 * drainGracePeriod)
+			want, runs := rescode.ProxyDraining, 0
+			if complete {
+				want, runs = rescode.Code(0), 1
+				if _, err := conn.PgConn().Conn().Write(text[half:]); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := receiveError(conn); codeOf(err) != want || complete && err != nil {
+				t.Errorf("got %v, want code %v", err, want)
+			}
+			if n := len(statements(s.primary, "halves")); n != runs {
+				t.Errorf("the statement ran %d times, want %d", n, runs)
+			}
+		})
+	}
+}
+
+// splitConn writes in two segments with a pause once split is set.
+type splitConn struct {
+	net.Conn
+	split *atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c splitConn) Write(b []byte) (int, error) {
+	if !c.split.Load() {
+		return c.Conn.Write(b)
+	}
+	first, err := c.Conn.Write(b[:len(b)/2])
+	if err != nil {
+		return first, err
+	}
+	time.Sleep(3 * drainGracePeriod)
+	second, err := c.Conn.Write(b[first:])
+	return first + second, err
+}
+
+// Guards against a drain that ends a caller between two segments of a TLS record without an
+// answer. The proxy can't see such a part of a request, so it may refuse it as not run.
+func TestDrainAnswersPartialTLSRecord(t *testing.T) {
+	s := newSystem(t, 0)
+	certificate, pool := testCertificate(t)
+	p := s.proxy(func(o *Options) {
+		o.TLS = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}}
+	})
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://driver:%s@%s/wax?sslmode=verify-full", keyDriver, p.address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	config.TLSConfig.RootCAs = pool
+	var split atomic.Bool
+	config.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		return splitConn{conn, &split}, err
+	}
+	conn, err := pgx.ConnectConfig(t.Context(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	split.Store(true)
+	outcome := sendAsync(conn, "INSERT INTO intake VALUES (1, 'record')")
+	time.Sleep(drainGracePeriod / 2)
+	go p.drainWithin(testDrainTimeout)
+	err = <-outcome
+	runs := len(statements(s.primary, "record"))
+	served := err == nil && runs == 1
+	refused := codeOf(err) == rescode.ProxyDraining && runs == 0
+	if !served && !refused {
+		t.Errorf("the statement ran %d times and its caller got %v", runs, err)
+	}
+	t.Logf("served %v, refused %v", served, refused)
+}
