Refuse logins that end after a drain has begun

What callers saw: a caller whose login was under way at SIGTERM could log in after the drain had ended, and send a request that was passed on while the process ended.

Cause: registry.add accepted sessions during a drain and relied on the next idle moment to end them; Drain did not wait for them once the registry had been empty.

Why it works: no session begins after the drain has, so an empty registry stays empty. The caller gets proxy_draining, not run, as the answer to its login.

--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -177,3 +177,30 @@
 	}
 	t.Logf("served %v, refused %v", served, refused)
 }
+
+// Guards against a caller that logs in after the drain has ended, and whose request the
+// stop of the process then cuts.
+func TestDrainRefusesUnfinishedLogin(t *testing.T) {
+	s := newSystem(t, 0)
+	p := s.proxy()
+	opened, err := net.Dial("tcp", p.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = opened.Close() }()
+	eventually(t, "the login begins", func() bool { return p.unauthenticatedCount.Load() == 1 })
+	p.drainWithin(testDrainTimeout)
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://driver:%s@%s/wax?sslmode=disable", keyDriver, p.address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	config.DialFunc = func(context.Context, string, string) (net.Conn, error) { return opened, nil }
+	conn, err := pgx.ConnectConfig(t.Context(), config)
+	if err == nil {
+		_, err = conn.Exec(t.Context(), "INSERT INTO intake VALUES (1, 'late')")
+	}
+	if n := len(statements(s.primary, "late")); n != 0 {
+		t.Errorf("a statement ran %d times after the drain had ended", n)
+	}
+	wantCode(t, err, rescode.ProxyDraining)
+}
--- a/proxy/registry.go
+++ b/proxy/registry.go
@@ -28,10 +28,14 @@
 	}
 }
 
-// add registers a session and assigns its ID and cancel secret.
-func (r *registry) add(s *caller, secret func() uint32) {
+// add registers a session and assigns its ID and cancel secret. A draining proxy refuses
+// it: nothing waits for a session that begins after the last one has ended.
+func (r *registry) add(s *caller, secret func() uint32) *rescode.Error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.draining {
+		return rescode.New(rescode.ProxyDraining, "")
+	}
 	r.lastID++
 	s.id = r.lastID
 	s.cancelSecret = secret()
@@ -40,9 +44,7 @@
 	}
 	r.sessions[s.id] = s
 	r.bySecret[s.cancelSecret] = s
-	if r.draining {
-		s.drain()
-	}
+	return nil
 }
 
 func (r *registry) remove(s *caller) {
--- a/proxy/startup.go
+++ b/proxy/startup.go
@@ -308,7 +308,9 @@
 	s.out = wire.NewWriter(timeoutWriter{conn: h.net, timeout: writeTimeout})
 	s.rd.SetLimit(int(h.server.settings.MaxMessageBytes))
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	h.server.registry.add(s, randomSecret)
+	if refused := h.server.registry.add(s, randomSecret); refused != nil {
+		return nil, refused
+	}
 	// The key may have been withdrawn between the check and the registration.
 	snapshot := h.server.view.Current()
 	if !s.hasActiveKey(snapshot) {
