Test that a stopping proxy process answers unfinished work

Sixty callers with unfinished work, SIGTERM with a drain timeout of 3 s: statements outside and inside transactions, and idle transactions.

The end-to-end tests have no other test whose name matches Shutdown or Drain; TestRestartOfProxiesCutsNothing is the one that guards the drain itself.

--- a/cmd/internal/e2e/deploy_test.go
+++ b/cmd/internal/e2e/deploy_test.go
@@ -58,6 +58,8 @@
 	UpstreamTLS map[string]string
 	// SelectGroups makes proxies subscribe to single groups, as in a fleet with many groups.
 	SelectGroups bool
+	// DrainTimeout is proxy.drain_timeout_ms; zero means the default of the settings.
+	DrainTimeout time.Duration
 	// ManualStart names the processes that the test starts itself.
 	ManualStart []string
 }
@@ -238,6 +240,9 @@
 	if d.options.SelectGroups {
 		own["all_groups_up_to"] = 0
 	}
+	if d.options.DrainTimeout != 0 {
+		own["drain_timeout_ms"] = d.options.DrainTimeout.Milliseconds()
+	}
 	args := d.overlayArgs(name, object{"proxy": own})
 	p.Process = d.addProcess(name, "jayloom-proxy", args...)
 	d.Proxies = append(d.Proxies, p)
--- a/cmd/internal/e2e/leaving_test.go
+++ b/cmd/internal/e2e/leaving_test.go
@@ -195,6 +195,12 @@
 // hasOpenStatement asks a stand-in whether a statement that contains text has no outcome
 // yet.
 func hasOpenStatement(t *testing.T, d *Deployment, s *StandIn, text string) bool {
+	t.Helper()
+	return openStatementCount(t, d, s, text) > 0
+}
+
+// openStatementCount returns how many statements that contain text a stand-in is running.
+func openStatementCount(t *testing.T, d *Deployment, s *StandIn, text string) int {
 	t.Helper()
 	conn, err := d.ConnectDirectly(t.Context(), s)
 	if err != nil {
@@ -209,12 +215,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	count := 0
 	for _, statement := range statements {
 		if strings.Contains(statement, text) {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 func hasRun(d *Deployment, s *StandIn, text string) bool {
--- a/cmd/internal/e2e/shutdown_test.go
+++ b/cmd/internal/e2e/shutdown_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/jayloom/jayloom/api/rescode"
 )
@@ -200,3 +202,60 @@
 	}
 	t.Logf("%d rows acknowledged, %d requests refused as not run", len(x.committed), len(x.refused))
 }
+
+// unfinishedCallers is the number of callers of each kind that a stop finds at work.
+const unfinishedCallers = 20
+
+// unfinishedWork starts one caller of each kind, whose work doesn't end before the drain
+// timeout, and sends the errors that they get to outcomes.
+func unfinishedWork(t *testing.T, d *Deployment, p *Proxy, outcomes map[rescode.Code]chan error) {
+	t.Helper()
+	single, inside, idle := connect(t, d, p), connect(t, d, p), connect(t, d, p)
+	exec(t, inside, "BEGIN")
+	exec(t, idle, "BEGIN")
+	run := func(conn *pgx.Conn, code rescode.Code) {
+		_, err := conn.Exec(context.Background(), "SELECT pg_sleep(60)")
+		outcomes[code] <- err
+	}
+	go run(single, rescode.AnswerLost)
+	go run(inside, rescode.TransactionAborted)
+	go func() {
+		message, err := idle.PgConn().ReceiveMessage(context.Background())
+		if refusal, ok := message.(*pgproto3.ErrorResponse); ok {
+			err = pgconn.ErrorResponseToPgError(refusal)
+		}
+		outcomes[rescode.TransactionAborted] <- err
+	}()
+}
+
+// Guards against a proxy process that ends at its drain timeout without an answer to
+// callers whose work has not ended.
+func TestShutdownAnswersUnfinishedWork(t *testing.T) {
+	const drainTimeout = 3 * time.Second
+	d := Start(t, Options{Proxies: 1, StandIns: 1, ConnectionLimit: drainConnections, DrainTimeout: drainTimeout})
+	p := d.Proxies[0]
+	outcomes := map[rescode.Code]chan error{
+		rescode.AnswerLost:         make(chan error, unfinishedCallers),
+		rescode.TransactionAborted: make(chan error, 2*unfinishedCallers),
+	}
+	for range unfinishedCallers {
+		unfinishedWork(t, d, p, outcomes)
+	}
+	d.WaitFor("the statements to run", func() bool {
+		return openStatementCount(t, d, d.Primary(), "pg_sleep") == 2*unfinishedCallers
+	})
+	began := time.Now()
+	p.Terminate()
+	for code, errs := range outcomes {
+		for range cap(errs) {
+			if err := <-errs; rescode.Code(resultCode(err)) != code {
+				t.Errorf("got %v, want code %v", err, code)
+			}
+		}
+	}
+	p.Wait()
+	// The report to control and the calls of peers take up to a second each.
+	if took := time.Since(began); took > drainTimeout+2*time.Second {
+		t.Errorf("the proxy took %v to end", took)
+	}
+}
