Let a proxy receive a state of any size from control

What callers saw: once a change or the state was larger than 4 MiB, every proxy lost its control stream at the same message, again and again, and with it its leases: no proxy served. One announcement over gRPC with a place of 5 MiB was enough; it is committed, so a restart didn't help.

Cause: control receives messages of any size, a proxy only gRPC's default of 4 MiB.

A proxy receives what its control sends. Nobody else can use that call: it is a stream that the proxy opens to a control VM.

Before: TestClientReceivesLargeState, 'condition not met in time: the proxy holds the serving lease' after 10 s; passes now.

--- a/proxy/controlclient/client.go
+++ b/proxy/controlclient/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"math"
 	"math/big"
 	"time"
 
@@ -36,6 +37,10 @@
 	maxBackoff = 100 * time.Millisecond
 )
 
+// receiveAnySize lifts gRPC's limit of 4 MiB on a received message. A full copy of the state is one message;
+// a proxy that cannot receive it would get it again on each new stream and serve nothing.
+var receiveAnySize = grpc.MaxCallRecvMsgSize(math.MaxInt32)
+
 // Options configure a Client.
 type Options struct {
 	Voters []string
@@ -195,7 +200,8 @@
 func (c *Client) runStream(ctx context.Context, address string) (int, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := grpc.NewClient(address, c.opts.DialOptions...)
+	options := append([]grpc.DialOption{grpc.WithDefaultCallOptions(receiveAnySize)}, c.opts.DialOptions...)
+	conn, err := grpc.NewClient(address, options...)
 	if err != nil {
 		return 0, err
 	}
