Refuse announcements to control that name no upstream to use

One odd entry, PostgreSQL side. What callers saw: no primary for a whole group, for good. A server announced at two spellings of its address (port 01 and 1) was probed as two primaries, and none is adopted while there are two. An announcement with an odd service, s and a NUL, gave the group that service, and its upstreams were refused from then on; nothing removes a group. Ports out of range, the unspecified address, socket folders, control characters and names of any length were taken in as well. Those alone harm nobody: nothing dials an upstream that no probe has reached, and a failed probe counts as probed.

Cause: an address had only to have a colon, and names not to be empty.

An announcement is checked before the proposal, over HTTP and gRPC: service, group and place as the gateway's (base/entry), the address as one spelling of an IP address or DNS name with a port from 1 to 65535. An upstream that is in the state already can still change and leave, whatever its name.

Before: TestOddAnnouncementsAreRefused, 'ok, want invalid_command' for 22 of 23 addresses and a blank as the group; TestOtherSpellingOfAddressDoesNotHideThePrimary, 'no primary within 5s' ('no primary adopted: 127.0.0.1:01 and 127.0.0.1:1 are both not in recovery'); TestOddServiceDoesNotKeepTheGroup, 'the good upstream got 400 "group "g1" belongs to service "s\x00""'. All pass now.

--- a/control/announce.go
+++ b/control/announce.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -61,8 +60,12 @@
 		return nil, rescode.New(rescode.AnnouncementCredentialWrong, "the call carries no valid announcement credential")
 	}
 	change, err := readAnnouncement(r)
+	if err == nil {
+		err = s.checkAnnouncement(change)
+	}
 	if err != nil {
 		refusals(rescode.InvalidCommand).Inc()
+		s.log.WithError(err).Warn("announcement refused")
 		return nil, err
 	}
 	if s.isAnnounced(change) {
@@ -85,9 +88,6 @@
 	if err := decoder.Decode(&body); err != nil {
 		return nil, rescode.New(rescode.InvalidCommand, "announcement: %s", err.Error())
 	}
-	if _, _, err := net.SplitHostPort(body.Address); err != nil {
-		return nil, rescode.New(rescode.InvalidCommand, "announcement: address %q is not host:port", body.Address)
-	}
 	state, err := parseUpstreamState(body.State)
 	if err != nil {
 		return nil, err
--- a/control/command.go
+++ b/control/command.go
@@ -5,6 +5,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/entry"
 )
 
 const (
@@ -18,7 +19,17 @@
 
 // checkCommand refuses a command that must not enter the log. It runs before the proposal: a command in the
 // log has to be applied by all versions alike, so what applies it cannot refuse more than it did.
-func checkCommand(c *controlpb.Command) error {
+func (s *Server) checkCommand(c *controlpb.Command) error {
+	if err := checkSize(c); err != nil {
+		return err
+	}
+	if a := c.GetAnnounceUpstream(); a != nil {
+		return s.checkAnnouncement(a)
+	}
+	return nil
+}
+
+func checkSize(c *controlpb.Command) error {
 	if size := proto.Size(c); size > maxCommandBytes {
 		return rescode.New(rescode.InvalidCommand, "the command has %d bytes, more than %d", size, maxCommandBytes)
 	}
@@ -27,3 +38,36 @@
 	}
 	return nil
 }
+
+// checkAnnouncement refuses an announcement that names no upstream to use. It is the same for all ways in.
+func (s *Server) checkAnnouncement(a *controlpb.AnnounceUpstream) error {
+	u := a.GetUpstream()
+	err := checkPlace(u.GetPlace())
+	if err == nil && !s.isKnown(a) {
+		err = entry.First(
+			entry.CheckWord("service", a.GetService()),
+			entry.CheckWord("group", u.GetGroup()),
+			entry.CheckHostAddress("address", u.GetAddress()),
+		)
+	}
+	if err != nil {
+		return rescode.New(rescode.InvalidCommand, "announcement: %s", err.Error())
+	}
+	return nil
+}
+
+// checkPlace checks the place, which may be missing.
+func checkPlace(place string) error {
+	if place == "" {
+		return nil
+	}
+	return entry.CheckPrintable("place", place)
+}
+
+// isKnown reports whether the state has the announced upstream. One that an earlier version took in must be
+// able to leave, whatever its name.
+func (s *Server) isKnown(a *controlpb.AnnounceUpstream) bool {
+	view := s.store.View()
+	known, ok := view.Upstreams[a.GetUpstream().GetAddress()]
+	return ok && known.Group == a.Upstream.Group && view.Groups[known.Group].GetService() == a.Service
+}
--- /dev/null
+++ b/control/entries_test.go
@@ -0,0 +1,169 @@
+package control
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/control/probe"
+)
+
+const goodAddress = "127.0.0.1:1"
+
+// goodAnnouncement returns the announcement of an upstream.
+func goodAnnouncement() *controlpb.AnnounceUpstream {
+	return &controlpb.AnnounceUpstream{Service: "s", Upstream: &controlpb.Upstream{
+		Address: goodAddress, Group: "g1", ConnectionLimit: 25,
+	}}
+}
+
+// announceOverHTTP sends a joining announcement as a script of the platform does.
+func (h *harness) announceOverHTTP(a *controlpb.AnnounceUpstream) rescode.Code {
+	h.t.Helper()
+	body, err := json.Marshal(announcement{
+		Service: a.Service, Group: a.Upstream.Group, Address: a.Upstream.Address, Place: a.Upstream.Place,
+		State: "joining", ConnectionLimit: a.Upstream.ConnectionLimit,
+	})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	_, reply := h.post(announcementCredential, string(body))
+	return rescode.Code(reply.Code)
+}
+
+// announceOverGRPC proposes an announcement as a control VM does that does not lead.
+func (h *harness) announceOverGRPC(a *controlpb.AnnounceUpstream) rescode.Code {
+	h.t.Helper()
+	ctx := metadata.AppendToOutgoingContext(h.ctx, authorizationKey, bearerPrefix+announcementCredential)
+	command := &controlpb.Command{Change: &controlpb.Command_AnnounceUpstream{AnnounceUpstream: a}}
+	reply, err := h.client.Propose(ctx, &controlpb.ProposeRequest{Command: command})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return rescode.Code(reply.Result.Code)
+}
+
+// wantRefused fails the test unless an odd announcement is refused over HTTP and over gRPC and leaves the
+// state as it is.
+func (h *harness) wantRefused(name string, odd *controlpb.AnnounceUpstream) {
+	h.t.Helper()
+	before := h.store.View()
+	if got := h.announceOverHTTP(odd); got != rescode.InvalidCommand {
+		h.t.Errorf("%q over HTTP: %s, want %s", name, got, rescode.InvalidCommand)
+	}
+	if got := h.announceOverGRPC(odd); got != rescode.InvalidCommand {
+		h.t.Errorf("%q over gRPC: %s, want %s", name, got, rescode.InvalidCommand)
+	}
+	if after := h.store.View(); !proto.Equal(&controlpb.FleetState{Upstreams: after.Upstreams, Groups: after.Groups},
+		&controlpb.FleetState{Upstreams: before.Upstreams, Groups: before.Groups}) {
+		h.t.Errorf("%q is in the state", name)
+	}
+}
+
+// Guards against entries that nobody can dial or that stand for the control VM itself, and against text
+// that ends a field of a message to an upstream or of an operator's terminal.
+func TestOddAnnouncementsAreRefused(t *testing.T) {
+	h := newHarness(t)
+	h.connectProxy("p1")
+	for _, address := range []string{
+		"", ":5432", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:postgresql", "10.0.0.1:05432",
+		"10.0.0.01:5432", "0.0.0.0:5432", "[::]:5432", "224.0.0.1:5432", "[::ffff:10.0.0.1]:5432", "[::1%lo]:5432",
+		"/var/run/postgresql:5432", "10.0.0.1,10.0.0.2:5432", "DB1.example:5432", "db1.example.:5432", "db\x001:5432", "db1\n:5432",
+		"db1 sslmode=disable:5432", "db\ufffd:5432", strings.Repeat("x", 300) + ":5432",
+	} {
+		odd := goodAnnouncement()
+		odd.Upstream.Address = address
+		h.wantRefused("address "+address, odd)
+	}
+	for _, text := range []string{
+		"", " ", "a\x00user\x00postgres", "a\r\nb", "a\x1b[2J", "a b", "a\ufffd", "a\u202e", strings.Repeat("x", 300),
+	} {
+		odd := goodAnnouncement()
+		odd.Service = text
+		h.wantRefused("service "+text, odd)
+		odd = goodAnnouncement()
+		odd.Upstream.Group = text
+		h.wantRefused("group "+text, odd)
+	}
+	for _, text := range []string{"a\x00b", "a\r\nb", "a\x1b[2J", "a\ufffd", strings.Repeat("x", 300)} {
+		odd := goodAnnouncement()
+		odd.Upstream.Place = text
+		h.wantRefused("place "+text, odd)
+	}
+	for _, address := range []string{goodAddress, "[::1]:5432", "db-1.kef_a.example:65535", "localhost:1", "10-0-0-1.example:1"} {
+		good := goodAnnouncement()
+		good.Upstream.Address, good.Upstream.Place = address, "hafnarfjörður 2"
+		if got := h.announceOverHTTP(good); got != rescode.OK {
+			t.Errorf("%s was refused: %s", address, got)
+		}
+	}
+}
+
+// Guards against a group without a primary for good, because one server is in the list twice and so seems
+// to be two primaries.
+func TestOtherSpellingOfAddressDoesNotHideThePrimary(t *testing.T) {
+	h := newHarness(t)
+	h.connectProxy("p1")
+	spellings := []string{"127.0.0.1:01", goodAddress}
+	for _, address := range spellings {
+		h.upstreams.Update(address, func(s *probe.FakeServer) { s.Down = true })
+		announced := goodAnnouncement()
+		announced.Upstream.Address = address
+		h.announceOverHTTP(announced)
+	}
+	// The next leader probes both before it adopts a primary.
+	h.replica.SetLeading(false)
+	for _, address := range spellings {
+		h.upstreams.Update(address, func(s *probe.FakeServer) { s.Down = false })
+	}
+	h.replica.SetLeading(true)
+	h.awaitPrimary()
+}
+
+// awaitPrimary fails the test unless the good upstream becomes the primary of its group.
+func (h *harness) awaitPrimary() {
+	h.t.Helper()
+	const wait = 5 * time.Second
+	for deadline := time.Now().Add(wait); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if h.store.View().Groups["g1"].GetPrimary() == goodAddress {
+			return
+		}
+	}
+	h.t.Errorf("no primary within %s: %v", wait, h.store.View().Groups["g1"])
+}
+
+// Guards against a group whose upstreams are refused for good, because an odd announcement came first and
+// gave the group another service.
+func TestOddServiceDoesNotKeepTheGroup(t *testing.T) {
+	h := newHarness(t)
+	odd := goodAnnouncement()
+	odd.Service, odd.Upstream.Address = "s\x00", "127.0.0.1:2"
+	h.announceOverHTTP(odd)
+	if status, reply := h.announce(goodAddress, "joining"); status != http.StatusOK {
+		t.Errorf("the good upstream got %d %q", status, reply.Message)
+	}
+}
+
+// Guards against an upstream that an earlier version took in and that can no longer be changed or leave.
+func TestKnownUpstreamMayLeave(t *testing.T) {
+	h := newHarness(t)
+	known := goodAnnouncement()
+	known.Upstream.Address = "DB1.example:5432"
+	command := &controlpb.Command{Change: &controlpb.Command_AnnounceUpstream{AnnounceUpstream: known}}
+	if result, err := h.replica.Propose(h.ctx, command); err != nil || result.Code != 0 {
+		t.Fatal(result, err)
+	}
+	if status, reply := h.announce(known.Upstream.Address, "leaving"); status != http.StatusOK {
+		t.Errorf("leaving got %d %q", status, reply.Message)
+	}
+	if got := h.store.View().Upstreams[known.Upstream.Address].State; got != controlpb.UpstreamState_UPSTREAM_STATE_LEAVING {
+		t.Errorf("state after leaving: %s", got)
+	}
+}
--- a/control/operator.go
+++ b/control/operator.go
@@ -29,7 +29,7 @@
 	if err := s.authorize(credential, r.Command); err != nil {
 		return &controlpb.ProposeReply{Result: errorResult(r.Command, err)}, nil
 	}
-	if err := checkCommand(r.Command); err != nil {
+	if err := s.checkCommand(r.Command); err != nil {
 		refusals(rescode.InvalidCommand).Inc()
 		s.log.WithError(err).Warn("command refused")
 		// The answer does not repeat the request identity, which may be what is too large.
