Refuse announcements to control without a usable number of connections

One odd entry, PostgreSQL side. What callers saw: after one announcement without connection_limit the upstream had 0 connections for the whole fleet, so that requests to it only waited, until it announced itself properly again. A limit above what any server has (up to) made proxies open connections without a limit. Negative and larger numbers, text and deep nesting were errors of the JSON decoder before.

Cause: a missing number reads as 0, which nothing refused.

An upstream that joins has to name 1 to 262143 connections, the range of PostgreSQL's max_connections. One that leaves may still leave it out, so that scripts that stop an upstream go on working.

Before: TestOddConnectionLimitsAreRefused, 'limit "": status 200, want 400', 'the upstream's limit is 0, want 25'.

TestConcurrentChangeIsRefused failed in one of two runs of the package before this commit ('the revision is 2, the command expects 1') and in none of 300 runs alone: it doesn't wait until the leader has initialized the cluster, which takes a revision. It is not touched here.

--- a/control/command.go
+++ b/control/command.go
@@ -15,6 +15,8 @@
 	// maxRequestIDBytes bounds the request identity and the actor of a command. The state keeps those of
 	// several thousand commands.
 	maxRequestIDBytes = 512
+	// maxConnectionLimit is the highest max_connections of PostgreSQL.
+	maxConnectionLimit = 1<<18 - 1
 )
 
 // checkCommand refuses a command that must not enter the log. It runs before the proposal: a command in the
@@ -42,7 +44,7 @@
 // checkAnnouncement refuses an announcement that names no upstream to use. It is the same for all ways in.
 func (s *Server) checkAnnouncement(a *controlpb.AnnounceUpstream) error {
 	u := a.GetUpstream()
-	err := checkPlace(u.GetPlace())
+	err := entry.First(checkPlace(u.GetPlace()), checkConnectionLimit(u))
 	if err == nil && !s.isKnown(a) {
 		err = entry.First(
 			entry.CheckWord("service", a.GetService()),
@@ -64,6 +66,15 @@
 	return entry.CheckPrintable("place", place)
 }
 
+// checkConnectionLimit checks the number of connections. An upstream that leaves needs none.
+func checkConnectionLimit(u *controlpb.Upstream) error {
+	lowest := uint32(1)
+	if u.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_LEAVING {
+		lowest = 0
+	}
+	return entry.CheckRange("connection_limit", u.GetConnectionLimit(), lowest, maxConnectionLimit)
+}
+
 // isKnown reports whether the state has the announced upstream. One that an earlier version took in must be
 // able to leave, whatever its name.
 func (s *Server) isKnown(a *controlpb.AnnounceUpstream) bool {
--- a/control/entries_test.go
+++ b/control/entries_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -167,3 +169,35 @@
 		t.Errorf("state after leaving: %s", got)
 	}
 }
+
+// Guards against an upstream that gets no connections at all, or more than any server has, because its
+// announcement lacks the number of connections or has a wrong one.
+func TestOddConnectionLimitsAreRefused(t *testing.T) {
+	h := newHarness(t)
+	h.connectProxy("p1")
+	if status, reply := h.announce(goodAddress, "joining"); status != http.StatusOK {
+		t.Fatal(status, reply)
+	}
+	for _, limit := range []uint32{0, maxConnectionLimit + 1, math.MaxUint32} {
+		odd := goodAnnouncement()
+		odd.Upstream.ConnectionLimit = limit
+		h.wantRefused(fmt.Sprintf("limit %d", limit), odd)
+	}
+	for _, limit := range []string{"", "null", "-1", "4294967296", "1e30", "2.5", `"25"`, "[[25]]", strings.Repeat("[", 4000)} {
+		body := `{"service": "s", "group": "g1", "address": "` + goodAddress + `", "state": "joining"`
+		if limit != "" {
+			body += `, "connection_limit": ` + limit
+		}
+		if status, _ := h.post(announcementCredential, body+"}"); status != http.StatusBadRequest {
+			t.Errorf("limit %.20q: status %d, want %d", limit, status, http.StatusBadRequest)
+		}
+	}
+	if got := h.store.View().Upstreams[goodAddress].ConnectionLimit; got != 25 {
+		t.Errorf("the upstream's limit is %d, want 25", got)
+	}
+	good := goodAnnouncement()
+	good.Upstream.ConnectionLimit = maxConnectionLimit
+	if got := h.announceOverHTTP(good); got != rescode.OK {
+		t.Errorf("limit %d: %s", maxConnectionLimit, got)
+	}
+}
