Refuse announcements of a state that only the control leader sets

What callers saw: after one announcement over gRPC with the state diverged, or with an unknown number as its state, a good upstream was used no longer. Its own announcements were refused from then on. A replica comes back once a probe sees it in recovery; a primary never is, so its group lost its primary's service until an operator removed and rebuilt it.

Cause: HTTP knows only joining and leaving, but over gRPC the state was taken as it came.

The check before the proposal accepts these two states only. The leader's own commands don't pass through it.

Before: TestAnnouncedStateIsJoiningOrLeaving, 'state UPSTREAM_STATE_DIVERGED: ok, want invalid_command', 'the good announcement after state UPSTREAM_STATE_DIVERGED: invalid_command', 'the upstream is UPSTREAM_STATE_DIVERGED'.

--- a/control/command.go
+++ b/control/command.go
@@ -44,7 +44,7 @@
 // checkAnnouncement refuses an announcement that names no upstream to use. It is the same for all ways in.
 func (s *Server) checkAnnouncement(a *controlpb.AnnounceUpstream) error {
 	u := a.GetUpstream()
-	err := entry.First(checkPlace(u.GetPlace()), checkConnectionLimit(u))
+	err := entry.First(checkState(u.GetState()), checkPlace(u.GetPlace()), checkConnectionLimit(u))
 	if err == nil && !s.isKnown(a) {
 		err = entry.First(
 			entry.CheckWord("service", a.GetService()),
@@ -58,6 +58,16 @@
 	return nil
 }
 
+// checkState refuses the states that only the leader sets.
+func checkState(state controlpb.UpstreamState) error {
+	switch state {
+	case controlpb.UpstreamState_UPSTREAM_STATE_JOINING, controlpb.UpstreamState_UPSTREAM_STATE_LEAVING:
+		return nil
+	default:
+		return &entry.Error{Field: "state", Reason: entry.OutOfRange}
+	}
+}
+
 // checkPlace checks the place, which may be missing.
 func checkPlace(place string) error {
 	if place == "" {
--- a/control/entries_test.go
+++ b/control/entries_test.go
@@ -201,3 +201,25 @@
 		t.Errorf("limit %d: %s", maxConnectionLimit, got)
 	}
 }
+
+// Guards against a primary that is shut out for good by an announcement of a state that only the leader may
+// set: a diverged upstream serves nothing and cannot announce itself back.
+func TestAnnouncedStateIsJoiningOrLeaving(t *testing.T) {
+	h := newHarness(t)
+	h.connectProxy("p1")
+	h.announceOverHTTP(goodAnnouncement())
+	for _, state := range []controlpb.UpstreamState{controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED, 99, -1} {
+		odd := goodAnnouncement()
+		odd.Upstream.State = state
+		if got := h.announceOverGRPC(odd); got != rescode.InvalidCommand {
+			t.Errorf("state %s: %s, want %s", state, got, rescode.InvalidCommand)
+		}
+		if got := h.announceOverGRPC(goodAnnouncement()); got != rescode.OK {
+			t.Errorf("the good announcement after state %s: %s", state, got)
+		}
+	}
+	h.announceOverHTTP(goodAnnouncement())
+	if got := h.store.View().Upstreams[goodAddress].State; got != controlpb.UpstreamState_UPSTREAM_STATE_JOINING {
+		t.Errorf("the upstream is %s", got)
+	}
+}
