Refuse announcements to control that can be read in two ways

What callers saw: an announcement with a field twice, or with text behind it, was answered 200 though only a part of it held: of two addresses or limits the last, of two announcements in one body the first. The other upstream was never announced, and its script did not learn of it.

Cause: encoding/json takes the last of two values, also if the names differ in case or by a letter that folds to the same (a long s), and a decoder stops reading behind the first value.

Deep nesting, bodies above 4096 bytes and text that is not UTF-8 were refused before.

Before: TestAmbiguousAnnouncementsAreRefused, 'status 200, want 400' for 9 of 19 bodies, and 'the state has' both addresses.

--- a/control/announce.go
+++ b/control/announce.go
@@ -4,14 +4,18 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/entry"
 )
 
 const (
@@ -34,6 +38,9 @@
 	ConnectionLimit uint32 `json:"connection_limit"`
 }
 
+// announcementFields are the names of the fields of an announcement.
+var announcementFields = []string{"service", "group", "address", "place", "state", "connection_limit"}
+
 // announcementReply is the body of every response.
 type announcementReply struct {
 	Code     uint32 `json:"code"`
@@ -82,10 +89,8 @@
 }
 
 func readAnnouncement(r *http.Request) (*controlpb.AnnounceUpstream, error) {
-	var body announcement
-	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxAnnouncementBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&body); err != nil {
+	body, err := readBody(r)
+	if err != nil {
 		return nil, rescode.New(rescode.InvalidCommand, "announcement: %s", err.Error())
 	}
 	state, err := parseUpstreamState(body.State)
@@ -104,6 +109,26 @@
 	}, nil
 }
 
+// readBody reads the body of an announcement. It refuses unknown names itself, since the JSON decoder also
+// takes names that differ in case, so that one field could have two names.
+func readBody(r *http.Request) (announcement, error) {
+	var body announcement
+	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxAnnouncementBytes))
+	if err != nil {
+		return body, err
+	}
+	members, err := entry.ReadObject("announcement", data)
+	if err != nil {
+		return body, err
+	}
+	for name := range members {
+		if !slices.Contains(announcementFields, name) {
+			return body, errors.Newf("unknown field %q", name)
+		}
+	}
+	return body, json.Unmarshal(data, &body)
+}
+
 func parseUpstreamState(text string) (controlpb.UpstreamState, error) {
 	switch text {
 	case "joining":
--- a/control/entries_test.go
+++ b/control/entries_test.go
@@ -223,3 +223,29 @@
 		t.Errorf("the upstream is %s", got)
 	}
 }
+
+// Guards against an announcement of which readers understand different things: the text behind it is ignored,
+// or one of two values holds. The last value of a name, whatever its case, used to hold.
+func TestAmbiguousAnnouncementsAreRefused(t *testing.T) {
+	h := newHarness(t)
+	h.connectProxy("p1")
+	const good = `{"service": "s", "group": "g1", "address": "127.0.0.1:1", "state": "joining", "connection_limit": 25}`
+	for _, body := range []string{
+		good + good, good + "]", good + " x", strings.Replace(good, "{", `{"address": "127.0.0.1:2", `, 1),
+		strings.Replace(good, "}", `, "connection_limit": 1}`, 1), strings.Replace(good, "}", `, "ADDRESS": "127.0.0.1:2"}`, 1),
+		strings.Replace(good, "}", `, "\u017ftate": "leaving"}`, 1), strings.Replace(good, "service", "Service", 1),
+		strings.Replace(good, "}", `, "slots": 1}`, 1), "", "null", "[" + good + "]", good[:len(good)-1], strings.Repeat("[", 4000),
+		`{"service": ` + strings.Repeat(`{"a": `, 500), good + strings.Repeat(" ", maxAnnouncementBytes),
+		strings.Replace(good, "s", "\xff", 1), strings.Replace(good, `"s"`, `"\ud800"`, 1), strings.Replace(good, `"s"`, "null", 1),
+	} {
+		if status, _ := h.post(announcementCredential, body); status != http.StatusBadRequest {
+			t.Errorf("%.150q: status %d, want %d", body, status, http.StatusBadRequest)
+		}
+	}
+	if got := h.store.View().Upstreams; len(got) != 0 {
+		t.Errorf("the state has %v", got)
+	}
+	if status, reply := h.post(announcementCredential, " "+good+"\r\n"); status != http.StatusOK {
+		t.Errorf("a good announcement got %d %q", status, reply.Message)
+	}
+}
