--- a/control/entries_test.go
+++ b/control/entries_test.go
@@ -348,3 +348,40 @@
 	*v.(*[]byte) = data.Materialize()
 	return nil
 }
+
+// Guards against odd entries that an earlier version has committed: applying them must stop neither the changes
+// to proxies nor the snapshot, and the primary of their group must be found.
+func TestCommittedOddEntriesStopNothing(t *testing.T) {
+	h := newHarness(t)
+	proxy := h.connectProxy("p1")
+	h.upstreams.Update(goodAddress, func(s *probe.FakeServer) { s.LSN = 100 })
+	for _, address := range []string{":1", "10.0.0.1:65536", "10.0.0.1:-1", "a\x00b:1", "\x1b[2J:1", "nowhere", strings.Repeat("x", 4096)} {
+		h.upstreams.Update(address, func(s *probe.FakeServer) { s.Down = true })
+		odd := goodAnnouncement()
+		odd.Upstream.Address, odd.Upstream.Place, odd.Upstream.State = address, "a\x00b\n", 99
+		odd.Upstream.ConnectionLimit = math.MaxUint32
+		h.apply(&controlpb.Command{Change: &controlpb.Command_AnnounceUpstream{AnnounceUpstream: odd}})
+	}
+	h.apply(&controlpb.Command{})
+	h.apply(&controlpb.Command{Change: &controlpb.Command_AnnounceUpstream{AnnounceUpstream: &controlpb.AnnounceUpstream{}}})
+	if got := h.announceOverHTTP(goodAnnouncement()); got != rescode.OK {
+		t.Errorf("the good announcement: %s", got)
+	}
+	h.awaitPrimary()
+	proxy.reportUntil(func(u *controlpb.Update) bool { return len(u.PrimaryLeases) == 1 })
+	state, err := h.store.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := NewStore(func(StoreEvent) {}).Restore(state); err != nil {
+		t.Errorf("the snapshot cannot be restored: %v", err)
+	}
+}
+
+// apply puts a command into the log without the check of calls.
+func (h *harness) apply(c *controlpb.Command) {
+	h.t.Helper()
+	if _, err := h.replica.Propose(h.ctx, c); err != nil {
+		h.t.Fatal(err)
+	}
+}
