Refuse the first upstream of a group that another service uses

What callers saw: one announcement with a wrong service name for a group without upstreams gave the group that service. The right upstreams were refused from then on, and nothing removes a group, so that its slots had no server for good.

Cause: a new group belongs to the service of its first announcement, even if another service has it in its slots.

Such an announcement is refused before the proposal.

Before: TestGroupBelongsToTheServiceThatUsesIt, 'service S over HTTP: ok, want invalid_command', 'the good upstream got 400 "group "g1" belongs to service "S""'.

--- a/control/command.go
+++ b/control/command.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jayloom/jayloom/api/controlpb"
@@ -58,6 +60,21 @@
 	if err != nil {
 		return rescode.New(rescode.InvalidCommand, "announcement: %s", err.Error())
 	}
+	return s.checkGroup(a)
+}
+
+// checkGroup refuses the first upstream of a group that a service of another name uses: the group would belong
+// to the announced service from then on. Services may also be created after their groups.
+func (s *Server) checkGroup(a *controlpb.AnnounceUpstream) error {
+	view, group := s.store.View(), a.GetUpstream().GetGroup()
+	if _, ok := view.Groups[group]; ok || slices.Contains(view.Services[a.GetService()].GetSlotGroups(), group) {
+		return nil
+	}
+	for _, name := range sortedKeys(view.Services) {
+		if slices.Contains(view.Services[name].SlotGroups, group) {
+			return rescode.New(rescode.InvalidCommand, "announcement: service %q uses the group %q", name, group)
+		}
+	}
 	return nil
 }
 
--- a/control/entries_test.go
+++ b/control/entries_test.go
@@ -385,3 +385,27 @@
 		h.t.Fatal(err)
 	}
 }
+
+// Guards against a new group whose upstreams are refused for good, because an announcement with the name of
+// another service came first. Nothing removes a group.
+func TestGroupBelongsToTheServiceThatUsesIt(t *testing.T) {
+	h := newHarness(t)
+	h.connectProxy("p1")
+	for _, service := range []*controlpb.Service{
+		{Name: "s", SlotGroups: []string{"g0", "g1"}},
+		{Name: "r", SlotGroups: []string{"g1"}},
+		{Name: "other", SlotGroups: []string{"g0"}},
+	} {
+		if result := h.propose(&controlpb.Command{Change: &controlpb.Command_PutService{PutService: service}}); result.Code != 0 {
+			t.Fatal(result)
+		}
+	}
+	for _, name := range []string{"S", "other"} {
+		odd := goodAnnouncement()
+		odd.Service, odd.Upstream.Address = name, "127.0.0.1:2"
+		h.wantRefused("service "+name, odd)
+	}
+	if status, reply := h.announce(goodAddress, "joining"); status != http.StatusOK {
+		t.Errorf("the good upstream got %d %q", status, reply.Message)
+	}
+}
