Test: wait for the leader's first command before changes are compared

TestConcurrentChangeIsRefused failed in 28 of 9000 runs ('the revision is 2, the command expects 1'): the leader's own InitializeCluster took a revision between the two changes.

--- a/control/operator_test.go
+++ b/control/operator_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/grpc/metadata"
 
@@ -17,6 +18,8 @@
 // since the expected revision.
 func TestConcurrentChangeIsRefused(t *testing.T) {
 	h := newHarness(t)
+	// The leader's own first command takes a revision, which must not come between the changes.
+	h.awaitTokenKey()
 	base := h.propose(putTeam("t1")).Revision
 	first := putTeam("t2")
 	first.ExpectedRevision = base
@@ -33,6 +36,18 @@
 	}
 }
 
+// awaitTokenKey waits until the leader has initialized the cluster.
+func (h *harness) awaitTokenKey() {
+	h.t.Helper()
+	for len(h.store.View().TokenKey) == 0 {
+		select {
+		case <-h.ctx.Done():
+			h.t.Fatal("the leader has not initialized the cluster")
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
 // Guards against a change that is applied twice because its answer was lost.
 func TestResentChangeReturnsFirstResult(t *testing.T) {
 	h := newHarness(t)
