Let nothing hold a stop near its end

The startup is read like any message while draining, and calls are drained beside the callers. - The node ended its context 0.1 s before the grace period, before the plan in short ones. The plan alone decides. - A session whose caller has sent a statement when the stop ends refuses it, instead of closing unread. - The pause between two attempts ends with the stop; the watch of a rollback ends before its connection is released.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -30,6 +30,7 @@
 	"github.com/jayloom/jayloom/gateway/coordinator"
 	"github.com/jayloom/jayloom/gateway/engine"
 	"github.com/jayloom/jayloom/gateway/server"
+	"github.com/jayloom/jayloom/gateway/stop"
 	"github.com/jayloom/jayloom/platform"
 	"github.com/jayloom/jayloom/policy/throttle"
 )
@@ -57,8 +58,6 @@
 	// callDrainTimeout bounds the wait for the answers of accepted calls at a stop. It is above
 	// the timeout of a call to the leader.
 	callDrainTimeout = time.Second
-	// exitReserve is the part of the grace period that is left to end the process itself.
-	exitReserve = 100 * time.Millisecond
 )
 
 // node is a running gateway node.
@@ -337,22 +336,29 @@
 // shutdown stops accepting callers, waits up to the grace period for running work and
 // leaves the fleet.
 func (n *node) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, n.settings.ShutdownGrace-exitReserve)
-	defer cancel()
+	plan := stop.NewPlan(clock.Now(), n.settings.ShutdownGrace)
 	close(n.draining)
+	var drained sync.WaitGroup
+	drained.Go(func() { n.drainCalls(ctx, plan) })
 	if n.callerServer != nil {
-		n.callerServer.Shutdown(ctx, n.callerListener, n.settings.ShutdownGrace)
+		n.callerServer.Shutdown(ctx, n.callerListener, plan)
 	}
-	n.drainCalls(ctx)
-	leaveCtx, cancelLeave := context.WithTimeout(ctx, connectTimeout)
-	defer cancelLeave()
+	drained.Wait()
+	// The last quarter of the time behind the callers is left to end the process itself.
+	left := (plan.EndsAt - clock.Now()) * 3 / 4
+	leaveCtx, cancel := context.WithTimeout(ctx, min(connectTimeout, left))
+	defer cancel()
 	n.controlClient.Leave(leaveCtx)
 }
 
-// drainCalls accepts no calls of operators, upstreams and the load balancer any more, and waits
-// until those that were accepted are answered.
-func (n *node) drainCalls(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callDrainTimeout)
+// drainCalls accepts no calls of operators, upstreams and the load balancer once the latter sends no
+// callers, and waits until those that were accepted are answered.
+func (n *node) drainCalls(ctx context.Context, plan stop.Plan) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(plan.ServesUntil - clock.Now()):
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(callDrainTimeout, plan.ClosesAt-clock.Now()))
 	defer cancel()
 	var all sync.WaitGroup
 	for _, s := range n.httpServers {
--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -294,11 +294,21 @@
 			"elapsed_ms": (clock.Now() - op.started).Milliseconds(), "service": op.group.service,
 		}).Info("retrying request")
 		if result.retryReason == retryBusy || result.retryReason == retryReadOnly {
-			time.Sleep(time.Duration(n) * busyBackoff)
+			pause(ctx, time.Duration(n)*busyBackoff)
 		}
 	}
 }
 
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // acquireFailureResult maps a failure to acquire a connection to a retryable result.
 func acquireFailureResult(refusal *Refusal) attemptResult {
 	switch refusal.Reason {
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -136,7 +136,7 @@
 // Close ends the session. An open transaction is rolled back.
 func (s *Session) Close() {
 	if s.tx != nil {
-		s.tx.rollBack(time.Now().Add(closeTimeout))
+		s.tx.rollBack(context.Background(), time.Now().Add(closeTimeout))
 		s.tx = nil
 	}
 }
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -42,8 +42,9 @@
 	t.conn = nil
 }
 
-// rollBack rolls the transaction back at the upstream and releases its connection.
-func (t *transaction) rollBack(deadline time.Time) {
+// rollBack rolls the transaction back at the upstream and releases its connection. If there is no
+// answer before deadline or the end of ctx, the connection is closed, which rolls back too.
+func (t *transaction) rollBack(ctx context.Context, deadline time.Time) {
 	if t.conn == nil {
 		return
 	}
@@ -51,7 +52,9 @@
 		t.releaseConn()
 		return
 	}
+	stopWatching := interruptWhenDone(ctx, t.conn)
 	replies, err := t.conn.roundTrip(deadline, Statement{Kind: Rollback})
+	stopWatching()
 	if err != nil || replies[0].State != Idle {
 		t.conn.broken = true
 	}
@@ -310,10 +313,7 @@
 	if t == nil {
 		return refusalAnswer(rescode.MalformedPacket, reasonBadStatement)
 	}
-	if t.conn != nil {
-		defer interruptWhenDone(ctx, t.conn)()
-	}
-	t.rollBack(time.Now().Add(t.op.route.StatementTimeout))
+	t.rollBack(ctx, time.Now().Add(t.op.route.StatementTimeout))
 	s.tx = nil
 	return Answer{}
 }
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -73,8 +73,8 @@
 // Server accepts caller connections and runs their sessions.
 type Server struct {
 	opts Options
-	// draining is set when idle sessions end, and ending when all sessions do that are not
-	// writing an answer.
+	// draining is set when idle sessions end, and ending when all sessions do whose callers
+	// wait for no answer.
 	draining, ending atomic.Bool
 	running          sync.WaitGroup
 
@@ -184,8 +184,7 @@
 // openSession reads the startup message and opens the session. It reports whether that
 // succeeded.
 func (c *callerConn) openSession() bool {
-	_ = c.conn.SetReadDeadline(time.Now().Add(startupTimeout))
-	database, key, err := c.codec.ReadStartup()
+	database, key, err := c.readStartup()
 	if err != nil {
 		return false
 	}
@@ -199,6 +198,26 @@
 	return c.codec.WriteReady() == nil
 }
 
+// readStartup reads the startup message. If the server is draining, it waits only for one that has
+// begun to arrive, which is then refused.
+func (c *callerConn) readStartup() (database, key string, err error) {
+	end := time.Now().Add(startupTimeout)
+	c.waiting.Store(true)
+	defer c.waiting.Store(false)
+	for {
+		if err := c.conn.SetReadDeadline(end); err != nil {
+			return "", "", err
+		}
+		if c.server.draining.Load() && !c.codec.Buffered() {
+			return "", "", ErrQuit
+		}
+		database, key, err = c.codec.ReadStartup()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(end) {
+			return database, key, err
+		}
+	}
+}
+
 // serveStatement reads and runs one statement. It returns false when the session has ended.
 func (c *callerConn) serveStatement(ctx context.Context) bool {
 	st, err := c.nextStatement()
@@ -266,7 +285,7 @@
 func (c *callerConn) shouldClose(idle time.Duration) bool {
 	switch {
 	case c.server.ending.Load():
-		return true
+		return !c.codec.Buffered()
 	case !c.server.draining.Load() || c.session.State() != engine.Idle || idle < busyCallerDelay:
 		return false
 	default:
--- a/gateway/server/shutdown.go
+++ b/gateway/server/shutdown.go
@@ -16,12 +16,12 @@
 
 // Shutdown keeps serving until the load balancer has noticed, then ends sessions as they
 // become idle. Statements that have no answer near the end of the grace period are given up,
-// and their callers are told. Shutdown returns when all sessions have ended, and always within
-// the grace period.
-func (s *Server) Shutdown(ctx context.Context, l net.Listener, grace time.Duration) {
-	plan := stop.NewPlan(clock.Now(), grace)
-	s.opts.Log.WithFields(logrus.Fields{"event": "draining", "callers": s.CallerCount(), "grace_ms": grace.Milliseconds()}).
-		Info("stop has begun")
+// and their callers are told. Shutdown returns when all sessions have ended, at plan.ClosesAt at
+// the latest.
+func (s *Server) Shutdown(ctx context.Context, l net.Listener, plan stop.Plan) {
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "draining", "callers": s.CallerCount(), "grace_ms": (plan.EndsAt - plan.BeganAt).Milliseconds(),
+	}).Info("stop has begun")
 	s.opts.Engine.BeginStop(plan)
 	sleep(ctx, plan.ServesUntil-clock.Now())
 	_ = l.Close()
--- a/gateway/server/shutdown_test.go
+++ b/gateway/server/shutdown_test.go
@@ -9,8 +9,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/base/socket"
 	"github.com/jayloom/jayloom/gateway/engine"
+	"github.com/jayloom/jayloom/gateway/stop"
 )
 
 // testGrace is the grace period of the stops in these tests.
@@ -27,7 +29,7 @@
 	begun = time.Now()
 	go func() {
 		defer close(stopped)
-		s.Shutdown(context.Background(), l, testGrace)
+		s.Shutdown(context.Background(), l, stop.NewPlan(clock.Now(), testGrace))
 	}()
 	return stopped, begun
 }
@@ -277,7 +279,7 @@
 		sendByte(t, callers[i], 'r')
 	}
 	begun := time.Now()
-	s.Shutdown(context.Background(), l, shortGrace)
+	s.Shutdown(context.Background(), l, stop.NewPlan(clock.Now(), shortGrace))
 	took := time.Since(begun)
 	t.Logf("the stop took %s", took)
 	if took >= shortGrace {
--- a/gateway/server/spin_test.go
+++ b/gateway/server/spin_test.go
@@ -6,6 +6,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/gateway/stop"
 )
 
 // countingConn counts the read deadlines that are set on a connection.
@@ -53,7 +56,7 @@
 	const grace = time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), grace-100*time.Millisecond)
 	defer cancel()
-	s.Shutdown(ctx, other, grace)
+	s.Shutdown(ctx, other, stop.NewPlan(clock.Now(), grace))
 	if n := deadlines.Load(); n > 100 {
 		t.Errorf("%d read deadlines were set for one idle caller in a stop of %s", n, grace)
 	}
