--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -26,6 +26,8 @@
 	// answers to drop after the statement ran.
 	refuseBusy, dropAnswers int
 	unreachable             bool
+	// interrupts makes statements of callers run and their answers be interrupted.
+	interrupts bool
 	// panics makes the connection panic while it reads an answer.
 	panics bool
 	dials  int
@@ -86,6 +88,9 @@
 	c.queued = c.queued[1:]
 	lost := c.server.dropAnswers > 0 && st.ID != ""
 	reply := c.server.answer(c, st)
+	if c.server.interrupts && st.ID != "" {
+		return Reply{}, ErrInterrupted
+	}
 	if lost {
 		c.server.dropAnswers--
 		return Reply{}, os.ErrDeadlineExceeded
--- a/gateway/server/server_test.go
+++ b/gateway/server/server_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/gateway/catalog"
 	"github.com/jayloom/jayloom/gateway/controlclient"
 	"github.com/jayloom/jayloom/gateway/engine"
@@ -47,10 +48,24 @@
 }
 
 func (c byteCodec) WriteAnswer(a engine.Answer) error {
-	if a.Refusal != nil {
-		return c.writeByte('E')
+	return c.writeByte(answerByte(a.Refusal))
+}
+
+// answerByte is D for a statement that succeeded, U for one whose outcome is unknown, A for one of a
+// transaction that was aborted, B for one that a stopping node has not run, and E for other refusals.
+func answerByte(r *engine.Refusal) byte {
+	switch {
+	case r == nil:
+		return 'D'
+	case r.Code == rescode.AnswerLost:
+		return 'U'
+	case r.Code == rescode.TransactionAborted:
+		return 'A'
+	case r.Code == rescode.ProxyDraining:
+		return 'B'
+	default:
+		return 'E'
 	}
-	return c.writeByte('D')
 }
 
 func (c byteCodec) WriteRefusal(*engine.Refusal) error { return c.writeByte('R') }
--- a/gateway/server/shutdown_test.go
+++ b/gateway/server/shutdown_test.go
@@ -86,9 +86,9 @@
 	stopped, begun := startStop(s, l)
 	sleepUntil(begun, 0.55)
 	sendByte(t, statement, 'r')
-	expectByte(t, statement, 'E')
+	expectByte(t, statement, 'A')
 	sendByte(t, commit, 'c')
-	expectByte(t, commit, 'E')
+	expectByte(t, commit, 'A')
 	select {
 	case <-g.started:
 		t.Error("a statement was passed on")
@@ -108,9 +108,8 @@
 		sendByte(t, c, 'r')
 		expectStarted(t, g)
 	}
-	for _, c := range []net.Conn{single, transaction} {
-		expectByte(t, c, 'E')
-	}
+	expectByte(t, single, 'U')
+	expectByte(t, transaction, 'A')
 	<-stopped
 }
 
@@ -131,7 +130,7 @@
 	}
 	waiting := callers[testUsableConnections]
 	sendByte(t, waiting, 'r')
-	expectByte(t, waiting, 'E')
+	expectByte(t, waiting, 'B')
 	<-stopped
 	select {
 	case <-g.started:
@@ -213,7 +212,7 @@
 	expectByte(t, c, 'D')
 	time.Sleep(20 * time.Millisecond)
 	sendByte(t, c, 'r')
-	expectByte(t, c, 'E')
+	expectByte(t, c, 'B')
 	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("read after the refusal returned %v, want EOF", err)
 	}
@@ -285,7 +284,11 @@
 	if took >= shortGrace {
 		t.Errorf("the stop took %s of a grace period of %s", took, shortGrace)
 	}
-	for _, c := range callers {
-		expectByte(t, c, 'E')
+	for i, c := range callers {
+		if i < testUsableConnections {
+			expectByte(t, c, 'U')
+			continue
+		}
+		expectByte(t, c, 'B')
 	}
 }
