Promote only a server that has every acknowledged commit, draining or not

Cause: a pause counted a draining replica among those that may hold an acknowledged commit, and the choice of the candidate skipped it. A refusal was followed by an order for a lesser replica, and a replica that left was no longer counted.

Now all replicas but the candidate are paused, and it is ordered when it has what all of them have and all have answered. While the primary leads the candidate goes on receiving (and is resumed if it was paused), so it catches up with a draining replica and commits do not stop. Without a primary the candidate is paused as well, and is the most advanced one, draining or not. A refused candidate is ordered again, never a lesser one. A departed replica counts until a remaining one has its position, or the primary's from after it left. While an order may still be carried out its candidate stays the candidate. The leader logs which servers it waits for. Why it is enough: a commit is acknowledged once a replica has it; the paused ones cannot receive more, and what the candidate receives later it has when it is promoted. The order of the tests' old rule is kept: a lost primary's replicas are all paused before a promotion.

With sync_replicas 0 nothing changes.

--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -126,6 +126,8 @@
 
 func (fakeUpstreams) Pause(context.Context, topology.Upstream, uint64) error { return nil }
 
+func (fakeUpstreams) Resume(context.Context, topology.Upstream) error { return nil }
+
 func (fakeUpstreams) CloseIdleConnections() {}
 
 func discardLog() *logrus.Entry {
@@ -277,3 +279,38 @@
 		u.TopologyChange = c
 	}
 }
+
+// recordingUpstreams records the replicas that were ordered to pause or to resume.
+type recordingUpstreams struct {
+	fakeUpstreams
+	calls chan string
+}
+
+func (r recordingUpstreams) Pause(_ context.Context, u topology.Upstream, _ uint64) error {
+	r.calls <- "pause " + u.ID
+	return nil
+}
+
+func (r recordingUpstreams) Resume(_ context.Context, u topology.Upstream) error {
+	r.calls <- "resume " + u.ID
+	return nil
+}
+
+// Guards against a replica that stays paused because the leader does not carry out the decision to resume
+// it, or sends it to another server.
+func TestReplicationIsSetOnTheNamedReplica(t *testing.T) {
+	l, _ := newTestLeader(t)
+	upstreams := recordingUpstreams{calls: make(chan string, 2)}
+	l.config.Upstreams = upstreams
+	servers := []*topology.Upstream{{ID: "p", Service: "wax"}, {ID: "r", Service: "wax"}}
+	g := l.groupOf(0, "wax")
+	for _, c := range []struct {
+		action failover.Action
+		want   string
+	}{{failover.Action{Pause: "r", Term: 2}, "pause r"}, {failover.Action{Resume: "r"}, "resume r"}} {
+		l.execute(context.Background(), "wax", g, c.action, servers)
+		if got := <-upstreams.calls; got != c.want {
+			t.Errorf("%+v: %s, want %s", c.action, got, c.want)
+		}
+	}
+}
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -44,6 +45,8 @@
 	primaryPosition measuredPosition
 	// sentPrimary is the state of the primary last published to proxies.
 	sentPrimary primaryState
+	// loggedAwaited are the servers that a promotion waits for, as last logged.
+	loggedAwaited string
 }
 
 // measuredPosition is the answer to a position query that was sent at measuredAt.
@@ -100,6 +103,7 @@
 		for _, action := range g.machine.Step(now, input) {
 			l.execute(ctx, service, g, action, byService[service])
 		}
+		l.logAwaited(service, g)
 		if g.machine.Pending() {
 			g.probeNow()
 		}
@@ -203,10 +207,10 @@
 }
 
 func (l *Leader) execute(ctx context.Context, service string, g *group, action failover.Action, upstreams []*topology.Upstream) {
-	if action.Pause != "" {
+	if action.Promote == "" {
 		for _, u := range upstreams {
-			if u.ID == action.Pause {
-				l.pauseReplica(ctx, *u, action.Term)
+			if u.ID == action.Pause || u.ID == action.Resume {
+				l.setReplication(ctx, *u, action)
 			}
 		}
 		return
@@ -231,13 +235,37 @@
 	}()
 }
 
-func (l *Leader) pauseReplica(ctx context.Context, u topology.Upstream, term uint64) {
+// logAwaited logs when the servers change that a promotion waits for, because they may have
+// acknowledged commits that the candidate lacks.
+func (l *Leader) logAwaited(service string, g *group) {
+	awaited := strings.Join(g.machine.Awaited(), " ")
+	if awaited == g.loggedAwaited {
+		return
+	}
+	g.loggedAwaited = awaited
+	l.log.WithFields(logrus.Fields{
+		"event": "promotion_waits", "service": service, "upstreams": awaited,
+	}).Warn("servers that may have acknowledged commits which the candidate for a promotion lacks")
+}
+
+// setReplication pauses or resumes replication on a replica.
+func (l *Leader) setReplication(ctx context.Context, u topology.Upstream, action failover.Action) {
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		if err := l.config.Upstreams.Pause(ctx, u, term); err != nil {
-			l.log.WithError(err).WithField("upstream", u.ID).Warn("failed to pause replica; will retry in the next step")
+		if !l.holdsLease(clock.Now()) {
+			return
+		}
+		event, call := "replica_paused", func() error { return l.config.Upstreams.Pause(ctx, u, action.Term) }
+		if action.Resume != "" {
+			event, call = "replica_resumed", func() error { return l.config.Upstreams.Resume(ctx, u) }
+		}
+		entry := l.log.WithFields(logrus.Fields{"event": event, "service": u.Service, "upstream": u.ID})
+		if err := call(); err != nil {
+			entry.WithError(err).Warn("failed to pause or resume replica; will retry")
+			return
 		}
+		entry.Info("replica paused or resumed")
 	}()
 }
 
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -39,6 +39,8 @@
 	QueryPosition(ctx context.Context, u topology.Upstream) (p position.Position, leads bool, err error)
 	// Pause pauses replication on a replica until it is promoted or resumed.
 	Pause(ctx context.Context, u topology.Upstream, term uint64) error
+	// Resume resumes replication on a paused replica.
+	Resume(ctx context.Context, u topology.Upstream) error
 	// CloseIdleConnections closes the connections that are kept open for the next call.
 	CloseIdleConnections()
 }
--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -94,12 +94,14 @@
 	SyncReplicas int
 }
 
-// Action is a promotion order or an order to pause replication.
+// Action is a promotion order or an order to pause or resume replication. One of Promote, Pause and
+// Resume is set.
 type Action struct {
-	// Promote is the server to promote. If it is empty, Pause is the replica to pause
-	// for Term.
+	// Promote is the server to promote, Pause the replica to pause for Term, and Resume the replica
+	// to resume.
 	Promote string
 	Pause   string
+	Resume  string
 	Term    uint64
 	Reason  Reason
 }
@@ -135,6 +137,20 @@
 	pendingSince  time.Duration
 	// refusedAt is when the platform last refused to promote a server.
 	refusedAt map[string]time.Duration
+
+	// The remaining fields are used in groups with synchronous replicas.
+
+	// candidate is the replica that is being prepared for the promotion, and awaited holds the servers
+	// that may have acknowledged commits which it lacks.
+	candidate string
+	awaited   []string
+	// replicas holds the servers of the last step, departed those that have left since.
+	replicas map[string]Server
+	departed map[string]departure
+	// outstanding is the order that may still be carried out.
+	outstanding outstandingOrder
+	// resumedAt is when a replica was last ordered to resume.
+	resumedAt map[string]time.Duration
 }
 
 type promotionOrder struct {
@@ -144,7 +160,11 @@
 
 // New returns a Machine for a leader that starts at now.
 func New(now time.Duration) *Machine {
-	return &Machine{startedAt: now, refusedAt: map[string]time.Duration{}}
+	return &Machine{
+		startedAt: now, refusedAt: map[string]time.Duration{}, departed: map[string]departure{},
+		resumedAt:   map[string]time.Duration{},
+		outstanding: outstandingOrder{until: now + lateOrderTimeout, unanswered: true},
+	}
 }
 
 // Primary returns the current primary, its term, and whether a replacement has been ordered.
@@ -170,6 +190,7 @@
 
 // HandleRefused records that the platform refused to promote a server.
 func (m *Machine) HandleRefused(now time.Duration, id string) {
+	m.clearAnswered()
 	m.refusedAt[id] = now
 	m.order = nil
 }
@@ -177,6 +198,7 @@
 // HandleNotSent records that the promotion order was not accepted. The next step may order
 // a promotion again.
 func (m *Machine) HandleNotSent() {
+	m.clearAnswered()
 	m.order = nil
 }
 
@@ -189,15 +211,22 @@
 		return
 	}
 	m.unansweredCandidate = m.order.candidate
+	m.outstanding.unanswered = true
 	m.order.orderedAt = now - promotionTimeout
 }
 
 // Step updates the state and returns the actions that are due, with at most one promotion.
 func (m *Machine) Step(now time.Duration, in Input) []Action {
 	m.updatePrimary(now, in.Servers)
+	if in.SyncReplicas > 0 {
+		m.trackDepartures(now, in.Servers)
+	}
 	if m.order != nil {
 		if now-m.order.orderedAt < promotionTimeout {
-			return nil
+			if in.SyncReplicas == 0 {
+				return nil
+			}
+			return m.keepOnlyCandidateReceiving(now, in.Servers)
 		}
 		m.order = nil
 	}
@@ -221,6 +250,7 @@
 			m.primary, m.term = s.ID, s.Sample.Term
 			m.leadingSince, m.position = now, s.Sample.Position
 			m.order, m.unansweredCandidate = nil, ""
+			m.startTerm(s.ID)
 		}
 	}
 	if m.primary == "" {
@@ -303,13 +333,10 @@
 }
 
 // replacePrimary orders the promotion of the most advanced replica. In a group with
-// synchronous replicas, replication is paused first, so that the candidate has every
-// acknowledged commit.
+// synchronous replicas, it does so when the candidate has every acknowledged commit.
 func (m *Machine) replacePrimary(now time.Duration, in Input, reason Reason) []Action {
 	if in.SyncReplicas > 0 {
-		if pauses, complete := m.pauseReplicas(now, in); !complete {
-			return pauses
-		}
+		return m.replaceSynchronous(now, in, reason)
 	}
 	candidate := m.selectCandidate(now, in.Servers, reason)
 	if candidate == "" {
@@ -319,26 +346,6 @@
 	return []Action{{Promote: candidate, Term: m.term + 1, Reason: reason}}
 }
 
-// pauseReplicas pauses replication on the replicas, so that their positions are final. It is
-// complete when every acknowledged commit is on at least one paused replica.
-func (m *Machine) pauseReplicas(now time.Duration, in Input) (pauses []Action, complete bool) {
-	paused, replicas := 0, 0
-	for _, s := range in.Servers {
-		if s.ID == m.primary {
-			continue
-		}
-		replicas++
-		switch {
-		case !s.hasFreshSample(now):
-		case s.Sample.PausedTerm > m.term:
-			paused++
-		default:
-			pauses = append(pauses, Action{Pause: s.ID, Term: m.term + 1})
-		}
-	}
-	return pauses, paused > 0 && paused >= replicas-in.SyncReplicas+1
-}
-
 // requiresCaughtUp reports whether the failover can wait for a replica that lacks at most
 // maxMissingCommits.
 func (m *Machine) requiresCaughtUp(now time.Duration, reason Reason) bool {
--- a/gateway/failover/failover_test.go
+++ b/gateway/failover/failover_test.go
@@ -235,3 +235,94 @@
 		t.Errorf("ordered %v", orders)
 	}
 }
+
+// newSynchronousSimulation returns a group with one synchronous replica, whose leader has started long
+// ago.
+func newSynchronousSimulation(t *testing.T) *simulation {
+	s := newSimulation(t)
+	s.in.SyncReplicas = 1
+	s.advance(lateOrderTimeout, "p", "r1", "r2")
+	return s
+}
+
+func (s *simulation) pauseReplicas() {
+	s.server("r1").Sample.PausedTerm, s.server("r2").Sample.PausedTerm = 2, 2
+}
+
+// losePrimary lets the primary be silent until its replicas are paused.
+func (s *simulation) losePrimary() {
+	s.t.Helper()
+	s.in.Reachability.Failing = 11
+	if got := promotions(s.advance(time.Second, "r1", "r2")); len(got) > 0 {
+		s.t.Fatalf("promoted %v before the replicas have paused", got)
+	}
+	s.pauseReplicas()
+}
+
+// Guards against the loss of acknowledged commits when a primary crashes while the replica that received
+// them drains (review, case 1): another replica was promoted.
+func TestDrainingReplicaWithNewestCommitsIsPromoted(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.server("r1").Draining = true
+	s.losePrimary()
+	if got := promotions(s.advance(time.Second, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("promoted %v", got)
+	}
+}
+
+// Guards against the loss of acknowledged commits in a planned failover, and against commits that stop
+// meanwhile: the candidate receives until it has what the draining replica has.
+func TestCandidateCatchesUpWithDrainingReplica(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.server("r1").Draining, s.server("p").Draining = true, true
+	orders := s.advance(100*time.Millisecond, "p", "r1", "r2")
+	if diff := cmp.Diff([]Action{{Pause: "r1", Term: 2}}, orders); diff != "" {
+		t.Error(diff)
+	}
+	s.server("r1").Sample.PausedTerm = 2
+	if got := promotions(s.advance(catchUpTimeout+time.Second, "p", "r1", "r2")); len(got) > 0 {
+		t.Fatalf("promoted %v, which lacks commits of r1", got)
+	}
+	if got := s.machine.Awaited(); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("waits for %v, want r1", got)
+	}
+	s.server("r2").Sample.Position.Number = 99
+	if got := promotions(s.advance(time.Second, "p", "r1", "r2")); !cmp.Equal(got, []string{"r2"}) {
+		t.Errorf("promoted %v", got)
+	}
+}
+
+// Guards against a refused promotion that is followed by that of a replica without the acknowledged
+// commits.
+func TestRefusedCandidateIsNotReplacedByLesserOne(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.losePrimary()
+	if got := promotions(s.advance(time.Second, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Fatalf("promoted %v", got)
+	}
+	s.machine.HandleRefused(s.now, "r1")
+	if got := promotions(s.advance(refusalBackoff-200*time.Millisecond, "r1", "r2")); len(got) > 0 {
+		t.Errorf("promoted %v just after the refusal", got)
+	}
+	if got := promotions(s.advance(400*time.Millisecond, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("promoted %v after refusalBackoff", got)
+	}
+	s.machine.HandleRefused(s.now, "r1")
+	if got := promotions(s.advance(10*time.Second, "r2")); len(got) > 0 {
+		t.Errorf("promoted %v while r1 does not answer", got)
+	}
+}
+
+// Guards against the loss of commits on a replica that leaves at the same time as the primary crashes.
+func TestCommitsOfDepartedReplicaAreAwaited(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.server("r2").Sample.PausedTerm = 2
+	s.in.Servers = []Server{s.in.Servers[0], s.in.Servers[2]}
+	s.in.Reachability.Failing = 11
+	if got := promotions(s.advance(10*time.Second, "r2")); len(got) > 0 {
+		t.Errorf("promoted %v, which may lack commits of r1", got)
+	}
+	if got := s.machine.Awaited(); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("waits for %v, want r1", got)
+	}
+}
