Resume paused replicas when a pause leads to no promotion

Callers with sync_replicas 1 saw no write acknowledged any more after a primary had been silent for some seconds and come back: the review counted 0 in 30 s, everything running.

Cause: the leader paused the replicas and nothing sent RESUME, neither this leader nor the next one.

While the primary leads and no replacement is due, each replica that reports a pause is resumed, also if an earlier leader paused it; the order is repeated after 0.5 s while the pause is reported. An order to promote that may still be carried out (10 s; a new leader counts them from its start, as it does not know the orders of the earlier one) keeps all but its candidate paused: commits go on through the candidate, which has them if the order is carried out late. An answer that shows a pause is not taken as final until 1 s after the last order to resume, which may still be on its way. Groups with sync_replicas 0 are sent no RESUME.

--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -149,6 +149,8 @@
 	departed map[string]departure
 	// outstanding is the order that may still be carried out.
 	outstanding outstandingOrder
+	// hasPaused is set if this leader has paused a replica.
+	hasPaused bool
 	// resumedAt is when a replica was last ordered to resume.
 	resumedAt map[string]time.Duration
 }
@@ -234,6 +236,9 @@
 	if reason != m.pendingReason {
 		m.pendingReason, m.pendingSince = reason, now
 	}
+	if reason == "" && (in.SyncReplicas > 0 || m.hasPaused) {
+		return m.resumeReplicas(now, in.Servers)
+	}
 	if reason == "" {
 		return nil
 	}
--- a/gateway/failover/failover_test.go
+++ b/gateway/failover/failover_test.go
@@ -259,6 +259,16 @@
 	s.pauseReplicas()
 }
 
+func resumes(orders []Action) []string {
+	var ids []string
+	for _, o := range orders {
+		if o.Resume != "" {
+			ids = append(ids, o.Resume)
+		}
+	}
+	return ids
+}
+
 // Guards against the loss of acknowledged commits when a primary crashes while the replica that received
 // them drains (review, case 1): another replica was promoted.
 func TestDrainingReplicaWithNewestCommitsIsPromoted(t *testing.T) {
@@ -326,3 +336,64 @@
 		t.Errorf("waits for %v, want r1", got)
 	}
 }
+
+// Guards against commits that stop for good: after a primary had been silent, its replicas stayed paused
+// (review, "Writes of a service with sync_replicas 1 stop for good").
+func TestReplicasAreResumedWithoutPromotion(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.pauseReplicas()
+	if got := resumes(s.advance(100*time.Millisecond, "p", "r1", "r2")); !cmp.Equal(got, []string{"r1", "r2"}) {
+		t.Errorf("resumed %v", got)
+	}
+	s.server("r1").Sample.PausedTerm, s.server("r2").Sample.PausedTerm = 0, 0
+	if got := s.advance(time.Second, "p", "r1", "r2"); len(got) > 0 {
+		t.Errorf("ordered %v without a paused replica", got)
+	}
+}
+
+// Guards against a new leader that leaves the replicas paused that an earlier one paused, and against one
+// that resumes them while an order of the earlier one may still be carried out.
+func TestNewLeaderResumesPausedReplicas(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.pauseReplicas()
+	s.machine = New(s.now)
+	s.machine.Adopt(s.now, "p", 1)
+	if got := s.advance(lateOrderTimeout-200*time.Millisecond, "p", "r1", "r2"); len(got) > 0 {
+		t.Errorf("ordered %v while an earlier order may be carried out", got)
+	}
+	if got := resumes(s.advance(400*time.Millisecond, "p", "r1", "r2")); !cmp.Equal(got, []string{"r1", "r2"}) {
+		t.Errorf("resumed %v", got)
+	}
+}
+
+// Guards against the loss of commits by a promotion order that is carried out late: until then, only the
+// ordered server may receive.
+func TestOnlyOrderedServerIsResumedWhileOrderIsOutstanding(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.losePrimary()
+	if got := promotions(s.advance(time.Second, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Fatalf("ordered %v", got)
+	}
+	s.machine.HandleUnknownOutcome(s.now)
+	s.in.Reachability = Reachability{Nodes: 11, Reaching: 11}
+	if got := resumes(s.advance(200*time.Millisecond, "p", "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("resumed %v, want r1", got)
+	}
+	s.server("r1").Sample.PausedTerm = 0
+	if got := resumes(s.advance(lateOrderTimeout-2*time.Second, "p", "r1", "r2")); len(got) > 0 {
+		t.Errorf("resumed %v while the order may be carried out", got)
+	}
+	if got := resumes(s.advance(2*time.Second, "p", "r1", "r2")); len(got) == 0 || got[0] != "r2" {
+		t.Errorf("resumed %v, want r2", got)
+	}
+}
+
+// Guards against a group without synchronous replicas, whose servers are never paused, that is sent
+// commands to resume.
+func TestGroupWithoutSynchronousReplicasIsNotResumed(t *testing.T) {
+	s := newSimulation(t)
+	s.server("r1").Sample.PausedTerm = 2
+	if got := s.advance(15*time.Second, "p", "r1", "r2"); len(got) > 0 {
+		t.Errorf("ordered %v", got)
+	}
+}
--- a/gateway/failover/synchronous.go
+++ b/gateway/failover/synchronous.go
@@ -217,6 +217,7 @@
 			continue
 		}
 		pauses = append(pauses, Action{Pause: s.ID, Term: term})
+		m.hasPaused = true
 	}
 	return pauses
 }
