Confirm the pause of a replica after the primary is lost

Cause: a paused replica restarted, which ends its pause, received and acknowledged commits alone, and an answer from before the restart, up to 1.3 s old, still counted as showing its final position.

Now only answers sent since the replacement became due count. It costs no time when replicas are paused for this replacement, as their answers are newer.

TestPauseSeenBeforeThePrimaryWasLostIsConfirmed without the condition: 'promoted [r1] while r2 has not answered since'.

--- a/gateway/failover/failover_test.go
+++ b/gateway/failover/failover_test.go
@@ -397,3 +397,20 @@
 		t.Errorf("ordered %v", got)
 	}
 }
+
+// Guards against the loss of commits on a replica that was paused and has restarted since: it receives
+// again, and an answer from before the primary was lost does not show that.
+func TestPauseSeenBeforeThePrimaryWasLostIsConfirmed(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.pauseReplicas()
+	// A new leader does not resume the replicas at once.
+	s.machine = New(s.now)
+	s.advance(3*time.Second, "p", "r1", "r2")
+	s.in.Reachability.Failing = 11
+	if got := promotions(s.advance(1200*time.Millisecond, "r1")); len(got) > 0 {
+		t.Errorf("promoted %v while r2 has not answered since", got)
+	}
+	if got := promotions(s.advance(200*time.Millisecond, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("promoted %v", got)
+	}
+}
--- a/gateway/failover/synchronous.go
+++ b/gateway/failover/synchronous.go
@@ -235,7 +235,8 @@
 		if s.ID == receiving || (s.ID == m.primary && !answersAsReplica) {
 			continue
 		}
-		final := answersAsReplica && m.isFinal(s, term)
+		// An earlier answer may be from before a restart, after which a replica receives again.
+		final := answersAsReplica && m.isFinal(s, term) && s.Sample.At >= m.pendingSince
 		if !final || candidate.Sample.Position.Before(s.Sample.Position) {
 			ahead = append(ahead, s.ID)
 		}
