--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -30,6 +30,7 @@
 	"github.com/jayloom/jayloom/gateway/coordinator"
 	"github.com/jayloom/jayloom/gateway/engine"
 	"github.com/jayloom/jayloom/gateway/server"
+	"github.com/jayloom/jayloom/gateway/stop"
 	"github.com/jayloom/jayloom/platform"
 	"github.com/jayloom/jayloom/policy/throttle"
 )
@@ -57,8 +58,6 @@
 	// callDrainTimeout bounds the wait for the answers of accepted calls at a stop. It is above
 	// the timeout of a call to the leader.
 	callDrainTimeout = time.Second
-	// exitReserve is the part of the grace period that is left to end the process itself.
-	exitReserve = 100 * time.Millisecond
 )
 
 // node is a running gateway node.
@@ -82,16 +81,24 @@
 	httpServers     []*http.Server
 	draining        chan struct{}
 	failures        chan error
-	goroutines      sync.WaitGroup
+	// terminations and reloads receive signals from the creation of the node on. Each holds one,
+	// and they are separate so that no number of SIGHUPs displaces a SIGTERM.
+	terminations, reloads chan os.Signal
+	goroutines            sync.WaitGroup
 }
 
 func newNode(o options, s *platform.Settings, log *logrus.Entry) *node {
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.FirstInternalPort))
-	return &node{
+	n := &node{
 		settings: s, settingsPath: o.Settings, log: log,
 		address: address, listenAddress: cmp.Or(o.NodeListen, address),
 		draining: make(chan struct{}), failures: make(chan error, 4),
+		terminations: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1),
 	}
+	// A signal that arrives while the node starts is handled once it runs.
+	signal.Notify(n.terminations, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(n.reloads, syscall.SIGHUP)
+	return n
 }
 
 func run(o options, s *platform.Settings) error {
@@ -307,42 +314,51 @@
 
 // waitForStop blocks until a server fails or a termination signal arrives.
 func (n *node) waitForStop() error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
 		select {
 		case err := <-n.failures:
 			n.log.WithError(err).WithField("event", "failed").Error("node failed, stopping")
 			return err
-		case sig := <-signals:
-			n.log.WithFields(logrus.Fields{"event": "signal", "signal": sig.String()}).Info("signal received")
-			if sig != syscall.SIGHUP {
-				return nil
-			}
-			// SIGHUP needs no action: the seeds are read from the file on each use.
+		case sig := <-n.terminations:
+			n.logSignal(sig)
+			return nil
+		case sig := <-n.reloads:
+			// No action is needed: the seeds are read from the file on each use.
+			n.logSignal(sig)
 		}
 	}
 }
 
+func (n *node) logSignal(sig os.Signal) {
+	n.log.WithFields(logrus.Fields{"event": "signal", "signal": sig.String()}).Info("signal received")
+}
+
 // shutdown stops accepting callers, waits up to the grace period for running work and
 // leaves the fleet.
 func (n *node) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, n.settings.ShutdownGrace-exitReserve)
-	defer cancel()
+	plan := stop.NewPlan(clock.Now(), n.settings.ShutdownGrace)
 	close(n.draining)
+	var drained sync.WaitGroup
+	drained.Go(func() { n.drainCalls(ctx, plan) })
 	if n.callerServer != nil {
-		n.callerServer.Shutdown(ctx, n.callerListener, n.settings.ShutdownGrace)
+		n.callerServer.Shutdown(ctx, n.callerListener, plan)
 	}
-	n.drainCalls(ctx)
-	leaveCtx, cancelLeave := context.WithTimeout(ctx, connectTimeout)
-	defer cancelLeave()
+	drained.Wait()
+	// The last quarter of the time behind the callers is left to end the process itself.
+	left := (plan.EndsAt - clock.Now()) * 3 / 4
+	leaveCtx, cancel := context.WithTimeout(ctx, min(connectTimeout, left))
+	defer cancel()
 	n.controlClient.Leave(leaveCtx)
 }
 
-// drainCalls accepts no calls of operators, upstreams and the load balancer any more, and waits
-// until those that were accepted are answered.
-func (n *node) drainCalls(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callDrainTimeout)
+// drainCalls accepts no calls of operators, upstreams and the load balancer once the latter sends no
+// callers, and waits until those that were accepted are answered.
+func (n *node) drainCalls(ctx context.Context, plan stop.Plan) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(plan.ServesUntil - clock.Now()):
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(callDrainTimeout, plan.ClosesAt-clock.Now()))
 	defer cancel()
 	var all sync.WaitGroup
 	for _, s := range n.httpServers {
--- a/gateway/failover/failover_test.go
+++ b/gateway/failover/failover_test.go
@@ -235,3 +235,182 @@
 		t.Errorf("ordered %v", orders)
 	}
 }
+
+// newSynchronousSimulation returns a group with one synchronous replica, whose leader has started long
+// ago.
+func newSynchronousSimulation(t *testing.T) *simulation {
+	s := newSimulation(t)
+	s.in.SyncReplicas = 1
+	s.advance(lateOrderTimeout, "p", "r1", "r2")
+	return s
+}
+
+func (s *simulation) pauseReplicas() {
+	s.server("r1").Sample.PausedTerm, s.server("r2").Sample.PausedTerm = 2, 2
+}
+
+// losePrimary lets the primary be silent until its replicas are paused.
+func (s *simulation) losePrimary() {
+	s.t.Helper()
+	s.in.Reachability.Failing = 11
+	if got := promotions(s.advance(time.Second, "r1", "r2")); len(got) > 0 {
+		s.t.Fatalf("promoted %v before the replicas have paused", got)
+	}
+	s.pauseReplicas()
+}
+
+func resumes(orders []Action) []string {
+	var ids []string
+	for _, o := range orders {
+		if o.Resume != "" {
+			ids = append(ids, o.Resume)
+		}
+	}
+	return ids
+}
+
+// Guards against the loss of acknowledged commits when a primary crashes while the replica that received
+// them drains (review, case 1): another replica was promoted.
+func TestDrainingReplicaWithNewestCommitsIsPromoted(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.server("r1").Draining = true
+	s.losePrimary()
+	if got := promotions(s.advance(time.Second, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("promoted %v", got)
+	}
+}
+
+// Guards against the loss of acknowledged commits in a planned failover, and against commits that stop
+// meanwhile: the candidate receives until it has what the draining replica has.
+func TestCandidateCatchesUpWithDrainingReplica(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.server("r1").Draining, s.server("p").Draining = true, true
+	orders := s.advance(100*time.Millisecond, "p", "r1", "r2")
+	if diff := cmp.Diff([]Action{{Pause: "r1", Term: 2}}, orders); diff != "" {
+		t.Error(diff)
+	}
+	s.server("r1").Sample.PausedTerm = 2
+	if got := promotions(s.advance(catchUpTimeout+time.Second, "p", "r1", "r2")); len(got) > 0 {
+		t.Fatalf("promoted %v, which lacks commits of r1", got)
+	}
+	if got := s.machine.Awaited(); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("waits for %v, want r1", got)
+	}
+	s.server("r2").Sample.Position.Number = 99
+	if got := promotions(s.advance(time.Second, "p", "r1", "r2")); !cmp.Equal(got, []string{"r2"}) {
+		t.Errorf("promoted %v", got)
+	}
+}
+
+// Guards against a refused promotion that is followed by that of a replica without the acknowledged
+// commits.
+func TestRefusedCandidateIsNotReplacedByLesserOne(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.losePrimary()
+	if got := promotions(s.advance(time.Second, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Fatalf("promoted %v", got)
+	}
+	s.machine.HandleRefused(s.now, "r1")
+	if got := promotions(s.advance(refusalBackoff-200*time.Millisecond, "r1", "r2")); len(got) > 0 {
+		t.Errorf("promoted %v just after the refusal", got)
+	}
+	if got := promotions(s.advance(400*time.Millisecond, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("promoted %v after refusalBackoff", got)
+	}
+	s.machine.HandleRefused(s.now, "r1")
+	if got := promotions(s.advance(10*time.Second, "r2")); len(got) > 0 {
+		t.Errorf("promoted %v while r1 does not answer", got)
+	}
+}
+
+// Guards against the loss of commits on a replica that leaves at the same time as the primary crashes.
+func TestCommitsOfDepartedReplicaAreAwaited(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.server("r2").Sample.PausedTerm = 2
+	s.in.Servers = []Server{s.in.Servers[0], s.in.Servers[2]}
+	s.in.Reachability.Failing = 11
+	if got := promotions(s.advance(10*time.Second, "r2")); len(got) > 0 {
+		t.Errorf("promoted %v, which may lack commits of r1", got)
+	}
+	if got := s.machine.Awaited(); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("waits for %v, want r1", got)
+	}
+}
+
+// Guards against commits that stop for good: after a primary had been silent, its replicas stayed paused
+// (review, "Writes of a service with sync_replicas 1 stop for good").
+func TestReplicasAreResumedWithoutPromotion(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.pauseReplicas()
+	if got := resumes(s.advance(100*time.Millisecond, "p", "r1", "r2")); !cmp.Equal(got, []string{"r1", "r2"}) {
+		t.Errorf("resumed %v", got)
+	}
+	s.server("r1").Sample.PausedTerm, s.server("r2").Sample.PausedTerm = 0, 0
+	if got := s.advance(time.Second, "p", "r1", "r2"); len(got) > 0 {
+		t.Errorf("ordered %v without a paused replica", got)
+	}
+}
+
+// Guards against a new leader that leaves the replicas paused that an earlier one paused, and against one
+// that resumes them while an order of the earlier one may still be carried out.
+func TestNewLeaderResumesPausedReplicas(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.pauseReplicas()
+	s.machine = New(s.now)
+	s.machine.Adopt(s.now, "p", 1)
+	if got := s.advance(lateOrderTimeout-200*time.Millisecond, "p", "r1", "r2"); len(got) > 0 {
+		t.Errorf("ordered %v while an earlier order may be carried out", got)
+	}
+	if got := resumes(s.advance(400*time.Millisecond, "p", "r1", "r2")); !cmp.Equal(got, []string{"r1", "r2"}) {
+		t.Errorf("resumed %v", got)
+	}
+}
+
+// Guards against the loss of commits by a promotion order that is carried out late: until then, only the
+// ordered server may receive.
+func TestOnlyOrderedServerIsResumedWhileOrderIsOutstanding(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.losePrimary()
+	if got := promotions(s.advance(time.Second, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Fatalf("ordered %v", got)
+	}
+	s.machine.HandleUnknownOutcome(s.now)
+	s.in.Reachability = Reachability{Nodes: 11, Reaching: 11}
+	if got := resumes(s.advance(200*time.Millisecond, "p", "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("resumed %v, want r1", got)
+	}
+	s.server("r1").Sample.PausedTerm = 0
+	if got := resumes(s.advance(lateOrderTimeout-2*time.Second, "p", "r1", "r2")); len(got) > 0 {
+		t.Errorf("resumed %v while the order may be carried out", got)
+	}
+	if got := resumes(s.advance(2*time.Second, "p", "r1", "r2")); len(got) == 0 || got[0] != "r2" {
+		t.Errorf("resumed %v, want r2", got)
+	}
+}
+
+// Guards against a group without synchronous replicas, whose servers are never paused, that is sent
+// commands to resume.
+func TestGroupWithoutSynchronousReplicasIsNotResumed(t *testing.T) {
+	s := newSimulation(t)
+	s.server("r1").Sample.PausedTerm = 2
+	if got := s.advance(15*time.Second, "p", "r1", "r2"); len(got) > 0 {
+		t.Errorf("ordered %v", got)
+	}
+}
+
+// Guards against the loss of commits on a replica that was paused and has restarted since: it receives
+// again, and an answer from before the primary was lost does not show that.
+func TestPauseSeenBeforeThePrimaryWasLostIsConfirmed(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.pauseReplicas()
+	// A new leader does not resume the replicas at once.
+	s.machine = New(s.now)
+	s.advance(3*time.Second, "p", "r1", "r2")
+	s.in.Reachability.Failing = 11
+	if got := promotions(s.advance(1200*time.Millisecond, "r1")); len(got) > 0 {
+		t.Errorf("promoted %v while r2 has not answered since", got)
+	}
+	if got := promotions(s.advance(200*time.Millisecond, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("promoted %v", got)
+	}
+}
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -73,8 +73,8 @@
 // Server accepts caller connections and runs their sessions.
 type Server struct {
 	opts Options
-	// draining is set when idle sessions end, and ending when all sessions do that are not
-	// writing an answer.
+	// draining is set when idle sessions end, and ending when all sessions do whose callers
+	// wait for no answer.
 	draining, ending atomic.Bool
 	running          sync.WaitGroup
 
@@ -164,20 +164,27 @@
 }
 
 func (c *callerConn) run(ctx context.Context) {
-	defer func() { _ = c.conn.Close() }()
+	defer c.endSession()
 	if !c.openSession() {
 		return
 	}
-	defer c.session.Close()
 	for c.serveStatement(ctx) {
 	}
 }
 
+// endSession closes the caller's connection and then rolls back its open transaction, which may
+// take a while: what the caller sends meanwhile would not be read.
+func (c *callerConn) endSession() {
+	_ = c.conn.Close()
+	if c.session != nil {
+		c.session.Close()
+	}
+}
+
 // openSession reads the startup message and opens the session. It reports whether that
 // succeeded.
 func (c *callerConn) openSession() bool {
-	_ = c.conn.SetReadDeadline(time.Now().Add(startupTimeout))
-	database, key, err := c.codec.ReadStartup()
+	database, key, err := c.readStartup()
 	if err != nil {
 		return false
 	}
@@ -191,6 +198,26 @@
 	return c.codec.WriteReady() == nil
 }
 
+// readStartup reads the startup message. If the server is draining, it waits only for one that has
+// begun to arrive, which is then refused.
+func (c *callerConn) readStartup() (database, key string, err error) {
+	end := time.Now().Add(startupTimeout)
+	c.waiting.Store(true)
+	defer c.waiting.Store(false)
+	for {
+		if err := c.conn.SetReadDeadline(end); err != nil {
+			return "", "", err
+		}
+		if c.server.draining.Load() && !c.codec.Buffered() {
+			return "", "", ErrQuit
+		}
+		database, key, err = c.codec.ReadStartup()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(end) {
+			return database, key, err
+		}
+	}
+}
+
 // serveStatement reads and runs one statement. It returns false when the session has ended.
 func (c *callerConn) serveStatement(ctx context.Context) bool {
 	st, err := c.nextStatement()
@@ -258,7 +285,7 @@
 func (c *callerConn) shouldClose(idle time.Duration) bool {
 	switch {
 	case c.server.ending.Load():
-		return true
+		return !c.codec.Buffered()
 	case !c.server.draining.Load() || c.session.State() != engine.Idle || idle < busyCallerDelay:
 		return false
 	default:
--- a/gateway/server/shutdown.go
+++ b/gateway/server/shutdown.go
@@ -16,12 +16,12 @@
 
 // Shutdown keeps serving until the load balancer has noticed, then ends sessions as they
 // become idle. Statements that have no answer near the end of the grace period are given up,
-// and their callers are told. Shutdown returns when all sessions have ended, and always within
-// the grace period.
-func (s *Server) Shutdown(ctx context.Context, l net.Listener, grace time.Duration) {
-	plan := stop.NewPlan(clock.Now(), grace)
-	s.opts.Log.WithFields(logrus.Fields{"event": "draining", "callers": s.CallerCount(), "grace_ms": grace.Milliseconds()}).
-		Info("stop has begun")
+// and their callers are told. Shutdown returns when all sessions have ended, at plan.ClosesAt at
+// the latest.
+func (s *Server) Shutdown(ctx context.Context, l net.Listener, plan stop.Plan) {
+	s.opts.Log.WithFields(logrus.Fields{
+		"event": "draining", "callers": s.CallerCount(), "grace_ms": (plan.EndsAt - plan.BeganAt).Milliseconds(),
+	}).Info("stop has begun")
 	s.opts.Engine.BeginStop(plan)
 	sleep(ctx, plan.ServesUntil-clock.Now())
 	_ = l.Close()
@@ -38,9 +38,9 @@
 	}).Info("sessions ended")
 }
 
-// drainUntil ends sessions as they may end, until none is left or the time is end.
+// drainUntil ends sessions as they may end, until none is left, the time is end or ctx ends.
 func (s *Server) drainUntil(ctx context.Context, end time.Duration) {
-	for clock.Now() < end && s.CallerCount() > 0 {
+	for ctx.Err() == nil && clock.Now() < end && s.CallerCount() > 0 {
 		s.Drain()
 		sleep(ctx, min(drainPollInterval, end-clock.Now()))
 	}
--- a/gateway/server/shutdown_test.go
+++ b/gateway/server/shutdown_test.go
@@ -9,8 +9,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/base/socket"
 	"github.com/jayloom/jayloom/gateway/engine"
+	"github.com/jayloom/jayloom/gateway/stop"
 )
 
 // testGrace is the grace period of the stops in these tests.
@@ -27,7 +29,7 @@
 	begun = time.Now()
 	go func() {
 		defer close(stopped)
-		s.Shutdown(context.Background(), l, testGrace)
+		s.Shutdown(context.Background(), l, stop.NewPlan(clock.Now(), testGrace))
 	}()
 	return stopped, begun
 }
@@ -84,9 +86,9 @@
 	stopped, begun := startStop(s, l)
 	sleepUntil(begun, 0.55)
 	sendByte(t, statement, 'r')
-	expectByte(t, statement, 'E')
+	expectByte(t, statement, 'A')
 	sendByte(t, commit, 'c')
-	expectByte(t, commit, 'E')
+	expectByte(t, commit, 'A')
 	select {
 	case <-g.started:
 		t.Error("a statement was passed on")
@@ -106,9 +108,8 @@
 		sendByte(t, c, 'r')
 		expectStarted(t, g)
 	}
-	for _, c := range []net.Conn{single, transaction} {
-		expectByte(t, c, 'E')
-	}
+	expectByte(t, single, 'U')
+	expectByte(t, transaction, 'A')
 	<-stopped
 }
 
@@ -129,7 +130,7 @@
 	}
 	waiting := callers[testUsableConnections]
 	sendByte(t, waiting, 'r')
-	expectByte(t, waiting, 'E')
+	expectByte(t, waiting, 'B')
 	<-stopped
 	select {
 	case <-g.started:
@@ -211,7 +212,7 @@
 	expectByte(t, c, 'D')
 	time.Sleep(20 * time.Millisecond)
 	sendByte(t, c, 'r')
-	expectByte(t, c, 'E')
+	expectByte(t, c, 'B')
 	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("read after the refusal returned %v, want EOF", err)
 	}
@@ -258,3 +259,36 @@
 type inputCodec struct{ byteCodec }
 
 func (c inputCodec) Buffered() bool { return socket.HasInput(c.conn) }
+
+// Guards against a stop of a full node that needs more than its share of a short grace period to
+// tell all callers, and so is killed before it has answered them.
+func TestStopOfFullNodeAnswersAllCallers(t *testing.T) {
+	const callerCount = 700
+	const shortGrace = 2 * time.Second
+	s, l, g := newTestServer(t, 0)
+	go func() {
+		for range g.started {
+			// Statements that reach the upstream stay unanswered.
+		}
+	}()
+	callers := make([]net.Conn, callerCount)
+	for i := range callers {
+		callers[i] = connect(t, l)
+		expectByte(t, callers[i], 'W')
+		sendByte(t, callers[i], 'r')
+	}
+	begun := time.Now()
+	s.Shutdown(context.Background(), l, stop.NewPlan(clock.Now(), shortGrace))
+	took := time.Since(begun)
+	t.Logf("the stop took %s", took)
+	if took >= shortGrace {
+		t.Errorf("the stop took %s of a grace period of %s", took, shortGrace)
+	}
+	for i, c := range callers {
+		if i < testUsableConnections {
+			expectByte(t, c, 'U')
+			continue
+		}
+		expectByte(t, c, 'B')
+	}
+}
--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -148,7 +148,7 @@
 
 // run serves requests until the caller disconnects or the session is ended.
 func (s *caller) run() {
-	err := s.serve()
+	err := s.lastOutcome(s.serve())
 	s.releaseConns()
 	s.sendFatal(err)
 	s.server.registry.remove(s)
@@ -156,6 +156,19 @@
 	_ = s.net.Close()
 }
 
+// lastOutcome returns what the caller is told when err ends its session. The end of an
+// open transaction by a drain is reported as such: its caller must begin it again.
+func (s *caller) lastOutcome(err error) error {
+	var reason *rescode.Error
+	if s.txConn == nil || !errors.As(err, &reason) || reason.Code != rescode.ProxyDraining {
+		return err
+	}
+	if s.batch.mayCommit {
+		return rescode.New(rescode.AnswerLost, "upstream %s", s.txConn.target.pool.address)
+	}
+	return s.transactionLostError(s.txConn.target)
+}
+
 func (s *caller) serve() error {
 	for {
 		frame, err := s.nextMessage()
@@ -163,7 +176,9 @@
 			return err
 		}
 		if frame.Type == 'X' {
-			return nil
+			// Requests that were sent together with Terminate may have answers pending.
+			_, err := s.out.Flush()
+			return err
 		}
 		if err := s.dispatch(frame); err != nil {
 			return err
@@ -312,7 +327,7 @@
 // the refused statement.
 func (s *caller) refuse(refused *rescode.Error, ready bool) error {
 	if reason := s.endReason(); reason != nil {
-		return reason
+		return finalOutcome(refused, reason)
 	}
 	if closesConnection(refused.Code) {
 		return refused
@@ -330,6 +345,22 @@
 	return nil
 }
 
+// finalOutcome returns what a caller whose session was ended is told about its last
+// request. The reason of the end says that the request has not run, so it never replaces
+// an outcome that leaves this open.
+func finalOutcome(refused, reason *rescode.Error) *rescode.Error {
+	if isNotRun(refused) {
+		return reason
+	}
+	return refused
+}
+
+// isNotRun reports whether a refusal says that the request has not run.
+func isNotRun(refused *rescode.Error) bool {
+	info, ok := rescode.Lookup(refused.Code)
+	return ok && info.Execution == rescode.NotRun
+}
+
 // failTransaction puts the transaction on txConn into the failed state.
 func (s *caller) failTransaction() error {
 	conn := s.txConn.conn
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/jayloom/jayloom/api/rescode"
@@ -64,12 +65,15 @@
 	case resultRefused:
 		return s.finishRefused(held, r, res)
 	case resultCallerGone:
+		gone := s.goneOutcome(held, r, res.err)
 		s.discardConn(held)
-		return nil, res.err
+		return nil, gone
 	case resultUnsent:
+		// Only a connection with session state, or a session that was ended, gets here; other
+		// requests are retried.
+		unsent := s.lastOutcome(firstError(s.endReason(), rescode.New(rescode.UpstreamLost, "upstream %s", held.target.pool.address)))
 		s.discardConn(held)
-		// Only a connection with session state gets here; on others the request is retried.
-		return nil, firstError(s.endReason(), rescode.New(rescode.UpstreamLost, "upstream %s", held.target.pool.address))
+		return nil, unsent
 	}
 	lost := s.lostAnswerError(held, r, res)
 	hadState := s.sessionConn == held
@@ -81,6 +85,16 @@
 	return lost, nil
 }
 
+// goneOutcome returns what a caller is told whose request ended in the middle of its COPY
+// data. The COPY has no effect, but an earlier COMMIT of the same request may have one.
+func (s *caller) goneOutcome(held *heldConn, r *request, err error) error {
+	var reason *rescode.Error
+	if errors.As(err, &reason) && (r.mayCommit() || s.batch.mayCommit) {
+		return rescode.New(rescode.AnswerLost, "upstream %s", held.target.pool.address)
+	}
+	return s.lastOutcome(err)
+}
+
 func firstError(reason, other *rescode.Error) error {
 	if reason != nil {
 		return reason
@@ -142,6 +156,24 @@
 	return res.refused, nil
 }
 
+// outcomeOfAttempts returns what is known about a request after its last attempt was
+// refused. That this one has not run says nothing about an earlier one.
+func outcomeOfAttempts(earlier, refused *rescode.Error) *rescode.Error {
+	if earlier == nil || refused == nil || !isNotRun(refused) {
+		return refused
+	}
+	return finalOutcome(earlier, refused)
+}
+
+// errorOfAttempts is outcomeOfAttempts for an error that ends the session.
+func errorOfAttempts(earlier *rescode.Error, err error) error {
+	var refused *rescode.Error
+	if !errors.As(err, &refused) {
+		return err
+	}
+	return outcomeOfAttempts(earlier, refused)
+}
+
 // discardConn closes a connection after a failure, which ends any transaction on it.
 func (s *caller) discardConn(held *heldConn) {
 	if s.txConn == held {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -69,6 +69,8 @@
 	listeners  []net.Listener
 	closed     bool
 	stop       chan struct{}
+	// window is set once the proxy drains with a deadline.
+	window atomic.Pointer[drainWindow]
 }
 
 // shareCheckInterval is how often pools are checked against shares that have expired.
@@ -179,23 +181,6 @@
 	authenticated.run()
 }
 
-// Drain stops accepting callers, ends idle ones, and waits for running transactions.
-// When ctx ends, it closes the remaining callers.
-func (s *Server) Drain(ctx context.Context) {
-	s.listenerMu.Lock()
-	s.closed = true
-	for _, listener := range s.listeners {
-		_ = listener.Close()
-	}
-	s.listenerMu.Unlock()
-	s.registry.drain()
-	select {
-	case <-s.registry.drained:
-	case <-ctx.Done():
-		s.registry.endAll()
-	}
-}
-
 // Close ends all callers and closes all upstream connections without waiting.
 func (s *Server) Close() {
 	expired, cancel := context.WithCancel(context.Background())
