Enforce the limits of a configuration that a node was sent first

Between versions 1 and 2 of the configuration no request was refused for the team's use over all nodes.

Cause: an answer to a node's report carries the stored configuration. If it was sent before the leader had handled the store event of that configuration, the leader found the version already in its history and did not pass teams and services on, until the next configuration.

The leader now compares with the version that it has passed on. TestLimitsOfConfigurationThatWasSentFirst failed before ('the leader limits the teams map[]').

--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -314,3 +314,18 @@
 		}
 	}
 }
+
+// Guards against team limits that are not enforced until the next configuration: a node that was sent a
+// new configuration before the leader had handled its store event hid the change from the leader.
+func TestLimitsOfConfigurationThatWasSentFirst(t *testing.T) {
+	l, r := newTestLeader(t)
+	s := startStream(l, "n1", &controlpb.NodeReport{})
+	if result, err := r.Propose(context.Background(), putCommand(7, "sorters")); err != nil || result.Code != 0 {
+		t.Fatalf("%v, %v", result, err)
+	}
+	l.push(s)
+	l.handleStoreEvents()
+	if !l.teams["sorters"] {
+		t.Errorf("the leader limits the teams %v", l.teams)
+	}
+}
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -93,9 +93,12 @@
 	leadingSince time.Duration
 	registry     *topology.Registry
 	limiter      *throttle.Limiter
-	teams        map[string]bool
-	groups       map[string]*group
-	streams      map[*nodeStream]bool
+	// syncedVersion is the version of the configuration whose teams the limiter has. Nodes may have
+	// been sent a newer one, whose store event has not been handled yet.
+	syncedVersion uint64
+	teams         map[string]bool
+	groups        map[string]*group
+	streams       map[*nodeStream]bool
 	// streamOf holds the stream of each connected node.
 	streamOf map[string]*nodeStream
 	// lostNodes holds nodes whose stream ended without a last report.
@@ -263,7 +266,7 @@
 		return
 	}
 	// Most commands change the nodes or the topology, not the configuration.
-	if !l.leading || l.store.current().Catalog.GetVersion() == l.catalogHistory.current.GetVersion() {
+	if !l.leading || l.store.current().Catalog.GetVersion() == l.syncedVersion {
 		return
 	}
 	l.syncCatalog(clock.Now())
@@ -284,7 +287,7 @@
 	l.savingTopology, l.savedRevision = false, 0
 	l.adoptedRevision, l.topologyAskedAt = 0, now-topologyAnswerTime
 	l.pushedFall, l.fallsPushedAt = 0, now-fallPushInterval
-	l.limiter = throttle.NewLimiter(now)
+	l.limiter, l.syncedVersion = throttle.NewLimiter(now), 0
 	l.syncCatalog(now)
 	l.adoptTopology(now, l.store.current().Topology)
 	l.log.WithFields(logrus.Fields{
@@ -327,7 +330,7 @@
 			l.limiter.RemoveTeam(name)
 		}
 	}
-	l.teams = teams
+	l.teams, l.syncedVersion = teams, c.Version
 	for _, s := range c.Services {
 		l.groupOf(now, s.Name).syncReplicas = int(s.SyncReplicas)
 	}
