Test: a running call at a stop, without a time of its own

TestStopAnswersRunningCalls slept until the servers were expected to be closed, so on a slow machine its verdict could vary (too early it proved nothing, too late the call was past its limit), and it spelled the platform's fields. It now holds a call of its own handler until the address refuses connections.

The same guarantee as before, on each run.

--- a/cmd/jayloom-node/shutdown_test.go
+++ b/cmd/jayloom-node/shutdown_test.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -20,35 +18,51 @@
 // Guards against a stop that closes the connection of an operator's or upstream's call that has
 // been accepted, without an answer.
 func TestStopAnswersRunningCalls(t *testing.T) {
-	d := startDeployment(t)
-	d.putConfiguration(1, "secret")
-	n := d.nodes[0]
-	c, err := net.Dial("tcp4", n.endpoint.ControlAddress())
+	const address = "127.0.7.8:17570"
+	n := startDeployment(t).nodes[0]
+	accepted, release := make(chan struct{}), make(chan struct{})
+	err := n.listenHTTP(address, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(accepted)
+		<-release
+	}))
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = c.Close() })
-	const firstPart, secondPart = `{"service":"wax","address":"127.0.0.1:1",`, `"state":"ready","db_role":"replica","seq":1}`
-	_, _ = fmt.Fprintf(c, "POST /api/Instances.Heartbeat/i-9 HTTP/1.1\r\nHost: node\r\nContent-Length: %d\r\n\r\n%s",
-		len(firstPart)+len(secondPart), firstPart)
-	// Without callers, the stop closes the servers of calls as soon as the load balancer has left.
-	noNewCalls := time.Now().Add(2500 * time.Millisecond)
+	answered := make(chan error, 1)
+	go func() { answered <- get("http://" + address) }()
+	<-accepted
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
 		n.shutdown(context.Background())
 	}()
-	time.Sleep(time.Until(noNewCalls))
-	if _, err := fmt.Fprint(c, secondPart); err != nil {
-		t.Fatal(err)
+	awaitRefusal(t, address)
+	close(release)
+	if err := <-answered; err != nil {
+		t.Errorf("the call got no answer: %v", err)
 	}
-	_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	<-stopped
+}
+
+func get(url string) error {
+	response, err := http.Get(url)
 	if err != nil {
-		t.Fatalf("the call got no answer: %v", err)
+		return err
 	}
-	_ = response.Body.Close()
-	<-stopped
+	return response.Body.Close()
+}
+
+// awaitRefusal waits until an address accepts no connections any more.
+func awaitRefusal(t *testing.T, address string) {
+	t.Helper()
+	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); {
+		c, err := net.Dial("tcp4", address)
+		if err != nil {
+			return
+		}
+		_ = c.Close()
+	}
+	t.Fatal("the server still accepts connections")
 }
 
 // Guards against a signal that ends a node while it starts: a SIGHUP would kill it, and a SIGTERM
