Keep the fence of a promotion order that is repeated

Cause: an order without an answer for 0.5 s was given again with a higher fence. The platform notes a fence when the call arrives and checks it when it carries the call out, so each repetition voided the order before it, and was voided by the next one.

Change: the failover state machine numbers its orders; one that is repeated for the same server keeps its number and so its fence. Whichever call is carried out first promotes the server, the others then change nothing. The call may take 5 s beside the repetitions, and an acceptance ends them. Answers to an order that a newer one has replaced are ignored.

--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// promoteTimeout limits the wait for the answer to a promotion order. The platform
-	// answers immediately; the promotion itself takes longer.
-	promoteTimeout = 500 * time.Millisecond
+	// promoteTimeout limits the call for a promotion. The platform may be slow for seconds.
+	promoteTimeout = 5 * time.Second
+	// promoteAnswerTime is the time after which a promotion order without an answer is repeated beside
+	// the call under way, because the call may have been lost. A platform that is well answers at once.
+	promoteAnswerTime = 500 * time.Millisecond
 	// maxPrimaryViewAge is the age up to which a node's view of the primaries is used.
 	maxPrimaryViewAge = time.Second
 	// longFailingAfter is the time of failed attempts after which a node counts as
@@ -47,6 +49,8 @@
 	sentPrimary primaryState
 	// loggedAwaited are the servers that a promotion waits for, as last logged.
 	loggedAwaited string
+	// order is the number of the newest promotion order, and fence its fence.
+	order, fence uint64
 }
 
 // measuredPosition is the answer to a position query that was sent at measuredAt.
@@ -215,24 +219,46 @@
 		}
 		return
 	}
-	l.fences++
-	fence := l.term*fencesPerTerm + l.fences
+	l.executePromotion(ctx, service, g, action)
+}
+
+// executePromotion sends a promotion order to the platform. A repeated order keeps its fence.
+func (l *Leader) executePromotion(ctx context.Context, service string, g *group, action failover.Action) {
+	repeated := action.Order == g.order
+	if !repeated {
+		l.fences++
+		g.order, g.fence = action.Order, l.term*fencesPerTerm+l.fences
+	}
+	fence := g.fence
 	primary, term, _ := g.machine.Primary()
 	l.log.WithFields(logrus.Fields{
 		"event": "promotion_ordered", "service": service, "upstream": action.Promote, "reason": string(action.Reason),
-		"fence": fence, "replaces": primary, "replaces_term": term, "position": g.samples[action.Promote].Position.String(),
+		"fence": fence, "repeated": repeated, "replaces": primary, "replaces_term": term, "position": g.samples[action.Promote].Position.String(),
 	}).Warn("promotion ordered")
 	countPromotion(action.Reason)
-	leaderTerm := l.term
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
-		defer cancel()
-		if !l.holdsLease(clock.Now()) {
-			return
-		}
-		outcome := l.config.Promoter.Promote(ctx, service, action.Promote, fence)
-		l.post(context.Background(), promotionAnswered{service, action.Promote, leaderTerm, fence, outcome})
-	}()
+	answer := promotionAnswered{service: service, upstream: action.Promote, term: l.term, fence: fence}
+	go l.sendPromotion(ctx, answer)
+}
+
+// sendPromotion calls the platform and posts the outcome. After promoteAnswerTime it posts that the
+// outcome is not known yet, and goes on waiting: a slow call may still tell that the order was accepted
+// or refused.
+func (l *Leader) sendPromotion(ctx context.Context, answer promotionAnswered) {
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	if !l.holdsLease(clock.Now()) {
+		return
+	}
+	unanswered := answer
+	unanswered.outcome = PromotionUnknown
+	repeat := time.AfterFunc(promoteAnswerTime, func() { l.post(context.Background(), unanswered) })
+	answer.outcome = l.config.Promoter.Promote(ctx, answer.service, answer.upstream, answer.fence)
+	wasRepeated := !repeat.Stop()
+	if wasRepeated && (answer.outcome == PromotionUnknown || answer.outcome == PromotionNotSent) {
+		// The order is being repeated already.
+		return
+	}
+	l.post(context.Background(), answer)
 }
 
 // logAwaited logs when the servers change that a promotion waits for, because they may have
@@ -277,10 +303,13 @@
 		"event": "promotion_answered", "service": e.service, "upstream": e.upstream, "fence": e.fence, "outcome": int(e.outcome),
 	}).Info("promotion order answered")
 	g := l.groups[e.service]
-	if g == nil {
+	if g == nil || e.fence != g.fence {
+		// A newer order has replaced this one.
 		return
 	}
 	switch e.outcome {
+	case PromotionAccepted:
+		g.machine.HandleAccepted()
 	case PromotionRefused:
 		g.machine.HandleRefused(clock.Now(), e.upstream)
 	case PromotionNotSent:
--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -36,7 +36,7 @@
 	// minTermDuration is how long a new primary is kept although many nodes do not reach
 	// it: their reports may date from before its promotion.
 	minTermDuration = 3 * time.Second
-	// promotionTimeout is the time for a promotion to take effect before it is ordered
+	// promotionTimeout is the time for an accepted promotion to take effect before it is ordered
 	// again. The longest promotion time stated for a deployment is 1 s.
 	promotionTimeout = 2500 * time.Millisecond
 	// startupDelay is how long a new leader collects observations before it replaces a
@@ -104,6 +104,9 @@
 	Resume  string
 	Term    uint64
 	Reason  Reason
+	// Order numbers the promotion orders from 1. An order that is repeated keeps its number, so that it
+	// keeps its fence: a newer fence would void the earlier call, which may still be carried out.
+	Order uint64
 }
 
 // Reason is why a primary is replaced.
@@ -129,6 +132,9 @@
 	leadingSince time.Duration
 	position     position.Position
 	order        *promotionOrder
+	// orders is the number of the newest order, and lastCandidate its candidate while it may be repeated.
+	orders        uint64
+	lastCandidate string
 	// unansweredCandidate is the candidate of an unanswered promotion order, which may still
 	// take effect.
 	unansweredCandidate string
@@ -158,6 +164,7 @@
 type promotionOrder struct {
 	candidate string
 	orderedAt time.Duration
+	accepted  bool
 }
 
 // New returns a Machine for a leader that starts at now.
@@ -190,11 +197,18 @@
 	return m.pendingReason != "" && m.order == nil
 }
 
+// HandleAccepted records that the platform accepted the promotion order.
+func (m *Machine) HandleAccepted() {
+	if m.order != nil {
+		m.order.accepted = true
+	}
+}
+
 // HandleRefused records that the platform refused to promote a server.
 func (m *Machine) HandleRefused(now time.Duration, id string) {
 	m.clearAnswered()
 	m.refusedAt[id] = now
-	m.order = nil
+	m.order, m.lastCandidate = nil, ""
 }
 
 // HandleNotSent records that the promotion order was not accepted. The next step may order
@@ -204,12 +218,12 @@
 	m.order = nil
 }
 
-// HandleUnknownOutcome records that the promotion order was not answered. The order is
-// repeated at once, for the same server while that is eligible: the first order may still
+// HandleUnknownOutcome records that the promotion order was not answered, or not yet. The order
+// is repeated at once, for the same server while that is eligible: the first order may still
 // take effect, and promoting another server afterwards would roll back the writes made in
 // between.
 func (m *Machine) HandleUnknownOutcome(now time.Duration) {
-	if m.order == nil {
+	if m.order == nil || m.order.accepted {
 		return
 	}
 	m.unansweredCandidate = m.order.candidate
@@ -254,7 +268,7 @@
 		if s.Sample.Term > m.term || s.ID != m.primary {
 			m.primary, m.term = s.ID, s.Sample.Term
 			m.leadingSince, m.position = now, s.Sample.Position
-			m.order, m.unansweredCandidate = nil, ""
+			m.order, m.unansweredCandidate, m.lastCandidate = nil, "", ""
 			m.startTerm(s.ID)
 		}
 	}
@@ -347,8 +361,17 @@
 	if candidate == "" {
 		return nil
 	}
+	return []Action{m.promote(now, candidate, reason)}
+}
+
+// promote returns the order to promote a server, a repeated one if the newest order was for this server.
+func (m *Machine) promote(now time.Duration, candidate string, reason Reason) Action {
+	if m.lastCandidate != candidate {
+		m.orders++
+		m.lastCandidate = candidate
+	}
 	m.order = &promotionOrder{candidate: candidate, orderedAt: now}
-	return []Action{{Promote: candidate, Term: m.term + 1, Reason: reason}}
+	return Action{Promote: candidate, Term: m.term + 1, Reason: reason, Order: m.orders}
 }
 
 // requiresCaughtUp reports whether the failover can wait for a replica that lacks at most
--- a/gateway/failover/failover_test.go
+++ b/gateway/failover/failover_test.go
@@ -63,7 +63,7 @@
 	s := newSimulation(t)
 	s.in.Reachability.Failing = 11
 	orders := s.advance(2*time.Second, "r1", "r2")
-	want := []Action{{Promote: "r1", Term: 2, Reason: PrimaryLost}}
+	want := []Action{{Promote: "r1", Term: 2, Reason: PrimaryLost, Order: 1}}
 	if diff := cmp.Diff(want, orders); diff != "" {
 		t.Error(diff)
 	}
@@ -176,6 +176,42 @@
 	}
 }
 
+// Guards against repeated orders that void each other: a slow platform checks the fence of an order when
+// it carries it out, so an order that is repeated for the same server keeps its number.
+func TestRepeatedOrderKeepsItsNumber(t *testing.T) {
+	s := newSimulation(t)
+	s.in.Reachability.Failing = 11
+	numbers := func(answering ...string) []uint64 {
+		var all []uint64
+		for _, a := range s.advance(time.Second, answering...) {
+			if a.Promote != "" {
+				all = append(all, a.Order)
+			}
+		}
+		return all
+	}
+	if got := numbers("r1", "r2"); !cmp.Equal(got, []uint64{1}) {
+		t.Fatalf("orders %v", got)
+	}
+	s.machine.HandleUnknownOutcome(s.now)
+	if got := numbers("r1", "r2"); !cmp.Equal(got, []uint64{1}) {
+		t.Errorf("without an answer: orders %v", got)
+	}
+	s.machine.HandleAccepted()
+	s.machine.HandleUnknownOutcome(s.now)
+	if got := numbers("r1", "r2"); len(got) > 0 {
+		t.Errorf("the order was accepted and is repeated at once: %v", got)
+	}
+	s.machine.HandleNotSent()
+	if got := numbers("r1", "r2"); !cmp.Equal(got, []uint64{1}) {
+		t.Errorf("after a call that was not taken: orders %v", got)
+	}
+	s.machine.HandleRefused(s.now, "r1")
+	if got := numbers("r1", "r2"); !cmp.Equal(got, []uint64{2}) {
+		t.Errorf("after a refusal: orders %v", got)
+	}
+}
+
 // Guards against a repeated promotion order for a server that the platform has just refused.
 func TestRefusedCandidateIsSkipped(t *testing.T) {
 	s := newSimulation(t)
--- a/gateway/failover/synchronous.go
+++ b/gateway/failover/synchronous.go
@@ -122,8 +122,8 @@
 	actions := m.pauseReplicas(now, in.Servers, receiving)
 	m.awaited = m.serversAhead(now, in.Servers, *candidate, receiving)
 	if len(m.awaited) == 0 && !m.recentlyRefused(now, candidate.ID) {
-		m.recordOrder(now, candidate.ID, m.pauseTerm(in.Servers))
-		return append(actions, Action{Promote: candidate.ID, Term: m.term + 1, Reason: reason})
+		m.recordOutstanding(now, candidate.ID, m.pauseTerm(in.Servers))
+		return append(actions, m.promote(now, candidate.ID, reason))
 	}
 	if receiving != "" && candidate.Sample.PausedTerm != 0 {
 		actions = append(actions, m.resume(now, in.Servers, *candidate)...)
@@ -142,8 +142,7 @@
 	return actions
 }
 
-func (m *Machine) recordOrder(now time.Duration, candidate string, pauseTerm uint64) {
-	m.order = &promotionOrder{candidate: candidate, orderedAt: now}
+func (m *Machine) recordOutstanding(now time.Duration, candidate string, pauseTerm uint64) {
 	unanswered := m.outstanding.unanswered && now < m.outstanding.until
 	m.outstanding = outstandingOrder{
 		candidate: candidate, until: now + lateOrderTimeout, pauseTerm: pauseTerm, unanswered: unanswered,
