Do not await a server that has ended before the primary's last answer

Cause: each listed server was awaited until it answered, and a departed one until the primary answered after it was taken off the list, 20 s after its end. A primary that ended in between left it without a bound.

A server that refuses connections for 2 s without an announcement has ended; the primary's first answer after that bounds its commits, and so does the position with which a server was promoted afterwards. Silence still proves nothing. A bound that rests on a pause is not used while a promotion may have been carried out unnoticed, and answers of an earlier process of a server do not count.

Evidence: TestEndedReplicaDoesNotDelayPlannedPromotion, TestEndedReplicaDoesNotDelayFailover fail when no server counts as ended (as before), TestReplicaOfUnobservedPrimaryIsAwaited when the old primary is left out (as before); TestReplicaThatEndedWithThePrimaryIsAwaited and TestReplicaThatRefusedForAMomentIsAwaited hold what still waits.

--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -103,7 +103,7 @@
 func TestPanicInProbeIsAFailedProbe(t *testing.T) {
 	l, _ := newTestLeader(t)
 	l.config.Upstreams = panickingUpstreams{}
-	if sample, ok := l.probe(context.Background(), topology.Upstream{ID: "u"}); ok {
+	if sample, result := l.probe(context.Background(), topology.Upstream{ID: "u"}); result != probeFailed {
 		t.Errorf("the probe returned %+v", sample)
 	}
 	status := failover.Sample{Primary: true, Term: 3}
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -20,6 +20,8 @@
 	// promoteAnswerTime is the time after which a promotion order without an answer is repeated beside
 	// the call under way, because the call may have been lost. A platform that is well answers at once.
 	promoteAnswerTime = 500 * time.Millisecond
+	// awaitedLogInterval is the time between two log lines on a promotion that waits.
+	awaitedLogInterval = 10 * time.Second
 	// maxPrimaryViewAge is the age up to which a node's view of the primaries is used.
 	maxPrimaryViewAge = time.Second
 	// longFailingAfter is the time of failed attempts after which a node counts as
@@ -41,14 +43,19 @@
 	machine      *failover.Machine
 	syncReplicas int
 	samples      map[string]failover.Sample
+	// refusedSince holds when upstreams began to refuse connections.
+	refusedSince map[string]time.Duration
 	// probers holds the running probe loops by upstream.
 	probers map[string]*prober
 	// primaryPosition is the newest known position of the primary.
 	primaryPosition measuredPosition
 	// sentPrimary is the state of the primary last published to proxies.
 	sentPrimary primaryState
-	// loggedAwaited are the servers that a promotion waits for, as last logged.
-	loggedAwaited string
+	// awaited are the servers that a promotion waits for, as last logged at awaitedLoggedAt, and
+	// awaitedSince is when it began to wait.
+	awaited         string
+	awaitedSince    time.Duration
+	awaitedLoggedAt time.Duration
 	// order is the number of the newest promotion order, and fence its fence.
 	order, fence uint64
 }
@@ -72,6 +79,11 @@
 		term     uint64
 		sample   failover.Sample
 	}
+	connectionRefused struct {
+		upstream topology.Upstream
+		term     uint64
+		at       time.Duration
+	}
 	promotionAnswered struct {
 		service, upstream string
 		term              uint64
@@ -84,7 +96,8 @@
 	g := l.groups[service]
 	if g == nil {
 		g = &group{
-			machine: failover.New(now), samples: map[string]failover.Sample{}, probers: map[string]*prober{},
+			machine: failover.New(now), samples: map[string]failover.Sample{},
+			refusedSince: map[string]time.Duration{}, probers: map[string]*prober{},
 		}
 		l.groups[service] = g
 	}
@@ -101,13 +114,15 @@
 	}
 	l.probing.Store(intervalsFor(l.registry.Size(), len(l.groups)))
 	changed, reports := false, l.primaryReports(now)
+	longestWait := time.Duration(0)
 	for service, g := range l.groups {
 		l.syncProbers(ctx, g, byService[service])
 		input := failoverInput(g, byService[service], reports.on(service))
 		for _, action := range g.machine.Step(now, input) {
 			l.execute(ctx, service, g, action, byService[service])
 		}
-		l.logAwaited(service, g)
+		l.logAwaited(now, service, g)
+		longestWait = max(longestWait, g.waitTime(now))
 		if g.machine.Pending() {
 			g.probeNow()
 		}
@@ -125,6 +140,7 @@
 			p.isPrimary.Store(upstream == id)
 		}
 	}
+	metricLongestPromotionWait.Set(longestWait.Seconds())
 	return changed
 }
 
@@ -133,11 +149,23 @@
 	for _, u := range upstreams {
 		in.Servers = append(in.Servers, failover.Server{
 			ID: u.ID, Draining: u.Draining, ClaimsPrimary: u.ClaimsPrimary, Sample: g.samples[u.ID],
+			RefusedSince: g.refusedSinceOf(u),
 		})
 	}
 	return in
 }
 
+// refusedSinceOf returns when an upstream began to refuse connections, or zero if it has announced itself
+// since.
+func (g *group) refusedSinceOf(u *topology.Upstream) time.Duration {
+	since, ok := g.refusedSince[u.ID]
+	if ok && u.AnnouncedAt() > since {
+		delete(g.refusedSince, u.ID)
+		return 0
+	}
+	return since
+}
+
 // primaryReports summarises the nodes' recent reports on primaries.
 type primaryReports struct {
 	nodes     int
@@ -261,16 +289,28 @@
 	l.post(context.Background(), answer)
 }
 
-// logAwaited logs when the servers change that a promotion waits for, because they may have
-// acknowledged commits that the candidate lacks.
-func (l *Leader) logAwaited(service string, g *group) {
+// waitTime returns how long a promotion has been waiting for servers that do not answer.
+func (g *group) waitTime(now time.Duration) time.Duration {
+	if g.awaited == "" {
+		return 0
+	}
+	return now - g.awaitedSince
+}
+
+// logAwaited logs the servers that a promotion waits for, because they may have acknowledged commits that
+// the candidate lacks: when they change, and regularly while it waits.
+func (l *Leader) logAwaited(now time.Duration, service string, g *group) {
 	awaited := strings.Join(g.machine.Awaited(), " ")
-	if awaited == g.loggedAwaited {
+	if awaited == g.awaited && (awaited == "" || now-g.awaitedLoggedAt < awaitedLogInterval) {
 		return
 	}
-	g.loggedAwaited = awaited
+	if g.awaited == "" {
+		g.awaitedSince = now
+	}
+	g.awaited, g.awaitedLoggedAt = awaited, now
 	l.log.WithFields(logrus.Fields{
 		"event": "promotion_waits", "service": service, "upstreams": awaited,
+		"waited_ms": (now - g.awaitedSince).Milliseconds(),
 	}).Warn("servers that may have acknowledged commits which the candidate for a promotion lacks")
 }
 
@@ -282,12 +322,9 @@
 		if !l.holdsLease(clock.Now()) {
 			return
 		}
-		event, call := "replica_paused", func() error { return l.config.Upstreams.Pause(ctx, u, action.Term) }
-		if action.Resume != "" {
-			event, call = "replica_resumed", func() error { return l.config.Upstreams.Resume(ctx, u) }
-		}
+		event, err := l.callForReplication(ctx, u, action)
 		entry := l.log.WithFields(logrus.Fields{"event": event, "service": u.Service, "upstream": u.ID})
-		if err := call(); err != nil {
+		if err != nil {
 			entry.WithError(err).Warn("failed to pause or resume replica; will retry")
 			return
 		}
@@ -295,6 +332,16 @@
 	}()
 }
 
+// callForReplication sends the command of an action to the upstream, and returns the event to log.
+func (l *Leader) callForReplication(ctx context.Context, u topology.Upstream, action failover.Action) (event string, err error) {
+	switch u.ID {
+	case action.Resume:
+		return "replica_resumed", l.config.Upstreams.Resume(ctx, u)
+	default:
+		return "replica_paused", l.config.Upstreams.Pause(ctx, u, action.Term)
+	}
+}
+
 func (l *Leader) handlePromotionOutcome(e promotionAnswered) {
 	if !l.leading || e.term != l.term {
 		return
@@ -329,8 +376,23 @@
 		return
 	}
 	g.samples[e.upstream.ID] = e.sample
+	delete(g.refusedSince, e.upstream.ID)
 	l.registry.RecordContact(clock.Now(), e.upstream.ID)
 	if e.sample.PositionAsPrimary {
 		g.primaryPosition = measuredPosition{e.upstream.ID, e.sample.Position, e.sample.At}
 	}
 }
+
+func (l *Leader) handleRefusal(e connectionRefused) {
+	if !l.leading || e.term != l.term {
+		return
+	}
+	g := l.groups[e.upstream.Service]
+	if g == nil || g.probers[e.upstream.ID] == nil || g.refusedSince[e.upstream.ID] != 0 {
+		return
+	}
+	g.refusedSince[e.upstream.ID] = e.at
+	l.log.WithFields(logrus.Fields{
+		"event": "upstream_refuses", "service": e.upstream.Service, "upstream": e.upstream.ID,
+	}).Warn("upstream refuses connections: its process does not run")
+}
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -240,6 +240,8 @@
 		l.handleStreamEnded(e.stream)
 	case probeCompleted:
 		l.handleProbe(e)
+	case connectionRefused:
+		l.handleRefusal(e)
 	case promotionAnswered:
 		l.handlePromotionOutcome(e)
 	case membershipChangeDone:
@@ -361,6 +363,7 @@
 		return
 	}
 	now, revision := clock.Now(), l.registry.Revision()
+	before := l.registry.Get(e.announcement.Id)
 	if !l.registry.ApplyAnnouncement(now, e.announcement) {
 		return
 	}
@@ -369,7 +372,13 @@
 		"phase": e.announcement.Phase.String(), "primary": e.announcement.Primary,
 		"started_ms": e.announcement.StartedUnixMs, "sequence": e.announcement.Sequence,
 	}).Info("upstream announced a change")
-	l.groupOf(now, e.announcement.Service).probeNow()
+	g := l.groupOf(now, e.announcement.Service)
+	if after := l.registry.Get(e.announcement.Id); before != nil && before.AnnouncedAt() != 0 &&
+		after.StartedUnixMs() != before.StartedUnixMs() {
+		// The samples are of an earlier process.
+		delete(g.samples, e.announcement.Id)
+	}
+	g.probeNow()
 	l.topologyChanged = l.topologyChanged || l.registry.Revision() != revision
 }
 
--- a/gateway/coordinator/metrics.go
+++ b/gateway/coordinator/metrics.go
@@ -13,7 +13,10 @@
 	metricProbeFailures     = metrics.NewCounter("jayloom_gateway_probe_failures_total")
 	metricMembershipChanges = metrics.NewCounter("jayloom_gateway_membership_changes_total")
 	// The following are those of the leader; a process that does not lead reports no node.
-	metricConnectedNodes   = metrics.NewGauge("jayloom_gateway_connected_nodes", nil)
+	metricConnectedNodes = metrics.NewGauge("jayloom_gateway_connected_nodes", nil)
+	// metricLongestPromotionWait is how long a promotion has been waiting for upstreams that do not answer.
+	metricLongestPromotionWait = metrics.NewGauge("jayloom_gateway_longest_promotion_wait_seconds", nil)
+
 	metricReports          = metrics.NewCounter("jayloom_gateway_reports_total")
 	metricUpdates          = metrics.NewCounter("jayloom_gateway_updates_total")
 	metricTopologiesSent   = metrics.NewCounter("jayloom_gateway_topologies_sent_total")
--- a/gateway/coordinator/prober.go
+++ b/gateway/coordinator/prober.go
@@ -4,10 +4,14 @@
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/base/guard"
+	"github.com/jayloom/jayloom/gateway/engine"
 	"github.com/jayloom/jayloom/gateway/failover"
 	"github.com/jayloom/jayloom/gateway/topology"
 )
@@ -95,6 +99,7 @@
 			p.cancel()
 			delete(g.probers, id)
 			delete(g.samples, id)
+			delete(g.refusedSince, id)
 		}
 	}
 }
@@ -118,9 +123,12 @@
 	for {
 		now, intervals := clock.Now(), l.probing.Load()
 		if probedAt == 0 || now-probedAt >= intervals.probe || !status.Primary {
-			if s, ok := l.probe(ctx, u); ok {
+			switch s, result := l.probe(ctx, u); result {
+			case probeAnswered:
 				status, probedAt = s, now
 				l.post(ctx, probeCompleted{u, term, s})
+			case probeRefused:
+				l.post(ctx, connectionRefused{u, term, clock.Now()})
 			}
 		}
 		if status.Primary || p.isPrimary.Load() {
@@ -154,7 +162,17 @@
 	}
 }
 
-func (l *Leader) probe(ctx context.Context, u topology.Upstream) (failover.Sample, bool) {
+// probeResult is the result of a probe.
+type probeResult int
+
+const (
+	probeFailed probeResult = iota
+	probeAnswered
+	// probeRefused means that the upstream's process does not run at its address.
+	probeRefused
+)
+
+func (l *Leader) probe(ctx context.Context, u topology.Upstream) (failover.Sample, probeResult) {
 	defer guard.Recover(l.log, "probe of an upstream")
 	at := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -162,10 +180,23 @@
 	sample, err := l.config.Upstreams.Probe(ctx, u)
 	if err != nil {
 		metricProbeFailures.Inc()
-		return failover.Sample{}, false
+		if provesNotRunning(err) {
+			return failover.Sample{}, probeRefused
+		}
+		return failover.Sample{}, probeFailed
 	}
 	sample.At = at
-	return sample, true
+	return sample, probeAnswered
+}
+
+// provesNotRunning reports whether a failed call shows that the upstream's process does not run: nothing
+// listens at its address, or another server does.
+func provesNotRunning(err error) bool {
+	var refused *engine.DialRefusedError
+	if errors.As(err, &refused) {
+		return refused.Outcome == engine.Misdirected
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // queryPosition sends a position query and updates status from the answer. The position may
--- a/gateway/coordinator/prober_test.go
+++ b/gateway/coordinator/prober_test.go
@@ -1,8 +1,20 @@
 package coordinator
 
 import (
+	"context"
+	"io"
+	"net"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/gateway/engine"
+	"github.com/jayloom/jayloom/gateway/failover"
+	"github.com/jayloom/jayloom/gateway/topology"
 )
 
 // Load pattern: the probes and position queries of one leader. Guards against more calls a second than
@@ -25,3 +37,63 @@
 		}
 	}
 }
+
+// Guards against a server that is waited for although its process does not run, and against one that counts as
+// ended because a probe was late or its connection was lost.
+func TestRefusedConnectionProvesThatNothingRuns(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, refused := net.DialTimeout("tcp4", address, time.Second)
+	for _, c := range []struct {
+		err  error
+		want bool
+	}{
+		{errors.Wrap(refused, "connect to upstream"), true},
+		{&engine.DialRefusedError{Outcome: engine.Misdirected}, true},
+		{&engine.DialRefusedError{Outcome: engine.Busy}, false},
+		{errors.Wrap(context.DeadlineExceeded, "connect to upstream"), false},
+		{syscall.ECONNRESET, false},
+		{io.EOF, false},
+	} {
+		if got := provesNotRunning(c.err); got != c.want {
+			t.Errorf("%v: %v, want %v", c.err, got, c.want)
+		}
+	}
+}
+
+// Guards against a server that counts as ended although it has answered or announced itself since.
+func TestRefusalIsForgottenWhenTheServerRuns(t *testing.T) {
+	l, _ := newTestLeader(t)
+	announce := func(sequence uint64) topology.Upstream {
+		done := make(chan struct{})
+		l.handleAnnouncement(announcementReceived{&controlpb.UpstreamAnnouncement{
+			Id: "u", Service: "wax", Address: "10.0.0.1:1", StartedUnixMs: 1, Sequence: sequence,
+		}, done})
+		return *l.registry.Get("u")
+	}
+	u := announce(1)
+	g := l.groupOf(clock.Now(), "wax")
+	l.syncProbers(t.Context(), g, l.registry.Live())
+	refuse := func() time.Duration {
+		l.handleRefusal(connectionRefused{u, l.term, clock.Now()})
+		return g.refusedSinceOf(l.registry.Get("u"))
+	}
+	if refuse() == 0 {
+		t.Fatal("the refusal was not recorded")
+	}
+	l.handleProbe(probeCompleted{u, l.term, failover.Sample{At: clock.Now()}})
+	if since := g.refusedSinceOf(l.registry.Get("u")); since != 0 {
+		t.Errorf("refused since %s, but it has answered", since)
+	}
+	refuse()
+	announce(2)
+	if since := g.refusedSinceOf(l.registry.Get("u")); since != 0 {
+		t.Errorf("refused since %s, but it has announced itself", since)
+	}
+}
--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -54,10 +54,13 @@
 	// ClaimsPrimary is set if the upstream stated in its newest announcement that it is
 	// the primary.
 	ClaimsPrimary bool
-	Sample        Sample
+	// RefusedSince is when the upstream began to refuse connections, so that its process does not run; zero
+	// if it has answered or announced itself since.
+	RefusedSince time.Duration
+	Sample       Sample
 }
 
-// Sample is the newest result of a probe or position query.
+// Sample is the newest result of a probe or position query to the present process of an upstream.
 type Sample struct {
 	// At is when the probe or query was sent; zero if none has been answered.
 	At       time.Duration
@@ -72,7 +75,11 @@
 }
 
 func (s Server) hasFreshSample(now time.Duration) bool {
-	return s.Sample.At != 0 && now-s.Sample.At <= maxSampleAge
+	return s.Sample.isFresh(now)
+}
+
+func (s Sample) isFresh(now time.Duration) bool {
+	return s.At != 0 && now-s.At <= maxSampleAge
 }
 
 // Reachability summarises the nodes' reports on whether they reach the primary.
@@ -150,7 +157,12 @@
 	// that may have acknowledged commits which it lacks.
 	candidate string
 	awaited   []string
-	// replicas holds the servers of the last step, departed those that have left since.
+	// newestTerm is the newest term that any server has shown, and newestPrimary the server that led it,
+	// or empty if that is not known.
+	newestTerm    uint64
+	newestPrimary string
+	// replicas holds the servers of the last step, departed those that have left since or refuse
+	// connections.
 	replicas map[string]Server
 	departed map[string]departure
 	// outstanding is the order that may still be carried out.
@@ -235,6 +247,7 @@
 func (m *Machine) Step(now time.Duration, in Input) []Action {
 	m.updatePrimary(now, in.Servers)
 	if in.SyncReplicas > 0 {
+		m.observeTerms(in.Servers)
 		m.trackDepartures(now, in.Servers)
 	}
 	if m.order != nil {
@@ -251,7 +264,7 @@
 		m.pendingReason, m.pendingSince = reason, now
 	}
 	if reason == "" && (in.SyncReplicas > 0 || m.hasPaused) {
-		return m.resumeReplicas(now, in.Servers)
+		return m.resumeReplicas(now, in)
 	}
 	if reason == "" {
 		return nil
--- a/gateway/failover/synchronous.go
+++ b/gateway/failover/synchronous.go
@@ -23,20 +23,17 @@
 	resumeSettleTime = time.Second
 )
 
-// departure is a replica that is no longer in the group and may have acknowledged commits.
-type departure struct {
-	at time.Duration
-	// bound is a position that the replica's log does not exceed, or zero.
-	bound position.Position
-}
-
 // outstandingOrder is a promotion order that may still be carried out. The candidate is empty if an
 // earlier leader may have given the order.
 type outstandingOrder struct {
 	candidate string
 	until     time.Duration
-	// pauseTerm is the term that replicas were paused for.
+	// pauseTerm is the term that replicas were paused for, and so the one that the candidate will lead.
 	pauseTerm uint64
+	// firstOrderedAt and orderedAt are when the order was first and last given, the latter with the
+	// candidate at position.
+	firstOrderedAt, orderedAt time.Duration
+	position                  position.Position
 	// unanswered is set if the outcome of an order is not known.
 	unanswered bool
 }
@@ -57,6 +54,10 @@
 // out: that of an earlier leader, or one that the new primary was promoted ahead of.
 func (m *Machine) startTerm(primary string) {
 	m.candidate = ""
+	if m.term > m.newestTerm {
+		m.enterTerm(m.term, primary)
+	}
+	m.newestPrimary = primary
 	if m.outstanding.candidate == primary {
 		m.outstanding = outstandingOrder{}
 	}
@@ -68,51 +69,12 @@
 	return p != nil && p.hasFreshSample(now) && p.Sample.Primary && now-m.lastAnswer < unreachableTimeout
 }
 
-// trackDepartures keeps the replicas that have left until a remaining one has what they may have.
-func (m *Machine) trackDepartures(now time.Duration, servers []Server) {
-	for id, last := range m.replicas {
-		if findServer(servers, id) == nil && id != m.primary {
-			m.departed[id] = m.departureOf(now, last, servers)
-		}
-	}
-	m.replicas = map[string]Server{}
-	newest := position.Position{}
-	for _, s := range servers {
-		m.replicas[s.ID] = s
-		delete(m.departed, s.ID)
-		if s.ID != m.primary {
-			newest = position.Max(newest, s.Sample.Position)
-		}
-	}
-	if m.pauseTerm(servers) > m.outstanding.pauseTerm {
-		// The ordered server led a term that this leader has not observed, and has left since. Its
-		// acknowledged commits are on its replicas.
-		delete(m.departed, m.outstanding.candidate)
-	}
-	m.boundDepartures(now, servers, newest)
-}
-
-// boundDepartures forgets the departed replicas whose commits a remaining one has; newest is the newest
-// position of those. The primary's position bounds the commits of all that left before its answer.
-func (m *Machine) boundDepartures(now time.Duration, servers []Server, newest position.Position) {
-	primary, leads := findServer(servers, m.primary), m.leads(now, servers)
-	for id, d := range m.departed {
-		if d.bound.IsZero() && leads && primary.Sample.At > d.at {
-			d.bound = primary.Sample.Position
-			m.departed[id] = d
-		}
-		if !d.bound.IsZero() && !newest.Before(d.bound) {
-			delete(m.departed, id)
-		}
-	}
-}
-
 // replaceSynchronous pauses the replicas and orders the promotion of one that has every acknowledged
 // commit. While the primary leads, the candidate goes on receiving, so that commits do not stop.
 func (m *Machine) replaceSynchronous(now time.Duration, in Input, reason Reason) []Action {
 	candidate := m.selectSynchronous(now, in.Servers)
 	if candidate == nil {
-		return m.resumeReplicas(now, in.Servers)
+		return m.resumeReplicas(now, in)
 	}
 	m.candidate = candidate.ID
 	receiving := ""
@@ -122,7 +84,7 @@
 	actions := m.pauseReplicas(now, in.Servers, receiving)
 	m.awaited = m.serversAhead(now, in.Servers, *candidate, receiving)
 	if len(m.awaited) == 0 && !m.recentlyRefused(now, candidate.ID) {
-		m.recordOutstanding(now, candidate.ID, m.pauseTerm(in.Servers))
+		m.recordOutstanding(now, *candidate)
 		return append(actions, m.promote(now, candidate.ID, reason))
 	}
 	if receiving != "" && candidate.Sample.PausedTerm != 0 {
@@ -142,10 +104,15 @@
 	return actions
 }
 
-func (m *Machine) recordOutstanding(now time.Duration, candidate string, pauseTerm uint64) {
+func (m *Machine) recordOutstanding(now time.Duration, candidate Server) {
 	unanswered := m.outstanding.unanswered && now < m.outstanding.until
+	first := now
+	if m.outstanding.candidate == candidate.ID {
+		first = m.outstanding.firstOrderedAt
+	}
 	m.outstanding = outstandingOrder{
-		candidate: candidate, until: now + lateOrderTimeout, pauseTerm: pauseTerm, unanswered: unanswered,
+		candidate: candidate.ID, until: now + lateOrderTimeout, pauseTerm: m.pauseTerm(), unanswered: unanswered,
+		firstOrderedAt: first, orderedAt: now, position: candidate.Sample.Position,
 	}
 }
 
@@ -198,92 +165,113 @@
 	return m.recentlyRefused(now, b.ID) && !m.recentlyRefused(now, a.ID)
 }
 
-// pauseTerm is the term to pause for: above the newest term that any server has.
-func (m *Machine) pauseTerm(servers []Server) uint64 {
+// observeTerms finds out which server led the newest term. This leader may not have observed it as
+// primary: a server that has a newer term shows that the ordered one was promoted.
+func (m *Machine) observeTerms(servers []Server) {
 	newest := m.term
 	for _, s := range servers {
 		newest = max(newest, s.Sample.Term)
 	}
-	return newest + 1
+	switch {
+	case newest > m.newestTerm && newest >= m.outstanding.pauseTerm:
+		m.enterTerm(newest, m.outstanding.candidate)
+	case newest > m.newestTerm:
+		m.enterTerm(newest, "")
+	}
+	if m.newestTerm == m.term || m.term == 0 {
+		// In term 0 the primary is known from its announcement only.
+		m.newestPrimary = m.primary
+	}
+}
+
+// enterTerm records a new term and the server that leads it, or nothing if that is not known.
+func (m *Machine) enterTerm(term uint64, primary string) {
+	m.resetBounds()
+	if primary != "" && primary == m.outstanding.candidate {
+		m.boundByPromotion()
+	}
+	m.newestTerm, m.newestPrimary = term, primary
+}
+
+// pauseTerm is the term to pause for: above the newest term that any server has.
+func (m *Machine) pauseTerm() uint64 {
+	return m.newestTerm + 1
 }
 
 // pauseReplicas pauses the replicas that still receive, except one.
 func (m *Machine) pauseReplicas(now time.Duration, servers []Server, except string) []Action {
 	var pauses []Action
-	term := m.pauseTerm(servers)
 	for _, s := range servers {
-		if s.ID == except || !s.hasFreshSample(now) || s.Sample.Primary || s.Sample.PausedTerm >= term {
-			continue
+		if s.ID != except {
+			pauses = append(pauses, m.pause(now, s)...)
 		}
-		pauses = append(pauses, Action{Pause: s.ID, Term: term})
-		m.hasPaused = true
 	}
 	return pauses
 }
 
+// pause returns the order to pause a replica, unless it is paused already or does not answer.
+func (m *Machine) pause(now time.Duration, s Server) []Action {
+	if !s.hasFreshSample(now) || s.Sample.Primary || s.Sample.PausedTerm >= m.pauseTerm() {
+		return nil
+	}
+	m.hasPaused = true
+	return []Action{{Pause: s.ID, Term: m.pauseTerm()}}
+}
+
 // serversAhead returns the servers that may have an acknowledged commit which the candidate lacks. A
-// primary that is silent has none that is on no replica.
+// primary that is silent has none that is on no replica. One that has ended is judged by its departure.
 func (m *Machine) serversAhead(now time.Duration, servers []Server, candidate Server, receiving string) []string {
 	if !candidate.hasFreshSample(now) {
 		return []string{candidate.ID}
 	}
-	var ahead []string
-	term := m.pauseTerm(servers)
+	ahead := m.departedAhead(now, servers, candidate.Sample.Position)
 	for _, s := range servers {
 		answersAsReplica := s.hasFreshSample(now) && !s.Sample.Primary
-		if s.ID == receiving || (s.ID == m.primary && !answersAsReplica) {
+		if s.ID == receiving || (s.ID == m.newestPrimary && !answersAsReplica) {
+			continue
+		}
+		if _, departed := m.departed[s.ID]; departed && hasEnded(now, s) {
 			continue
 		}
 		// An earlier answer may be from before a restart, after which a replica receives again.
-		final := answersAsReplica && m.isFinal(s, term) && s.Sample.At >= m.pendingSince
+		final := answersAsReplica && m.isFinal(s.ID, s.Sample) && s.Sample.At >= m.pendingSince
 		if !final || candidate.Sample.Position.Before(s.Sample.Position) {
 			ahead = append(ahead, s.ID)
 		}
 	}
-	for id, d := range m.departed {
-		if d.bound.IsZero() || candidate.Sample.Position.Before(d.bound) {
-			ahead = append(ahead, id)
-		}
-	}
 	slices.Sort(ahead)
 	return ahead
 }
 
 // isFinal reports whether the position in a server's newest sample cannot advance: it was paused and
 // stays so until it restarts.
-func (m *Machine) isFinal(s Server, term uint64) bool {
-	return !s.Sample.Primary && s.Sample.PausedTerm >= term && !m.mayBeResumed(s)
-}
-
-// departureOf returns the departure of a replica. If it was paused until it left, its position is known.
-func (m *Machine) departureOf(now time.Duration, last Server, servers []Server) departure {
-	d := departure{at: now}
-	if last.hasFreshSample(now) && m.isFinal(last, m.pauseTerm(servers)) {
-		d.bound = last.Sample.Position
-	}
-	return d
+func (m *Machine) isFinal(id string, newest Sample) bool {
+	return newest.At != 0 && !newest.Primary && newest.PausedTerm >= m.pauseTerm() && !m.mayBeResumed(id, newest)
 }
 
 // mayBeResumed reports whether an order to resume a replica may arrive after its newest sample.
-func (m *Machine) mayBeResumed(s Server) bool {
-	at, ok := m.resumedAt[s.ID]
-	return ok && s.Sample.At < at+resumeSettleTime
+func (m *Machine) mayBeResumed(id string, newest Sample) bool {
+	at, ok := m.resumedAt[id]
+	return ok && newest.At < at+resumeSettleTime
 }
 
 // resumeReplicas resumes the paused replicas of a primary that leads. While an order may still be
 // carried out, only its candidate receives.
-func (m *Machine) resumeReplicas(now time.Duration, servers []Server) []Action {
+func (m *Machine) resumeReplicas(now time.Duration, in Input) []Action {
 	m.awaited = nil
-	if !m.leads(now, servers) {
+	if !m.leads(now, in.Servers) {
 		return nil
 	}
 	var actions []Action
-	if candidate := m.outstandingCandidate(now, servers); candidate != nil {
-		actions = m.pauseReplicas(now, servers, candidate.ID)
+	candidate := m.outstandingCandidate(now, in.Servers)
+	if candidate != nil {
+		actions = m.pauseReplicas(now, in.Servers, candidate.ID)
 	}
-	for _, s := range servers {
-		if s.ID != m.primary && s.hasFreshSample(now) && s.Sample.PausedTerm != 0 {
-			actions = append(actions, m.resume(now, servers, s)...)
+	for _, s := range in.Servers {
+		switch {
+		case s.ID == m.primary || !s.hasFreshSample(now):
+		case s.Sample.PausedTerm != 0:
+			actions = append(actions, m.resume(now, in.Servers, s)...)
 		}
 	}
 	return actions
@@ -294,7 +282,11 @@
 	if now >= m.outstanding.until {
 		return nil
 	}
-	return findServer(servers, m.outstanding.candidate)
+	s := findServer(servers, m.outstanding.candidate)
+	if s == nil || hasEnded(now, *s) {
+		return nil
+	}
+	return s
 }
 
 // resume returns the order to resume a replica, unless it was given a moment ago, or an order to promote
--- /dev/null
+++ b/gateway/failover/synchronous_test.go
@@ -0,0 +1,103 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/jayloom/jayloom/gateway/position"
+)
+
+// endServer lets a server refuse connections from now on.
+func (s *simulation) endServer(id string) {
+	s.server(id).RefusedSince = s.now
+}
+
+// Guards against a leaving primary that is not replaced until it ends, because a replica that ended for good
+// a while ago is waited for.
+func TestEndedReplicaDoesNotDelayPlannedPromotion(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.endServer("r1")
+	s.advance(10*time.Second, "p", "r2")
+	s.server("p").Draining = true
+	s.server("r2").Sample.Position.Number = 100
+	if got := promotions(s.advance(time.Second, "p", "r2")); !cmp.Equal(got, []string{"r2"}) {
+		t.Errorf("promoted %v, awaited %v", got, s.machine.Awaited())
+	}
+}
+
+// Guards against a lost primary that is not replaced because a replica that ended for good before it is
+// waited for, listed or not: the primary had answered since, so it had no commits of the ended one alone.
+func TestEndedReplicaDoesNotDelayFailover(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		s := newSynchronousSimulation(t)
+		s.endServer("r1")
+		s.advance(time.Second, "p", "r2")
+		s.server("r2").Sample.Position.Number = 100
+		s.advance(5*time.Second, "p", "r2")
+		s.in.Reachability.Failing = 11
+		s.advance(time.Second, "r2")
+		if !listed {
+			s.in.Servers = []Server{*s.server("p"), *s.server("r2")}
+		}
+		s.server("r2").Sample.PausedTerm = 2
+		if got := promotions(s.advance(time.Second, "r2")); !cmp.Equal(got, []string{"r2"}) {
+			t.Errorf("listed %v: promoted %v, awaited %v", listed, got, s.machine.Awaited())
+		}
+	}
+}
+
+// Guards against the loss of acknowledged commits on a replica that ends just before the primary: the
+// primary did not answer after the end of the replica, so nothing shows what that had received.
+func TestReplicaThatEndedWithThePrimaryIsAwaited(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.in.Reachability.Failing = 11
+	s.endServer("r1")
+	s.advance(time.Second, "r2")
+	s.server("r2").Sample.PausedTerm = 2
+	if got := promotions(s.advance(20*time.Second, "r2")); len(got) > 0 {
+		t.Errorf("promoted %v, which may lack commits of r1", got)
+	}
+	if got := s.machine.Awaited(); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("waits for %v, want r1", got)
+	}
+}
+
+// Guards against the loss of acknowledged commits on a replica that refused connections for a moment, for
+// instance while it restarted.
+func TestReplicaThatRefusedForAMomentIsAwaited(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.endServer("r1")
+	s.server("r2").Sample.Position.Number = 100
+	s.advance(refusalConfirmTime-500*time.Millisecond, "p", "r2")
+	s.in.Reachability.Failing = 11
+	s.server("r1").RefusedSince = 0
+	s.advance(time.Second, "r2")
+	s.server("r2").Sample.PausedTerm = 2
+	if got := promotions(s.advance(5*time.Second, "r2")); len(got) > 0 {
+		t.Errorf("promoted %v although r1 runs and does not answer", got)
+	}
+}
+
+// Guards against the loss of acknowledged commits of a term that the leader has not observed: r1 was promoted,
+// its commits were acknowledged by the old primary, and both end before r1 answers as primary. r2 has less.
+func TestReplicaOfUnobservedPrimaryIsAwaited(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.server("p").Draining = true
+	s.server("r1").Sample.Position.Number, s.server("r2").Sample.PausedTerm = 100, 2
+	if got := promotions(s.advance(time.Second, "p", "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Fatalf("promoted %v", got)
+	}
+	// r2 shows that term 2 has begun.
+	s.server("r2").Sample.Term, s.server("r2").Sample.PausedTerm = 2, 0
+	s.server("r2").Sample.Position = position.Position{Term: 2, Number: 101}
+	s.server("p").Sample = Sample{Term: 2, Position: position.Position{Term: 2, Number: 105}}
+	s.advance(100*time.Millisecond, "p", "r2")
+	s.in.Servers = []Server{*s.server("r1"), *s.server("r2")}
+	s.endServer("r1")
+	s.server("r2").Sample.PausedTerm = 3
+	if got := promotions(s.advance(20*time.Second, "r2")); len(got) > 0 {
+		t.Errorf("promoted %v, which lacks commits that p had acknowledged", got)
+	}
+}
--- a/gateway/topology/topology.go
+++ b/gateway/topology/topology.go
@@ -48,6 +48,17 @@
 	unconfirmed bool
 }
 
+// StartedUnixMs returns the start time of the upstream's process.
+func (u *Upstream) StartedUnixMs() int64 {
+	return u.startedUnixMs
+}
+
+// AnnouncedAt returns when the upstream last announced itself, or zero if it has not announced itself to this
+// leader.
+func (u *Upstream) AnnouncedAt() time.Duration {
+	return u.announcedAt
+}
+
 // Registry holds the announced upstreams. It is not safe for concurrent use.
 type Registry struct {
 	upstreams map[string]*Upstream
@@ -235,6 +246,11 @@
 	return !u.Left && r.isReplaced(u.ID, u.Address, u.startedUnixMs)
 }
 
+// Get returns the registered upstream with an ID, or nil.
+func (r *Registry) Get(id string) *Upstream {
+	return r.upstreams[id]
+}
+
 // Size returns the number of registered upstreams.
 func (r *Registry) Size() int {
 	return len(r.upstreams)
