Demote a leaving primary when its promotion would wait for silent servers

Cause: while the primary leads, only the replicas' answers told where an acknowledged commit can be.

Change: a leaving primary is demoted (DEMOTE) when its promotion has waited for 0.5 s only for servers that do not answer. Its log then is final and has every acknowledged commit; a candidate with its position is promoted, whoever is silent. Only for a candidate that receives and lacks at most 10 commits, since it receives nothing more.

Not run: the platform's own servers with DEMOTE, since no deployment in force has synchronous replicas.

--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -241,7 +241,7 @@
 func (l *Leader) execute(ctx context.Context, service string, g *group, action failover.Action, upstreams []*topology.Upstream) {
 	if action.Promote == "" {
 		for _, u := range upstreams {
-			if u.ID == action.Pause || u.ID == action.Resume {
+			if u.ID == action.Pause || u.ID == action.Resume || u.ID == action.Demote {
 				l.setReplication(ctx, *u, action)
 			}
 		}
@@ -314,7 +314,7 @@
 	}).Warn("servers that may have acknowledged commits which the candidate for a promotion lacks")
 }
 
-// setReplication pauses or resumes replication on a replica.
+// setReplication pauses or resumes replication on a replica, or demotes a primary.
 func (l *Leader) setReplication(ctx context.Context, u topology.Upstream, action failover.Action) {
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -325,10 +325,10 @@
 		event, err := l.callForReplication(ctx, u, action)
 		entry := l.log.WithFields(logrus.Fields{"event": event, "service": u.Service, "upstream": u.ID})
 		if err != nil {
-			entry.WithError(err).Warn("failed to pause or resume replica; will retry")
+			entry.WithError(err).Warn("failed to change the role or replication of an upstream; will retry")
 			return
 		}
-		entry.Info("replica paused or resumed")
+		entry.Info("role or replication of an upstream changed")
 	}()
 }
 
@@ -337,6 +337,9 @@
 	switch u.ID {
 	case action.Resume:
 		return "replica_resumed", l.config.Upstreams.Resume(ctx, u)
+	case action.Demote:
+		metricDemotions.Inc()
+		return "primary_demoted", l.config.Upstreams.Demote(ctx, u, action.Term)
 	default:
 		return "replica_paused", l.config.Upstreams.Pause(ctx, u, action.Term)
 	}
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -41,6 +41,8 @@
 	Pause(ctx context.Context, u topology.Upstream, term uint64) error
 	// Resume resumes replication on a paused replica.
 	Resume(ctx context.Context, u topology.Upstream) error
+	// Demote makes a primary of an earlier term than the given one a replica.
+	Demote(ctx context.Context, u topology.Upstream, term uint64) error
 	// CloseIdleConnections closes the connections that are kept open for the next call.
 	CloseIdleConnections()
 }
--- a/gateway/coordinator/metrics.go
+++ b/gateway/coordinator/metrics.go
@@ -11,6 +11,7 @@
 
 var (
 	metricProbeFailures     = metrics.NewCounter("jayloom_gateway_probe_failures_total")
+	metricDemotions         = metrics.NewCounter("jayloom_gateway_demotions_total")
 	metricMembershipChanges = metrics.NewCounter("jayloom_gateway_membership_changes_total")
 	// The following are those of the leader; a process that does not lead reports no node.
 	metricConnectedNodes = metrics.NewGauge("jayloom_gateway_connected_nodes", nil)
--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -101,14 +101,15 @@
 	SyncReplicas int
 }
 
-// Action is a promotion order or an order to pause or resume replication. One of Promote, Pause and
-// Resume is set.
+// Action is a promotion order, or an order to pause or resume replication or to end a primary's lead. One
+// of Promote, Pause, Resume and Demote is set.
 type Action struct {
-	// Promote is the server to promote, Pause the replica to pause for Term, and Resume the replica
-	// to resume.
+	// Promote is the server to promote, Pause the replica to pause for Term, Resume the replica to
+	// resume, and Demote the primary that is to become a replica of Term.
 	Promote string
 	Pause   string
 	Resume  string
+	Demote  string
 	Term    uint64
 	Reason  Reason
 	// Order numbers the promotion orders from 1. An order that is repeated keeps its number, so that it
@@ -165,6 +166,8 @@
 	// connections.
 	replicas map[string]Server
 	departed map[string]departure
+	// demoted describes the primary if this leader or an earlier one has ended its lead.
+	demoted demotion
 	// outstanding is the order that may still be carried out.
 	outstanding outstandingOrder
 	// hasPaused is set if this leader has paused a replica.
@@ -248,6 +251,7 @@
 	m.updatePrimary(now, in.Servers)
 	if in.SyncReplicas > 0 {
 		m.observeTerms(in.Servers)
+		m.observeDemotion(now, in.Servers)
 		m.trackDepartures(now, in.Servers)
 	}
 	if m.order != nil {
--- a/gateway/failover/synchronous.go
+++ b/gateway/failover/synchronous.go
@@ -53,7 +53,7 @@
 // startTerm forgets what belonged to the term before. An order for another server may still be carried
 // out: that of an earlier leader, or one that the new primary was promoted ahead of.
 func (m *Machine) startTerm(primary string) {
-	m.candidate = ""
+	m.candidate, m.demoted = "", demotion{}
 	if m.term > m.newestTerm {
 		m.enterTerm(m.term, primary)
 	}
@@ -78,7 +78,7 @@
 	}
 	m.candidate = candidate.ID
 	receiving := ""
-	if m.leads(now, in.Servers) {
+	if m.leads(now, in.Servers) || m.demoted.isObserved() {
 		receiving = candidate.ID
 	}
 	actions := m.pauseReplicas(now, in.Servers, receiving)
@@ -90,7 +90,7 @@
 	if receiving != "" && candidate.Sample.PausedTerm != 0 {
 		actions = append(actions, m.resume(now, in.Servers, *candidate)...)
 	}
-	return actions
+	return append(actions, m.demotePrimary(now, in, *candidate, reason)...)
 }
 
 // keepOnlyCandidateReceiving keeps the replicas paused while an order is carried out, also those that
@@ -128,7 +128,7 @@
 	if s := m.outstandingCandidate(now, servers); s != nil {
 		return s
 	}
-	leads := m.leads(now, servers)
+	leads := m.leads(now, servers) || m.mayStillCatchUp(now)
 	var best *Server
 	for i := range servers {
 		s := &servers[i]
@@ -162,6 +162,10 @@
 	if a.Draining != b.Draining {
 		return b.Draining
 	}
+	if x, y := a.Sample.PausedTerm == 0, b.Sample.PausedTerm == 0; x != y {
+		// The candidate of an earlier leader.
+		return x
+	}
 	return m.recentlyRefused(now, b.ID) && !m.recentlyRefused(now, a.ID)
 }
 
@@ -224,6 +228,9 @@
 	if !candidate.hasFreshSample(now) {
 		return []string{candidate.ID}
 	}
+	if m.hasAllOfDemoted(candidate) {
+		return nil
+	}
 	ahead := m.departedAhead(now, servers, candidate.Sample.Position)
 	for _, s := range servers {
 		answersAsReplica := s.hasFreshSample(now) && !s.Sample.Primary
--- a/gateway/failover/synchronous_test.go
+++ b/gateway/failover/synchronous_test.go
@@ -14,6 +14,16 @@
 	s.server(id).RefusedSince = s.now
 }
 
+func demotions(orders []Action) []string {
+	var ids []string
+	for _, o := range orders {
+		if o.Demote != "" {
+			ids = append(ids, o.Demote)
+		}
+	}
+	return ids
+}
+
 // Guards against a leaving primary that is not replaced until it ends, because a replica that ended for good
 // a while ago is waited for.
 func TestEndedReplicaDoesNotDelayPlannedPromotion(t *testing.T) {
@@ -80,6 +90,53 @@
 	}
 }
 
+// Guards against a leaving primary that is not replaced until it ends, because a replica is silent, for
+// instance behind a partition. It may still receive commits, so the primary is demoted first.
+func TestLeavingPrimaryIsDemotedWhenReplicaIsSilent(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.advance(5*time.Second, "p", "r2")
+	s.server("p").Draining = true
+	s.server("r2").Sample.Position.Number = 100
+	orders := s.advance(demotionDelay+200*time.Millisecond, "p", "r2")
+	if got := promotions(orders); len(got) > 0 {
+		t.Fatalf("promoted %v, which may lack commits of r1", got)
+	}
+	if got := demotions(orders); !cmp.Equal(got, []string{"p"}) {
+		t.Fatalf("demoted %v, want p", got)
+	}
+	s.server("p").Sample.Primary, s.server("p").Sample.PausedTerm = false, 2
+	s.server("p").Sample.Position.Number = 101
+	if got := promotions(s.advance(500*time.Millisecond, "p", "r2")); len(got) > 0 {
+		t.Fatalf("promoted %v, which lacks commit 101", got)
+	}
+	s.server("r2").Sample.Position.Number = 101
+	if got := promotions(s.advance(200*time.Millisecond, "p", "r2")); !cmp.Equal(got, []string{"r2"}) {
+		t.Errorf("promoted %v, awaited %v", got, s.machine.Awaited())
+	}
+}
+
+// Guards against a primary that is demoted without need, or in a moment in which no candidate can have its
+// commits: all servers answer, the candidate is behind, or the primary is not leaving.
+func TestPrimaryIsNotDemotedWithoutNeed(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.server("p").Draining = true
+	if got := demotions(s.advance(3*time.Second, "p", "r1", "r2")); len(got) > 0 {
+		t.Errorf("demoted %v although all servers answer", got)
+	}
+	s = newSynchronousSimulation(t)
+	s.advance(5*time.Second, "p", "r2")
+	s.server("p").Draining = true
+	s.server("r2").Sample.Position.Number = 50
+	if got := demotions(s.advance(3*time.Second, "p", "r2")); len(got) > 0 {
+		t.Errorf("demoted %v although the candidate lacks 50 commits", got)
+	}
+	s = newSynchronousSimulation(t)
+	s.in.Reachability.LongFailing = 11
+	if got := demotions(s.advance(10*time.Second, "p", "r2")); len(got) > 0 {
+		t.Errorf("demoted %v, which is not leaving", got)
+	}
+}
+
 // Guards against the loss of acknowledged commits of a term that the leader has not observed: r1 was promoted,
 // its commits were acknowledged by the old primary, and both end before r1 answers as primary. r2 has less.
 func TestReplicaOfUnobservedPrimaryIsAwaited(t *testing.T) {
