Pause a replica that drains ahead of its end

Callers would see a group with a synchronous replica without a primary for good when the primary crashes within a second of the planned end of a replica: the replica received until it ended, its last position is not known, and no primary answers any more to bound it.

Cause: a draining replica went on receiving and confirming commits to its end, although its successor runs already.

Change: while enough other replicas follow the primary, a draining one is paused, so that its position is known and no commit depends on it. If the others stop answering or receiving, it is resumed.

Evidence: TestDrainingReplicaIsPausedAhead fails without the pause.

--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -139,6 +139,7 @@
 	// newest known log position.
 	leadingSince time.Duration
 	position     position.Position
+	progress     progress
 	order        *promotionOrder
 	// orders is the number of the newest order, and lastCandidate its candidate while it may be repeated.
 	orders        uint64
@@ -174,6 +175,8 @@
 	hasPaused bool
 	// resumedAt is when a replica was last ordered to resume.
 	resumedAt map[string]time.Duration
+	// pausedAt is when a draining replica was last ordered to pause.
+	pausedAt map[string]time.Duration
 }
 
 type promotionOrder struct {
@@ -186,7 +189,7 @@
 func New(now time.Duration) *Machine {
 	return &Machine{
 		startedAt: now, refusedAt: map[string]time.Duration{}, departed: map[string]departure{},
-		resumedAt:   map[string]time.Duration{},
+		resumedAt: map[string]time.Duration{}, pausedAt: map[string]time.Duration{},
 		outstanding: outstandingOrder{until: now + lateOrderTimeout, unanswered: true},
 	}
 }
@@ -250,6 +253,7 @@
 func (m *Machine) Step(now time.Duration, in Input) []Action {
 	m.updatePrimary(now, in.Servers)
 	if in.SyncReplicas > 0 {
+		m.progress.record(now, m.position)
 		m.observeTerms(in.Servers)
 		m.observeDemotion(now, in.Servers)
 		m.trackDepartures(now, in.Servers)
--- a/gateway/failover/synchronous.go
+++ b/gateway/failover/synchronous.go
@@ -53,7 +53,7 @@
 // startTerm forgets what belonged to the term before. An order for another server may still be carried
 // out: that of an earlier leader, or one that the new primary was promoted ahead of.
 func (m *Machine) startTerm(primary string) {
-	m.candidate, m.demoted = "", demotion{}
+	m.candidate, m.demoted, m.progress = "", demotion{}, progress{}
 	if m.term > m.newestTerm {
 		m.enterTerm(m.term, primary)
 	}
@@ -262,8 +262,8 @@
 	return ok && newest.At < at+resumeSettleTime
 }
 
-// resumeReplicas resumes the paused replicas of a primary that leads. While an order may still be
-// carried out, only its candidate receives.
+// resumeReplicas resumes the paused replicas of a primary that leads, except those that drain while enough
+// others receive. While an order may still be carried out, only its candidate receives.
 func (m *Machine) resumeReplicas(now time.Duration, in Input) []Action {
 	m.awaited = nil
 	if !m.leads(now, in.Servers) {
@@ -277,6 +277,8 @@
 	for _, s := range in.Servers {
 		switch {
 		case s.ID == m.primary || !s.hasFreshSample(now):
+		case candidate == nil && s.Draining && m.othersSuffice(now, in):
+			actions = append(actions, m.pauseDraining(now, s)...)
 		case s.Sample.PausedTerm != 0:
 			actions = append(actions, m.resume(now, in.Servers, s)...)
 		}
--- a/gateway/failover/synchronous_test.go
+++ b/gateway/failover/synchronous_test.go
@@ -158,3 +158,33 @@
 		t.Errorf("promoted %v, which lacks commits that p had acknowledged", got)
 	}
 }
+
+// Guards against a group that stays without a primary when the primary crashes as a replica ends as planned:
+// a replica that drains is paused ahead, so that its position is known. It goes on receiving while no other
+// replica does, since commits would stop.
+func TestDrainingReplicaIsPausedAhead(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.server("r1").Draining = true
+	s.server("r2").Sample.Position.Number = 100
+	orders := s.advance(time.Second, "p", "r1", "r2")
+	if diff := cmp.Diff(Action{Pause: "r1", Term: 2}, orders[0]); diff != "" {
+		t.Fatal(diff)
+	}
+	s.server("r1").Sample.PausedTerm = 2
+	if got := resumes(s.advance(3*time.Second, "p", "r1", "r2")); len(got) > 0 {
+		t.Errorf("resumed %v although r2 receives", got)
+	}
+	if got := resumes(s.advance(3*time.Second, "p", "r1")); len(got) == 0 || got[0] != "r1" {
+		t.Errorf("resumed %v although r2 does not answer, want r1", got)
+	}
+	s.advance(time.Second, "p", "r1", "r2")
+	// r1 leaves as planned, and the primary crashes at the same time.
+	s.server("r1").Sample.PausedTerm = 2
+	s.advance(2*time.Second, "p", "r1", "r2")
+	s.in.Servers = []Server{*s.server("p"), *s.server("r2")}
+	s.in.Reachability.Failing = 11
+	s.server("r2").Sample.PausedTerm = 2
+	if got := promotions(s.advance(2*time.Second, "r2")); !cmp.Equal(got, []string{"r2"}) {
+		t.Errorf("promoted %v, awaited %v", got, s.machine.Awaited())
+	}
+}
