jayloom-control: promote a leaving replica that has the newest writes

Cause: a failover considered only replicas in state JOINING, and did not even wait for the position of a leaving one, although docs/design.md 3.8 promises that the most advanced reachable replica is promoted.

Change: the positions of leaving replicas are awaited too, and one that has more than all that stay is promoted. As primary it is replaced by a switchover, which loses no acknowledged write.

Evidence: TestLeavingReplicaWithNewestWritesIsPromoted fails before ('candidate chosen before the leaving replica answered').

--- a/policy/failover/machine_test.go
+++ b/policy/failover/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -315,3 +316,69 @@
 		t.Errorf("health after the probes: %v", health)
 	}
 }
+
+// TestLeavingReplicaWithNewestWritesIsPromoted guards against the loss of acknowledged writes when the
+// primary fails while the replica that confirmed them is leaving. The leaving replica is a candidate only
+// if it has more than the others.
+func TestLeavingReplicaWithNewestWritesIsPromoted(t *testing.T) {
+	for _, c := range []struct {
+		lsn  uint64
+		want string
+	}{{300, "s2"}, {200, "s1"}} {
+		h := newHarness(t)
+		h.now = 10 * time.Second
+		h.probeAll(0, 200, c.lsn)
+		h.apply(announcement("s2", leaving))
+		h.send(LeaseGranted{Holder: Holder{Proxy: "p", Incarnation: "1"}})
+		h.apply(&controlpb.Command{Change: &controlpb.Command_FenceGroup{FenceGroup: &controlpb.FenceGroup{Group: groupName, Term: 1}}})
+		h.now += 2600 * time.Millisecond
+		h.probeAll(0, 200, c.lsn)
+		h.now += 100 * time.Millisecond
+		h.send(Tick{})
+		h.send(ProbeResult{Address: "s1", SentAt: h.now, Answered: true, InRecovery: true, LSN: 200, Timeline: 1})
+		if h.proposed != nil {
+			t.Fatalf("candidate chosen before the leaving replica answered: %v", h.proposed)
+		}
+		h.send(ProbeResult{Address: "s2", SentAt: h.now, Answered: true, InRecovery: true, LSN: c.lsn, Timeline: 1})
+		if got := h.proposed.GetBeginPromotion().GetCandidate(); got != c.want {
+			t.Errorf("leaving replica at %d, the other at 200: candidate %q, want %s", c.lsn, got, c.want)
+		}
+	}
+}
+
+// TestEndedReplicaDoesNotDelayFailover guards against a group that stays without a primary because a
+// replica that ended for good is waited for.
+func TestEndedReplicaDoesNotDelayFailover(t *testing.T) {
+	h := newHarness(t)
+	h.now = 10 * time.Second
+	h.probeAll(0, 200, 0)
+	h.apply(&controlpb.Command{Change: &controlpb.Command_FenceGroup{FenceGroup: &controlpb.FenceGroup{Group: groupName, Term: 1}}})
+	h.now += h.cfg.LeaseExpiry
+	h.send(Tick{})
+	h.probeAll(0, 200, 0)
+	if got := h.proposed.GetBeginPromotion().GetCandidate(); got != "s1" {
+		t.Errorf("candidate %q, want s1", got)
+	}
+}
+
+// TestRepeatedPromotionKeepsItsTerm guards against calls to a slow candidate that void each other: a call
+// without an answer is repeated with the same term.
+func TestRepeatedPromotionKeepsItsTerm(t *testing.T) {
+	h := newHarness(t)
+	h.apply(&controlpb.Command{Change: &controlpb.Command_FenceGroup{FenceGroup: &controlpb.FenceGroup{Group: groupName, Term: 1}}})
+	h.apply(&controlpb.Command{Change: &controlpb.Command_BeginPromotion{BeginPromotion: &controlpb.BeginPromotion{
+		Group: groupName, Candidate: "s1", Term: 2}}})
+	var terms []uint64
+	for range 15 {
+		h.now += 200 * time.Millisecond
+		answer := ProbeResult{Address: "s1", SentAt: h.now, Answered: true, InRecovery: true, LSN: 100, Timeline: 1}
+		for _, e := range h.machine.Step(h.now, answer) {
+			if p, ok := e.(Promote); ok {
+				terms = append(terms, p.Term)
+			}
+		}
+	}
+	if len(terms) < 2 || slices.ContainsFunc(terms, func(term uint64) bool { return term != 2 }) {
+		t.Errorf("terms of the calls: %v, want 2 in each of several", terms)
+	}
+}
--- a/policy/failover/promote.go
+++ b/policy/failover/promote.go
@@ -31,23 +31,41 @@
 	}
 }
 
-// hasMissingPositions reports whether a promotable replica has no result yet of a probe
+// hasMissingPositions reports whether a replica, leaving or not, has no result yet of a probe
 // sent at notBefore or later.
 func (m *Machine) hasMissingPositions(now time.Duration, g *group, notBefore time.Duration) bool {
 	for _, u := range g.members {
-		if m.isPromotable(now, g, u) && u.lastProbeSentAt < notBefore {
+		if m.mayHaveNewestWrites(now, g, u) && u.lastProbeSentAt < notBefore {
 			return true
 		}
 	}
 	return false
 }
 
-// bestReplica returns the most advanced replica, by answers to probes sent at notBefore
-// or later. It returns nil if no replica can be promoted.
+// bestReplica returns the most advanced replica that stays in use, by answers to probes
+// sent at notBefore or later. It returns nil if no replica can be promoted.
 func (m *Machine) bestReplica(now time.Duration, g *group, notBefore time.Duration) *upstream {
+	return mostAdvanced(g, notBefore, func(u *upstream) bool { return m.isPromotable(now, g, u) })
+}
+
+// replicaWithNewestWrites is like bestReplica, but returns a leaving replica if that is
+// more advanced than all that stay: it may have writes that only it has confirmed. As
+// the primary it is replaced by a switchover, which loses none.
+func (m *Machine) replicaWithNewestWrites(now time.Duration, g *group, notBefore time.Duration) *upstream {
+	best := m.bestReplica(now, g, notBefore)
+	newest := mostAdvanced(g, notBefore, func(u *upstream) bool { return m.mayHaveNewestWrites(now, g, u) })
+	if best != nil && moreAdvanced(newest, best) {
+		return newest
+	}
+	return best
+}
+
+// mostAdvanced returns the most advanced of the servers that are eligible and have
+// answered a probe sent at notBefore or later.
+func mostAdvanced(g *group, notBefore time.Duration, eligible func(*upstream) bool) *upstream {
 	var best *upstream
 	for _, u := range g.members {
-		if u.answerProbeSentAt < notBefore || !m.isPromotable(now, g, u) || u.address == g.candidate {
+		if u.answerProbeSentAt < notBefore || u.address == g.candidate || !eligible(u) {
 			continue
 		}
 		if best == nil || moreAdvanced(u, best) {
@@ -68,7 +86,7 @@
 // one it returns the term's own primary if that answers again, because it has lost
 // nothing, and otherwise the best replica that missed the term.
 func (m *Machine) selectSuccessor(now time.Duration, g *group, notBefore time.Duration) *upstream {
-	replica := m.bestReplica(now, g, notBefore)
+	replica := m.replicaWithNewestWrites(now, g, notBefore)
 	if replica != nil && replica.timeline >= g.timeline {
 		return replica
 	}
--- a/policy/failover/upstream.go
+++ b/policy/failover/upstream.go
@@ -125,9 +125,14 @@
 	return known && u.receiverAge < m.cfg.SuspectAfter
 }
 
-// isPromotable reports whether a server may be promoted, by its newest answer.
+// isPromotable reports whether a server that stays in use may be promoted, by its newest answer.
 func (m *Machine) isPromotable(now time.Duration, g *group, u *upstream) bool {
-	if u.address == g.primary || u.state != controlpb.UpstreamState_UPSTREAM_STATE_JOINING {
+	return u.state == controlpb.UpstreamState_UPSTREAM_STATE_JOINING && m.mayHaveNewestWrites(now, g, u)
+}
+
+// mayHaveNewestWrites reports whether a replica, leaving or not, can become the primary of the group's log.
+func (m *Machine) mayHaveNewestWrites(now time.Duration, g *group, u *upstream) bool {
+	if u.address == g.primary || u.state == controlpb.UpstreamState_UPSTREAM_STATE_DIVERGED {
 		return false
 	}
 	if !m.isAnswering(now, u) || !u.inRecovery {
