--- a/cmd/jayloom-node/node_test.go
+++ b/cmd/jayloom-node/node_test.go
@@ -23,9 +23,10 @@
 // deployment is a fleet of nodes in the test process, each on its own loopback address,
 // with a stand-in for the platform.
 type deployment struct {
-	t     *testing.T
-	group *standin.Group
-	nodes []*runningNode
+	t              *testing.T
+	group          *standin.Group
+	infrastructure *standin.Infrastructure
+	nodes          []*runningNode
 }
 
 type runningNode struct {
@@ -35,7 +36,12 @@
 }
 
 func startDeployment(t *testing.T) *deployment {
-	group, err := standin.NewGroup("wax", "i-1", "i-2", "i-3")
+	return startDeploymentOf(t, "i-1", "i-2", "i-3")
+}
+
+// startDeploymentOf starts a fleet whose database group has the given servers.
+func startDeploymentOf(t *testing.T, servers ...string) *deployment {
+	group, err := standin.NewGroup("wax", servers...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,7 +55,7 @@
 			Name: fmt.Sprintf("n%d", i), IP: fmt.Sprintf("127.0.7.%d", i+1), Folder: t.TempDir(),
 		})
 	}
-	d := &deployment{t: t, group: group}
+	d := &deployment{t: t, group: group, infrastructure: infrastructure}
 	var controlAddresses []string
 	for _, endpoint := range endpoints {
 		d.nodes = append(d.nodes, d.start(endpoint, endpoint.Settings(endpoints, strings.TrimPrefix(infrastructureServer.URL, "http://"))))
@@ -122,10 +128,15 @@
 }
 
 func (d *deployment) putConfiguration(version int, key string) {
+	d.t.Helper()
+	d.put(configuration(version, key))
+}
+
+func (d *deployment) put(c standin.Configuration) {
 	d.t.Helper()
 	d.waitUntil("the configuration to be accepted", func() bool {
 		for _, n := range d.nodes {
-			if n.endpoint.PutConfiguration(context.Background(), configuration(version, key)) == http.StatusOK {
+			if n.endpoint.PutConfiguration(context.Background(), c) == http.StatusOK {
 				return true
 			}
 		}
