Test: a new leader lists the servers that the earlier one listed

The timers now belong to the leader that lists the server. That a new leader does not know of a server that left before it started remains the limit stated in docs/design-gateway.md.

--- a/gateway/failover/courses_test.go
+++ b/gateway/failover/courses_test.go
@@ -436,7 +436,7 @@
 	}
 	s.up, s.gone, s.dark, s.downSince = false, true, c.isDark(), c.now
 	c.note("%s ends for good with %d commits, primary %v, dark %v", s.id, s.length, s == c.primary, s.dark)
-	c.after(silenceTimeout, func() { s.listed = false })
+	c.unlistAfter(silenceTimeout, s)
 }
 
 // crash stops a server, which starts again later with its log.
@@ -490,6 +490,16 @@
 	return false
 }
 
+// unlistAfter takes a server off the list of the present leader. A later leader adopts the list as it is then.
+func (c *course) unlistAfter(d time.Duration, s *courseServer) {
+	leader := c.leader
+	c.after(d, func() {
+		if c.leader == leader {
+			s.listed = false
+		}
+	})
+}
+
 func (c *course) startLeader() {
 	c.leader++
 	c.refusedSince, c.bounds = map[string]time.Duration{}, map[string]int{}
@@ -497,7 +507,7 @@
 	c.primaryEndKnownAt = 0
 	for _, s := range c.servers {
 		if s.gone {
-			c.after(adoptedTimeout, func() { s.listed = false })
+			c.unlistAfter(max(0, c.leaderAbsent-c.now)+adoptedTimeout, s)
 		}
 	}
 	c.machine = New(max(c.now, c.leaderAbsent))
