jayloom-proxy: let a panic end only the caller's session

Callers would all lose their sessions when one answer or statement causes a panic: the process ended.

Cause: the goroutines of callers, of notifications and of the questions to replicas had no recovery.

Change: they recover (base/guard, counted and logged). The session ends without a message, since its request may have run; the upstream connections that it used are closed, which rolls open transactions back and gives the pool its connection back.

All tests of proxy pass.

--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -148,9 +148,20 @@
 
 // run serves requests until the caller disconnects or the session is ended.
 func (s *caller) run() {
+	defer s.close()
 	err := s.lastOutcome(s.serve())
 	s.releaseConns()
 	s.sendFatal(err)
+}
+
+// close ends the session. After a panic it still holds upstream connections, which are closed because their
+// state is not known; the caller is told nothing, since its request may have run.
+func (s *caller) close() {
+	for _, held := range []*heldConn{s.sessionConn, s.txConn} {
+		if held != nil {
+			held.conn.pool.discard(held.conn)
+		}
+	}
 	s.server.registry.remove(s)
 	s.cancel()
 	_ = s.net.Close()
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -108,7 +108,15 @@
 	}
 	s.runningConn.Store(conn)
 	defer s.runningConn.Store(nil)
+	finished := false
+	defer func() {
+		if !finished {
+			// A panic; the rest of the answer would reach the next request.
+			conn.pool.discard(conn)
+		}
+	}()
 	res := x.run()
+	finished = true
 	if !r.sync {
 		s.batch.completed, s.batch.writes = x.completed, x.effects.writes
 	}
--- a/proxy/notify.go
+++ b/proxy/notify.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/guard"
 )
 
 // notificationForwarder forwards what an upstream sends while a listening caller is
@@ -26,6 +27,7 @@
 	f := &notificationForwarder{conn: s.sessionConn.conn, done: make(chan struct{})}
 	go func() {
 		defer close(f.done)
+		defer guard.Recover(s.server.opts.Log, "notifications to a caller")
 		s.forwardNotifications(f.conn)
 	}()
 	return f
@@ -34,18 +36,25 @@
 // forwardNotifications runs until stop is called or the upstream is lost. Meanwhile the
 // caller's own goroutine waits for a request and does not write.
 func (s *caller) forwardNotifications(conn *upstreamConn) {
+	finished := false
+	defer func() {
+		if !finished {
+			conn.unsafe = true
+			s.end(rescode.New(rescode.UpstreamLost, "the connection's session state is gone"))
+		}
+	}()
 	for {
 		frame, err := conn.rd.Next()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
+			finished = true
 			return
 		}
 		if err != nil || !isAsynchronous(frame.Type) {
-			conn.unsafe = true
-			s.end(rescode.New(rescode.UpstreamLost, "the connection's session state is gone"))
 			return
 		}
 		s.out.Raw(frame.Raw)
 		if _, err := s.out.Flush(); err != nil {
+			finished = true
 			return
 		}
 	}
--- a/proxy/position.go
+++ b/proxy/position.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jayloom/jayloom/base/guard"
 	"github.com/jayloom/jayloom/base/lsn"
 	"github.com/jayloom/jayloom/policy/session"
 	"github.com/jayloom/jayloom/proxy/wire"
@@ -314,6 +315,7 @@
 // pollReplicas asks the replicas for their positions, the most advanced first, until one
 // ends a wait.
 func (c *replayConfirmer) pollReplicas() bool {
+	defer guard.Recover(c.server.opts.Log, "question for the position of a replica")
 	ctx, cancel := context.WithTimeout(context.Background(), barrierTimeout)
 	defer cancel()
 	for _, p := range c.server.replicaPools(c.group) {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/base/guard"
 	"github.com/jayloom/jayloom/base/settings"
 	"github.com/jayloom/jayloom/proxy/admission"
 	"github.com/jayloom/jayloom/proxy/view"
@@ -173,6 +174,8 @@
 
 // serveConn authenticates one network connection and serves it until it ends.
 func (s *Server) serveConn(conn net.Conn) {
+	defer guard.Recover(s.opts.Log, "connection of a caller")
+	defer func() { _ = conn.Close() }()
 	authenticated := s.authenticate(conn)
 	if authenticated == nil {
 		return
