Report no wait in a group without synchronous replicas

Operators would see a promotion wait on for good (promotion_waits, the metric of the longest wait) after they had ended it by setting sync_replicas to 0, as OPERATIONS.md says for servers that are lost for good.

Cause: the servers waited for were kept from the last step with synchronous replicas. Change: they are cleared. It changes what is logged and counted, not what is decided.

Evidence: TestWaitEndsWithoutSynchronousReplicas: the promotion follows at once before and after; 'still waits for [r1]' before.

--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -252,7 +252,9 @@
 // Step updates the state and returns the actions that are due, with at most one promotion.
 func (m *Machine) Step(now time.Duration, in Input) []Action {
 	m.updatePrimary(now, in.Servers)
-	if in.SyncReplicas > 0 {
+	if in.SyncReplicas == 0 {
+		m.awaited = nil
+	} else {
 		m.progress.record(now, m.position)
 		m.observeTerms(in.Servers)
 		m.observeDemotion(now, in.Servers)
--- a/gateway/failover/synchronous_test.go
+++ b/gateway/failover/synchronous_test.go
@@ -188,3 +188,22 @@
 		t.Errorf("promoted %v, awaited %v", got, s.machine.Awaited())
 	}
 }
+
+// Guards against an operator who cannot end a wait for servers that are lost for good: without synchronous
+// replicas the most advanced server is promoted at once.
+func TestWaitEndsWithoutSynchronousReplicas(t *testing.T) {
+	s := newSynchronousSimulation(t)
+	s.in.Reachability.Failing = 11
+	s.advance(time.Second, "r2")
+	s.server("r2").Sample.PausedTerm = 2
+	if got := promotions(s.advance(10*time.Second, "r2")); len(got) > 0 {
+		t.Fatalf("promoted %v, which may lack commits of r1", got)
+	}
+	s.in.SyncReplicas = 0
+	if got := promotions(s.advance(200*time.Millisecond, "r2")); !cmp.Equal(got, []string{"r2"}) {
+		t.Errorf("promoted %v", got)
+	}
+	if got := s.machine.Awaited(); len(got) > 0 {
+		t.Errorf("still waits for %v", got)
+	}
+}
