--- a/gateway/coordinator/handover_test.go
+++ b/gateway/coordinator/handover_test.go
@@ -122,3 +122,13 @@
 		}
 	})
 }
+
+// Guards against an alarm on a node that no longer leads: the wait of a promotion is reported by the leader.
+func TestEarlierLeaderReportsNoWait(t *testing.T) {
+	l, _ := newPromotingLeader(&recordingPromoter{}, 3)
+	metricLongestPromotionWait.Set(7)
+	l.stopLeading()
+	if got := metricLongestPromotionWait.Get(); got != 0 {
+		t.Errorf("reports a wait of %v s", got)
+	}
+}
