Test: let the statements reach the upstream before the others wait

Cause, in the test: it expects the first callers to get the upstream's connections, but only the order in which the statements were written was fixed, not that in which the node's goroutines took the connections.

The test now waits until the statement of each of the first callers has reached the upstream before the next one is sent.

--- a/gateway/server/shutdown_test.go
+++ b/gateway/server/shutdown_test.go
@@ -266,17 +266,21 @@
 	const callerCount = 700
 	const shortGrace = 2 * time.Second
 	s, l, g := newTestServer(t, 0)
-	go func() {
-		for range g.started {
-			// Statements that reach the upstream stay unanswered.
-		}
-	}()
 	callers := make([]net.Conn, callerCount)
 	for i := range callers {
 		callers[i] = connect(t, l)
 		expectByte(t, callers[i], 'W')
 		sendByte(t, callers[i], 'r')
+		if i < testUsableConnections {
+			// The statement has reached the upstream and stays unanswered. The later ones get no connection.
+			<-g.started
+		}
 	}
+	go func() {
+		for range g.started {
+			// No statement that reaches the upstream is answered.
+		}
+	}()
 	begun := time.Now()
 	s.Shutdown(context.Background(), l, stop.NewPlan(clock.Now(), shortGrace))
 	took := time.Since(begun)
