Log and count refused setups of upstream sessions

A PREPARE, SET or RESET that an upstream refuses, and a prepared statement that it does not know, were told to the caller with the reason of a busy or lost upstream, and logged nowhere. No behaviour is changed.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -367,6 +367,7 @@
 	alignment := c.alignValues(s.values)
 	if len(alignment) > 0 {
 		replies, err := c.roundTrip(deadline, alignment...)
+		s.engine.recordRefusedSetup(c, st.ID, alignment, replies)
 		if err != nil || !allDone(replies) {
 			c.broken = true
 			if errors.Is(err, ErrInterrupted) {
@@ -389,6 +390,7 @@
 	}
 	batch = append(append(batch, st), extra...)
 	replies, err := c.roundTrip(deadline, batch...)
+	s.engine.recordRefusedSetup(c, st.ID, batch, replies)
 	if len(replies) > replyIndex {
 		return replies[replyIndex], nil
 	}
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -59,6 +59,8 @@
 	prepared map[string]bool
 	// broken connections are closed when they are released.
 	broken bool
+	// resets counts the times that the upstream's session was reset.
+	resets int
 }
 
 // roundTrip sends statements and reads all replies. It stops at the first error, after which
@@ -95,6 +97,7 @@
 	for name := range c.values {
 		if _, ok := values[name]; !ok {
 			out = append(out, Statement{Kind: Reset})
+			c.resets++
 			c.values = nil
 			c.prepared = nil
 			break
