Name prepared statements at upstreams by a number of the connection

Cause: upstreamName made the name of a prepared statement at upstreams out of the caller's shape. A shape is the last field of its message and may hold blanks, a name may not: the upstream took the rest of the name for the access, the shape or the item. The names are shared between callers on a connection, so other callers ran what it had read.

A name is now a number that the connection gives, so that no byte of it comes from a caller, and it never stands for two statements. Whether a lost answer may be repeated was read from the first letter of the name; it follows from the statement now. The name no longer repeats the shape, so a message no longer grows with it.

--- a/cmd/jayloom-node/prepared_test.go
+++ b/cmd/jayloom-node/prepared_test.go
@@ -70,19 +70,30 @@
 	}
 }
 
+// succeedsOften reports whether a node serves a number of writes in a row.
+func (d *deployment) succeedsOften(n *runningNode, count int) bool {
+	session, _ := d.connect(n, "lots", "secret")
+	if session == nil {
+		return false
+	}
+	defer session.Close()
+	for range count {
+		if !succeeds(session, "WRITE a x") {
+			return false
+		}
+	}
+	return true
+}
+
 // Guards against a prepared statement that runs the shape of another one, and against texts that nobody
 // sent: callers share upstream connections, and a shape may hold blanks and words of the protocol.
 func TestPreparedStatementRunsItsOwnShape(t *testing.T) {
 	d := startDeployment(t)
-	d.putConfiguration(1, "secret")
-	d.waitUntil("a write", func() bool {
-		session, _ := d.connect(d.nodes[0], "lots", "secret")
-		if session == nil {
-			return false
-		}
-		defer session.Close()
-		return succeeds(session, "WRITE a x")
-	})
+	c := configuration(1, "secret")
+	// A node's part of this rate bears the whole test.
+	c.Teams[0].Rate, c.Teams[0].Burst = 100_000, 100_000
+	d.put(c)
+	d.waitUntil("the node's part of the rate", func() bool { return d.succeedsOften(d.nodes[0], 20) })
 	p := &preparedStatements{sent: map[string]sentExecute{}}
 	d.group.OnExecution(p.recordExecution)
 	const callers = 6
--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -381,7 +381,7 @@
 	batch := make([]Statement, 0, 2+len(extra))
 	replyIndex := 0
 	if st.Kind == Execute {
-		name, prepare, missing := c.ensurePrepared(s.prepared[st.Name])
+		name, prepare, missing := c.prepared.ensure(s.prepared[st.Name])
 		st.Name = name
 		if missing {
 			batch = append(batch, prepare)
@@ -423,20 +423,8 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		code, reason = rescode.StatementTimeout, reasonTimeout
 	}
-	if s.mayWrite(st) {
+	if st.mayWrite() {
 		return finalResult(refusalAnswer(rescode.AnswerLost, reason))
 	}
 	return retryResult(retryAnswerLost, Refusal{Code: code, Reason: reason})
 }
-
-func (s *Session) mayWrite(st Statement) bool {
-	switch st.Kind {
-	case Write, Commit:
-		return true
-	case Execute:
-		// The upstream names of prepared statements that write begin with w.
-		return st.Name != "" && st.Name[0] == 'w'
-	default:
-		return false
-	}
-}
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -26,6 +27,10 @@
 	// answers to drop after the statement ran.
 	refuseBusy, dropAnswers int
 	unreachable             bool
+	// refusePrepare is the number of statements that it refuses to prepare.
+	refusePrepare int
+	// refuseToSend is the error with which its connections refuse statements of callers.
+	refuseToSend error
 	// interrupts makes statements of callers run and their answers be interrupted.
 	interrupts bool
 	// panics makes the connection panic while it reads an answer.
@@ -41,6 +46,8 @@
 	team, text    string
 	inTransaction bool
 	values        map[string]string
+	// prepared is the statement that an EXECUTE ran.
+	prepared preparedStatement
 }
 
 func (s *fakeServer) runs() []run {
@@ -63,7 +70,7 @@
 	tx       bool
 	readOnly bool
 	values   map[string]string
-	prepared map[string]string
+	prepared map[string]preparedStatement
 	closed   bool
 }
 
@@ -71,6 +78,11 @@
 	if c.closed || c.server.unreachable {
 		return io.ErrClosedPipe
 	}
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.server.refuseToSend != nil && slices.ContainsFunc(statements, func(st Statement) bool { return st.ID != "" }) {
+		return c.server.refuseToSend
+	}
 	c.queued = append(c.queued, statements...)
 	return nil
 }
@@ -124,19 +136,24 @@
 		c.values[st.Name] = st.Value
 		return Reply{}
 	case Reset:
-		c.values, c.prepared = map[string]string{}, map[string]string{}
+		c.values, c.prepared = map[string]string{}, map[string]preparedStatement{}
 		return Reply{}
 	case Prepare:
-		c.prepared[st.Name] = st.Shape
+		if s.refusePrepare > 0 {
+			s.refusePrepare--
+			return Reply{Outcome: Rejected}
+		}
+		c.prepared[st.Name] = preparedStatement{writes: st.Writes, shape: st.Shape}
 		return Reply{}
 	}
 	return s.execute(c, st)
 }
 
 func (s *fakeServer) execute(c *fakeConn, st Statement) Reply {
-	writes := st.Kind == Write || (st.Kind == Execute && st.Name[0] == 'w')
+	prepared, known := c.prepared[st.Name]
+	writes := st.Kind == Write || (st.Kind == Execute && prepared.writes)
 	switch {
-	case st.Kind == Execute && c.prepared[st.Name] == "":
+	case st.Kind == Execute && !known:
 		return Reply{Outcome: NoStatement}
 	case s.refuseBusy > 0:
 		s.refuseBusy--
@@ -150,7 +167,7 @@
 	for k, v := range c.values {
 		values[k] = v
 	}
-	s.ran = append(s.ran, run{team: c.team, text: st.Text, inTransaction: c.tx, values: values})
+	s.ran = append(s.ran, run{team: c.team, text: st.Text, inTransaction: c.tx, values: values, prepared: prepared})
 	if st.Kind == Commit {
 		c.tx = false
 	}
@@ -178,7 +195,7 @@
 	if s.full {
 		return nil, position.Position{}, &DialRefusedError{Outcome: TooManyConnections}
 	}
-	return &fakeConn{server: s, team: team, values: map[string]string{}, prepared: map[string]string{}}, s.position, nil
+	return &fakeConn{server: s, team: team, values: map[string]string{}, prepared: map[string]preparedStatement{}}, s.position, nil
 }
 
 // fakeControl provides a fixed view in place of a control leader.
--- /dev/null
+++ b/gateway/engine/prepared_test.go
@@ -0,0 +1,84 @@
+package engine
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/jayloom/jayloom/api/rescode"
+)
+
+func prepare(name string, writes bool, shape string) Statement {
+	return Statement{ID: "p", Kind: Prepare, Name: name, Writes: writes, Shape: shape}
+}
+
+func execute(id, name, arguments string) Statement {
+	return Statement{ID: id, Kind: Execute, Text: "EXECUTE " + name + " " + arguments, Name: name, Value: arguments}
+}
+
+// Guards against names at upstreams that hold text of a caller, which an upstream reads as more than a name.
+func TestUpstreamNamesHoldNoTextOfCallers(t *testing.T) {
+	var names preparedNames
+	for i, c := range []struct {
+		statement preparedStatement
+		want      string
+		missing   bool
+	}{
+		{preparedStatement{false, "sg READ q2"}, "p1", true},
+		{preparedStatement{true, "sg READ q2"}, "p2", true},
+		{preparedStatement{false, "sg READ q2"}, "p1", false},
+		{preparedStatement{false, "p2"}, "p3", true},
+	} {
+		name, st, missing := names.ensure(c.statement)
+		if name != c.want || missing != c.missing {
+			t.Errorf("%d: name %q, missing %v", i, name, missing)
+		}
+		want := Statement{}
+		if c.missing {
+			want = Statement{Kind: Prepare, Name: c.want, Writes: c.statement.writes, Shape: c.statement.shape}
+		}
+		if diff := cmp.Diff(want, st); diff != "" {
+			t.Errorf("%d: %s", i, diff)
+		}
+	}
+}
+
+// Guards against a name that stands for an earlier statement, if the upstream did not carry out a reset.
+func TestUpstreamNameIsGivenOnce(t *testing.T) {
+	var names preparedNames
+	names.ensure(preparedStatement{shape: "a"})
+	names.clear()
+	if name, _, missing := names.ensure(preparedStatement{shape: "b"}); name != "p2" || !missing {
+		t.Errorf("name %q, missing %v", name, missing)
+	}
+}
+
+// Guards against statements of one access that run as the other for callers that share a connection.
+func TestCallersOfOneShapeKeepTheirAccess(t *testing.T) {
+	s := newTestNode(t)
+	reader, writer := s.open("intake", "key"), s.open("intake", "key")
+	s.mustSucceed(reader, prepare("s1", false, "q2"))
+	s.mustSucceed(writer, prepare("s1", true, "q2"))
+	s.mustSucceed(reader, execute("1", "s1", "lot"))
+	s.mustSucceed(writer, execute("2", "s1", "lot"))
+	var ran []preparedStatement
+	for _, r := range s.servers["p"].runs() {
+		ran = append(ran, r.prepared)
+	}
+	want := []preparedStatement{{false, "q2"}, {true, "q2"}}
+	if diff := cmp.Diff(want, ran, cmp.AllowUnexported(preparedStatement{})); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against the repetition of a prepared write whose answer was lost.
+func TestLostAnswerOfPreparedWriteIsNotRepeated(t *testing.T) {
+	s := newTestNode(t)
+	session := s.open("intake", "key")
+	s.mustSucceed(session, prepare("r", true, "q2"))
+	s.servers["p"].update(func(f *fakeServer) { f.dropAnswers = 1 })
+	s.expectCode(s.handle(session, execute("1", "r", "lot x")), rescode.AnswerLost)
+	if got := len(s.servers["p"].runs()); got != 1 {
+		t.Errorf("the write ran %d times", got)
+	}
+}
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -223,29 +223,28 @@
 
 // runStatement runs a read or a write, inside the session's transaction if there is one.
 func (s *Session) runStatement(ctx context.Context, st Statement) Answer {
-	writes := st.Kind == Write
 	if st.Kind == Execute {
 		p, ok := s.prepared[st.Name]
 		if !ok {
 			return refusalAnswer(rescode.UnknownStatement, reasonUnknownName)
 		}
-		writes = p.writes
+		st.Writes = p.writes
 	}
 	if s.tx != nil {
-		return s.runInTransaction(ctx, st, writes)
+		return s.runInTransaction(ctx, st)
 	}
 	op, refusal := s.admitOperation(st)
 	if refusal != nil {
 		return Answer{Refusal: refusal}
 	}
-	answer := s.runSingle(ctx, op, st, writes)
+	answer := s.runSingle(ctx, op, st)
 	s.returnAdmission(op, answer.Refusal)
 	return answer
 }
 
-func (s *Session) runSingle(ctx context.Context, op *operation, st Statement, writes bool) Answer {
+func (s *Session) runSingle(ctx context.Context, op *operation, st Statement) Answer {
 	switch {
-	case writes:
+	case st.mayWrite():
 		return s.write(ctx, op, st)
 	case op.route.Consistency == controlpb.Consistency_CONSISTENCY_PRIMARY:
 		return s.readPrimary(ctx, op, st)
--- a/gateway/engine/statement.go
+++ b/gateway/engine/statement.go
@@ -41,7 +41,8 @@
 	// Name is the name of a session value or of a prepared statement; Value is the text that
 	// follows it.
 	Name, Value string
-	// Writes and Shape describe the statement to prepare.
+	// Writes and Shape describe the statement to prepare. Writes is also set for an Execute whose
+	// prepared statement writes.
 	Writes bool
 	Shape  string
 	// MinPosition is the position that the log of the upstream must have reached. An upstream
@@ -49,6 +50,18 @@
 	MinPosition position.Position
 }
 
+// mayWrite reports whether the statement may have an effect that outlives it.
+func (st Statement) mayWrite() bool {
+	switch st.Kind {
+	case Write, Commit:
+		return true
+	case Execute:
+		return st.Writes
+	default:
+		return false
+	}
+}
+
 // State is the state of a session between statements.
 type State uint8
 
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -75,7 +75,7 @@
 }
 
 // runInTransaction runs a statement on the transaction's connection.
-func (s *Session) runInTransaction(ctx context.Context, st Statement, writes bool) Answer {
+func (s *Session) runInTransaction(ctx context.Context, st Statement) Answer {
 	t := s.tx
 	if refusal := s.recheckAdmission(); refusal != nil {
 		t.fail(refusal.Reason)
@@ -94,7 +94,7 @@
 		return s.failLostTransaction(result)
 	}
 	if reply.Outcome == Done {
-		t.wrote = t.wrote || writes
+		t.wrote = t.wrote || st.mayWrite()
 		if !t.readOnly {
 			// An upstream that is no longer the primary refuses the transaction's statements,
 			// so this reply proves that it is.
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -49,14 +49,12 @@
 
 // upstreamConn is a pooled connection with the known state of the upstream's session.
 type upstreamConn struct {
-	conn   Conn
-	pool   *pool
-	team   string
-	idleAt time.Duration
-	values map[string]string
-	// prepared holds the upstream names of the statements that are prepared on the
-	// connection.
-	prepared map[string]bool
+	conn     Conn
+	pool     *pool
+	team     string
+	idleAt   time.Duration
+	values   map[string]string
+	prepared preparedNames
 	// broken connections are closed when they are released.
 	broken bool
 	// resets counts the times that the upstream's session was reset.
@@ -99,7 +97,7 @@
 			out = append(out, Statement{Kind: Reset})
 			c.resets++
 			c.values = nil
-			c.prepared = nil
+			c.prepared.clear()
 			break
 		}
 	}
@@ -115,32 +113,3 @@
 	}
 	return out
 }
-
-// ensurePrepared returns the name that p has on the connection, and the statement that
-// prepares it if it is missing there.
-func (c *upstreamConn) ensurePrepared(p preparedStatement) (name string, s Statement, missing bool) {
-	name = p.upstreamName()
-	if c.prepared[name] {
-		return name, Statement{}, false
-	}
-	if c.prepared == nil {
-		c.prepared = map[string]bool{}
-	}
-	c.prepared[name] = true
-	return name, Statement{Kind: Prepare, Name: name, Writes: p.writes, Shape: p.shape}, true
-}
-
-// preparedStatement is a prepared statement of a caller.
-type preparedStatement struct {
-	writes bool
-	shape  string
-}
-
-// upstreamName returns the name of the statement at upstreams. It depends only on the
-// statement, so that callers share prepared statements.
-func (p preparedStatement) upstreamName() string {
-	if p.writes {
-		return "w_" + p.shape
-	}
-	return "r_" + p.shape
-}
