Check each field of each message of the line protocol where it is written

It refuses an empty field and a field that holds a blank, text that holds the end of a line, names of the control state that hold CR or LF alone (as START did), and messages above 1 MiB, which an upstream would answer by closing the connection. Nothing of a batch with such a message is sent; its caller is refused at once (packet_too_large or malformed_packet, not run), and neither the upstream nor the connection counts as failing.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -53,10 +53,18 @@
 	return result.answer.Refusal.Upstream
 }
 
-// interrupted reports whether the stop of the node ended the attempt, which says nothing about
-// the upstream.
-func (result attemptResult) interrupted() bool {
-	return result.answer.Refusal != nil && result.answer.Refusal.Reason == reasonStopping
+// concernsUpstream reports whether the result says something about the upstream. The stop of the node and a
+// statement that cannot be sent to any upstream say nothing about it.
+func (result attemptResult) concernsUpstream() bool {
+	if result.answer.Refusal == nil {
+		return true
+	}
+	switch result.answer.Refusal.Reason {
+	case reasonStopping, reasonTooLarge, reasonUnencodable:
+		return false
+	default:
+		return true
+	}
 }
 
 // shouldRetry reports whether attempt n+1 may help the caller. Retries after a busy or full
@@ -340,7 +348,7 @@
 		result.answer.Refusal.Upstream = p.target.ID
 	}
 	switch {
-	case result.interrupted():
+	case !result.concernsUpstream():
 	case c.broken:
 		p.recordNoAnswer(clock.Now() - sentAt)
 	default:
@@ -378,10 +386,11 @@
 			return Reply{}, &result
 		}
 	}
+	prepared := s.prepared[st.Name]
 	batch := make([]Statement, 0, 2+len(extra))
 	replyIndex := 0
 	if st.Kind == Execute {
-		name, prepare, missing := c.prepared.ensure(s.prepared[st.Name])
+		name, prepare, missing := c.prepared.ensure(prepared)
 		st.Name = name
 		if missing {
 			batch = append(batch, prepare)
@@ -391,6 +400,13 @@
 	batch = append(append(batch, st), extra...)
 	replies, err := c.roundTrip(deadline, batch...)
 	s.engine.recordRefusedSetup(c, st.ID, batch, replies)
+	if isUnsendable(err) {
+		if replyIndex > 0 {
+			c.prepared.forget(prepared)
+		}
+		result := unsendableResult(err)
+		return Reply{}, &result
+	}
 	if len(replies) > replyIndex {
 		return replies[replyIndex], nil
 	}
@@ -398,6 +414,15 @@
 	return Reply{}, &result
 }
 
+// unsendableResult returns the result of an attempt whose statement could not be sent, to this upstream or to any
+// other.
+func unsendableResult(err error) attemptResult {
+	if errors.Is(err, ErrTooLarge) {
+		return finalResult(refusalAnswer(rescode.PacketTooLarge, reasonTooLarge))
+	}
+	return finalResult(refusalAnswer(rescode.MalformedPacket, reasonUnencodable))
+}
+
 // interruptWhenDone interrupts the statements on a connection when ctx ends. The returned function
 // ends the watch.
 func interruptWhenDone(ctx context.Context, c *upstreamConn) func() bool {
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -30,6 +30,8 @@
 	reasonPoolFull        Reason = "connection_queue"
 	reasonFailedState     Reason = "failed_transaction"
 	reasonBadStatement    Reason = "bad_statement"
+	reasonTooLarge        Reason = "message_too_large"
+	reasonUnencodable     Reason = "message_unencodable"
 	reasonUnknownName     Reason = "unknown_statement"
 	reasonAnswerLost      Reason = "answer_lost"
 	reasonTimeout         Reason = "statement_timeout"
--- a/gateway/engine/prepared.go
+++ b/gateway/engine/prepared.go
@@ -18,7 +18,7 @@
 }
 
 // ensure returns the name that p has on the connection, and the statement that prepares it if it is missing
-// there. It assumes that the statement will succeed.
+// there. It assumes that the statement will succeed; otherwise the caller calls forget or closes the connection.
 func (n *preparedNames) ensure(p preparedStatement) (name string, st Statement, missing bool) {
 	if name, ok := n.names[p]; ok {
 		return name, Statement{}, false
@@ -32,6 +32,11 @@
 	return name, Statement{Kind: Prepare, Name: name, Writes: p.writes, Shape: p.shape}, true
 }
 
+// forget removes a statement that was not prepared after all.
+func (n *preparedNames) forget(p preparedStatement) {
+	delete(n.names, p)
+}
+
 // clear removes all statements, as a reset of the upstream's session does.
 func (n *preparedNames) clear() {
 	n.names = nil
--- a/gateway/engine/prepared_test.go
+++ b/gateway/engine/prepared_test.go
@@ -82,3 +82,45 @@
 		t.Errorf("the write ran %d times", got)
 	}
 }
+
+// Guards against a statement that no upstream can be sent and that takes an upstream, its connection or other
+// callers' transactions out of use.
+func TestUnsendableStatementConcernsItsCallerOnly(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want rescode.Code
+	}{{ErrTooLarge, rescode.PacketTooLarge}, {ErrUnencodable, rescode.MalformedPacket}} {
+		s := newTestNode(t)
+		session := s.open("intake", "key")
+		s.mustSucceed(session, prepare("s1", false, "q2"))
+		s.mustSucceed(session, write("1"))
+		s.servers["p"].update(func(f *fakeServer) { f.refuseToSend = c.err })
+		s.expectCode(s.handle(session, execute("2", "s1", "lot")), c.want)
+		s.expectCode(s.handle(session, write("3")), c.want)
+		s.servers["p"].update(func(f *fakeServer) { f.refuseToSend = nil })
+		s.mustSucceed(session, execute("4", "s1", "lot"))
+		s.mustSucceed(session, write("5"))
+		if got := s.servers["p"].dials; got != 1 {
+			t.Errorf("%v: %d connections were opened, want 1", c.err, got)
+		}
+		if s.gate.left != manyRequests-3 {
+			t.Errorf("%v: a statement that was not sent was counted", c.err)
+		}
+	}
+}
+
+// Guards against a transaction that goes on without one of its statements.
+func TestUnsendableStatementAbortsItsTransaction(t *testing.T) {
+	s := newTestNode(t)
+	session := s.open("intake", "key")
+	s.mustSucceed(session, Statement{ID: "1", Kind: Begin})
+	s.mustSucceed(session, write("2"))
+	s.servers["p"].update(func(f *fakeServer) { f.refuseToSend = ErrTooLarge })
+	s.expectCode(s.handle(session, write("3")), rescode.TransactionAborted)
+	s.servers["p"].update(func(f *fakeServer) { f.refuseToSend = nil })
+	s.expectCode(s.handle(session, Statement{ID: "4", Kind: Commit, Text: "COMMIT"}), rescode.TransactionAborted)
+	p, _ := s.engine.group("wax").primaryPool()
+	if p.failing {
+		t.Error("the upstream counts as failing")
+	}
+}
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -150,7 +150,7 @@
 // upstream rolls it back.
 func (s *Session) failLostTransaction(result *attemptResult) Answer {
 	upstream := s.tx.conn.pool.target.ID
-	if !result.interrupted() {
+	if result.concernsUpstream() {
 		s.tx.conn.pool.recordFailure()
 	}
 	s.tx.fail(reasonLostTransaction)
@@ -220,7 +220,7 @@
 	if result != nil || reply.Outcome != Done {
 		p.release(c)
 		if result != nil {
-			if !result.interrupted() {
+			if result.concernsUpstream() {
 				p.recordNoAnswer(clock.Now() - at)
 			}
 			return *result
@@ -281,7 +281,7 @@
 	reply, result := s.exchange(ctx, t.op, t.conn, t.op.deadline, st)
 	switch {
 	case result != nil:
-		if !result.interrupted() {
+		if result.concernsUpstream() {
 			t.conn.pool.recordFailure()
 		}
 		t.releaseConn()
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -34,6 +34,19 @@
 // ErrInterrupted is returned by a Conn after Interrupt.
 var ErrInterrupted = errors.New("the statement was interrupted")
 
+// Errors of Conn.Send for statements that cannot be sent to any upstream. Nothing was sent.
+var (
+	// ErrTooLarge means that the message would be larger than the protocol allows.
+	ErrTooLarge = errors.New("the message is too large")
+	// ErrUnencodable means that the upstream would read the message as another one.
+	ErrUnencodable = errors.New("the message cannot be encoded")
+)
+
+// isUnsendable reports whether an error of Conn.Send concerns the statement alone.
+func isUnsendable(err error) bool {
+	return errors.Is(err, ErrTooLarge) || errors.Is(err, ErrUnencodable)
+}
+
 // Conn is a connection to an upstream. Only Interrupt is safe for concurrent use.
 type Conn interface {
 	// Send sends statements in one write.
@@ -67,6 +80,7 @@
 	wasBroken := c.broken
 	c.broken = true
 	if err := c.conn.Send(deadline, statements...); err != nil {
+		c.broken = wasBroken || !isUnsendable(err)
 		return nil, err
 	}
 	replies := make([]Reply, 0, len(statements))
