Close a connection whose upstream refuses to prepare a statement

What callers saw: a node remembered a statement as prepared although the upstream had refused it. Each later EXECUTE of any caller on that connection was answered NOSTMT and told as a lost upstream, until the connection was closed.

The refusal of the PREPARE is now the answer, and the connection is closed, as it is when the upstream does not know a statement that was prepared there: its session is not in the state that the node believes it to be in.

TestRefusedPrepareEndsTheConnection failed before: no_upstream instead of malformed_packet, and the next EXECUTE refused too.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -407,6 +407,11 @@
 		result := unsendableResult(err)
 		return Reply{}, &result
 	}
+	if i, refused := refusedSetup(batch, replies); refused {
+		// The upstream's session is not in the state that this node believes it to be in.
+		c.broken = true
+		return replies[i], nil
+	}
 	if len(replies) > replyIndex {
 		return replies[replyIndex], nil
 	}
--- a/gateway/engine/prepared_test.go
+++ b/gateway/engine/prepared_test.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// Guards against a connection that stays in use with a statement that the upstream refused to prepare, whose
+// name would then be unknown there for every later caller.
+func TestRefusedPrepareEndsTheConnection(t *testing.T) {
+	s := newTestNode(t)
+	session := s.open("intake", "key")
+	s.mustSucceed(session, prepare("s1", false, "q2"))
+	s.servers["p"].update(func(f *fakeServer) { f.refusePrepare = 1 })
+	s.expectCode(s.handle(session, execute("1", "s1", "lot")), rescode.MalformedPacket)
+	s.mustSucceed(session, execute("2", "s1", "lot"))
+	if got := s.servers["p"].dials; got != 2 {
+		t.Errorf("%d connections were opened, want 2", got)
+	}
+}
+
 // Guards against a statement that no upstream can be sent and that takes an upstream, its connection or other
 // callers' transactions out of use.
 func TestUnsendableStatementConcernsItsCallerOnly(t *testing.T) {
--- a/gateway/engine/setup.go
+++ b/gateway/engine/setup.go
@@ -42,3 +42,14 @@
 		return false
 	}
 }
+
+// refusedSetup returns the index of the first statement of a batch whose reply shows that the upstream's session
+// differs from what this node believes.
+func refusedSetup(batch []Statement, replies []Reply) (index int, refused bool) {
+	for i, reply := range replies {
+		if isRefusedSetup(batch[i].Kind, reply.Outcome) {
+			return i, true
+		}
+	}
+	return 0, false
+}
