Do not blame an upstream for a large answer that its caller reads too slowly

A statement whose timeout comes after a part of its rows was passed on counted as an upstream without an answer, so that one caller that reads slowly could take a primary out of use for all others. Found by reading. TestAnswerCutByItsTimeoutSaysNothingAboutTheUpstream failed before: the primary counted as failing.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -54,13 +54,14 @@
 }
 
 // concernsUpstream reports whether the result says something about the upstream. The stop of the node, a
-// statement that cannot be sent to any upstream, and a caller that reads no more rows say nothing about it.
+// statement that cannot be sent to any upstream, and a caller that reads its rows slowly or not at all say
+// nothing about it.
 func (result attemptResult) concernsUpstream() bool {
 	if result.answer.Refusal == nil {
 		return true
 	}
 	switch result.answer.Refusal.Reason {
-	case reasonStopping, reasonTooLarge, reasonUnencodable, reasonCallerGone:
+	case reasonStopping, reasonTooLarge, reasonUnencodable, reasonCallerGone, reasonAnswerCut:
 		return false
 	default:
 		return true
@@ -458,6 +459,9 @@
 		reason = reasonCallerGone
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		code, reason = rescode.StatementTimeout, reasonTimeout
+		if s.relay.started {
+			reason = reasonAnswerCut
+		}
 	}
 	if st.mayWrite() {
 		return finalResult(refusalAnswer(rescode.AnswerLost, reason))
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -36,6 +36,8 @@
 	reasonUnknownName     Reason = "unknown_statement"
 	reasonAnswerLost      Reason = "answer_lost"
 	reasonTimeout         Reason = "statement_timeout"
+	// reasonAnswerCut means that the timeout came when a part of the answer had been passed on.
+	reasonAnswerCut       Reason = "answer_cut"
 	reasonUpstreamFailed  Reason = "upstream_failed"
 	reasonLostTransaction Reason = "transaction_lost"
 	reasonIdleTransaction Reason = "transaction_idle"
--- a/gateway/engine/rows_test.go
+++ b/gateway/engine/rows_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// Guards against a primary that is taken out of use because a caller reads a large answer too slowly.
+func TestAnswerCutByItsTimeoutSaysNothingAboutTheUpstream(t *testing.T) {
+	s, session := newRelayingNode(t, &rowRecorder{})
+	s.mustSucceed(session, Statement{ID: "1", Kind: Begin})
+	s.mustSucceed(session, read("2"))
+	p, _ := s.engine.group("wax").primaryPool()
+	// Without a recent answer, one failure suffices.
+	p.answeredAt = 0
+	s.servers["p"].update(func(f *fakeServer) { f.dropAnswers = 1 })
+	s.expectCode(s.handle(session, read("3")), rescode.TransactionAborted)
+	if p.failing {
+		t.Error("the primary counts as failing")
+	}
+}
+
 // Guards against rows for a statement of the engine itself that a caller is sent.
 func TestOnlyStatementsOfCallersPassRowsOn(t *testing.T) {
 	w := &rowRecorder{}
--- a/policy/route/tag.go
+++ b/policy/route/tag.go
@@ -4,6 +4,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/jayloom/jayloom/api/rescode"
 )
@@ -150,6 +151,10 @@
 	if value == "" || len(value) > maxRequestIDBytes {
 		return badTag("a request identity has 1 to 64 bytes")
 	}
+	// It becomes a literal in a statement, which a null byte would end early.
+	if !utf8.ValidString(value) || strings.Contains(value, "\x00") {
+		return badTag("a request identity is UTF-8 text without null bytes")
+	}
 	t.RequestID = value
 	return nil
 }
