Close or roll back a connection that would return to the pool inside a transaction

What callers saw: after a read that no message to the upstream could hold, the next statements on that connection ran inside a transaction that nobody would commit. A write was acknowledged and not committed; the next BEGIN met an open transaction.

Cause: a read on the route type primary is wrapped in a transaction. Its BEGIN is sent and answered first; if the read itself cannot be sent (ErrTooLarge, ErrUnencodable), the ROLLBACK in the same batch isn't sent either, and the connection was not marked as broken. An EXECUTE of the largest size is enough: the upstream's name may be longer than the caller's.

The read's transaction is now rolled back, and a connection whose last reply is not in state I is closed when it is released, whatever the path: the pool no longer depends on each caller of release to mark it.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -180,6 +180,8 @@
 	op.group.recordPosition(at, c.pool.target.ID, begun.Position)
 	reply, result := s.exchange(ctx, op, c, deadline, st, Statement{Kind: Rollback})
 	if result != nil {
+		// The rollback was not sent if the statement could not be.
+		c.rollBack(ctx, deadline)
 		return *result
 	}
 	if reply.Outcome == Done {
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -310,12 +310,13 @@
 	p.serveWaiters()
 }
 
-// release returns a connection to the pool, or closes it if it is broken.
+// release returns a connection to the pool, or closes it if it is broken or inside a transaction, which closing
+// rolls back.
 func (p *pool) release(c *upstreamConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.inUse--
-	if c.broken || p.closed {
+	if !c.reusable() || p.closed {
 		c.conn.Close()
 		p.open--
 	} else {
--- a/gateway/engine/prepared_test.go
+++ b/gateway/engine/prepared_test.go
@@ -138,3 +138,19 @@
 		t.Error("the upstream counts as failing")
 	}
 }
+
+// Guards against a connection that returns to the pool inside a transaction, in which other callers' writes would
+// then run without a commit.
+func TestUnsendableReadLeavesNoTransactionOpen(t *testing.T) {
+	s := newTestNode(t)
+	session := s.open("intake", "key")
+	s.servers["p"].update(func(f *fakeServer) { f.refuseToSend = ErrTooLarge })
+	s.expectCode(s.handle(session, read("1")), rescode.PacketTooLarge)
+	s.servers["p"].update(func(f *fakeServer) { f.refuseToSend = nil })
+	s.mustSucceed(s.open("intake", "key"), write("2"))
+	for _, r := range s.servers["p"].runs() {
+		if r.inTransaction {
+			t.Errorf("%s ran inside the transaction of another statement", r.text)
+		}
+	}
+}
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -48,16 +48,7 @@
 	if t.conn == nil {
 		return
 	}
-	if t.conn.broken {
-		t.releaseConn()
-		return
-	}
-	stopWatching := interruptWhenDone(ctx, t.conn)
-	replies, err := t.conn.roundTrip(deadline, Statement{Kind: Rollback})
-	stopWatching()
-	if err != nil || replies[0].State != Idle {
-		t.conn.broken = true
-	}
+	t.conn.rollBack(ctx, deadline)
 	t.releaseConn()
 }
 
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -69,6 +69,8 @@
 	idleAt   time.Duration
 	values   map[string]string
 	prepared preparedNames
+	// state is the state of the upstream's session after its last reply.
+	state State
 	// broken connections are closed when they are released.
 	broken bool
 	// resets counts the times that the upstream's session was reset.
@@ -101,12 +103,30 @@
 		if r.Outcome == Busy {
 			c.pool.recordBusy()
 		}
+		c.state = r.State
 		replies = append(replies, r)
 	}
 	c.broken = wasBroken
 	return replies, nil
 }
 
+// rollBack rolls back the transaction that the upstream's session is in. A connection that is still inside one
+// afterwards, or got no answer, is not reusable.
+func (c *upstreamConn) rollBack(ctx context.Context, deadline time.Time) {
+	if c.broken {
+		return
+	}
+	defer interruptWhenDone(ctx, c)()
+	if _, err := c.roundTrip(deadline, Statement{Kind: Rollback}); err != nil {
+		c.broken = true
+	}
+}
+
+// reusable reports whether another caller may use the connection.
+func (c *upstreamConn) reusable() bool {
+	return !c.broken && c.state == Idle
+}
+
 // alignValues returns the statements that set the values of the upstream's session to those
 // of a caller's session, in order. It assumes that they will succeed; otherwise the caller
 // marks the connection as broken.
