Count a refused setup of an upstream's session as an answer

What callers saw: one caller whose PREPARE or SET an upstream refuses took the upstream out of use for all others. Their writes were refused with group_fenced, primary_failing, and the log said 'upstream does not answer', until a background connection succeeded. It needs no answer of that upstream within the last 300 ms (failureGracePeriod).

Cause: the connection was marked broken so that it is closed, and a broken connection counts as one that got no answer.

A connection whose session is in another state than the node believes is now misaligned: it is closed when released, and the upstream counts as answering.

TestRefusedSetupIsAnAnswer, before: both cases failed ('the upstream counts as failing'; in each, the write of another caller was refused). After: both hold.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -351,12 +351,12 @@
 		result.answer.Refusal.Upstream = p.target.ID
 	}
 	switch {
+	case c.lostAnswer(result):
+		p.recordNoAnswer(clock.Now() - sentAt)
 	case !result.concernsUpstream():
-	case s.relay.started && !c.broken:
+	case s.relay.started:
 		// The time includes the caller's for reading the answer.
 		p.recordSuccess()
-	case c.broken:
-		p.recordNoAnswer(clock.Now() - sentAt)
 	default:
 		p.recordAnswer(clock.Now() - sentAt)
 	}
@@ -383,7 +383,7 @@
 		replies, err := c.roundTrip(deadline, alignment...)
 		s.engine.recordRefusedSetup(c, st.ID, alignment, replies)
 		if err != nil || !allDone(replies) {
-			c.broken = true
+			c.misaligned = true
 			if errors.Is(err, ErrInterrupted) {
 				result := finalResult(Answer{Refusal: stoppedWaiting()})
 				return Reply{}, &result
@@ -415,8 +415,7 @@
 		return Reply{}, &result
 	}
 	if i, refused := refusedSetup(batch, replies); refused {
-		// The upstream's session is not in the state that this node believes it to be in.
-		c.broken = true
+		c.misaligned = true
 		return replies[i], nil
 	}
 	if len(replies) > replyIndex {
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -31,6 +31,8 @@
 	firstRows []string
 	// refusePrepare is the number of statements that it refuses to prepare.
 	refusePrepare int
+	// refuseSet makes it refuse to set session values.
+	refuseSet bool
 	// refuseToSend is the error with which its connections refuse statements of callers.
 	refuseToSend error
 	// interrupts makes statements of callers run and their answers be interrupted.
@@ -140,6 +142,9 @@
 		c.tx = false
 		return Reply{}
 	case SetValue:
+		if s.refuseSet {
+			return Reply{Outcome: Rejected}
+		}
 		c.values[st.Name] = st.Value
 		return Reply{}
 	case Reset:
--- a/gateway/engine/prepared_test.go
+++ b/gateway/engine/prepared_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -154,3 +155,31 @@
 		}
 	}
 }
+
+// Guards against a caller whose statement or session value the upstream refuses and that takes the upstream out of
+// use for other callers, as if it did not answer.
+func TestRefusedSetupIsAnAnswer(t *testing.T) {
+	for _, c := range []struct {
+		setup  Statement
+		refuse func(*fakeServer)
+		want   rescode.Code
+	}{
+		{prepare("s2", true, "q2"), func(f *fakeServer) { f.refusePrepare = 1 }, rescode.MalformedPacket},
+		{Statement{ID: "v", Kind: SetValue, Name: "a", Value: "b"}, func(f *fakeServer) { f.refuseSet = true }, rescode.UpstreamLost},
+	} {
+		t.Run(c.setup.Kind.String(), func(t *testing.T) {
+			s := newTestNode(t)
+			session := s.open("intake", "key")
+			s.mustSucceed(session, prepare("s2", true, "q1"))
+			s.mustSucceed(session, write("1"))
+			s.mustSucceed(session, c.setup)
+			s.servers["p"].update(c.refuse)
+			time.Sleep(failureGracePeriod)
+			s.expectCode(s.handle(session, execute("2", "s2", "lot")), c.want)
+			if p, _ := s.engine.group("wax").primaryPool(); p.failing {
+				t.Error("the upstream counts as failing")
+			}
+			s.mustSucceed(s.open("intake", "key"), write("3"))
+		})
+	}
+}
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -141,7 +141,7 @@
 // upstream rolls it back.
 func (s *Session) failLostTransaction(result *attemptResult) Answer {
 	upstream := s.tx.conn.pool.target.ID
-	if result.concernsUpstream() {
+	if s.tx.conn.lostAnswer(*result) {
 		s.tx.conn.pool.recordFailure()
 	}
 	s.tx.fail(reasonLostTransaction)
@@ -211,7 +211,7 @@
 	if result != nil || reply.Outcome != Done {
 		p.release(c)
 		if result != nil {
-			if result.concernsUpstream() {
+			if c.lostAnswer(*result) {
 				p.recordNoAnswer(clock.Now() - at)
 			}
 			return *result
@@ -272,7 +272,7 @@
 	reply, result := s.exchange(ctx, t.op, t.conn, t.op.deadline, st)
 	switch {
 	case result != nil:
-		if result.concernsUpstream() {
+		if t.conn.lostAnswer(*result) {
 			t.conn.pool.recordFailure()
 		}
 		t.releaseConn()
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -71,8 +71,12 @@
 	prepared preparedNames
 	// state is the state of the upstream's session after its last reply.
 	state State
-	// broken connections are closed when they are released.
+	// broken connections got no answer, or must not be used for another reason of this node. They are closed when
+	// they are released.
 	broken bool
+	// misaligned connections are closed too: the upstream answers, but its session is not in the state that this
+	// node believes it to be in.
+	misaligned bool
 	// resets counts the times that the upstream's session was reset.
 	resets int
 }
@@ -113,7 +117,7 @@
 // rollBack rolls back the transaction that the upstream's session is in. A connection that is still inside one
 // afterwards, or got no answer, is not reusable.
 func (c *upstreamConn) rollBack(ctx context.Context, deadline time.Time) {
-	if c.broken {
+	if c.broken || c.misaligned {
 		return
 	}
 	defer interruptWhenDone(ctx, c)()
@@ -124,12 +128,17 @@
 
 // reusable reports whether another caller may use the connection.
 func (c *upstreamConn) reusable() bool {
-	return !c.broken && c.state == Idle
+	return !c.broken && !c.misaligned && c.state == Idle
+}
+
+// lostAnswer reports whether a result without a reply means that the upstream did not answer.
+func (c *upstreamConn) lostAnswer(result attemptResult) bool {
+	return c.broken && result.concernsUpstream()
 }
 
 // alignValues returns the statements that set the values of the upstream's session to those
 // of a caller's session, in order. It assumes that they will succeed; otherwise the caller
-// marks the connection as broken.
+// marks the connection as misaligned.
 func (c *upstreamConn) alignValues(values map[string]string) []Statement {
 	var out []Statement
 	for name := range c.values {
