Keep what a batch leaves behind DISCARD ALL with its caller

What callers saw: a setting that one caller made after DISCARD ALL in the same batch (DISCARD ALL, SET search_path, Sync) was in force for the next caller on that connection, also one of another team. A statement prepared after DISCARD ALL or DEALLOCATE ALL in one batch was acknowledged and then unknown.

Cause: the proxy recorded the reset at the end of the request, after what followed it in the batch. The connection then counted as one that no session has used, which is handed on without a reset.

The reset is now recorded when its command tag arrives. Only a connection on which nothing followed the DISCARD ALL counts as unused; any other is reset before its next use, or stays with its caller if what followed pins it.

TestStateSetAfterDiscardStaysWithItsCaller and TestStatementsPreparedAfterDiscardAreKept, before: all four cases failed ('a setting of another caller is visible', twice; 'prepared statement "later?" does not exist', twice).

--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -89,10 +89,9 @@
 
 // tagEffects is what command tags tell about session state.
 type tagEffects struct {
-	pins       bool
-	discards   bool
-	deallocate bool
-	writes     bool
+	pins     bool
+	discards bool
+	writes   bool
 }
 
 // execute runs a request on a connection and forwards the answer. The session may have
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -190,20 +190,16 @@
 // keepOrRelease keeps a connection for an open transaction or batch, or for session
 // state, and otherwise releases it to the pool.
 func (s *caller) keepOrRelease(held *heldConn, r *request, effects tagEffects) {
-	if effects.discards {
-		held.conn.clearSessionState()
-		s.statements.clear()
-	}
-	if effects.deallocate {
-		s.statements.clear()
-		clear(held.conn.prepared)
-	}
 	if effects.discards && s.sessionConn == held {
 		s.sessionConn = nil
 		held.conn.pool.unpin(held.conn)
 	}
+	if effects.discards && s.endsWithDiscard(held, r) {
+		held.conn.lastSession = 0
+	}
 	if s.sessionConn == nil && leavesSessionState(r, effects) {
 		s.sessionConn = held
+		held.conn.lastSession = s.id
 		s.pinConn(held.conn)
 	}
 	if s.tx != txIdle || !r.sync {
@@ -233,7 +229,20 @@
 // leavesSessionState reports whether a request leaves session state that ties the caller
 // to its connection.
 func leavesSessionState(r *request, effects tagEffects) bool {
-	return !effects.discards && (effects.pins || r.pinsByText())
+	if effects.discards && r.isSingleStatement() {
+		return false
+	}
+	return effects.pins || r.pinsByText()
+}
+
+// endsWithDiscard reports whether a connection has no session state after a request with a DISCARD ALL, because
+// nothing followed it.
+func (s *caller) endsWithDiscard(held *heldConn, r *request) bool {
+	return r.sync && r.isSingleStatement() && !s.batch.started && len(held.conn.prepared) == 0
+}
+
+func (r *request) isSingleStatement() bool {
+	return len(r.statements) == 1 && !r.hasUnknown && isSingleStatement(r.statements[0])
 }
 
 func (r *request) pinsByText() bool {
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -177,10 +177,11 @@
 	word, _, _ := strings.Cut(tag, " ")
 	switch {
 	case tag == tagDiscardAll:
-		x.effects = tagEffects{discards: true}
+		x.recordDiscard()
 		return
-	case tag == "DEALLOCATE ALL":
-		x.effects.deallocate = true
+	case tag == tagDeallocateAll:
+		x.caller.statements.clear()
+		clear(x.conn.prepared)
 	case pinsByTag(tag) && !x.setsLocally():
 		x.effects.pins = true
 	}
@@ -195,10 +196,18 @@
 	}
 }
 
+// recordDiscard records a DISCARD ALL when its answer arrives: what follows in the same batch leaves state again.
+func (x *exchange) recordDiscard() {
+	x.effects = tagEffects{discards: true}
+	x.caller.statements.clear()
+	x.conn.clearSessionState()
+	x.conn.lastSession = unknownSession
+}
+
 // setsLocally reports whether the request is a single SET whose effect ends with its
 // transaction. Its command tag does not differ from that of other SETs.
 func (x *exchange) setsLocally() bool {
-	if len(x.r.statements) != 1 || x.r.hasUnknown || !isSingleStatement(x.r.statements[0]) {
+	if !x.r.isSingleStatement() {
 		return false
 	}
 	word, _ := firstWord(x.r.statements[0])
--- a/proxy/sqltext.go
+++ b/proxy/sqltext.go
@@ -157,5 +157,9 @@
 	}
 }
 
-// tagDiscardAll is the command tag after which a connection has no session state.
-const tagDiscardAll = "DISCARD ALL"
+const (
+	// tagDiscardAll is the command tag after which a connection has no session state.
+	tagDiscardAll = "DISCARD ALL"
+	// tagDeallocateAll is the command tag after which a connection has no prepared statements.
+	tagDeallocateAll = "DEALLOCATE ALL"
+)
