--- a/proxy/identity_test.go
+++ b/proxy/identity_test.go
@@ -87,3 +87,16 @@
 		t.Errorf("read %q", got)
 	}
 }
+
+// Guards against a request identity that ends the proxy's own statement early, and so costs an upstream connection
+// with each repetition.
+func TestUnencodableRequestIdentityIsRefused(t *testing.T) {
+	s := newSystem(t, 0)
+	conn := s.proxy(oneConnection).driver(t)
+	for _, identity := range []string{"a%00", "%00", "%FF"} {
+		_, err := conn.Exec(context.Background(), "INSERT INTO intake VALUES (1, 'x') /*request='"+identity+"'*/", pgx.QueryExecModeSimpleProtocol)
+		if code := codeOf(err); code != rescode.BadTag {
+			t.Errorf("%s: %v (%v), want %v", identity, code, err, rescode.BadTag)
+		}
+	}
+}
