Reset a replica's connection whose answer was discarded

What callers saw: a SET (or a temporary table, an advisory lock) of a statement on a read route, whose answer a replica gave too early for the session and which the proxy discarded, stayed in force on that replica. After the caller's DISCARD ALL, its reads there still ran with the setting.

Cause: the statement runs again on the primary, and only the state there is recorded. The replica's connection counted as one of the session, which needs no reset, unless the discarded answer had prepared statements.

After a discarded answer the next use of the connection resets it, in the same flush as the request.

TestDiscardedAnswerLeavesNoState, before: 'a setting of a discarded answer is in force'.

--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -318,7 +318,8 @@
 			if len(frame.Body()) != 1 || frame.Body()[0] != txIdle {
 				x.conn.unsafe = true
 			}
-			x.invalidatePrepared()
+			// What the request left in the session is not known, so the next use resets it.
+			x.conn.lastSession = unknownSession
 			return discarded
 		}
 		if frame.Type == 'G' {
@@ -328,14 +329,3 @@
 	x.conn.unsafe = true
 	return discarded
 }
-
-// invalidatePrepared makes the next use reset the connection if the discarded answer may
-// have prepared statements.
-func (x *exchange) invalidatePrepared() {
-	for _, e := range x.expected {
-		if e.kind == 'P' {
-			x.conn.lastSession = unknownSession
-			return
-		}
-	}
-}
--- a/proxy/reset_test.go
+++ b/proxy/reset_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 )
@@ -61,3 +62,32 @@
 		})
 	}
 }
+
+// Guards against session state that a discarded answer of a replica has left there, and that the caller's later
+// reads on the replica run with.
+func TestDiscardedAnswerLeavesNoState(t *testing.T) {
+	s := newSystem(t, 1)
+	p := s.proxy()
+	conn := p.driver(t)
+	exec(t, conn, "INSERT INTO intake VALUES (1, 'first')")
+	s.catchUp(s.replicas[0])
+	s.publish()
+	exec(t, conn, "/*route='read'*/ SELECT note FROM intake WHERE id = 1")
+	s.replicas[0].SetLag(10 * time.Second)
+	exec(t, conn, "UPDATE intake SET note = 'second' WHERE id = 1")
+	s.reportReplicasCaughtUp()
+	exec(t, conn, "/*route='read'*/ SET search_path TO hidden")
+	if len(statements(s.replicas[0], "SET search_path")) != 1 {
+		t.Fatal("the statement did not run on the replica")
+	}
+	s.replicas[0].SetLag(0)
+	s.catchUp(s.replicas[0])
+	s.publish()
+	exec(t, conn, "DISCARD ALL")
+	if got := queryText(t, conn, "/*route='read'*/ SHOW search_path"); got == "hidden" {
+		t.Error("a setting of a discarded answer is in force")
+	}
+	if len(statements(s.replicas[0], "SHOW search_path")) != 1 {
+		t.Error("the read did not run on the replica")
+	}
+}
