Quote the proxy's literals for sessions with standard_conforming_strings off

A caller may turn standard_conforming_strings off, in its startup message or with SET. A backslash at the end of a request identity, a team's name or a recorded tag then escaped the quote that ends the proxy's literal, and the rest of the caller's text was read as SQL of the proxy's own statement. Such a caller can send that SQL itself; what it lost was its write.

Literals with a backslash are now written as E'', which means the same under both settings, also for startup settings.

TestLiteralsHoldOnAnySession, before: two of four texts wrong. After: holds. TestBackslashInRequestIdentity held before and after.

--- a/proxy/caller.go
+++ b/proxy/caller.go
@@ -488,9 +488,9 @@
 	for _, p := range parameters {
 		sql.WriteString("SET ")
 		sql.WriteString(p.name)
-		sql.WriteString(" TO '")
-		sql.WriteString(strings.ReplaceAll(p.value, "'", "''"))
-		sql.WriteString("'; ")
+		sql.WriteString(" TO ")
+		sql.WriteString(quoteLiteral(p.value))
+		sql.WriteString("; ")
 	}
 	return sql.String()
 }
--- a/proxy/identity.go
+++ b/proxy/identity.go
@@ -27,8 +27,14 @@
 // undefinedTable is the SQLSTATE of a missing table.
 const undefinedTable = "42P01"
 
+// quoteLiteral returns text as a literal that does not depend on the setting standard_conforming_strings, which
+// callers may change.
 func quoteLiteral(text string) string {
-	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
+	quoted := "'" + strings.ReplaceAll(text, "'", "''") + "'"
+	if !strings.Contains(text, `\`) {
+		return quoted
+	}
+	return "E" + strings.ReplaceAll(quoted, `\`, `\\`)
 }
 
 // checkIdentity returns an error if the request's kind does not support a request
--- a/proxy/identity_test.go
+++ b/proxy/identity_test.go
@@ -100,3 +100,27 @@
 		}
 	}
 }
+
+// Guards against a literal of the proxy that ends early on a connection with standard_conforming_strings off, where a
+// backslash escapes the quote behind it.
+func TestLiteralsHoldOnAnySession(t *testing.T) {
+	for text, want := range map[string]string{
+		"plain": `'plain'`, "it's": `'it''s'`, `a\`: `E'a\\'`, `\', 1`: `E'\\'', 1'`,
+	} {
+		if got := quoteLiteral(text); got != want {
+			t.Errorf("%s is quoted as %s, want %s", text, got, want)
+		}
+	}
+}
+
+// Guards against a backslash in a request identity that changes it.
+func TestBackslashInRequestIdentity(t *testing.T) {
+	s := newSystem(t, 0)
+	conn := s.proxy().driver(t)
+	for range 2 {
+		exec(t, conn, `INSERT INTO intake VALUES (1, 'x') /*request='a%5C%27b'*/`, pgx.QueryExecModeSimpleProtocol)
+	}
+	if got := queryText(t, conn, "SELECT identity FROM jayloom_request"); got != `a\'b` {
+		t.Errorf("recorded as %s", got)
+	}
+}
