Test: each way of returning a connection clears it

Sixteen ways of leaving a connection of the PostgreSQL side, each followed by another team's caller on the same connection.

--- a/proxy/isolation_test.go
+++ b/proxy/isolation_test.go
@@ -366,3 +366,126 @@
 		}
 	}
 }
+
+// Guards against a way of returning a connection that hands settings, a transaction or prepared names of one caller
+// to the next.
+func TestEachWayOfReturningAConnectionClearsIt(t *testing.T) {
+	const set = "SET search_path TO hidden"
+	execute := func(f *pgproto3.Frontend, texts ...string) {
+		for _, sql := range texts {
+			f.Send(&pgproto3.Parse{Query: sql})
+			f.Send(&pgproto3.Bind{})
+			f.Send(&pgproto3.Execute{})
+		}
+	}
+	part := func(t *testing.T, f *pgproto3.Frontend, texts ...string) {
+		execute(f, texts...)
+		f.Send(&pgproto3.Flush{})
+		receive(t, f, 'C')
+	}
+	sync := func(t *testing.T, f *pgproto3.Frontend) {
+		f.Send(&pgproto3.Sync{})
+		receiveIgnoringErrors(t, f)
+	}
+	query := func(t *testing.T, f *pgproto3.Frontend, sql string) {
+		f.Send(&pgproto3.Query{String: sql})
+		receiveIgnoringErrors(t, f)
+	}
+	steps := map[string]func(t *testing.T, f *pgproto3.Frontend){
+		"setting":                func(t *testing.T, f *pgproto3.Frontend) { query(t, f, set) },
+		"setting, not committed": func(t *testing.T, f *pgproto3.Frontend) { query(t, f, "BEGIN; "+set) },
+		"setting, committed":     func(t *testing.T, f *pgproto3.Frontend) { query(t, f, "BEGIN; "+set+"; COMMIT") },
+		"setting behind a function": func(t *testing.T, f *pgproto3.Frontend) {
+			query(t, f, "SELECT set_config('search_path', 'hidden', false)")
+		},
+		"failed query":       func(t *testing.T, f *pgproto3.Frontend) { query(t, f, set+"; SELECT nothing FROM nowhere") },
+		"failed transaction": func(t *testing.T, f *pgproto3.Frontend) { query(t, f, "BEGIN; SELECT nothing FROM nowhere") },
+		"discard in a part": func(t *testing.T, f *pgproto3.Frontend) {
+			part(t, f, "DISCARD ALL")
+			part(t, f, set)
+			sync(t, f)
+		},
+		"discard in a part, no sync": func(t *testing.T, f *pgproto3.Frontend) {
+			part(t, f, "DISCARD ALL")
+			part(t, f, set)
+		},
+		"discard and a transaction": func(t *testing.T, f *pgproto3.Frontend) {
+			execute(f, "DISCARD ALL", "BEGIN", set, "COMMIT")
+			sync(t, f)
+		},
+		"discard and an open transaction": func(t *testing.T, f *pgproto3.Frontend) {
+			execute(f, "DISCARD ALL", "BEGIN", set)
+			sync(t, f)
+			query(t, f, "COMMIT")
+		},
+		"discard and a failure": func(t *testing.T, f *pgproto3.Frontend) {
+			execute(f, "DISCARD ALL", set, "SELECT nothing FROM nowhere")
+			sync(t, f)
+		},
+		"discard and a prepared statement": func(t *testing.T, f *pgproto3.Frontend) {
+			execute(f, "DISCARD ALL")
+			f.Send(&pgproto3.Parse{Name: "s", Query: "SELECT 'left'"})
+			sync(t, f)
+		},
+		"failed part": func(t *testing.T, f *pgproto3.Frontend) {
+			f.Send(&pgproto3.Parse{Name: "s", Query: "SELECT 'left'"})
+			execute(f, set, "SELECT nothing FROM nowhere")
+			f.Send(&pgproto3.Flush{})
+			_ = f.Flush()
+		},
+		"failed part, synced": func(t *testing.T, f *pgproto3.Frontend) {
+			f.Send(&pgproto3.Parse{Name: "s", Query: "SELECT 'left'"})
+			execute(f, set, "SELECT nothing FROM nowhere")
+			f.Send(&pgproto3.Flush{})
+			sync(t, f)
+		},
+		"pinned and discarded": func(t *testing.T, f *pgproto3.Frontend) {
+			query(t, f, set)
+			execute(f, "DISCARD ALL", set)
+			sync(t, f)
+		},
+		"failed COPY": func(t *testing.T, f *pgproto3.Frontend) {
+			query(t, f, set)
+			f.Send(&pgproto3.Query{String: "COPY intake FROM STDIN"})
+			f.Send(&pgproto3.CopyFail{Message: "no"})
+			receiveIgnoringErrors(t, f)
+		},
+	}
+	for name, step := range steps {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 0)
+			p := s.proxy(oneConnection)
+			conn := p.driver(t)
+			step(t, conn.PgConn().Frontend())
+			disconnect(conn)
+			next := p.connect(t, "sorter", keySorter)
+			if _, err := next.Prepare(context.Background(), "first", "SELECT 'next'"); err != nil {
+				t.Errorf("a name is taken: %v", err)
+			}
+			if got := queryText(t, next, "SHOW search_path"); got == "hidden" {
+				t.Error("a setting of another caller is visible")
+			}
+			exec(t, next, "INSERT INTO intake VALUES (1, 'next')")
+			if state := next.PgConn().TxStatus(); state != 'I' {
+				t.Errorf("in transaction state %c", state)
+			}
+		})
+	}
+}
+
+// receiveIgnoringErrors reads messages up to ReadyForQuery.
+func receiveIgnoringErrors(t *testing.T, f *pgproto3.Frontend) {
+	t.Helper()
+	if err := f.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		message, err := f.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, ok := message.(*pgproto3.ReadyForQuery); ok {
+			return
+		}
+	}
+}
