Soak: prepare statements and set values with all texts that a message may carry

Names are prepared anew and closed, inside transactions too. Data of writes, arguments of EXECUTE and session values are drawn the same way; values may be empty. A name that is not prepared is executed now and then.

A prepared write counts as a write in each check. A statement keeps the session values at its sending, not those at the start of its attempt. Values are compared exactly: an empty value of one name no longer equals an empty one of another. isSameStatement compares the whole text behind the name, byte for byte.

--- a/cmd/internal/soak/callers_test.go
+++ b/cmd/internal/soak/callers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -49,6 +50,10 @@
 // statement is one statement of an attempt and its answer.
 type statement struct {
 	id, text string
+	// prepared is what the session had prepared under the name that an EXECUTE names, values holds
+	// the session's values, both when the statement was sent.
+	prepared standin.Prepared
+	values   map[string]string
 	sentAt   time.Time
 	endedAt  time.Time
 	answer   standin.Answer
@@ -56,14 +61,22 @@
 	err error
 }
 
+// succeeded reports whether the statement was answered with success.
+func (s *statement) succeeded() bool {
+	return s.err == nil && s.answer.Refusal == ""
+}
+
+// writes reports whether the statement is a write or executes a prepared one.
+func (s *statement) writes() bool {
+	return strings.HasPrefix(s.text, "WRITE ") || s.prepared.Access == "WRITE"
+}
+
 // attempt is one operation of a caller: a single statement or a transaction.
 type attempt struct {
 	workload   workload
 	node       string
 	sessionID  uint64
 	statements []statement
-	// values holds the session's settings when the attempt began.
-	values map[string]string
 }
 
 func (a *attempt) sentAt() time.Time {
@@ -82,18 +95,13 @@
 
 // hasWrite reports whether the attempt contains a write.
 func (a *attempt) hasWrite() bool {
-	for _, s := range a.statements {
-		if strings.HasPrefix(s.text, "WRITE ") {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(a.statements, func(s statement) bool { return s.writes() })
 }
 
 // succeeded reports whether all statements succeeded and the caller did not roll back.
 func (a *attempt) succeeded() bool {
 	for _, s := range a.statements {
-		if s.err != nil || s.answer.Refusal != "" {
+		if !s.succeeded() {
 			return false
 		}
 	}
@@ -108,7 +116,6 @@
 	name           string
 	random         *rand.Rand
 	statementCount int
-	sessionID      uint64
 }
 
 // startCallers starts the callers of all workloads. The returned function stops them and
@@ -136,41 +143,27 @@
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		p := c.fleet.randomNode(c.random)
-		session, refusal, err := p.node.Connect(c.workload.database, c.workload.key)
+		conn, refusal, err := p.node.Connect(c.workload.database, c.workload.key)
 		if err != nil || refusal != "" {
 			sleep(ctx, maxThinkTime)
 			continue
 		}
-		c.sessionID = c.history.newSession()
-		c.runSession(ctx, p.node.Name, session)
-		session.Close()
+		c.runSession(ctx, &session{
+			conn: conn, node: p.node.Name, id: c.history.newSession(), values: map[string]string{}, prepared: map[string]standin.Prepared{},
+		})
+		conn.Close()
 	}
 }
 
 // runSession makes attempts in one session until its last one, or until one fails in a way
 // that leaves the session unusable.
-func (c *caller) runSession(ctx context.Context, node string, session *standin.Caller) {
-	values := map[string]string{}
-	prepared := false
+func (c *caller) runSession(ctx context.Context, s *session) {
 	for range 1 + c.random.Intn(maxSessionAttempts) {
 		if ctx.Err() != nil {
 			return
 		}
 		sleep(ctx, time.Duration(c.random.Int63n(int64(maxThinkTime))))
-		if c.random.Float64() < 0.1 {
-			name, value := fmt.Sprintf("v%d", c.random.Intn(2)), fmt.Sprint(c.random.Intn(5))
-			if a, err := session.QueryWithID(c.nextStatementID(), "SET "+name+" "+value); err != nil || a.Refusal != "" {
-				return
-			}
-			values[name] = value
-		}
-		if !prepared && c.random.Float64() < 0.1 {
-			if a, err := session.QueryWithID(c.nextStatementID(), "PREPARE s1 READ shape"); err != nil || a.Refusal != "" {
-				return
-			}
-			prepared = true
-		}
-		if !c.runAttempt(ctx, node, session, values, prepared) {
+		if !c.setUp(s) || !c.runAttempt(ctx, s) {
 			return
 		}
 	}
@@ -181,23 +174,55 @@
 	return fmt.Sprintf("%s-%d", c.name, c.statementCount)
 }
 
-// drawOperation returns the statements of a random operation.
-func (c *caller) drawOperation(prepared bool) []string {
-	r := c.random
-	drawStatement := func() string {
-		item := fmt.Sprintf("item%d", r.Intn(itemCount))
-		switch {
-		case r.Float64() < c.workload.writeRatio:
-			return "WRITE " + item + " " + c.name + "." + fmt.Sprint(r.Int31())
-		case prepared && r.Float64() < 0.3:
-			return "EXECUTE s1 " + item
-		default:
-			return "READ " + item
+func (c *caller) drawItem() string {
+	return fmt.Sprintf("item%d", c.random.Intn(itemCount))
+}
+
+// drawData returns what a write stores: a text of its own that may go on with a drawn one.
+func (c *caller) drawData() string {
+	data := c.name + "." + fmt.Sprint(c.random.Int31())
+	if c.random.Float64() < 0.5 {
+		return data
+	}
+	return data + " " + drawText(c.random)
+}
+
+// drawStatement returns a random read or write.
+func (c *caller) drawStatement(s *session) string {
+	word, arguments := "READ", c.drawItem()
+	if c.random.Float64() < c.workload.writeRatio {
+		word, arguments = "WRITE", arguments+" "+c.drawData()
+	}
+	if c.random.Float64() < executeShare {
+		if word == "READ" && c.random.Float64() < 0.5 {
+			arguments += " " + drawText(c.random)
 		}
+		if text := c.drawExecute(s, word, arguments); text != "" {
+			return text
+		}
+	}
+	if word == "READ" {
+		arguments, _, _ = strings.Cut(arguments, " ")
+	}
+	return word + " " + arguments
+}
+
+// drawSingle returns a random single statement.
+func (c *caller) drawSingle(s *session) string {
+	if c.random.Float64() < unknownShare {
+		return c.drawUnknown(s)
 	}
+	return c.drawStatement(s)
+}
+
+// drawOperation returns functions that draw the statements of a random operation one after the
+// other.
+func (c *caller) drawOperation() []func(*session) string {
+	r := c.random
 	if r.Float64() >= c.workload.transactionRatio {
-		return []string{drawStatement()}
+		return []func(*session) string{c.drawSingle}
 	}
+	fixed := func(text string) func(*session) string { return func(*session) string { return text } }
 	begin, end := "BEGIN", "COMMIT"
 	if c.workload.writeRatio == 0 {
 		begin = "BEGIN READ"
@@ -205,33 +230,31 @@
 	if r.Float64() < 0.1 {
 		end = "ROLLBACK"
 	}
-	texts := []string{begin}
+	draws := []func(*session) string{fixed(begin)}
 	for range 1 + r.Intn(c.workload.maxStatements) {
-		texts = append(texts, drawStatement())
+		if r.Float64() < insideShare {
+			draws = append(draws, c.drawSetup)
+		}
+		draws = append(draws, c.drawStatement)
 	}
-	return append(texts, end)
+	return append(draws, fixed(end))
 }
 
 // runAttempt runs one operation. It returns false when the session must end.
-func (c *caller) runAttempt(ctx context.Context, node string, session *standin.Caller, values map[string]string, prepared bool) bool {
-	a := &attempt{workload: c.workload, node: node, sessionID: c.sessionID, values: map[string]string{}}
-	for name, value := range values {
-		a.values[name] = value
-	}
+func (c *caller) runAttempt(ctx context.Context, s *session) bool {
+	a := &attempt{workload: c.workload, node: s.node, sessionID: s.id}
 	usable := true
-	for i, text := range c.drawOperation(prepared) {
+	for i, draw := range c.drawOperation() {
 		if i > 0 && c.workload.maxPause > 0 {
 			// Most pauses are short.
 			sleep(ctx, time.Duration(math.Pow(c.random.Float64(), 3)*float64(c.workload.maxPause)))
 		}
-		s := statement{id: c.nextStatementID(), text: text, sentAt: time.Now()}
-		s.answer, s.err = session.QueryWithID(s.id, text)
-		s.endedAt = time.Now()
-		a.statements = append(a.statements, s)
-		if s.err != nil || s.answer.Refusal != "" {
+		st := c.send(s, draw(s))
+		a.statements = append(a.statements, st)
+		if !st.succeeded() {
 			// A session that is not idle after a refusal cannot continue, and one whose key was
 			// withdrawn is closed.
-			usable = s.err == nil && s.answer.Idle && s.answer.Refusal != standin.RefusedKey
+			usable = st.err == nil && st.answer.Idle && st.answer.Refusal != standin.RefusedKey
 			break
 		}
 	}
@@ -239,12 +262,15 @@
 	return usable
 }
 
-// isSameStatement reports whether a server ran what the caller sent. Proxies may rename
-// prepared statements.
+// isSameStatement reports whether a server ran what the caller sent, byte for byte. Proxies may
+// rename prepared statements.
 func isSameStatement(ran, sent string) bool {
-	if !strings.HasPrefix(sent, "EXECUTE ") {
+	sentFields, ok := strings.CutPrefix(sent, "EXECUTE ")
+	if !ok {
 		return ran == sent
 	}
-	ranFields, sentFields := strings.Fields(ran), strings.Fields(sent)
-	return len(ranFields) == len(sentFields) && ranFields[0] == "EXECUTE" && ranFields[2] == sentFields[2]
+	ranFields, ok := strings.CutPrefix(ran, "EXECUTE ")
+	_, sentArguments, _ := strings.Cut(sentFields, " ")
+	name, ranArguments, hasArguments := strings.Cut(ranFields, " ")
+	return ok && hasArguments && name != "" && ranArguments == sentArguments
 }
--- a/cmd/internal/soak/check_test.go
+++ b/cmd/internal/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -245,8 +246,8 @@
 					found = append(found, fmt.Sprintf("pinned: %s (%s) ran on connection %d, the first on %d", s.id, s.text, r.Session, connection))
 				}
 				connection = r.Session
-				if !sameValues(r.Values, a.values) {
-					found = append(found, fmt.Sprintf("pinned: %s (%s) ran with values %v, the session has %v", s.id, s.text, r.Values, a.values))
+				if !maps.Equal(r.Values, s.values) {
+					found = append(found, fmt.Sprintf("pinned: %s (%s) ran with values %q, the session has %q", s.id, s.text, r.Values, s.values))
 				}
 			}
 		}
@@ -254,18 +255,6 @@
 	return found
 }
 
-func sameValues(a, b map[string]string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for name, value := range a {
-		if b[name] != value {
-			return false
-		}
-	}
-	return true
-}
-
 // checkKeys finds requests that ran later than maxRevokeDelay after the withdrawal of their
 // key was acknowledged.
 func checkKeys(x *index) (found []string) {
--- a/cmd/internal/soak/history_test.go
+++ b/cmd/internal/soak/history_test.go
@@ -9,10 +9,13 @@
 
 // history records what callers, servers, the operator and the infrastructure observe.
 type history struct {
-	mu             sync.Mutex
-	sessions       uint64
-	attempts       []*attempt
+	mu       sync.Mutex
+	sessions uint64
+	attempts []*attempt
+	// setups are the statements outside attempts that set up sessions.
+	setups         []statement
 	executions     []standin.Execution
+	refusals       []standin.Refusal
 	configurations []*sentConfiguration
 	versionReads   []versionRead
 
@@ -44,6 +47,18 @@
 	h.executions = append(h.executions, r)
 }
 
+func (h *history) recordRefusal(r standin.Refusal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refusals = append(h.refusals, r)
+}
+
+func (h *history) recordSetup(s statement) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.setups = append(h.setups, s)
+}
+
 func (h *history) recordAttempt(a *attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -68,6 +83,23 @@
 	h.versionReads = append(h.versionReads, r)
 }
 
+// observe records what the servers of a group execute and refuse.
+func (h *history) observe(g *standin.Group) {
+	g.OnExecution(h.recordExecution)
+	g.OnRefusal(h.recordRefusal)
+}
+
+// executedCount returns how many prepared statements ran.
+func (h *history) executedCount() int {
+	n := 0
+	for _, r := range h.executions {
+		if r.Prepared != (standin.Prepared{}) {
+			n++
+		}
+	}
+	return n
+}
+
 func (h *history) succeededCount() int {
 	n := 0
 	for _, a := range h.attempts {
--- a/cmd/internal/soak/planned_stops_test.go
+++ b/cmd/internal/soak/planned_stops_test.go
@@ -86,7 +86,7 @@
 	defer cancel()
 	f.start(ctx)
 	h := &history{}
-	f.group.OnExecution(h.recordExecution)
+	h.observe(f.group)
 	o := newOperator(f, h)
 	o.start(ctx, t)
 	stopCallers := startCallers(ctx, f, h, stopWorkloads, seed)
@@ -98,8 +98,8 @@
 	o.readFinalVersion(ctx, t)
 	h.recordFleet(f)
 	x := newIndex(h)
-	t.Logf("seed %d: %d nodes, %d stops (%d ended by SIGKILL), %d configurations, %d attempts, %d served, %d runs, %s, %s", seed,
-		len(f.nodes), len(h.stops), h.killedCount(), len(h.configurations), len(h.attempts), h.succeededCount(), len(h.executions), x.waitSummary(), x.cutSummary())
+	t.Logf("seed %d: %d nodes, %d stops (%d ended by SIGKILL), %d configurations, %d attempts, %d served, %d runs (%d prepared), %s, %s", seed,
+		len(f.nodes), len(h.stops), h.killedCount(), len(h.configurations), len(h.attempts), h.succeededCount(), len(h.executions), h.executedCount(), x.waitSummary(), x.cutSummary())
 	for _, violation := range append(h.unexpectedExits, x.plannedStopViolations()...) {
 		t.Error(violation)
 	}
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -90,7 +90,7 @@
 	defer cancel()
 	f.start(ctx)
 	h := &history{}
-	f.group.OnExecution(h.recordExecution)
+	h.observe(f.group)
 	o := newOperator(f, h)
 	o.start(ctx, t)
 	stopCallers := startCallers(ctx, f, h, workloads, seed)
@@ -107,8 +107,8 @@
 	h.promotionOrders = f.infrastructure.PromotionOrders()
 	h.unexpectedExits = f.unexpectedExits()
 	h.cutsAllowed = s.allowsUnplanned
-	t.Logf("seed %d: %d attempts, %d served, %d runs, %d commits, %d orders to promote, faults: %s",
-		seed, len(h.attempts), h.succeededCount(), len(h.executions), len(h.commits), len(h.promotionOrders), s.summary())
+	t.Logf("seed %d: %d attempts, %d served, %d runs (%d prepared), %d commits, %d orders to promote, faults: %s",
+		seed, len(h.attempts), h.succeededCount(), len(h.executions), h.executedCount(), len(h.commits), len(h.promotionOrders), s.summary())
 	for _, violation := range h.violations() {
 		t.Error(violation)
 	}
--- a/cmd/internal/soak/violations_test.go
+++ b/cmd/internal/soak/violations_test.go
@@ -15,9 +15,9 @@
 	at := time.Now()
 	newAttempt := func(session uint64, id, text, digest string, after time.Duration, rows ...string) *attempt {
 		return &attempt{
-			workload: workloads[0], node: "n0", sessionID: session, values: map[string]string{},
+			workload: workloads[0], node: "n0", sessionID: session,
 			statements: []statement{{
-				id: id, text: text, sentAt: at.Add(after), endedAt: at.Add(after + time.Millisecond),
+				id: id, text: text, values: map[string]string{}, sentAt: at.Add(after), endedAt: at.Add(after + time.Millisecond),
 				answer: standin.Answer{Digest: digest, Rows: rows, Idle: true},
 			}},
 		}
