--- a/cmd/internal/soak/check_test.go
+++ b/cmd/internal/soak/check_test.go
@@ -26,7 +26,7 @@
 func (h *history) violations() []string {
 	checks := []func(*index) []string{
 		checkOrigin, checkResults, checkExactlyOnce, checkRefusals, checkFreshness, checkTransactions,
-		checkKeys, checkRate, checkConfiguration, checkFenceHolders, checkUnanswered, checkRecovery,
+		checkPrepared, checkSetups, checkKeys, checkRate, checkConfiguration, checkFenceHolders, checkUnanswered, checkRecovery,
 	}
 	return append(h.unexpectedExits, newIndex(h).violationsOf(checks)...)
 }
--- a/cmd/internal/soak/planned_stops_test.go
+++ b/cmd/internal/soak/planned_stops_test.go
@@ -56,7 +56,7 @@
 
 // plannedStopChecks are the checks that hold while nothing but planned work is done.
 var plannedStopChecks = []func(*index) []string{
-	checkOrigin, checkResults, checkExactlyOnce, checkRefusals, checkFreshness, checkTransactions,
+	checkOrigin, checkResults, checkExactlyOnce, checkRefusals, checkFreshness, checkTransactions, checkPrepared, checkSetups,
 	checkKeys, checkRate, checkConfiguration, checkFenceHolders, checkSentAfterDisconnect,
 }
 
