Soak: find reads, writes and COMMITs that succeed without a server

That is allowed for BEGIN, ROLLBACK, SET, PREPARE and CLOSE only; a read, a write, an EXECUTE or a COMMIT succeeds only with the result of a server.

Run: TestChecksFindViolations (with a new entry), TestChecksFindViolationsOfPreparedStatements (with a new entry).

--- a/cmd/internal/soak/callers_test.go
+++ b/cmd/internal/soak/callers_test.go
@@ -66,6 +66,12 @@
 	return s.err == nil && s.answer.Refusal == ""
 }
 
+// mayBeAnsweredByNode reports whether a node may answer the statement with success without a server.
+func (s *statement) mayBeAnsweredByNode() bool {
+	word, _, _ := strings.Cut(s.text, " ")
+	return !slices.Contains([]string{"READ", "WRITE", "EXECUTE", "COMMIT"}, word)
+}
+
 // writes reports whether the statement is a write or executes a prepared one.
 func (s *statement) writes() bool {
 	return strings.HasPrefix(s.text, "WRITE ") || s.prepared.Access == "WRITE"
--- a/cmd/internal/soak/check_test.go
+++ b/cmd/internal/soak/check_test.go
@@ -98,11 +98,11 @@
 }
 
 // checkResults finds successful answers with a result that no execution of the statement
-// returned.
+// returned, and reads, writes and COMMITs that succeeded without a result of a server.
 func checkResults(x *index) (found []string) {
 	for _, a := range x.attempts {
 		for _, s := range a.statements {
-			if s.err != nil || s.answer.Refusal != "" || s.answer.Digest == "-" {
+			if !s.succeeded() || s.answer.Digest == "-" && s.mayBeAnsweredByNode() {
 				continue
 			}
 			same := func(r standin.Execution) bool {
--- a/cmd/internal/soak/violations_test.go
+++ b/cmd/internal/soak/violations_test.go
@@ -86,6 +86,7 @@
 		"name of another caller": {"was prepared as nothing and ran", func(h *history) {
 			h.attempts[2].statements[0].prepared = standin.Prepared{}
 		}},
+		"answered without a server":      {"mixed: c (EXECUTE s1 x", func(h *history) { h.attempts[2].statements[0].answer = standin.Answer{Digest: "-"} }},
 		"nothing prepared at the server": {"ran as nothing", func(h *history) { h.executions[2].Prepared = standin.Prepared{} }},
 		"plain read that runs prepared":  {"prepared as nothing and ran", func(h *history) { h.executions[1].Prepared = preparedRead }},
 		"unknown at the node":            {"was refused as unknown", func(h *history) { h.attempts[2].statements[0].answer.Refusal = refusedUnknown }},
@@ -149,6 +150,7 @@
 		{"ran as", func(h *history) { h.executions[0].Text = "WRITE x 9" }},
 		{"ran for", func(h *history) { h.executions[0].Team = smallTeam }},
 		{"mixed", func(h *history) { h.attempts[2].statements[0].answer.Rows = []string{"1"} }},
+		{"mixed: b (WRITE x 2) got -", func(h *history) { h.attempts[1].statements[0].answer.Digest = "-" }},
 		{"twice", func(h *history) {
 			h.commits = append(h.commits, standin.Commit{Term: 1, Number: 3, IDs: []string{"a"}})
 		}},
