Soak: say at which nodes and when a team exceeded its rate

The violation now counts the operations by node and by half-second.

Run: TestChecksFindViolations (its entry for the rate unchanged).

--- a/cmd/internal/soak/check_test.go
+++ b/cmd/internal/soak/check_test.go
@@ -19,6 +19,8 @@
 	rateSlack             = 20
 	minServedFraction     = 0.25
 	maxViolationsPerCheck = 3
+	// operationInterval is the interval at which a violation of a rate counts the operations.
+	operationInterval = 500 * time.Millisecond
 )
 
 // violations returns the guarantees that the history shows to be broken, limited to
@@ -285,34 +287,58 @@
 // checkRate finds the window in which the small team ran most, if that is more operations than
 // its rate and burst allow.
 func checkRate(x *index) (found []string) {
-	var at []time.Time
+	operations := x.operationsOfSmallTeam()
+	limit := int((smallRate*rateWindow.Seconds()+smallBurst)*(1+rateExcess)) + rateSlack
+	var most []operation
+	first := 0
+	for i, o := range operations {
+		for o.at.Sub(operations[first].at) > rateWindow {
+			first++
+		}
+		if window := operations[first : i+1]; len(window) > len(most) {
+			most = window
+		}
+	}
+	if len(most) <= limit {
+		return nil
+	}
+	return []string{fmt.Sprintf("rate: %d operations of %s in the %s up to %s, the bound is %d; %s",
+		len(most), smallTeam, rateWindow, most[len(most)-1].at.UTC().Format(time.RFC3339Nano), limit, describeOperations(most))}
+}
+
+// operation is an operation that a server ran, with the node that its caller used.
+type operation struct {
+	at   time.Time
+	node string
+}
+
+// operationsOfSmallTeam returns the operations of the small team that ran, in the order of time.
+func (x *index) operationsOfSmallTeam() []operation {
+	var all []operation
 	for _, a := range x.attempts {
 		if a.workload.team != smallTeam {
 			continue
 		}
 		for _, s := range a.statements {
 			if runs := x.executionsByID[s.id]; len(runs) > 0 {
-				at = append(at, runs[0].At)
+				all = append(all, operation{runs[0].At, a.node})
 				break
 			}
 		}
 	}
-	slices.SortFunc(at, time.Time.Compare)
-	limit := int((smallRate*rateWindow.Seconds()+smallBurst)*(1+rateExcess)) + rateSlack
-	first, most, end := 0, 0, time.Time{}
-	for i := range at {
-		for at[i].Sub(at[first]) > rateWindow {
-			first++
-		}
-		if n := i - first + 1; n > most {
-			most, end = n, at[i]
-		}
-	}
-	if most <= limit {
-		return nil
+	slices.SortFunc(all, func(a, b operation) int { return a.at.Compare(b.at) })
+	return all
+}
+
+// describeOperations counts operations by node and by half-second since the first one.
+func describeOperations(all []operation) string {
+	byNode := map[string]int{}
+	byTime := make([]int, rateWindow/operationInterval+1)
+	for _, o := range all {
+		byNode[o.node]++
+		byTime[o.at.Sub(all[0].at)/operationInterval]++
 	}
-	return []string{fmt.Sprintf("rate: %d operations of %s in the %s up to %s, the bound is %d",
-		most, smallTeam, rateWindow, end.UTC().Format(time.RFC3339Nano), limit)}
+	return fmt.Sprintf("by node %v, every %s %v", byNode, operationInterval, byTime)
 }
 
 // checkConfiguration finds reads that return a replaced configuration later than
