--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"sync"
@@ -43,6 +44,8 @@
 	// full makes it refuse connections.
 	full bool
 	ran  []run
+	// keepsNoRuns makes it forget what it ran.
+	keepsNoRuns bool
 }
 
 // run is a statement that a server ran, with the state of its session.
@@ -175,11 +178,9 @@
 	case !s.isPrimary && (writes || (c.tx && !c.readOnly && st.Kind != Commit)):
 		return Reply{Outcome: ReadOnly}
 	}
-	values := map[string]string{}
-	for k, v := range c.values {
-		values[k] = v
+	if !s.keepsNoRuns {
+		s.ran = append(s.ran, run{team: c.team, text: st.Text, inTransaction: c.tx, values: maps.Clone(c.values), prepared: prepared})
 	}
-	s.ran = append(s.ran, run{team: c.team, text: st.Text, inTransaction: c.tx, values: values, prepared: prepared})
 	if st.Kind == Commit {
 		c.tx = false
 	}
@@ -234,7 +235,7 @@
 
 // testNode is a node with a primary p and the replicas r1 and r2.
 type testNode struct {
-	t       *testing.T
+	t       testing.TB
 	servers fakeDialer
 	control *fakeControl
 	gate    *fakeGate
@@ -249,7 +250,7 @@
 	return logrus.NewEntry(logger)
 }
 
-func newTestNode(t *testing.T) *testNode {
+func newTestNode(t testing.TB) *testNode {
 	start := position.Position{Term: 1, Number: 100}
 	s := &testNode{
 		t: t, control: &fakeControl{}, gate: &fakeGate{left: manyRequests},
