Bound what a session's values and prepared statements hold

Above limits.memory_mb the platform ends the process, and with it the sessions of all other callers.

Cause: setValue and prepare kept whatever came. Connections to upstreams kept the texts a second time, as keys and values of their maps. A small name or value also kept the whole message that it was cut out of.

Now each value and prepared statement is counted with its name and 256 bytes. CLOSE, an overwritten name and the end of a session give back what they held. Refusals are counted by reason and logged once a minute for a team. The texts are copied out of their message, and connections hold digests of fixed size in place of texts.

--- a/api/rescode/rescode.go
+++ b/api/rescode/rescode.go
@@ -87,6 +87,7 @@
 	UpstreamConnectFailed
 	PinLimit
 	StatementLimit
+	SessionMemoryFull
 )
 
 // Codes of execution.
@@ -171,7 +172,8 @@
 	{TooManyConnections, "too_many_connections", "53300", NotRun, true, "The proxy has its limit of client connections."},
 	{UpstreamConnectFailed, "upstream_connect_failed", "08001", NotRun, true, "No connection to the upstream could be opened."},
 	{PinLimit, "pin_limit", "53300", NotRun, true, "Too many callers hold a connection for session state."},
-	{StatementLimit, "statement_limit", "53400", NotRun, false, "The caller's prepared statements are above the limit in bytes."},
+	{StatementLimit, "statement_limit", "53400", NotRun, false, "The session's prepared statements and values would be above its limit in bytes."},
+	{SessionMemoryFull, "session_memory_full", "53200", NotRun, true, "The node's memory for prepared statements and values of sessions is used up."},
 
 	{AnswerLost, "answer_lost", "08007", MayHaveRun, false, "The connection to the upstream ended before the answer was complete."},
 	{PrimaryReplaced, "primary_replaced", "08007", MayHaveRun, false, "The primary was replaced while the request ran."},
--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -30,6 +30,7 @@
 	"github.com/jayloom/jayloom/gateway/coordinator"
 	"github.com/jayloom/jayloom/gateway/engine"
 	"github.com/jayloom/jayloom/gateway/server"
+	"github.com/jayloom/jayloom/gateway/sessionmem"
 	"github.com/jayloom/jayloom/gateway/stop"
 	"github.com/jayloom/jayloom/platform"
 	"github.com/jayloom/jayloom/policy/throttle"
@@ -42,6 +43,10 @@
 	// memoryLimitFraction is the Go runtime's soft memory limit, at which the garbage
 	// collector runs more often, as a fraction of the node's memory limit.
 	memoryLimitFraction = 0.6
+	// sessionMemoryFraction is what the values and prepared statements of all sessions may hold, as a fraction of
+	// the node's memory limit. It is a third of what the collector keeps the heap below: garbage and the
+	// messages on their way need the rest.
+	sessionMemoryFraction = 0.2
 	// grpcBufferSize is the size in bytes of the read and write buffers of a connection
 	// between nodes.
 	grpcBufferSize = 8 << 10
@@ -210,9 +215,16 @@
 	}, func(v *controlclient.View) { n.engine.Update(v) }, func(p controlclient.PrimaryPosition) { n.engine.RecordPosition(p) })
 	n.engine = engine.New(engine.Options{
 		Control: n.controlClient, Dialer: platform.Dialer{}, Gate: gate, Place: n.settings.Place, Log: n.log,
+		SessionMemory: sessionMemory(n.settings),
 	})
 }
 
+// sessionMemory returns the budget for the state of the sessions that the settings allow.
+func sessionMemory(s *platform.Settings) *sessionmem.Budget {
+	bytes := int64(sessionMemoryFraction * float64(s.MemoryMB) * (1 << 20))
+	return sessionmem.New(bytes, server.MaxCallers(s.MaxFileDescriptors))
+}
+
 // serveNodes starts the gRPC server for the other nodes and, on a VM with a disk, the
 // leader and the replica.
 func (n *node) serveNodes(ctx context.Context) error {
--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -365,8 +365,7 @@
 }
 
 // exchange runs one statement on a connection. It first sets the upstream session's values to
-// those of the caller's session, and prepares the statement if necessary. The extra
-// statements are sent in the same write as st; their replies are discarded. Without a reply
+// those of the caller's session, and prepares the statement if necessary. The extra statements are sent in the same write as st; their replies are discarded. Without a reply
 // to st, it returns the result of the attempt instead.
 func (s *Session) exchange(ctx context.Context, op *operation, c *upstreamConn, deadline time.Time, st Statement, extra ...Statement) (Reply, *attemptResult) {
 	if refusal := s.engine.refuseRunning(clock.Now()); refusal != nil {
@@ -393,27 +392,21 @@
 		}
 	}
 	prepared := s.prepared[st.Name]
+	change := c.setUp(&st, prepared)
 	batch := make([]Statement, 0, 2+len(extra))
-	replyIndex := 0
-	if st.Kind == Execute {
-		name, prepare, missing := c.prepared.ensure(prepared)
-		st.Name = name
-		if missing {
-			batch = append(batch, prepare)
-			replyIndex = 1
-		}
+	if change.added != nil {
+		batch = append(batch, Statement{Kind: Prepare, Name: change.added.name, Writes: prepared.writes, Shape: prepared.shape})
 	}
+	replyIndex := len(batch)
 	batch = append(append(batch, st), extra...)
 	s.relay.deadline = op.deadline
 	replies, err := c.roundTripTo(s.relay.sink(), deadline, batch...)
 	s.engine.recordRefusedSetup(c, st.ID, batch, replies)
 	if isUnsendable(err) {
-		if replyIndex > 0 {
-			c.prepared.forget(prepared)
-		}
 		result := unsendableResult(err)
 		return Reply{}, &result
 	}
+	c.prepared.apply(change)
 	if i, refused := refusedSetup(batch, replies); refused {
 		c.misaligned = true
 		return replies[i], nil
--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -11,6 +11,7 @@
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/controlclient"
+	"github.com/jayloom/jayloom/gateway/sessionmem"
 	"github.com/jayloom/jayloom/gateway/stop"
 	"github.com/jayloom/jayloom/policy/throttle"
 )
@@ -18,6 +19,12 @@
 // maintainInterval is how often Run maintains the groups.
 const maintainInterval = 100 * time.Millisecond
 
+// Defaults for the state of sessions: bytes over all sessions, and the number of sessions that each have a floor.
+const (
+	defaultSessionMemory = 48 << 20
+	defaultMaxSessions   = 1000
+)
+
 // ControlClient provides the configuration and topology last received from the control
 // leader.
 type ControlClient interface {
@@ -42,7 +49,9 @@
 	Gate    Gate
 	// Place is the place of this node.
 	Place string
-	Log   *logrus.Entry
+	// SessionMemory is the memory for the state of sessions. The default is a budget for the smallest node.
+	SessionMemory *sessionmem.Budget
+	Log           *logrus.Entry
 }
 
 // Engine runs the sessions of a gateway node and owns its connections to the upstreams.
@@ -55,11 +64,16 @@
 
 	mu     sync.Mutex
 	groups map[string]*group
+	// stateRefusalLoggedAt is when the last refusal of session state was logged, by team.
+	stateRefusalLoggedAt map[string]time.Duration
 }
 
 // New returns an Engine. It has no upstreams until Update is called.
 func New(opts Options) *Engine {
-	return &Engine{opts: opts, log: opts.Log, groups: map[string]*group{}}
+	if opts.SessionMemory == nil {
+		opts.SessionMemory = sessionmem.New(defaultSessionMemory, defaultMaxSessions)
+	}
+	return &Engine{opts: opts, log: opts.Log, groups: map[string]*group{}, stateRefusalLoggedAt: map[string]time.Duration{}}
 }
 
 // Update applies a new view of the topology and the catalog.
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -43,6 +43,10 @@
 	reasonIdleTransaction Reason = "transaction_idle"
 	reasonAttempts        Reason = "attempts_used_up"
 	reasonStopping        Reason = "node_stopping"
+	// reasonSessionStateFull is for a session that would hold more than any may, reasonNodeStateFull for one that
+	// is refused because of what all sessions hold.
+	reasonSessionStateFull Reason = "session_state_full"
+	reasonNodeStateFull    Reason = "node_state_full"
 )
 
 // retryReason is the reason of a retry. Each has its own counter.
@@ -68,6 +72,13 @@
 	metricPoolWaits       = metrics.NewCounter("jayloom_gateway_connection_waits_total")
 	metricPositionQueries = metrics.NewCounter("jayloom_gateway_position_questions_total")
 
+	// metricSessionStateBytes is what all sessions hold, in bytes as counted against their bounds.
+	metricSessionStateBytes = metrics.NewGauge("jayloom_gateway_session_state_bytes", nil)
+	// What is prepared and set on all connections to upstreams. The texts are at the upstreams.
+	metricConnStatements     = metrics.NewGauge("jayloom_gateway_connection_statements", nil)
+	metricConnStatementBytes = metrics.NewGauge("jayloom_gateway_connection_statement_bytes", nil)
+	metricConnValueBytes     = metrics.NewGauge("jayloom_gateway_connection_value_bytes", nil)
+
 	metricDialFailures = metrics.NewCounter("jayloom_gateway_upstream_dial_failures_total")
 
 	metricStatementSeconds = metrics.NewHistogram("jayloom_gateway_statement_seconds")
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -172,7 +172,7 @@
 	case p.open < limit && now >= p.fullUntil:
 		p.open++
 	case len(p.idle) > 0:
-		p.idle[0].conn.Close()
+		p.idle[0].close()
 		p.idle = p.idle[1:]
 		metricReplacedForTeam.Inc()
 	case p.open == 0:
@@ -317,7 +317,7 @@
 	defer p.mu.Unlock()
 	p.inUse--
 	if !c.reusable() || p.closed {
-		c.conn.Close()
+		c.close()
 		p.open--
 	} else {
 		c.idleAt = clock.Now()
@@ -337,7 +337,7 @@
 			kept = append(kept, c)
 			continue
 		}
-		c.conn.Close()
+		c.close()
 		p.open--
 	}
 	p.idle = kept
@@ -360,7 +360,7 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, c := range p.idle {
-		c.conn.Close()
+		c.close()
 		p.open--
 	}
 	p.idle = nil
--- a/gateway/engine/prepared.go
+++ b/gateway/engine/prepared.go
@@ -1,6 +1,14 @@
 package engine
 
-import "strconv"
+import (
+	"container/list"
+	"crypto/sha256"
+	"io"
+	"strconv"
+)
+
+// preparedEntryBytes is counted for each statement on top of its text.
+const preparedEntryBytes = 128
 
 // preparedStatement is a prepared statement of a caller.
 type preparedStatement struct {
@@ -8,36 +16,85 @@
 	shape  string
 }
 
+// key returns the digest that identifies the statement on connections, which do not hold its text.
+func (p preparedStatement) key() textDigest {
+	h := sha256.New()
+	access := byte('r')
+	if p.writes {
+		access = 'w'
+	}
+	h.Write([]byte{access})
+	// A hash never returns an error.
+	_, _ = io.WriteString(h, p.shape)
+	return textDigest(h.Sum(nil))
+}
+
 // preparedNames holds the names of the statements that are prepared on an upstream connection. Callers share
 // the connection, and with it the statements of equal access and shape. The names are numbers of the connection:
 // text of a caller inside a name could be read as more than a name.
 type preparedNames struct {
-	names map[preparedStatement]string
+	entries map[textDigest]*list.Element
+	// recent holds the *preparedEntry of all statements, the most recently used first.
+	recent list.List
+	bytes  int64
 	// given counts the names of the connection. A name is given once, also after a reset.
 	given uint64
 }
 
-// ensure returns the name that p has on the connection, and the statement that prepares it if it is missing
-// there. It assumes that the statement will succeed; otherwise the caller calls forget or closes the connection.
-func (n *preparedNames) ensure(p preparedStatement) (name string, st Statement, missing bool) {
-	if name, ok := n.names[p]; ok {
-		return name, Statement{}, false
-	}
-	if n.names == nil {
-		n.names = map[preparedStatement]string{}
+// preparedEntry is a statement that is prepared on a connection.
+type preparedEntry struct {
+	key   textDigest
+	name  string
+	bytes int64
+}
+
+// preparedChange is what a batch of statements changes of what is prepared on a connection.
+type preparedChange struct {
+	// added, if there is one, is prepared at the upstream.
+	added *preparedEntry
+}
+
+// lookup returns the name of a statement on the connection, and counts it as used.
+func (n *preparedNames) lookup(key textDigest) (name string, ok bool) {
+	e, ok := n.entries[key]
+	if !ok {
+		return "", false
 	}
+	n.recent.MoveToFront(e)
+	return e.Value.(*preparedEntry).name, true
+}
+
+// next returns the entry of a statement that is not prepared yet, with a new name.
+func (n *preparedNames) next(p sessionStatement) *preparedEntry {
 	n.given++
-	name = "p" + strconv.FormatUint(n.given, 10)
-	n.names[p] = name
-	return name, Statement{Kind: Prepare, Name: name, Writes: p.writes, Shape: p.shape}, true
+	return &preparedEntry{
+		key: p.key, name: "p" + strconv.FormatUint(n.given, 10), bytes: preparedEntryBytes + int64(len(p.shape)),
+	}
 }
 
-// forget removes a statement that was not prepared after all.
-func (n *preparedNames) forget(p preparedStatement) {
-	delete(n.names, p)
+// apply makes a change that was sent to the upstream. It assumes that the upstream carries it out; otherwise the
+// caller closes the connection.
+func (n *preparedNames) apply(c preparedChange) {
+	if c.added == nil {
+		return
+	}
+	if n.entries == nil {
+		n.entries = map[textDigest]*list.Element{}
+	}
+	n.entries[c.added.key] = n.recent.PushFront(c.added)
+	n.count(1, c.added.bytes)
 }
 
 // clear removes all statements, as a reset of the upstream's session does.
 func (n *preparedNames) clear() {
-	n.names = nil
+	n.count(-n.recent.Len(), -n.bytes)
+	n.entries = nil
+	n.recent.Init()
+}
+
+// count adds to what is held on the connection, and on all connections.
+func (n *preparedNames) count(statements int, bytes int64) {
+	n.bytes += bytes
+	metricConnStatements.Add(float64(statements))
+	metricConnStatementBytes.Add(float64(bytes))
 }
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -12,6 +12,7 @@
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/catalog"
 	"github.com/jayloom/jayloom/gateway/position"
+	"github.com/jayloom/jayloom/gateway/sessionmem"
 	"github.com/jayloom/jayloom/policy/throttle"
 )
 
@@ -32,8 +33,11 @@
 	database string
 	key      string
 
-	values   map[string]string
-	prepared map[string]preparedStatement
+	// values holds the session's values by the digests of their names.
+	values   map[textDigest]sessionValue
+	prepared map[string]sessionStatement
+	// state counts what values and prepared hold.
+	state *sessionmem.Account
 	// newestCommits holds the position of the session's newest commit for each service.
 	newestCommits map[string]position.Position
 	tx            *transaction
@@ -54,6 +58,7 @@
 		e.recordRefusal("", "open", refusal, nil)
 		return nil, refusal
 	}
+	s.state = e.opts.SessionMemory.Open()
 	metricSessions.Inc()
 	return s, nil
 }
@@ -136,6 +141,7 @@
 
 // Close ends the session. An open transaction is rolled back.
 func (s *Session) Close() {
+	s.dropState()
 	if s.tx != nil {
 		s.tx.rollBack(context.Background(), time.Now().Add(closeTimeout))
 		s.tx = nil
@@ -182,13 +188,11 @@
 	}
 	switch st.Kind {
 	case SetValue:
-		s.setValue(st.Name, st.Value)
-		return Answer{}
+		return s.setValue(st)
 	case Prepare:
-		s.prepare(st)
-		return Answer{}
+		return s.prepare(st)
 	case Forget:
-		delete(s.prepared, st.Name)
+		s.forget(st.Name)
 		return Answer{}
 	case Begin, BeginRead:
 		return s.begin(st)
@@ -203,22 +207,6 @@
 	}
 }
 
-func (s *Session) setValue(name, value string) {
-	// Upstream connections keep their own maps of values and compare them with this one, so
-	// this map is never shared.
-	if s.values == nil {
-		s.values = map[string]string{}
-	}
-	s.values[name] = value
-}
-
-func (s *Session) prepare(st Statement) {
-	if s.prepared == nil {
-		s.prepared = map[string]preparedStatement{}
-	}
-	s.prepared[st.Name] = preparedStatement{writes: st.Writes, shape: st.Shape}
-}
-
 func refusalAnswer(code rescode.Code, reason Reason) Answer {
 	return Answer{Refusal: &Refusal{Code: code, Reason: reason}}
 }
@@ -320,6 +308,13 @@
 			}
 		}
 	}
+	if s != nil && isStateRefusal(r) {
+		team, _ := fields["team"].(string)
+		if !e.mayLogStateRefusal(clock.Now(), team) {
+			return
+		}
+		s.logStateRefusal(fields)
+	}
 	e.log.WithFields(fields).Info("request refused")
 }
 
--- a/gateway/engine/setup.go
+++ b/gateway/engine/setup.go
@@ -25,7 +25,7 @@
 			"event": "setup_refused", "id": id, "statement": st.Kind.String(), "outcome": reply.Outcome.String(),
 			"upstream": c.pool.target.ID, "name": st.Name[:min(len(st.Name), maxLoggedNameBytes)], "name_bytes": len(st.Name),
 			// A name of more than one field is read as a name and something else.
-			"name_fields": 1 + strings.Count(st.Name, " "), "prepared": len(c.prepared.names), "resets": c.resets,
+			"name_fields": 1 + strings.Count(st.Name, " "), "prepared": c.prepared.recent.Len(), "resets": c.resets,
 		}).Warn("upstream refused to set up the session")
 	}
 }
--- a/gateway/engine/statement.go
+++ b/gateway/engine/statement.go
@@ -25,6 +25,7 @@
 	SetValue
 	Prepare
 	Execute
+	// Forget drops a prepared statement.
 	Forget
 	// Reset drops session values and prepared statements. Callers cannot send it.
 	Reset
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -63,12 +63,15 @@
 
 // upstreamConn is a pooled connection with the known state of the upstream's session.
 type upstreamConn struct {
-	conn     Conn
-	pool     *pool
-	team     string
-	idleAt   time.Duration
-	values   map[string]string
-	prepared preparedNames
+	conn   Conn
+	pool   *pool
+	team   string
+	idleAt time.Duration
+	// values holds the digests of the values of the upstream's session by the digests of their names. Callers'
+	// texts are not kept here.
+	values     map[textDigest]connValue
+	valueBytes int64
+	prepared   preparedNames
 	// state is the state of the upstream's session after its last reply.
 	state State
 	// broken connections got no answer, or must not be used for another reason of this node. They are closed when
@@ -81,6 +84,19 @@
 	resets int
 }
 
+// connValue is a value that is set on a connection.
+type connValue struct {
+	digest textDigest
+	bytes  int64
+}
+
+// close closes the connection, with which the upstream drops what is set and prepared on it.
+func (c *upstreamConn) close() {
+	c.conn.Close()
+	c.prepared.clear()
+	c.clearValues()
+}
+
 // roundTrip sends statements and reads all replies. It stops at the first error, after which
 // the connection is broken, as it is after a panic.
 func (c *upstreamConn) roundTrip(deadline time.Time, statements ...Statement) ([]Reply, error) {
@@ -139,26 +155,59 @@
 // alignValues returns the statements that set the values of the upstream's session to those
 // of a caller's session, in order. It assumes that they will succeed; otherwise the caller
 // marks the connection as misaligned.
-func (c *upstreamConn) alignValues(values map[string]string) []Statement {
+func (c *upstreamConn) alignValues(values map[textDigest]sessionValue) []Statement {
 	var out []Statement
 	for name := range c.values {
 		if _, ok := values[name]; !ok {
 			out = append(out, Statement{Kind: Reset})
 			c.resets++
-			c.values = nil
+			c.clearValues()
 			c.prepared.clear()
 			break
 		}
 	}
-	for name, value := range values {
-		if current, ok := c.values[name]; ok && current == value {
+	for key, v := range values {
+		if current, ok := c.values[key]; ok && current.digest == v.digest {
 			continue
 		}
-		out = append(out, Statement{Kind: SetValue, Name: name, Value: value})
-		if c.values == nil {
-			c.values = map[string]string{}
-		}
-		c.values[name] = value
+		out = append(out, Statement{Kind: SetValue, Name: v.name, Value: v.value})
+		c.recordValue(key, connValue{digest: v.digest, bytes: v.bytes()})
 	}
 	return out
 }
+
+// recordValue records a value that is set on the connection.
+func (c *upstreamConn) recordValue(key textDigest, v connValue) {
+	if c.values == nil {
+		c.values = map[textDigest]connValue{}
+	}
+	c.countValues(v.bytes - c.values[key].bytes)
+	c.values[key] = v
+}
+
+// clearValues removes all values, as a reset of the upstream's session does.
+func (c *upstreamConn) clearValues() {
+	c.countValues(-c.valueBytes)
+	c.values = nil
+}
+
+// countValues adds to what values hold on the connection, and on all connections.
+func (c *upstreamConn) countValues(bytes int64) {
+	c.valueBytes += bytes
+	metricConnValueBytes.Add(float64(bytes))
+}
+
+// setUp returns what must change of what is prepared on the connection for st to run, and gives st the name that
+// its prepared statement p has there.
+func (c *upstreamConn) setUp(st *Statement, p sessionStatement) preparedChange {
+	var change preparedChange
+	if st.Kind == Execute {
+		name, ok := c.prepared.lookup(p.key)
+		if !ok {
+			change.added = c.prepared.next(p)
+			name = change.added.name
+		}
+		st.Name = name
+	}
+	return change
+}
--- a/gateway/sessionmem/budget.go
+++ b/gateway/sessionmem/budget.go
@@ -4,7 +4,7 @@
 // Half of the budget is set aside for floors: each of the largest number of sessions may hold its floor whatever
 // the others hold. The other half is shared, first come: a session may hold of it up to 1/shareDivisor of what is
 // still free. What one session holds therefore never ends the room of the others: n sessions that take all
-// they can leave shareDivisor/(n+shareDivisor) of the shared half free.
+// they can, one after the other, leave (shareDivisor/(shareDivisor+1))^n of the shared half free.
 package sessionmem
 
 import "sync"
@@ -13,8 +13,9 @@
 	// floorFraction is the fraction of the budget that is set aside for floors.
 	floorFraction = 0.5
 	// shareDivisor is the ratio between the free shared memory and what one session may hold of the shared memory.
-	// With 8, a session alone may hold 1/9 of the shared memory, and ten of them leave 4/9 of it free.
-	shareDivisor = 8
+	// With 16, a session alone may hold 1/17 of the shared memory, ten sessions leave 55 % of it free and 30 leave
+	// 16 %. On a node with 284 MB a session may hold 1.7 MB, so that one message of 1 MiB fits.
+	shareDivisor = 16
 )
 
 // Verdict is the decision on a reservation.
--- a/gateway/sessionmem/budget_test.go
+++ b/gateway/sessionmem/budget_test.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	testBytes    = 3600
-	testSessions = 18
-	// testFloor and testLimit follow from the two above: 1800/18, and 1800/9 on top.
-	testFloor, testLimit = 100, 300
+	testBytes    = 3400
+	testSessions = 17
+	// testFloor and testLimit follow from the two above: 1700/17, and 1700/17 on top.
+	testFloor, testLimit = 100, 200
 )
 
 // Guards against sessions without a bound, and against a reservation that is refused and counted.
@@ -31,8 +31,8 @@
 		{"above the limit at once", []step{{0, testLimit + 1, SessionFull}, {0, 10, Granted}}, []int64{10}},
 		{"released bytes may be reserved again", []step{{0, testLimit, Granted}, {0, -50, Granted}, {0, 50, Granted}}, []int64{testLimit}},
 		{"no more is released than is held", []step{{0, 10, Granted}, {0, -50, Granted}, {0, testLimit, Granted}}, []int64{testLimit}},
-		// Eight times the 180 of the second would not fit into the 1800 - 200 - 180 that would be free.
-		{"the shared part of others", []step{{0, testLimit, Granted}, {1, 280, NodeFull}, {1, 270, Granted}}, []int64{testLimit, 270}},
+		// Sixteen times the 95 of the second does not fit into the 1700 - 100 - 95 that would be free; 94 does.
+		{"the shared part of others", []step{{0, testLimit, Granted}, {1, 195, NodeFull}, {1, 194, Granted}}, []int64{testLimit, 194}},
 		{"the end of a session", []step{{0, testLimit, Granted}, {0, -testLimit, Granted}, {1, testLimit, Granted}}, []int64{0, testLimit}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
