Bound what is prepared on a connection that callers share

Upstreams saw: a connection of the node kept every statement that any caller had ever executed on it, until the connection was idle for 30 s. With callers that prepare fresh texts it grew without end, at the upstream by the texts (1 MiB each at most) and at the node by their names.

Cause: preparedNames only grew; nothing closed a statement.

Now a connection holds at most 256 statements and 1 MiB of them (with 128 bytes each). The least recently used are closed at the upstream (CLOSE) in the write of the PREPARE that needs the room; a caller whose statement was closed gets it prepared again in that same round trip. Nothing is closed inside a transaction, where a refused CLOSE would cost the caller's work: what a transaction prepares may exceed the bounds, and is closed with the next statement behind it. A read on the primary runs in a transaction of the node's own, so such a connection may hold one statement more. A refused CLOSE closes the connection when it is released; the statement behind it gets its own answer, because it may have run.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -365,7 +365,8 @@
 }
 
 // exchange runs one statement on a connection. It first sets the upstream session's values to
-// those of the caller's session, and prepares the statement if necessary. The extra statements are sent in the same write as st; their replies are discarded. Without a reply
+// those of the caller's session, and prepares the statement if necessary, closing others to
+// make room for it. The extra statements are sent in the same write as st; their replies are discarded. Without a reply
 // to st, it returns the result of the attempt instead.
 func (s *Session) exchange(ctx context.Context, op *operation, c *upstreamConn, deadline time.Time, st Statement, extra ...Statement) (Reply, *attemptResult) {
 	if refusal := s.engine.refuseRunning(clock.Now()); refusal != nil {
@@ -393,7 +394,10 @@
 	}
 	prepared := s.prepared[st.Name]
 	change := c.setUp(&st, prepared)
-	batch := make([]Statement, 0, 2+len(extra))
+	batch := make([]Statement, 0, len(change.evicted)+2+len(extra))
+	for _, entry := range change.evicted {
+		batch = append(batch, Statement{Kind: Forget, Name: entry.name})
+	}
 	if change.added != nil {
 		batch = append(batch, Statement{Kind: Prepare, Name: change.added.name, Writes: prepared.writes, Shape: prepared.shape})
 	}
@@ -409,7 +413,9 @@
 	c.prepared.apply(change)
 	if i, refused := refusedSetup(batch, replies); refused {
 		c.misaligned = true
-		return replies[i], nil
+		if i >= 0 {
+			return replies[i], nil
+		}
 	}
 	if len(replies) > replyIndex {
 		return replies[replyIndex], nil
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -34,6 +34,10 @@
 	refusePrepare int
 	// refuseSet makes it refuse to set session values.
 	refuseSet bool
+	// refuseClose is the number of statements that it refuses to close, closes the number that it closed;
+	// closedInTransaction is set once that was inside a transaction.
+	refuseClose, closes int
+	closedInTransaction bool
 	// refuseToSend is the error with which its connections refuse statements of callers.
 	refuseToSend error
 	// interrupts makes statements of callers run and their answers be interrupted.
@@ -41,6 +45,7 @@
 	// panics makes the connection panic while it reads an answer.
 	panics bool
 	dials  int
+	conns  []*fakeConn
 	// full makes it refuse connections.
 	full bool
 	ran  []run
@@ -160,6 +165,16 @@
 		}
 		c.prepared[st.Name] = preparedStatement{writes: st.Writes, shape: st.Shape}
 		return Reply{}
+	case Forget:
+		_, known := c.prepared[st.Name]
+		if s.refuseClose > 0 || !known {
+			s.refuseClose--
+			return Reply{Outcome: Busy}
+		}
+		s.closes++
+		s.closedInTransaction = s.closedInTransaction || c.tx
+		delete(c.prepared, st.Name)
+		return Reply{}
 	}
 	return s.execute(c, st)
 }
@@ -208,7 +223,9 @@
 	if s.full {
 		return nil, position.Position{}, &DialRefusedError{Outcome: TooManyConnections}
 	}
-	return &fakeConn{server: s, team: team, values: map[string]string{}, prepared: map[string]preparedStatement{}}, s.position, nil
+	c := &fakeConn{server: s, team: team, values: map[string]string{}, prepared: map[string]preparedStatement{}}
+	s.conns = append(s.conns, c)
+	return c, s.position, nil
 }
 
 // fakeControl provides a fixed view in place of a control leader.
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -78,6 +78,7 @@
 	metricConnStatements     = metrics.NewGauge("jayloom_gateway_connection_statements", nil)
 	metricConnStatementBytes = metrics.NewGauge("jayloom_gateway_connection_statement_bytes", nil)
 	metricConnValueBytes     = metrics.NewGauge("jayloom_gateway_connection_value_bytes", nil)
+	metricStatementEvictions = metrics.NewCounter("jayloom_gateway_statement_evictions_total")
 
 	metricDialFailures = metrics.NewCounter("jayloom_gateway_upstream_dial_failures_total")
 
--- a/gateway/engine/prepared.go
+++ b/gateway/engine/prepared.go
@@ -7,8 +7,15 @@
 	"strconv"
 )
 
-// preparedEntryBytes is counted for each statement on top of its text.
-const preparedEntryBytes = 128
+const (
+	// maxPreparedStatements and maxPreparedBytes bound what is prepared on an upstream connection. The upstream
+	// holds the texts for each of its connections; the bound in bytes has room for one message of the largest size.
+	// What a transaction prepares may exceed them until it has ended.
+	maxPreparedStatements = 256
+	maxPreparedBytes      = 1 << 20
+	// preparedEntryBytes is counted for each statement on top of its text.
+	preparedEntryBytes = 128
+)
 
 // preparedStatement is a prepared statement of a caller.
 type preparedStatement struct {
@@ -50,8 +57,9 @@
 
 // preparedChange is what a batch of statements changes of what is prepared on a connection.
 type preparedChange struct {
-	// added, if there is one, is prepared at the upstream.
-	added *preparedEntry
+	// evicted are closed at the upstream. added, if there is one, is prepared there.
+	evicted []*preparedEntry
+	added   *preparedEntry
 }
 
 // lookup returns the name of a statement on the connection, and counts it as used.
@@ -72,9 +80,35 @@
 	}
 }
 
+// overflow returns the least recently used statements that must be closed so that the others and added, which may
+// be nil, are within the bounds. The most recently used one is kept if there is none to add.
+func (n *preparedNames) overflow(added *preparedEntry) []*preparedEntry {
+	count, bytes, kept := n.recent.Len(), n.bytes, 1
+	if added != nil {
+		count, bytes, kept = count+1, bytes+added.bytes, 0
+	}
+	var out []*preparedEntry
+	for e := n.recent.Back(); e != nil && (count > maxPreparedStatements || bytes > maxPreparedBytes); e = e.Prev() {
+		if n.recent.Len()-len(out) <= kept {
+			break
+		}
+		entry := e.Value.(*preparedEntry)
+		out = append(out, entry)
+		count--
+		bytes -= entry.bytes
+	}
+	return out
+}
+
 // apply makes a change that was sent to the upstream. It assumes that the upstream carries it out; otherwise the
 // caller closes the connection.
 func (n *preparedNames) apply(c preparedChange) {
+	for _, entry := range c.evicted {
+		n.recent.Remove(n.entries[entry.key])
+		delete(n.entries, entry.key)
+		n.count(-1, -entry.bytes)
+		metricStatementEvictions.Inc()
+	}
 	if c.added == nil {
 		return
 	}
--- a/gateway/engine/setup.go
+++ b/gateway/engine/setup.go
@@ -34,7 +34,7 @@
 // what this node believes.
 func isRefusedSetup(k Kind, o Outcome) bool {
 	switch k {
-	case SetValue, Prepare, Reset:
+	case SetValue, Prepare, Forget, Reset:
 		return o != Done
 	case Execute:
 		return o == NoStatement
@@ -43,13 +43,18 @@
 	}
 }
 
-// refusedSetup returns the index of the first statement of a batch whose reply shows that the upstream's session
-// differs from what this node believes.
+// refusedSetup reports whether a reply shows that the upstream's session differs from what this node believes. index
+// is the first such reply that the statement of the batch depends on, or -1: the statement may have run although an
+// earlier one was not closed.
 func refusedSetup(batch []Statement, replies []Reply) (index int, refused bool) {
 	for i, reply := range replies {
-		if isRefusedSetup(batch[i].Kind, reply.Outcome) {
+		if !isRefusedSetup(batch[i].Kind, reply.Outcome) {
+			continue
+		}
+		if batch[i].Kind != Forget {
 			return i, true
 		}
+		refused = true
 	}
-	return 0, false
+	return -1, refused
 }
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -198,7 +198,8 @@
 }
 
 // setUp returns what must change of what is prepared on the connection for st to run, and gives st the name that
-// its prepared statement p has there.
+// its prepared statement p has there. Statements are closed outside a transaction only, because a refused CLOSE
+// would end the caller's transaction.
 func (c *upstreamConn) setUp(st *Statement, p sessionStatement) preparedChange {
 	var change preparedChange
 	if st.Kind == Execute {
@@ -209,5 +210,8 @@
 		}
 		st.Name = name
 	}
+	if c.state == Idle {
+		change.evicted = c.prepared.overflow(change.added)
+	}
 	return change
 }
