Cut the replicated log by its bytes as well as by its entries

What callers saw: after some 290 changes of a large configuration the disks of the control VMs (64 MB) were full. No change was acknowledged any more, no leader lasted, and a leaving primary was not replaced.

The last 512 entries also stayed in memory for members that lag, whatever their size.

TestManyLargeChangesFitOnASmallDisk: 2,000 changes of a configuration with 5,000 routes (155,005 bytes each) by one voter on a simulated disk of 64,000,000 bytes, and a loss of power at the end.

--- a/cmd/jayloom-node/replica.go
+++ b/cmd/jayloom-node/replica.go
@@ -56,7 +56,7 @@
 func (n *node) openReplica() (*replica.Replica, error) {
 	return replica.Open(replica.Config{
 		Folder: n.settings.DataFolder, Address: n.address, Voters: n.initialVoters(),
-		DialOptions: dialOptions(), Log: n.log,
+		DialOptions: dialOptions(), DiskBytes: n.settings.DiskBytes(), Log: n.log,
 	}, n.leader.Store())
 }
 
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -246,6 +246,21 @@
 	n.log.compact(min(upTo, s.Index))
 }
 
+// CompactionIndex returns the index up to which Compact may drop entries, if at most the given number of
+// entries and of bytes before a snapshot at index are to be kept.
+func (n *Node) CompactionIndex(index Index, entries, bytes int) Index {
+	upTo := index
+	for upTo > n.log.base && entries > 0 {
+		bytes -= len(n.log.entries[upTo-n.log.base-1].Data)
+		if bytes < 0 {
+			break
+		}
+		upTo--
+		entries--
+	}
+	return upTo
+}
+
 // SnapshotMeta returns the description of a snapshot of the state at an applied index,
 // and false if the log cannot describe it.
 func (n *Node) SnapshotMeta(applied Index) (SnapshotMeta, bool) {
--- /dev/null
+++ b/control/replica/disk_test.go
@@ -0,0 +1,175 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/consensus"
+)
+
+const (
+	// smallDiskBytes is the size of the smallest disks that are known.
+	smallDiskBytes = 64_000_000
+	// manyRoutes and manyChanges are those of a large configuration that is changed for hours.
+	manyRoutes  = 5000
+	manyChanges = 2000
+)
+
+// catalogState is an Applier that keeps the newest configuration.
+type catalogState struct {
+	catalog *controlpb.Catalog
+}
+
+func (s *catalogState) Apply(_ uint64, c *controlpb.Command) *controlpb.CommandResult {
+	s.catalog = c.GetPutCatalog()
+	return &controlpb.CommandResult{Revision: s.catalog.Version}
+}
+
+func (s *catalogState) Snapshot() ([]byte, error) {
+	return proto.Marshal(s.catalog)
+}
+
+func (s *catalogState) Restore(data []byte) error {
+	s.catalog = &controlpb.Catalog{}
+	return proto.Unmarshal(data, s.catalog)
+}
+
+func (s *catalogState) LeadershipChanged(bool, uint64) {}
+
+// largeCatalog returns a configuration with many routes.
+func largeCatalog(routes int) *controlpb.Catalog {
+	out := &controlpb.Catalog{}
+	for i := range routes {
+		out.Routes = append(out.Routes, &controlpb.CatalogRoute{
+			Database: fmt.Sprintf("database-%05d", i), Service: fmt.Sprintf("service-%03d", i%200),
+		})
+	}
+	return out
+}
+
+// encodePut returns a command that puts a configuration.
+func encodePut(t *testing.T, c *controlpb.Catalog) []byte {
+	t.Helper()
+	return mustMarshal(t, &controlpb.Command{Change: &controlpb.Command_PutCatalog{PutCatalog: c}})
+}
+
+// putCatalog proposes a version of an encoded configuration to a leader and advances the simulation until it is
+// confirmed or refused. It returns false if it was not confirmed.
+func (s *simulation) putCatalog(leader *simulatedVM, encoded []byte, version uint64) bool {
+	// Fields of a message that follow another one of its kind are merged with it, so that the routes
+	// are encoded once.
+	number := mustMarshal(s.t, &controlpb.Command{Change: &controlpb.Command_PutCatalog{PutCatalog: &controlpb.Catalog{Version: version}}})
+	data := slices.Concat(encoded, number)
+	p := &proposal{data: data, done: make(chan outcome, 1)}
+	leader.replica.appendProposal(p)
+	for range 1000 {
+		if err := leader.replica.advance(); err != nil {
+			s.fail("the replica of %s ended: %v", leader.address, err)
+		}
+		select {
+		case o := <-p.done:
+			if o.err != nil {
+				s.tracef("version %d is not confirmed: %v", version, o.err)
+			}
+			return o.err == nil
+		default:
+			s.now += simulationStep
+		}
+	}
+	return false
+}
+
+// newSingleVoter returns a VM with a small disk that is the only voter and leads.
+func newSingleVoter(t *testing.T) *simulatedVM {
+	s := newSimulation(t, 1, 3, 0)
+	s.snapshots = 0
+	v := s.addVM()
+	v.disk.SetCapacity(smallDiskBytes)
+	v.state = &versionRegister{}
+	v.openWith(&catalogState{})
+	only := consensus.Membership{Members: []consensus.Member{{ID: v.replica.identity, Address: v.address}}}
+	if err := v.replica.saveFirstMembership(only); err != nil {
+		t.Fatal(err)
+	}
+	v.createNode()
+	v.awaitLeadership()
+	return v
+}
+
+// awaitLeadership lets the time pass until the only voter leads.
+func (v *simulatedVM) awaitLeadership() {
+	s := v.simulation
+	for range 5000 {
+		if v.replica.Status().Leading {
+			return
+		}
+		s.now += simulationStep
+		if err := v.replica.advance(); err != nil {
+			s.fail("the replica ended: %v", err)
+		}
+	}
+	s.fail("the only voter does not lead")
+}
+
+// restart opens the folder again and returns the state that it held.
+func (v *simulatedVM) restart() *catalogState {
+	state := &catalogState{}
+	v.openWith(state)
+	v.createNode()
+	v.awaitLeadership()
+	return state
+}
+
+// TestManyLargeChangesFitOnASmallDisk guards against a log that is cut by its number of entries only:
+// entries that hold a large configuration each filled the disk, and no change was acknowledged any more.
+func TestManyLargeChangesFitOnASmallDisk(t *testing.T) {
+	v := newSingleVoter(t)
+	c, mostUsed := encodePut(t, largeCatalog(manyRoutes)), int64(0)
+	for version := uint64(1); version <= manyChanges; version++ {
+		if !v.simulation.putCatalog(v, c, version) {
+			v.simulation.fail("version %d was not confirmed; the disk holds %d bytes", version, v.disk.Used())
+		}
+		mostUsed = max(mostUsed, v.replica.wal.Usage().LogBytes)
+	}
+	t.Logf("entry %d bytes, the log used up to %d bytes, the disk holds %d", len(c), mostUsed, v.disk.Used())
+	if mostUsed > smallDiskBytes/4 {
+		t.Errorf("the log used %d bytes, more than a quarter of the disk", mostUsed)
+	}
+	v.disk.LosePower()
+	state := v.restart()
+	if state.catalog.GetVersion() != manyChanges || len(state.catalog.Routes) != manyRoutes {
+		t.Errorf("after a loss of power: version %d with %d routes", state.catalog.GetVersion(), len(state.catalog.Routes))
+	}
+}
+
+// TestEntriesInMemoryAreBoundInBytes guards against 512 entries that hold a large configuration each and
+// stay in memory for members that lag.
+func TestEntriesInMemoryAreBoundInBytes(t *testing.T) {
+	const entryBytes, keptBytes = 1000, 10_000
+	node, err := consensus.New(time.Second, consensus.Config{ID: "a", Entries: entriesOf(100, entryBytes)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := node.CompactionIndex(100, 512, keptBytes); got != 90 {
+		t.Errorf("entries are dropped up to %d; 90 leaves %d bytes", got, keptBytes)
+	}
+	if got := node.CompactionIndex(100, 5, keptBytes); got != 95 {
+		t.Errorf("entries are dropped up to %d; 95 leaves 5 entries", got)
+	}
+	if got := node.CompactionIndex(100, 512, 100*entryBytes); got != 0 {
+		t.Errorf("entries are dropped up to %d although all fit", got)
+	}
+}
+
+func entriesOf(count, bytes int) []consensus.Entry {
+	var out []consensus.Entry
+	for i := range count {
+		out = append(out, consensus.Entry{Index: consensus.Index(i + 1), Term: 1, Data: make([]byte, bytes)})
+	}
+	return out
+}
--- a/control/replica/metrics.go
+++ b/control/replica/metrics.go
@@ -19,6 +19,8 @@
 	metricReceived           = metrics.NewCounter(`jayloom_replica_messages_received_total`)
 	metricSyncSeconds        = metrics.NewHistogram(`jayloom_replica_log_sync_seconds`)
 	metricCommitSeconds      = metrics.NewHistogram(`jayloom_replica_proposal_seconds`)
+	metricLogBytes           = metrics.NewGauge(`jayloom_replica_log_bytes`, nil)
+	metricSnapshotBytes      = metrics.NewGauge(`jayloom_replica_snapshot_bytes`, nil)
 	metricTerm               = metrics.NewGauge(`jayloom_replica_term`, nil)
 	metricCommitted          = metrics.NewGauge(`jayloom_replica_committed_index`, nil)
 )
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -31,6 +31,14 @@
 	entriesKeptAfterSnapshot = 512
 	// defaultSnapshotEntries applies if Config.SnapshotEntries is 0.
 	defaultSnapshotEntries = 1000
+	// defaultDiskBytes applies if Config.DiskBytes is 0.
+	defaultDiskBytes = 64_000_000
+	// logFractionOfDisk is the inverse of the part of the disk that the log may use before a snapshot
+	// is taken.
+	logFractionOfDisk = 4
+	// keptFractionOfDisk is the inverse of the part of the disk's size that entries before a snapshot
+	// may use in memory. A member that lags farther receives the snapshot.
+	keptFractionOfDisk = 16
 )
 
 // Config configures a Replica.
@@ -45,6 +53,8 @@
 	Voters []string
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
+	// DiskBytes is the size of the disk that holds Folder.
+	DiskBytes int64
 	// DialOptions carry the transport credentials for the other control VMs.
 	DialOptions []grpc.DialOption
 	Log         *logrus.Entry
@@ -99,10 +109,13 @@
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = defaultSnapshotEntries
 	}
+	if c.DiskBytes == 0 {
+		c.DiskBytes = defaultDiskBytes
+	}
 	if c.Files == nil {
 		c.Files = wal.OperatingSystem{}
 	}
-	log, recovered, err := wal.OpenOn(c.Files, c.Folder)
+	log, recovered, err := wal.OpenWithin(c.Files, c.Folder, c.DiskBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -281,7 +294,7 @@
 		}
 		r.node.Advance(ready)
 		r.applyEntries(ready.Committed)
-		if err := r.saveSnapshot(); err != nil {
+		if err := r.saveSnapshotIfDue(); err != nil {
 			return err
 		}
 	}
--- a/control/replica/simulation_test.go
+++ b/control/replica/simulation_test.go
@@ -171,9 +171,14 @@
 
 // open opens the folder of a VM that starts.
 func (v *simulatedVM) open() {
-	s := v.simulation
 	v.state = &versionRegister{}
-	r, err := Open(Config{Folder: "/data", Files: v.disk, Address: v.address, SnapshotEntries: s.snapshots, Log: s.log}, v.state)
+	v.openWith(v.state)
+}
+
+// openWith opens the folder of a VM with a state of its own.
+func (v *simulatedVM) openWith(state Applier) {
+	s := v.simulation
+	r, err := Open(Config{Folder: "/data", Files: v.disk, Address: v.address, SnapshotEntries: s.snapshots, Log: s.log}, state)
 	if err != nil {
 		s.fail("%s cannot open its folder: %v", v.address, err)
 	}
--- a/control/replica/storage.go
+++ b/control/replica/storage.go
@@ -82,15 +82,37 @@
 	return r.restore(*s)
 }
 
-// saveSnapshot saves a snapshot if enough entries were applied since the last one.
-func (r *Replica) saveSnapshot() error {
-	last := consensus.Index(0)
-	if r.snapshot != nil {
-		last = r.snapshot.Index
-	}
-	if r.applied < last+consensus.Index(r.config.SnapshotEntries) {
+// saveSnapshotIfDue saves a snapshot if enough entries were applied since the last one, or if the log
+// uses too much of the disk.
+func (r *Replica) saveSnapshotIfDue() error {
+	last := r.snapshotIndex()
+	isDue := r.applied >= last+consensus.Index(r.config.SnapshotEntries)
+	if !isDue && !(r.applied > last && r.isLogLarge()) {
 		return nil
 	}
+	return r.saveSnapshot()
+}
+
+func (r *Replica) snapshotIndex() consensus.Index {
+	if r.snapshot == nil {
+		return 0
+	}
+	return r.snapshot.Index
+}
+
+// isLogLarge reports whether the log uses its part of the disk, and a snapshot would remove at least
+// half of it. A large snapshot leaves the log a smaller part, because for a moment its successor lies
+// beside it.
+func (r *Replica) isLogLarge() bool {
+	use := r.wal.Usage()
+	metricLogBytes.Set(float64(use.LogBytes))
+	metricSnapshotBytes.Set(float64(use.SnapshotBytes))
+	limit := r.config.DiskBytes / logFractionOfDisk
+	limit = min(limit, max(0, r.config.DiskBytes/2-use.SnapshotBytes)/2)
+	return use.LogBytes >= limit-limit/8 && r.wal.Removable(r.applied) >= use.LogBytes/2
+}
+
+func (r *Replica) saveSnapshot() error {
 	meta, ok := r.node.SnapshotMeta(r.applied)
 	if !ok {
 		return nil
@@ -104,7 +126,8 @@
 		return err
 	}
 	r.snapshot = &s
-	r.node.Compact(meta.Index-min(meta.Index, entriesKeptAfterSnapshot), meta)
+	keptBytes := int(r.config.DiskBytes / keptFractionOfDisk)
+	r.node.Compact(r.node.CompactionIndex(meta.Index, entriesKeptAfterSnapshot, keptBytes), meta)
 	metricSnapshotsSaved.Inc()
 	return nil
 }
--- a/wal/log.go
+++ b/wal/log.go
@@ -12,9 +12,14 @@
 	"github.com/jayloom/jayloom/consensus"
 )
 
-// maxSegmentBytes is the size at which a new segment is started.
+// maxSegmentBytes is the size at which a new segment is started, if the capacity of the disk does
+// not ask for smaller ones.
 const maxSegmentBytes = 16 << 20
 
+// segmentsPerCapacity is the least number of full segments that fill the disk. A snapshot removes
+// whole segments, so that small ones leave less behind it.
+const segmentsPerCapacity = 32
+
 // identityBytes is large enough that the probability of two equal identities is
 // negligible.
 const identityBytes = 16
@@ -27,9 +32,19 @@
 	// SaveSnapshot makes a snapshot durable and drops the entries that it includes, or
 	// all entries if the log does not continue the snapshot.
 	SaveSnapshot(s consensus.Snapshot) error
+	// Usage returns the bytes on the disk.
+	Usage() Usage
+	// Removable returns how many bytes of the log a snapshot at an index would remove.
+	Removable(index consensus.Index) int64
 	Close() error
 }
 
+// Usage is the use of the disk by one member.
+type Usage struct {
+	// LogBytes and SnapshotBytes are the sizes of all segments and of the newest snapshot.
+	LogBytes, SnapshotBytes int64
+}
+
 // RecoveredState is the state that a data folder held when it was opened.
 type RecoveredState struct {
 	// Identity is newly generated if the folder was empty.
@@ -60,6 +75,9 @@
 	baseTerm      consensus.Term
 	terms         []consensus.Term
 	snapshotIndex consensus.Index
+	snapshotBytes int64
+	// capacity is the size of the disk in bytes, or 0 if it is not known.
+	capacity int64
 
 	// segments are in ascending order. The last one is open as file and ends at size.
 	segments []segment
@@ -71,6 +89,7 @@
 	number uint64
 	// highestIndex is the highest index ever written to the segment.
 	highestIndex consensus.Index
+	bytes        int64
 }
 
 // Open opens a data folder. If the folder is empty or does not exist, Open creates it
@@ -79,8 +98,13 @@
 	return OpenOn(OperatingSystem{}, folder)
 }
 
-// OpenOn opens a data folder of a file system.
+// OpenOn opens a data folder of a file system whose capacity is not known.
 func OpenOn(files FileSystem, folder string) (*FolderLog, *RecoveredState, error) {
+	return OpenWithin(files, folder, 0)
+}
+
+// OpenWithin opens a data folder of a file system that holds capacity bytes.
+func OpenWithin(files FileSystem, folder string, capacity int64) (*FolderLog, *RecoveredState, error) {
 	if err := files.MakeFolder(folder); err != nil {
 		return nil, nil, errors.Wrap(err, "create data folder")
 	}
@@ -88,7 +112,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	l := &FolderLog{files: files, folder: folder, lock: lock}
+	l := &FolderLog{files: files, folder: folder, lock: lock, capacity: capacity}
 	loaded, err := l.load()
 	if err != nil {
 		_ = l.Close()
@@ -113,7 +137,7 @@
 }
 
 func (l *FolderLog) append(hs consensus.HardState, entries []consensus.Entry) error {
-	if l.size >= maxSegmentBytes {
+	if l.size >= l.segmentLimit() {
 		if err := l.startSegment(false); err != nil {
 			return err
 		}
@@ -151,6 +175,7 @@
 	if err := writeSnapshot(l.files, l.folder, l.identity, s); err != nil {
 		return err
 	}
+	l.snapshotBytes = snapshotFileBytes(l.identity, s)
 	reset := l.trimToSnapshot(s.SnapshotMeta)
 	if err := l.startSegment(reset); err != nil {
 		return err
@@ -182,6 +207,43 @@
 	return removeSnapshotsBefore(l.files, l.folder, snapshot)
 }
 
+// segmentLimit returns the size at which a new segment is started.
+func (l *FolderLog) segmentLimit() int64 {
+	if l.capacity == 0 {
+		return maxSegmentBytes
+	}
+	return min(maxSegmentBytes, l.capacity/segmentsPerCapacity)
+}
+
+// Usage implements Log.
+func (l *FolderLog) Usage() Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Usage{LogBytes: l.logBytes(), SnapshotBytes: l.snapshotBytes}
+}
+
+func (l *FolderLog) logBytes() int64 {
+	bytes := int64(0)
+	for _, s := range l.segments {
+		bytes += s.bytes
+	}
+	return bytes
+}
+
+// Removable implements Log.
+func (l *FolderLog) Removable(index consensus.Index) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	bytes := int64(0)
+	for _, s := range l.segments {
+		if s.highestIndex > index {
+			break
+		}
+		bytes += s.bytes
+	}
+	return bytes
+}
+
 // Close implements Log. It does not sync, because Append already has.
 func (l *FolderLog) Close() error {
 	l.mu.Lock()
--- a/wal/segment.go
+++ b/wal/segment.go
@@ -68,7 +68,7 @@
 		if err != nil {
 			return err
 		}
-		l.segments = append(l.segments, segment{number, highest})
+		l.segments = append(l.segments, segment{number: number, highestIndex: highest, bytes: valid})
 		if isLast {
 			return l.openLastSegment(path, valid, int64(len(content)))
 		}
@@ -114,6 +114,7 @@
 		loaded.Entries = r.entries
 		return loaded, nil
 	}
+	l.snapshotBytes = snapshotFileBytes(r.identity, *snapshot)
 	if r.base > snapshot.Index {
 		return nil, newDamageError(l.segmentPath(l.segments[0].number), 0, 1, "entries between snapshot and log are missing")
 	}
@@ -150,7 +151,7 @@
 		_ = l.file.Close()
 	}
 	l.file, l.size = file, int64(len(content))
-	l.segments = append(l.segments, segment{number: number})
+	l.segments = append(l.segments, segment{number: number, bytes: l.size})
 	return nil
 }
 
@@ -181,5 +182,6 @@
 		return errors.Wrap(err, "sync segment")
 	}
 	l.size += int64(len(record))
+	l.segments[len(l.segments)-1].bytes = l.size
 	return nil
 }
--- a/wal/simdisk/simdisk.go
+++ b/wal/simdisk/simdisk.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"path/filepath"
 	"slices"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -28,6 +29,8 @@
 	pending      []nameChange
 	// remaining is the number of changes until the disk fails, negative for never.
 	remaining int
+	// capacity is the number of bytes that the files may use, negative for no limit.
+	capacity int64
 }
 
 var _ wal.FileSystem = (*Disk)(nil)
@@ -54,7 +57,7 @@
 
 // New returns an empty disk.
 func New(random *rand.Rand) *Disk {
-	return &Disk{random: random, names: map[string]*content{}, durableNames: map[string]*content{}, remaining: -1}
+	return &Disk{random: random, names: map[string]*content{}, durableNames: map[string]*content{}, remaining: -1, capacity: -1}
 }
 
 // FailAfter makes all changes fail after the given number of further ones. Whether the
@@ -68,6 +71,30 @@
 	d.remaining = -1
 }
 
+// SetCapacity limits the bytes of all files; a negative number ends the limit. A write beyond it fails
+// with ENOSPC after the part that fits.
+func (d *Disk) SetCapacity(bytes int64) {
+	d.capacity = bytes
+}
+
+// Used returns the bytes of all files.
+func (d *Disk) Used() int64 {
+	used := int64(0)
+	for _, f := range d.names {
+		used += int64(len(f.current))
+	}
+	return used
+}
+
+// fitting returns how many bytes of a write fit on the disk.
+func (d *Disk) fitting(f *content, data []byte, offset int64) int {
+	if d.capacity < 0 {
+		return len(data)
+	}
+	end := max(int64(len(f.current)), int64(len(f.current))+d.capacity-d.Used())
+	return int(min(max(end-offset, 0), int64(len(data))))
+}
+
 // LosePower drops, keeps or tears each change that was not synced, and ends the effect of
 // FailAfter.
 func (d *Disk) LosePower() {
@@ -222,7 +249,17 @@
 
 // WriteAt implements wal.File.
 func (f *file) WriteAt(data []byte, offset int64) (int, error) {
-	return len(data), f.apply(write{offset: offset, data: slices.Clone(data)})
+	n := f.disk.fitting(f.content, data, offset)
+	if n == 0 && len(data) > 0 {
+		return 0, syscall.ENOSPC
+	}
+	if err := f.apply(write{offset: offset, data: slices.Clone(data[:n])}); err != nil {
+		return n, err
+	}
+	if n < len(data) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
 }
 
 // Truncate implements wal.File.
@@ -259,5 +296,7 @@
 
 // Erase replaces the disk with an empty one.
 func (d *Disk) Erase() {
+	capacity := d.capacity
 	*d = *New(d.random)
+	d.capacity = capacity
 }
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -14,6 +14,11 @@
 	return writeFileDurably(fs, filepath.Join(folder, snapshotName(number)), record)
 }
 
+// snapshotFileBytes returns the size of the file of a snapshot.
+func snapshotFileBytes(identity consensus.ID, s consensus.Snapshot) int64 {
+	return int64(recordOverhead + len(encodeSnapshot(identity, s)))
+}
+
 // readNewestSnapshot returns nil if the folder holds no snapshot. It does not fall back
 // from a damaged snapshot to an older one, because the log between them may already be
 // removed.
