Log at most 64 bytes of a statement's identity

A caller chooses the identity of its statements, of up to 1 MiB, and each log line about one held all of it, also in the queue of lines that wait for a slow reader. An error of telling a caller that its session has begun is logged now.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -301,7 +301,7 @@
 		}
 		countRetry(result.retryReason)
 		s.engine.log.WithFields(logrus.Fields{
-			"event": "retried", "id": st.ID, "reason": string(result.retryReason), "attempt": n, "upstream": result.upstream(),
+			"event": "retried", "id": LoggedID(st.ID), "reason": string(result.retryReason), "attempt": n, "upstream": result.upstream(),
 			"elapsed_ms": (clock.Now() - op.started).Milliseconds(), "service": op.group.service,
 		}).Info("retrying request")
 		if result.retryReason == retryBusy || result.retryReason == retryReadOnly {
--- /dev/null
+++ b/gateway/engine/logged.go
@@ -0,0 +1,13 @@
+package engine
+
+// maxLoggedBytes bounds what is logged of a caller's text, which may be as long as a message.
+const maxLoggedBytes = 64
+
+// LoggedID returns what is logged of the identity of a statement.
+func LoggedID(id string) string {
+	return logged(id)
+}
+
+func logged(text string) string {
+	return text[:min(len(text), maxLoggedBytes)]
+}
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -290,7 +290,7 @@
 func (e *Engine) recordRefusal(id, statement string, r *Refusal, s *Session) {
 	countRefusal(r.Code, r.Reason)
 	fields := logrus.Fields{
-		"event": "refused", "id": id, "statement": statement, "code": uint32(r.Code), "result": r.Code.String(),
+		"event": "refused", "id": LoggedID(id), "statement": statement, "code": uint32(r.Code), "result": r.Code.String(),
 		"reason": string(r.Reason), "retry_after_ms": r.RetryAfter.Milliseconds(),
 		"upstream": r.Upstream, "elapsed_ms": r.Elapsed.Milliseconds(),
 	}
--- a/gateway/engine/setup.go
+++ b/gateway/engine/setup.go
@@ -7,9 +7,6 @@
 	"github.com/sirupsen/logrus"
 )
 
-// maxLoggedNameBytes bounds what is logged of the name of a prepared statement.
-const maxLoggedNameBytes = 64
-
 // recordRefusedSetup counts and logs each statement of a batch that sets up the upstream's session and that
 // the upstream refused, and a prepared statement that it does not know. Both mean that the upstream's
 // session is not in the state that this node believes it to be in.
@@ -22,8 +19,8 @@
 		metrics.GetOrCreateCounter(`jayloom_gateway_refused_setups_total{statement="` + st.Kind.String() + `",outcome="` +
 			reply.Outcome.String() + `"}`).Inc()
 		e.log.WithFields(logrus.Fields{
-			"event": "setup_refused", "id": id, "statement": st.Kind.String(), "outcome": reply.Outcome.String(),
-			"upstream": c.pool.target.ID, "name": st.Name[:min(len(st.Name), maxLoggedNameBytes)], "name_bytes": len(st.Name),
+			"event": "setup_refused", "id": LoggedID(id), "statement": st.Kind.String(), "outcome": reply.Outcome.String(),
+			"upstream": c.pool.target.ID, "name": logged(st.Name), "name_bytes": len(st.Name),
 			// A name of more than one field is read as a name and something else.
 			"name_fields": 1 + strings.Count(st.Name, " "), "prepared": c.prepared.recent.Len(), "resets": c.resets,
 		}).Warn("upstream refused to set up the session")
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -292,7 +292,7 @@
 	}
 	t.fail(reasonUpstreamFailed)
 	if reply.Outcome.notRun() {
-		s.engine.log.WithFields(logrus.Fields{"event": "commit_refused", "id": st.ID, "outcome": reply.Outcome.String(), "upstream": upstream}).
+		s.engine.log.WithFields(logrus.Fields{"event": "commit_refused", "id": LoggedID(st.ID), "outcome": reply.Outcome.String(), "upstream": upstream}).
 			Info("upstream refused a commit")
 		return finalResult(Answer{Refusal: &Refusal{Code: rescode.TransactionAborted, Reason: reasonUpstreamBusy, RetryAfter: shortRetryAfter}})
 	}
--- a/gateway/server/request.go
+++ b/gateway/server/request.go
@@ -49,7 +49,7 @@
 // fields describes a request in the log of a stop that began at stoppedAt.
 func (r request) fields(now, stoppedAt time.Duration, phase engine.Phase) logrus.Fields {
 	return logrus.Fields{
-		"id": r.id, "statement": r.kind.String(), "phase": phase.String(),
+		"id": engine.LoggedID(r.id), "statement": r.kind.String(), "phase": phase.String(),
 		"in_transaction": r.inTransaction, "elapsed_ms": (now - r.receivedAt).Milliseconds(),
 		// Negative if the request was received before the stop.
 		"received_after_stop_ms": (r.receivedAt - stoppedAt).Milliseconds(),
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -198,7 +198,11 @@
 	c.session = session
 	session.SendRowsTo(c)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return c.codec.WriteReady() == nil
+	if err := c.codec.WriteReady(); err != nil {
+		c.server.opts.Log.WithError(err).Debug("failed to tell a caller that its session has begun")
+		return false
+	}
+	return true
 }
 
 // readStartup reads the startup message. If the server is draining, it waits only for one that has
@@ -263,7 +267,7 @@
 func (c *callerConn) recordUnsentAnswer(st engine.Statement, err error) {
 	metricUnsentAnswers.Inc()
 	c.server.opts.Log.WithError(err).WithFields(logrus.Fields{
-		"event": "answer_unsent", "id": st.ID, "statement": st.Kind.String(),
+		"event": "answer_unsent", "id": engine.LoggedID(st.ID), "statement": st.Kind.String(),
 	}).Info("answer could not be sent to the caller")
 }
 
