Keep nothing of an answered message in an idle session

A session that was idle kept its last message of up to 1 MiB: currentRequest kept the id, which is a part of the message, until the next one, and an open transaction kept it in operation.id, which nothing read. 716 callers (the limit with 1024 file descriptors) that send one large message each and wait could hold 716 MB; found by reading, not measured.

The request is cleared when it is answered, and the unused field is gone.

--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -65,7 +65,6 @@
 
 // operation is a single statement outside a transaction, or a whole transaction.
 type operation struct {
-	id    string
 	route *catalog.Route
 	team  string
 	// rate and burst are the limits of the team.
@@ -262,7 +261,6 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	op.id = st.ID
 	if op.team == publicTeam {
 		return op, nil
 	}
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -73,7 +73,6 @@
 		return Answer{Refusal: refusal}
 	}
 	t.op.deadline = time.Now().Add(t.op.route.StatementTimeout)
-	t.op.id = st.ID
 	if refusal := s.ensureBegun(ctx, st); refusal != nil {
 		s.returnAdmission(t.op, refusal)
 		t.fail(refusal.Reason)
@@ -252,7 +251,6 @@
 		return Answer{Refusal: refusal}
 	}
 	t.op.deadline = time.Now().Add(t.op.route.StatementTimeout)
-	t.op.id = st.ID
 	if refusal := s.ensureBegun(ctx, st); refusal != nil {
 		t.fail(refusal.Reason)
 		return Answer{Refusal: refusal}
--- a/gateway/server/request.go
+++ b/gateway/server/request.go
@@ -36,6 +36,8 @@
 func (c *currentRequest) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// The id is a part of the caller's message, which an idle session would keep whole with it.
+	c.request = request{}
 	c.running = false
 }
 
