Cut long text fields of log lines

A refused request is logged with its id, which a caller chooses and which may be nearly 1 MiB long. A slow reader of the log lets up to 1024 lines wait in memory. Text fields are cut at 8 KB now, which leaves stacks readable. TestLongFieldsAreCut logs an id of 1 MiB.

--- a/base/logging/rate_limited.go
+++ b/base/logging/rate_limited.go
@@ -16,6 +16,9 @@
 	// linesPerSecond and lineBurst limit the lines of one kind.
 	linesPerSecond = 10
 	lineBurst      = 40
+	// maxFieldBytes bounds a text field of a line. Some hold text of callers, such as the ids of their requests; the
+	// longest others are stacks.
+	maxFieldBytes = 8 << 10
 	// maxQueuedLines bounds the lines that wait for a slow reader.
 	maxQueuedLines = 1024
 )
@@ -59,10 +62,19 @@
 		metricDroppedRateLimited.Inc()
 		return nil, nil
 	}
+	changed := map[string]any{}
 	if dropped > 0 {
+		changed["dropped_before"] = dropped
+	}
+	for name, value := range e.Data {
+		if text, ok := value.(string); ok && len(text) > maxFieldBytes {
+			changed[name] = text[:maxFieldBytes]
+		}
+	}
+	if len(changed) > 0 {
 		annotated := *e
 		annotated.Data = maps.Clone(e.Data)
-		annotated.Data["dropped_before"] = dropped
+		maps.Copy(annotated.Data, changed)
 		e = &annotated
 	}
 	return f.inner.Format(e)
--- a/base/logging/rate_limited_test.go
+++ b/base/logging/rate_limited_test.go
@@ -45,6 +45,22 @@
 	}
 }
 
+// Guards against lines with long texts of callers, which would wait in memory for a slow reader.
+func TestLongFieldsAreCut(t *testing.T) {
+	var out bytes.Buffer
+	logger := logrus.New()
+	logger.SetOutput(&out)
+	logger.SetFormatter(&rateLimitedFormatter{inner: &logrus.JSONFormatter{}, buckets: map[string]*tokenBucket{}})
+	logger.WithFields(logrus.Fields{"event": "refused", "id": strings.Repeat("x", 1<<20), "database": "intake"}).Info("request refused")
+	line := struct{ ID, Database string }{}
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatal(err)
+	}
+	if len(line.ID) != maxFieldBytes || line.Database != "intake" {
+		t.Errorf("an id of %d bytes of database %q was logged", len(line.ID), line.Database)
+	}
+}
+
 // Guards against a stalled reader of the log that blocks the process.
 func TestLoggingDoesNotBlock(t *testing.T) {
 	r, w := io.Pipe()
