Check the PREPARE of an upstream name again

The bound on prepared statements had moved the statement that prepares an entry into exchange, and the test of names had lost its check of that statement. It is a method of the entry now, and checked as before.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -399,7 +399,7 @@
 		batch = append(batch, Statement{Kind: Forget, Name: entry.name})
 	}
 	if change.added != nil {
-		batch = append(batch, Statement{Kind: Prepare, Name: change.added.name, Writes: prepared.writes, Shape: prepared.shape})
+		batch = append(batch, change.added.prepare(prepared.preparedStatement))
 	}
 	replyIndex := len(batch)
 	batch = append(append(batch, st), extra...)
--- a/gateway/engine/prepared.go
+++ b/gateway/engine/prepared.go
@@ -55,6 +55,11 @@
 	bytes int64
 }
 
+// prepare returns the statement that prepares p under the name of the entry.
+func (e *preparedEntry) prepare(p preparedStatement) Statement {
+	return Statement{Kind: Prepare, Name: e.name, Writes: p.writes, Shape: p.shape}
+}
+
 // preparedChange is what a batch of statements changes of what is prepared on a connection.
 type preparedChange struct {
 	// evicted are closed at the upstream. added, if there is one, is prepared there.
--- a/gateway/engine/prepared_test.go
+++ b/gateway/engine/prepared_test.go
@@ -17,15 +17,15 @@
 	return Statement{ID: id, Kind: Execute, Text: "EXECUTE " + name + " " + arguments, Name: name, Value: arguments}
 }
 
-// ensure returns the name that p has on the connection, which it gets if it has none.
-func (n *preparedNames) ensure(p preparedStatement) (name string, missing bool) {
-	st := sessionStatement{preparedStatement: p, key: p.key()}
-	if name, ok := n.lookup(st.key); ok {
-		return name, false
+// ensure returns the name that p has on the connection, and the statement that prepares it if it is missing there.
+func (n *preparedNames) ensure(p preparedStatement) (name string, st Statement, missing bool) {
+	held := sessionStatement{preparedStatement: p, key: p.key()}
+	if name, ok := n.lookup(held.key); ok {
+		return name, Statement{}, false
 	}
-	added := n.next(st)
+	added := n.next(held)
 	n.apply(preparedChange{added: added})
-	return added.name, true
+	return added.name, added.prepare(p), true
 }
 
 // Guards against names at upstreams that hold text of a caller, which an upstream reads as more than a name.
@@ -41,10 +41,17 @@
 		{preparedStatement{false, "sg READ q2"}, "p1", false},
 		{preparedStatement{false, "p2"}, "p3", true},
 	} {
-		name, missing := names.ensure(c.statement)
+		name, st, missing := names.ensure(c.statement)
 		if name != c.want || missing != c.missing {
 			t.Errorf("%d: name %q, missing %v", i, name, missing)
 		}
+		want := Statement{}
+		if c.missing {
+			want = Statement{Kind: Prepare, Name: c.want, Writes: c.statement.writes, Shape: c.statement.shape}
+		}
+		if diff := cmp.Diff(want, st); diff != "" {
+			t.Errorf("%d: %s", i, diff)
+		}
 	}
 }
 
@@ -53,7 +60,7 @@
 	var names preparedNames
 	names.ensure(preparedStatement{shape: "a"})
 	names.clear()
-	if name, missing := names.ensure(preparedStatement{shape: "b"}); name != "p2" || !missing {
+	if name, _, missing := names.ensure(preparedStatement{shape: "b"}); name != "p2" || !missing {
 		t.Errorf("name %q, missing %v", name, missing)
 	}
 }
