Hold no long key for a session

A public route accepts any text as key, and the session kept it, up to 1 MiB for each, with the whole START message. Found by reading, not measured. A key above 4 KB counts as none now, which a route that needs one refuses as before, and the texts are copied out of the message. TestLongKeyIsNotHeld guards it.

--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,8 @@
 	failoverRetryAfter = 600 * time.Millisecond
 	// publicTeam is the team of callers that use a public route without a key.
 	publicTeam = ""
+	// maxKeyBytes is the length of the longest key that a session presents.
+	maxKeyBytes = 4 << 10
 	// closeTimeout bounds the rollback when a session is closed inside a transaction.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -49,7 +52,7 @@
 
 // OpenSession begins a session for a caller of a database, or refuses it.
 func (e *Engine) OpenSession(database, key string) (*Session, *Refusal) {
-	s := &Session{engine: e, database: database, key: key}
+	s := &Session{engine: e, database: strings.Clone(database), key: heldKey(key)}
 	refusal := e.refuseBeginning(clock.Now())
 	if refusal == nil {
 		_, refusal = s.admit()
@@ -63,6 +66,15 @@
 	return s, nil
 }
 
+// heldKey returns the key that a session keeps. Callers of public routes need none and may send any text; one above
+// maxKeyBytes is no team's key.
+func heldKey(key string) string {
+	if len(key) > maxKeyBytes {
+		return ""
+	}
+	return strings.Clone(key)
+}
+
 // operation is a single statement outside a transaction, or a whole transaction.
 type operation struct {
 	route *catalog.Route
--- a/gateway/engine/state_test.go
+++ b/gateway/engine/state_test.go
@@ -180,6 +180,20 @@
 	}
 }
 
+// Guards against sessions that hold a START message of 1 MiB each: a public route accepts any key.
+func TestLongKeyIsNotHeld(t *testing.T) {
+	if got := heldKey(strings.Repeat("k", maxKeyBytes+1)); got != "" {
+		t.Errorf("a key of %d bytes is held", len(got))
+	}
+	if got := heldKey("key"); got != "key" {
+		t.Errorf("the key %q is held", got)
+	}
+	s, _ := newBoundedNode(t)
+	if _, refusal := s.engine.OpenSession("intake", strings.Repeat("k", largeText)); refusal == nil || refusal.Code != rescode.KeyWithdrawn {
+		t.Errorf("a long key on a route that needs one: %+v", refusal)
+	}
+}
+
 // Guards against a caller that fills the log with its refusals.
 func TestRefusedStateIsLoggedOnce(t *testing.T) {
 	s, _ := newBoundedNode(t)
