Close at most 256 statements with one write

A long transaction may leave any number of statements on its connection, and all above the bounds were closed with the next write. The upstream answers each CLOSE while the node still writes and does not read, so with the small windows of the platform both sides may wait for each other until the deadline. Found by reading; no such wait was seen. The rest is closed with later writes. TestNoStatementIsClosedInsideATransaction covers it with 768 statements.

--- a/gateway/engine/prepared.go
+++ b/gateway/engine/prepared.go
@@ -13,6 +13,9 @@
 	// What a transaction prepares may exceed them until it has ended.
 	maxPreparedStatements = 256
 	maxPreparedBytes      = 1 << 20
+	// maxEvictions bounds the statements that one write closes. The upstream answers each while the node still
+	// writes, and a long transaction may leave any number.
+	maxEvictions = maxPreparedStatements
 	// preparedEntryBytes is counted for each statement on top of its text.
 	preparedEntryBytes = 128
 )
@@ -86,7 +89,7 @@
 }
 
 // overflow returns the least recently used statements that must be closed so that the others and added, which may
-// be nil, are within the bounds. The most recently used one is kept if there is none to add.
+// be nil, are within the bounds, or the first maxEvictions of them. The most recently used one is kept if there is none to add.
 func (n *preparedNames) overflow(added *preparedEntry) []*preparedEntry {
 	count, bytes, kept := n.recent.Len(), n.bytes, 1
 	if added != nil {
@@ -94,7 +97,7 @@
 	}
 	var out []*preparedEntry
 	for e := n.recent.Back(); e != nil && (count > maxPreparedStatements || bytes > maxPreparedBytes); e = e.Prev() {
-		if n.recent.Len()-len(out) <= kept {
+		if n.recent.Len()-len(out) <= kept || len(out) == maxEvictions {
 			break
 		}
 		entry := e.Value.(*preparedEntry)
