--- a/gateway/engine/state_test.go
+++ b/gateway/engine/state_test.go
@@ -130,6 +130,7 @@
 // Guards against entries that are counted on although the session does not hold them any more.
 func TestDroppedStateIsGivenBack(t *testing.T) {
 	s, budget := newBoundedNode(t)
+	before := metricSessionStateBytes.Get()
 	text := strings.Repeat("q", largeText)
 	session := s.open("intake", "key")
 	for range largeTextCount {
@@ -148,7 +149,13 @@
 	if held := session.state.Held(); held != stateBytes("s", "short") {
 		t.Errorf("a short value holds %d bytes", held)
 	}
+	if got := metricSessionStateBytes.Get() - before; got != float64(stateBytes("s", "short")) {
+		t.Errorf("the gauge has %v bytes for a short value", got)
+	}
 	session.Close()
+	if got := metricSessionStateBytes.Get() - before; got != 0 {
+		t.Errorf("the gauge has %v bytes for an ended session", got)
+	}
 	for range 100 {
 		other := s.open("intake", "key")
 		if refusal, n := s.fill(other, statesThatGrow["prepared"]); refusal.Code != rescode.StatementLimit || n < 3 {
