Soak: count how many operations of an exceeded rate were sent in its window

The users' rule counts operations that are both sent and run in the window, the check those that run in it; the count tells the two apart. The bound and what it counts are unchanged.

Run: TestChecksFindViolations, TestChecksFindViolationsOfPreparedStatements.

--- a/cmd/internal/soak/check_test.go
+++ b/cmd/internal/soak/check_test.go
@@ -306,10 +306,11 @@
 		len(most), smallTeam, rateWindow, most[len(most)-1].at.UTC().Format(time.RFC3339Nano), limit, describeOperations(most))}
 }
 
-// operation is an operation that a server ran, with the node that its caller used.
+// operation is an operation that a server ran, with the time at which it was sent and the node that
+// its caller used.
 type operation struct {
-	at   time.Time
-	node string
+	sentAt, at time.Time
+	node       string
 }
 
 // operationsOfSmallTeam returns the operations of the small team that ran, in the order of time.
@@ -321,7 +322,7 @@
 		}
 		for _, s := range a.statements {
 			if runs := x.executionsByID[s.id]; len(runs) > 0 {
-				all = append(all, operation{runs[0].At, a.node})
+				all = append(all, operation{s.sentAt, runs[0].At, a.node})
 				break
 			}
 		}
@@ -330,15 +331,19 @@
 	return all
 }
 
-// describeOperations counts operations by node and by half-second since the first one.
+// describeOperations counts operations by node and by half-second since the first one ran, and those that were
+// sent since then too.
 func describeOperations(all []operation) string {
-	byNode := map[string]int{}
+	byNode, sentSince := map[string]int{}, 0
 	byTime := make([]int, rateWindow/operationInterval+1)
 	for _, o := range all {
 		byNode[o.node]++
 		byTime[o.at.Sub(all[0].at)/operationInterval]++
+		if !o.sentAt.Before(all[0].at) {
+			sentSince++
+		}
 	}
-	return fmt.Sprintf("by node %v, every %s %v", byNode, operationInterval, byTime)
+	return fmt.Sprintf("%d sent in this time, by node %v, every %s %v", sentSince, byNode, operationInterval, byTime)
 }
 
 // checkConfiguration finds reads that return a replaced configuration later than
