Keep the replica and the leader while the disk is full

What callers saw: a full disk was taken for a broken one. Nothing tried to make room.

Cause: any failed write marked the log as failed for good, since it is not known what of it is durable. For ENOSPC it is: nothing before the record is touched, and what the disk has taken of it can be cut off again.

- wal: a write without room is undone, synced, and reported as ErrDiskFull; the log can be used further.
- consensus: AdvanceUnsynced goes on after a write without room.
A leader keeps its entries and its heartbeats.
A follower forgets entries that are not durable, as if the message had been lost, and confirms only what is durable, so that it counts in the leader's lease.
A candidate does not, since it has named its last entry to the voters.
The leader refuses proposals meanwhile, and accepts at most an eighth of the disk in proposals that are not yet applied, since these cannot be cut.

--- a/cmd/jayloom-node/replica.go
+++ b/cmd/jayloom-node/replica.go
@@ -30,7 +30,7 @@
 		if err == nil {
 			return
 		}
-		n.log.WithError(err).WithField("event", "disk_lost").Error("replica failed; it will be reopened")
+		n.log.WithError(err).WithField("event", storageEvent(err)).Error("replica failed; it will be reopened")
 		select {
 		case <-ctx.Done():
 		case <-time.After(reopenDelay):
@@ -38,6 +38,14 @@
 	}
 }
 
+// storageEvent names what ended a replica: a disk without room for what must be written, or a broken one.
+func storageEvent(err error) string {
+	if replica.IsDiskFull(err) {
+		return "disk_full"
+	}
+	return "disk_lost"
+}
+
 // logOpened logs what the folder held, which tells a replica that lost entries from one that
 // lacks a quorum.
 func (n *node) logOpened(r *replica.Replica) {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -227,6 +227,52 @@
 	n.releaseMessages(r.deferred)
 }
 
+// AdvanceUnsynced replaces Advance if there was no room to make Snapshot and Entries of r durable.
+// hardStateSynced is true if HardState is durable nevertheless. It reports whether nothing is left to be
+// made durable; otherwise Ready returns the rest again, and the deferred messages are dropped as the
+// network may drop them.
+func (n *Node) AdvanceUnsynced(r Ready, hardStateSynced bool) bool {
+	n.awaitingAdvance = false
+	if r.HardState != nil && hardStateSynced {
+		n.syncedHardState = *r.HardState
+	}
+	if len(r.Committed) > 0 {
+		n.log.applied = max(n.log.applied, r.Committed[len(r.Committed)-1].Index)
+	}
+	n.deferred = append(r.deferred, n.deferred...)
+	if n.hardState == n.syncedHardState && n.canForget() {
+		n.forgetUnsyncedEntries()
+	}
+	if n.hasUnsyncedState() {
+		n.deferred = nil
+		return false
+	}
+	return true
+}
+
+// canForget reports whether nobody relies on the entries that are not durable. A leader's may be
+// committed by others, and a candidate has named its last entry to those that vote for it.
+func (n *Node) canForget() bool {
+	return n.log.pendingSnapshot == nil && (n.role == Follower || n.role == PreCandidate)
+}
+
+// forgetUnsyncedEntries drops the entries that are not durable, as if the messages with them had been
+// lost. The member can then answer its leader, with what is durable.
+func (n *Node) forgetUnsyncedEntries() {
+	kept := max(n.log.synced, n.log.base)
+	if kept >= n.log.lastIndex() {
+		return
+	}
+	// They may be committed by others; this member learns so again.
+	n.log.committed = min(n.log.committed, kept)
+	n.log.truncateFrom(kept + 1)
+	for i, m := range n.deferred {
+		if m.Kind == MsgAppendReply && !m.Reject {
+			n.deferred[i].LogIndex = min(m.LogIndex, kept)
+		}
+	}
+}
+
 // updateOwnProgress counts the leader's own durable entries.
 func (n *Node) updateOwnProgress() {
 	if p := n.progress[n.id]; p != nil {
--- a/consensus/random_test.go
+++ b/consensus/random_test.go
@@ -61,7 +61,7 @@
 func (s *simulation) injectFault(t *rapid.T, r *voterReplacement) {
 	v := s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, "vm")]
 	other := s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, "other")]
-	switch rapid.IntRange(0, 11).Draw(t, "fault") {
+	switch rapid.IntRange(0, 12).Draw(t, "fault") {
 	case 0:
 		if v.up {
 			s.crash(v)
@@ -89,6 +89,8 @@
 		if r.isIdle() && v.up {
 			r.start(v)
 		}
+	case 12:
+		v.room = rapid.SampledFrom([]diskRoom{roomForAll, roomForHardState, roomForNothing}).Draw(t, "room")
 	case 11:
 		s.lossPercent = rapid.IntRange(0, 30).Draw(t, "loss")
 		s.slowPercent = rapid.IntRange(0, 20).Draw(t, "slow")
@@ -109,7 +111,7 @@
 // TestRandomFaults guards against two leaders in a term, diverging logs, lost or
 // changed committed entries, two lease holders, and a cluster that does not recover.
 // The faults are loss, duplication, delay and reordering of messages, crashes with loss
-// of unsynced data, lost disks, membership changes, cut links, frozen processes, and
+// of unsynced data, lost and full disks, membership changes, cut links, frozen processes, and
 // clock rates that are off by up to 5 %.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -128,7 +130,7 @@
 		s.heal()
 		s.lossPercent, s.slowPercent = 0, 0
 		for _, v := range s.vms {
-			v.diskPercent = 100
+			v.diskPercent, v.room = 100, roomForAll
 		}
 		s.waitFor("the replacement is complete", func() bool { r.advance(); return r.isIdle() })
 		s.waitForConvergence()
--- a/consensus/simulation_test.go
+++ b/consensus/simulation_test.go
@@ -28,6 +28,7 @@
 	// diskPercent is the chance in percent, in each step, that a pending write becomes
 	// durable.
 	diskPercent int
+	room        diskRoom
 
 	hardState HardState
 	snapshot  SnapshotMeta
@@ -38,6 +39,16 @@
 	committed Index
 }
 
+// diskRoom says for what a VM's disk has room.
+type diskRoom int
+
+const (
+	roomForAll diskRoom = iota
+	// roomForHardState is a disk on which entries and snapshots do not fit.
+	roomForHardState
+	roomForNothing
+)
+
 type inFlightMessage struct {
 	deliverAt time.Duration
 	message   Message
@@ -178,13 +189,39 @@
 		if s.random.IntN(100) >= v.diskPercent {
 			return
 		}
-		v.persist(*v.ready)
 		r := *v.ready
 		v.ready = nil
+		if !v.hasRoomFor(r) {
+			if !v.node.AdvanceUnsynced(r, v.persistHardState(r)) {
+				return
+			}
+			continue
+		}
+		v.persist(r)
 		v.node.Advance(r)
 	}
 }
 
+func (v *vm) hasRoomFor(r Ready) bool {
+	switch v.room {
+	case roomForHardState:
+		return r.Snapshot == nil && len(r.Entries) == 0
+	case roomForNothing:
+		return r.Snapshot == nil && len(r.Entries) == 0 && r.HardState == nil
+	default:
+		return true
+	}
+}
+
+// persistHardState persists the hard state alone if there is room for it.
+func (v *vm) persistHardState(r Ready) bool {
+	if v.room != roomForHardState || r.HardState == nil {
+		return false
+	}
+	v.hardState = *r.HardState
+	return true
+}
+
 func (v *vm) persist(r Ready) {
 	if r.Snapshot != nil {
 		v.snapshot = r.Snapshot.SnapshotMeta
--- a/control/replica/disk_test.go
+++ b/control/replica/disk_test.go
@@ -6,10 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/consensus"
+	"github.com/jayloom/jayloom/wal"
 )
 
 const (
@@ -173,3 +176,132 @@
 	}
 	return out
 }
+
+// TestFullDiskRefusesChangesUntilThereIsRoom guards against a full disk that ends the replica, and against one that
+// has to be restarted once there is room.
+func TestFullDiskRefusesChangesUntilThereIsRoom(t *testing.T) {
+	v := newSingleVoter(t)
+	s, c := v.simulation, encodePut(t, largeCatalog(100))
+	confirmed := uint64(0)
+	for round := range 20 {
+		v.disk.SetCapacity(v.disk.Used() + int64(s.random.IntN(3*len(c))))
+		for version := confirmed + 1; s.putCatalog(v, c, version); version++ {
+			confirmed = version
+		}
+		if !v.replica.fullDisk.isFull || !v.replica.Status().Leading {
+			s.fail("round %d: full %v, leads %v", round, v.replica.fullDisk.isFull, v.replica.Status().Leading)
+		}
+		v.disk.SetCapacity(smallDiskBytes)
+		s.now += fullDiskRetryInterval
+		if confirmed += 2; !s.putAfterRoom(v, c, confirmed) {
+			s.fail("round %d: version %d is not confirmed although there is room", round, confirmed)
+		}
+	}
+	v.disk.LosePower()
+	if state := v.restart(); state.catalog.GetVersion() != confirmed {
+		t.Errorf("version %d was confirmed, %d is read after a loss of power", confirmed, state.catalog.GetVersion())
+	}
+}
+
+// putAfterRoom lets the replica write what has waited for room, and then puts a version.
+func (s *simulation) putAfterRoom(leader *simulatedVM, encoded []byte, version uint64) bool {
+	if err := leader.replica.advance(); err != nil {
+		s.fail("the replica ended: %v", err)
+	}
+	return s.putCatalog(leader, encoded, version)
+}
+
+// TestFullLogFreesItself guards against a disk that stays full although the room that is left is enough for a
+// snapshot, which would free it.
+func TestFullLogFreesItself(t *testing.T) {
+	v := newSingleVoter(t)
+	small, large := encodePut(t, largeCatalog(100)), encodePut(t, largeCatalog(200))
+	for version := uint64(1); version <= 10; version++ {
+		if !v.simulation.putCatalog(v, small, version) {
+			v.simulation.fail("version %d is not confirmed", version)
+		}
+	}
+	v.disk.SetCapacity(v.disk.Used() + int64(len(small)*3/2))
+	if !v.simulation.putCatalog(v, large, 11) {
+		v.simulation.fail("the log was not cut; %d bytes are used", v.disk.Used())
+	}
+	if v.replica.snapshotIndex() == 0 || v.replica.fullDisk.isFull {
+		t.Errorf("snapshot at %d, full %v", v.replica.snapshotIndex(), v.replica.fullDisk.isFull)
+	}
+}
+
+// TestFullDisksOfAllVotersKeepTheLeader guards against a fleet without a leader while all disks are full.
+func TestFullDisksOfAllVotersKeepTheLeader(t *testing.T) {
+	s := newSimulation(t, 3, 3, 1)
+	s.runFor(4 * time.Second)
+	leader := s.leader()
+	if leader == nil {
+		s.fail("no leader")
+	}
+	term := leader.replica.Status().Term
+	for _, v := range s.vms {
+		v.disk.SetCapacity(v.disk.Used())
+	}
+	for range 50 {
+		s.put()
+		s.runFor(100 * time.Millisecond)
+		if s.leader() != leader || leader.replica.Status().Term != term {
+			s.fail("the leader has changed")
+		}
+	}
+	for _, v := range s.vms {
+		v.disk.SetCapacity(-1)
+	}
+	s.runFor(time.Second)
+	s.put()
+	s.runFor(100 * time.Millisecond)
+	if s.confirmed != s.sentVersion || leader.replica.Status().Term != term {
+		s.fail("version %d of %d is confirmed, term %d was %d", s.confirmed, s.sentVersion, leader.replica.Status().Term, term)
+	}
+}
+
+// TestPendingProposalsAreBoundInBytes guards against proposals that together do not fit on the disk: what is not
+// applied cannot be cut.
+func TestPendingProposalsAreBoundInBytes(t *testing.T) {
+	v := newSingleVoter(t)
+	c, accepted := encodePut(t, largeCatalog(manyRoutes)), 0
+	for range 2 * smallDiskBytes / len(c) {
+		p := &proposal{data: c, done: make(chan outcome, 1)}
+		v.replica.appendProposal(p)
+		if len(p.done) == 0 {
+			accepted++
+		}
+	}
+	if bytes := accepted * len(c); bytes > smallDiskBytes/pendingFractionOfDisk || bytes < smallDiskBytes/pendingFractionOfDisk-len(c) {
+		t.Errorf("%d proposals of %d bytes were accepted", accepted, len(c))
+	}
+	if err := v.replica.advance(); err != nil {
+		t.Fatal(err)
+	}
+	if !v.simulation.putCatalog(v, c, 1) {
+		v.simulation.fail("a proposal is refused although all others are applied")
+	}
+	if v.replica.pendingBytes != 0 {
+		t.Errorf("%d bytes count as pending", v.replica.pendingBytes)
+	}
+}
+
+// TestVoteOnAFullDiskIsDurable guards against a vote that counts as durable and is not while the next write of entries
+// to a full disk is not yet due: the member could vote twice in a term.
+func TestVoteOnAFullDiskIsDurable(t *testing.T) {
+	v := newSingleVoter(t)
+	v.replica.fullDisk = fullDisk{isFull: true, retryAt: v.simulation.now + time.Second}
+	vote := consensus.HardState{Term: 9, Vote: "x"}
+	ready := consensus.Ready{HardState: &vote, Entries: entriesOf(1, 100)}
+	if err := v.replica.persist(ready); !errors.Is(err, wal.ErrDiskFull) {
+		t.Fatalf("write before it is due: %v", err)
+	}
+	if !v.replica.saveHardState(ready) {
+		t.Fatal("the vote was not saved")
+	}
+	v.disk.LosePower()
+	v.openWith(&catalogState{})
+	if diff := cmp.Diff(vote, v.replica.hardState); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/control/replica/metrics.go
+++ b/control/replica/metrics.go
@@ -21,6 +21,8 @@
 	metricCommitSeconds      = metrics.NewHistogram(`jayloom_replica_proposal_seconds`)
 	metricLogBytes           = metrics.NewGauge(`jayloom_replica_log_bytes`, nil)
 	metricSnapshotBytes      = metrics.NewGauge(`jayloom_replica_snapshot_bytes`, nil)
+	metricDiskFull           = metrics.NewGauge(`jayloom_replica_disk_full`, nil)
+	metricDiskFullTotal      = metrics.NewCounter(`jayloom_replica_disk_full_total`)
 	metricTerm               = metrics.NewGauge(`jayloom_replica_term`, nil)
 	metricCommitted          = metrics.NewGauge(`jayloom_replica_committed_index`, nil)
 )
--- a/control/replica/proposals.go
+++ b/control/replica/proposals.go
@@ -89,6 +89,10 @@
 
 // appendProposal appends a proposal to the log.
 func (r *Replica) appendProposal(p *proposal) {
+	if refusal := r.roomRefusal(p); refusal != nil {
+		p.done <- outcome{err: refusal}
+		return
+	}
 	index, err := r.node.Propose(r.now(), p.data)
 	switch {
 	case errors.Is(err, consensus.ErrNotLeader):
@@ -98,7 +102,23 @@
 	default:
 		p.term = r.node.Term()
 		r.pendingProposals[index] = p
+		r.pendingBytes += len(p.data)
+	}
+}
+
+// roomRefusal returns why the disk has no room for a proposal to a leader, or nil.
+func (r *Replica) roomRefusal(p *proposal) error {
+	if r.node.Role() != consensus.Leader {
+		return nil
+	}
+	if r.fullDisk.isFull {
+		return unavailableError("the disk of the leader is full")
+	}
+	limit := int(r.config.DiskBytes / pendingFractionOfDisk)
+	if len(r.pendingProposals) > 0 && r.pendingBytes+len(p.data) > limit {
+		return unavailableError("proposals of %d bytes are not yet applied", r.pendingBytes)
 	}
+	return nil
 }
 
 // applyEntries applies committed entries to the state.
@@ -134,6 +154,7 @@
 		return
 	}
 	delete(r.pendingProposals, e.Index)
+	r.pendingBytes -= len(p.data)
 	if p.term != e.Term {
 		p.done <- outcome{err: unavailableError("the leader changed")}
 		return
@@ -148,6 +169,7 @@
 		p.done <- outcome{err: unavailableError("%s", reason)}
 		delete(r.pendingProposals, index)
 	}
+	r.pendingBytes = 0
 	for _, c := range r.pendingChanges {
 		c.done <- outcome{err: unavailableError("%s", reason)}
 	}
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -39,6 +39,9 @@
 	// keptFractionOfDisk is the inverse of the part of the disk's size that entries before a snapshot
 	// may use in memory. A member that lags farther receives the snapshot.
 	keptFractionOfDisk = 16
+	// pendingFractionOfDisk is the inverse of the part of the disk's size that proposals which are not yet
+	// applied may have. What is not applied cannot be cut.
+	pendingFractionOfDisk = 8
 )
 
 // Config configures a Replica.
@@ -98,7 +101,10 @@
 	// connectedMembers is the membership as of the last closeRemovedPeers.
 	connectedMembers []consensus.Member
 	pendingProposals map[consensus.Index]*proposal
-	pendingChanges   []*membershipChange
+	// pendingBytes is the size of the pending proposals.
+	pendingBytes   int
+	fullDisk       fullDisk
+	pendingChanges []*membershipChange
 }
 
 var _ Replicator = (*Replica)(nil)
@@ -289,7 +295,14 @@
 		// before they are sent.
 		r.publishLease()
 		r.send(ready.Messages)
-		if err := r.persist(ready); err != nil {
+		err := r.persist(ready)
+		if errors.Is(err, wal.ErrDiskFull) {
+			if isDone := r.advanceWithoutRoom(ready); !isDone {
+				return r.freeDisk()
+			}
+			continue
+		}
+		if err != nil {
 			return err
 		}
 		r.node.Advance(ready)
--- a/control/replica/simulation_test.go
+++ b/control/replica/simulation_test.go
@@ -74,6 +74,8 @@
 	// side is the side of a partition; VMs of different sides do not reach each other.
 	side int
 	gone bool
+	// lacksRoom is true while the disk has a limited capacity.
+	lacksRoom bool
 	// arrived holds what has arrived while the VM is stalled.
 	arrived []delivery
 
@@ -100,6 +102,8 @@
 	inFlight  []delivery
 	log       *logrus.Entry
 	snapshots uint64
+	// roomChanges draws the moments at which disks become full or get room again; nil if they never do.
+	roomChanges *rand.Rand
 
 	// sentVersion is the newest version sent, confirmed the newest one that was confirmed.
 	sentVersion, confirmed uint64
@@ -179,6 +183,11 @@
 func (v *simulatedVM) openWith(state Applier) {
 	s := v.simulation
 	r, err := Open(Config{Folder: "/data", Files: v.disk, Address: v.address, SnapshotEntries: s.snapshots, Log: s.log}, state)
+	if IsDiskFull(err) {
+		s.tracef("%s cannot open its folder: %v", v.address, err)
+		v.startAt = s.now + diskReopenDelay
+		return
+	}
 	if err != nil {
 		s.fail("%s cannot open its folder: %v", v.address, err)
 	}
@@ -251,7 +260,9 @@
 	for _, v := range s.vms {
 		if v.startAt > 0 && s.now >= v.startAt {
 			v.open()
-			v.createNode()
+			if v.replica != nil {
+				v.createNode()
+			}
 		}
 		isTick := (s.now/simulationStep)%(tickInterval/simulationStep) == 0
 		if v.up() && (isTick || len(v.arrived) > 0) {
--- a/control/replica/storage.go
+++ b/control/replica/storage.go
@@ -1,11 +1,10 @@
 package replica
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 
 	"github.com/jayloom/jayloom/consensus"
+	"github.com/jayloom/jayloom/wal"
 )
 
 // Recovered describes what the data folder held when it was opened.
@@ -53,9 +52,12 @@
 }
 
 func (r *Replica) persist(ready consensus.Ready) error {
+	if r.isWaitingForRoom() && (ready.Snapshot != nil || ready.HardState != nil || len(ready.Entries) > 0) {
+		return wal.ErrDiskFull
+	}
 	if s := ready.Snapshot; s != nil {
 		if err := r.installSnapshot(s); err != nil {
-			return err
+			return r.noteWrite(err)
 		}
 	}
 	if ready.HardState == nil && len(ready.Entries) == 0 {
@@ -64,10 +66,7 @@
 	if ready.HardState != nil {
 		r.hardState = *ready.HardState
 	}
-	started := time.Now()
-	err := r.wal.Append(r.hardState, ready.Entries)
-	metricSyncSeconds.Update(time.Since(started).Seconds())
-	return err
+	return r.append(ready)
 }
 
 // installSnapshot replaces the state with the leader's snapshot.
@@ -87,7 +86,7 @@
 func (r *Replica) saveSnapshotIfDue() error {
 	last := r.snapshotIndex()
 	isDue := r.applied >= last+consensus.Index(r.config.SnapshotEntries)
-	if !isDue && !(r.applied > last && r.isLogLarge()) {
+	if r.now() < r.fullDisk.snapshotAt || !isDue && !(r.applied > last && r.isLogLarge()) {
 		return nil
 	}
 	return r.saveSnapshot()
@@ -122,9 +121,14 @@
 		return errors.Wrap(err, "take a snapshot of the state")
 	}
 	s := consensus.Snapshot{SnapshotMeta: meta, Data: data}
-	if err := r.wal.SaveSnapshot(s); err != nil {
+	if err := r.wal.SaveSnapshot(s); errors.Is(err, wal.ErrDiskFull) {
+		// The log goes on while there is room for it.
+		r.delaySnapshot(err)
+		return nil
+	} else if err != nil {
 		return err
 	}
+	r.fullDisk.retryAt = 0
 	r.snapshot = &s
 	keptBytes := int(r.config.DiskBytes / keptFractionOfDisk)
 	r.node.Compact(r.node.CompactionIndex(meta.Index, entriesKeptAfterSnapshot, keptBytes), meta)
--- a/control/replica/survival_test.go
+++ b/control/replica/survival_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -277,6 +278,7 @@
 	for end := s.now + s.between(2*time.Second, 25*time.Second); s.now < end; {
 		s.step()
 		s.heal()
+		s.changeRoom()
 		if s.random.IntN(200) == 0 {
 			s.put()
 		}
@@ -288,7 +290,44 @@
 	}
 	s.put()
 	s.runFor(s.between(0, 30*time.Millisecond))
-	s.checkReadBack(s.loseDisksAndPower())
+	back := s.loseDisksAndPower()
+	for _, v := range s.vms {
+		v.disk.SetCapacity(-1)
+	}
+	s.checkReadBack(back)
+}
+
+// changeRoom fills a disk or gives it room again, at random moments.
+func (s *simulation) changeRoom() {
+	const stepsBetweenChanges = 400
+	s.extendLosses()
+	if s.roomChanges == nil || s.roomChanges.IntN(stepsBetweenChanges) > 0 {
+		return
+	}
+	v := s.vms[s.roomChanges.IntN(len(s.vms))]
+	capacity := int64(-1)
+	if s.roomChanges.IntN(2) == 0 {
+		capacity = v.disk.Used() + s.roomChanges.Int64N(500)
+	}
+	s.tracef("the disk of %s has %d bytes and holds %d", v.address, capacity, v.disk.Used())
+	v.disk.SetCapacity(capacity)
+	v.lacksRoom = capacity >= 0
+}
+
+// extendLosses lets the VMs and disks that are lost count as lost while any disk is full, because the membership
+// cannot be repaired meanwhile.
+func (s *simulation) extendLosses() {
+	if s.count(func(v *simulatedVM) bool { return v.lacksRoom }) == 0 {
+		return
+	}
+	for _, v := range s.vms {
+		if v.lostUntil > s.now {
+			v.lostUntil = max(v.lostUntil, s.now+catchUpTime)
+		}
+		if v.diskLostUntil > s.now {
+			v.diskLostUntil = max(v.diskLostUntil, v.lostUntil)
+		}
+	}
 }
 
 // checkReadBack fails unless a leader reads the newest confirmed version within the bound
@@ -336,3 +375,19 @@
 		}
 	}
 }
+
+// Guards against a confirmed configuration that is lost, read in an older state or not read back because disks were
+// full meanwhile: what had no room is dropped and received again, terms and votes are not.
+func TestConfirmedVersionSurvivesFullDisks(t *testing.T) {
+	for _, d := range []deployment{{6, 2}, {4, 1}, {3, 1}} {
+		for i := range *survivalSeeds / 3 {
+			seed := *survivalSeed + i
+			t.Run(fmt.Sprintf("%d VMs, seed %d", d.vms, seed), func(t *testing.T) {
+				t.Parallel()
+				s := newSimulation(t, seed, d.vms, d.tolerated)
+				s.roomChanges = rand.New(rand.NewPCG(seed, 1))
+				s.course()
+			})
+		}
+	}
+}
--- a/wal/files.go
+++ b/wal/files.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -58,21 +60,41 @@
 // whole content or does not exist.
 func writeFileDurably(fs FileSystem, path string, content []byte) error {
 	temporary := path + temporarySuffix
-	file, err := fs.Create(temporary)
+	if err := writeNewFile(fs, temporary, content); err != nil {
+		return discardIfDiskFull(fs, temporary, err)
+	}
+	if err := fs.Rename(temporary, path); err != nil {
+		return errors.Wrap(err, "rename file")
+	}
+	return syncFolder(fs, filepath.Dir(path))
+}
+
+func writeNewFile(fs FileSystem, path string, content []byte) error {
+	file, err := fs.Create(path)
 	if err != nil {
 		return errors.Wrap(err, "create file")
 	}
 	if err := writeAndSync(file, content); err != nil {
 		_ = file.Close()
-		return errors.Wrap(err, temporary)
+		return errors.Wrap(err, path)
 	}
-	if err := file.Close(); err != nil {
-		return errors.Wrap(err, "close file")
+	return errors.Wrap(file.Close(), "close file")
+}
+
+// discardIfDiskFull removes a temporary file for which there was no room.
+func discardIfDiskFull(fs FileSystem, temporary string, cause error) error {
+	if !IsDiskFull(cause) {
+		return cause
 	}
-	if err := fs.Rename(temporary, path); err != nil {
-		return errors.Wrap(err, "rename file")
+	if err := fs.Remove(temporary); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return errors.Wrapf(err, "remove temporary file (%v)", cause)
 	}
-	return syncFolder(fs, filepath.Dir(path))
+	return errors.Mark(cause, ErrDiskFull)
+}
+
+// IsDiskFull reports whether an error says that there is no room, in contrast to a disk that is broken.
+func IsDiskFull(err error) bool {
+	return errors.IsAny(err, ErrDiskFull, syscall.ENOSPC, syscall.EDQUOT)
 }
 
 func writeAndSync(file File, content []byte) error {
--- a/wal/log.go
+++ b/wal/log.go
@@ -56,6 +56,10 @@
 	Entries []consensus.Entry
 }
 
+// ErrDiskFull is returned if there is no room for a write. Nothing of it remains, and the log can be used
+// further.
+var ErrDiskFull = errors.New("wal: the disk is full")
+
 // ErrFailed is returned after a failed write, because it is then unknown what is
 // durable.
 var ErrFailed = errors.New("wal: an earlier write failed")
@@ -133,6 +137,9 @@
 			return errors.Wrap(err, "append")
 		}
 	}
+	if len(entries) > 0 && !l.hasRoomFor(entries) {
+		return errors.Wrap(ErrDiskFull, "room is kept for the next snapshot")
+	}
 	return l.failOnError(l.append(hs, entries))
 }
 
@@ -176,11 +183,32 @@
 		return err
 	}
 	l.snapshotBytes = snapshotFileBytes(l.identity, s)
-	reset := l.trimToSnapshot(s.SnapshotMeta)
-	if err := l.startSegment(reset); err != nil {
+	if l.trimToSnapshot(s.SnapshotMeta) {
+		return l.restartLog(s.Index)
+	}
+	// What is removed first makes room for the next segment.
+	if err := l.removeObsoleteFiles(s.Index, false); err != nil {
+		return err
+	}
+	err := l.startSegment(false)
+	if errors.Is(err, ErrDiskFull) {
+		// The snapshot is complete. The segment stays in use and is removed by a later one.
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return l.removeObsoleteFiles(s.Index, false)
+}
+
+// restartLog continues the log after a snapshot that it does not lead to.
+func (l *FolderLog) restartLog(snapshot consensus.Index) error {
+	if err := l.startSegment(true); err != nil {
+		// The segments hold entries that memory does not. They are removed when the folder is opened.
+		l.failed = true
 		return err
 	}
-	return l.removeObsoleteFiles(s.Index, reset)
+	return l.removeObsoleteFiles(snapshot, true)
 }
 
 // trimToSnapshot drops from memory the entries that a snapshot includes, or all entries
@@ -215,6 +243,19 @@
 	return min(maxSegmentBytes, l.capacity/segmentsPerCapacity)
 }
 
+// hasRoomFor reports whether there is room for entries and, after them, for a snapshot beside the present
+// one. A snapshot is at most as large as the present one and the entries since together.
+func (l *FolderLog) hasRoomFor(entries []consensus.Entry) bool {
+	if l.capacity == 0 {
+		return true
+	}
+	needed := l.logBytes()
+	for _, e := range entries {
+		needed += int64(len(e.Data) + entryOverheadBytes)
+	}
+	return 2*(needed+l.snapshotBytes) <= l.capacity
+}
+
 // Usage implements Log.
 func (l *FolderLog) Usage() Usage {
 	l.mu.Lock()
@@ -258,9 +299,10 @@
 }
 
 // failOnError makes later writes fail after a failed one. The kernel may drop the pages
-// of a failed sync, so a retry could report lost data as durable.
+// of a failed sync, so a retry could report lost data as durable. After ErrDiskFull, nothing of the
+// write remains.
 func (l *FolderLog) failOnError(err error) error {
-	if err != nil {
+	if err != nil && !errors.Is(err, ErrDiskFull) {
 		l.failed = true
 	}
 	return err
--- a/wal/payload.go
+++ b/wal/payload.go
@@ -9,6 +9,9 @@
 // formatVersion is the first byte of segment headers and snapshots.
 const formatVersion = 1
 
+// entryOverheadBytes is at least what an entry takes beside its data.
+const entryOverheadBytes = 24
+
 // header is the first record of a segment. It repeats the state of earlier segments so
 // that these can be removed.
 type header struct {
@@ -50,7 +53,7 @@
 func encodeBatch(hardState consensus.HardState, entries []consensus.Entry) []byte {
 	size := 0
 	for _, e := range entries {
-		size += len(e.Data) + 24
+		size += len(e.Data) + entryOverheadBytes
 	}
 	out := appendHardState(make([]byte, 0, size+64), hardState)
 	out = binary.AppendUvarint(out, uint64(len(entries)))
--- a/wal/segment.go
+++ b/wal/segment.go
@@ -176,12 +176,26 @@
 	number := l.segments[len(l.segments)-1].number
 	record := encodeRecord(number, l.size, kind, payload)
 	if _, err := l.file.WriteAt(record, l.size); err != nil {
-		return errors.Wrap(err, "write record")
+		return l.undoAppend(errors.Wrap(err, "write record"))
 	}
 	if err := l.file.Sync(); err != nil {
-		return errors.Wrap(err, "sync segment")
+		return l.undoAppend(errors.Wrap(err, "sync segment"))
 	}
 	l.size += int64(len(record))
 	l.segments[len(l.segments)-1].bytes = l.size
 	return nil
 }
+
+// undoAppend removes what a full disk has taken of a record. Everything before it was synced earlier.
+func (l *FolderLog) undoAppend(cause error) error {
+	if !IsDiskFull(cause) {
+		return cause
+	}
+	if err := l.file.Truncate(l.size); err != nil {
+		return errors.Wrapf(err, "remove an incomplete record (%v)", cause)
+	}
+	if err := l.file.Sync(); err != nil {
+		return errors.Wrapf(err, "sync the removal of an incomplete record (%v)", cause)
+	}
+	return errors.Mark(cause, ErrDiskFull)
+}
