--- a/control/replica/disk_test.go
+++ b/control/replica/disk_test.go
@@ -305,3 +305,22 @@
 		t.Error(diff)
 	}
 }
+
+// TestSnapshotIsInstalledOnce guards against a replica that ends because it saves the leader's snapshot again, after
+// the entries behind the snapshot had no room.
+func TestSnapshotIsInstalledOnce(t *testing.T) {
+	v := newSingleVoter(t)
+	meta := consensus.SnapshotMeta{Index: 50, Term: 2}
+	data := mustMarshal(t, largeCatalog(100))
+	entry := consensus.Entry{Index: 51, Term: 2, Data: make([]byte, 10*len(data))}
+	ready := consensus.Ready{Snapshot: &consensus.Snapshot{SnapshotMeta: meta, Data: data}, Entries: []consensus.Entry{entry}}
+	v.disk.SetCapacity(v.disk.Used() + int64(2*len(data)))
+	if err := v.replica.persist(ready); !errors.Is(err, wal.ErrDiskFull) {
+		t.Fatalf("write without room: %v", err)
+	}
+	v.disk.SetCapacity(smallDiskBytes)
+	v.simulation.now += fullDiskRetryInterval
+	if err := v.replica.persist(ready); err != nil {
+		t.Fatalf("write with room again: %v", err)
+	}
+}
--- a/control/replica/storage.go
+++ b/control/replica/storage.go
@@ -55,7 +55,8 @@
 	if r.isWaitingForRoom() && (ready.Snapshot != nil || ready.HardState != nil || len(ready.Entries) > 0) {
 		return wal.ErrDiskFull
 	}
-	if s := ready.Snapshot; s != nil {
+	// A snapshot is returned again if the entries behind it had no room.
+	if s := ready.Snapshot; s != nil && s.Index > r.snapshotIndex() {
 		if err := r.installSnapshot(s); err != nil {
 			return r.noteWrite(err)
 		}
