Begin nothing on an upstream after the end of its drain

Cause: the leader told nodes that an upstream drains, not until when. Replicas that drain are left out of reads at once, but a primary was used for as long as no other was promoted (Engine.primary), and nothing kept the end.

Change: the registry notes the end when the drain is first announced to it (bounds.drain_ms) and keeps it when the announcement is repeated. NodeUpdate.drains (new fields 17 and 18) tells each node once a stream how much time is left, with the topology that it belongs to; the node counts from the time at which it sent the report that the leader had received before, on its own monotonic clock. From 300 ms before the end (drainMargin) the engine begins nothing there: refused at once as group_fenced (not run), reason upstream_drained, with a time to come back. The check is repeated after the wait for a connection and after the session's values are set. Reads go elsewhere, a transaction that has run a statement goes on. Nodes keep the earliest end that they know over changes of leader; a draining upstream whose end is not known counts as drained; a leader that has the server from an earlier one takes the drain as up to 4 s older (earlierLeaderMargin). docs/design-gateway.md 5.1 has the cases.

Orders keep their fence since, and a call may take 5 s; left as it is.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -166,7 +166,7 @@
 	}
 	n.leader = coordinator.NewLeader(coordinator.Config{
 		Upstreams: platform.NewUpstreamClient(), Promoter: platform.NewPromoter(s.PromotionAddress, s.Node, n.log),
-		Voters: 2*s.MaxLostVMs + 1, Log: n.log,
+		Voters: 2*s.MaxLostVMs + 1, DrainTime: s.DrainTime, Log: n.log,
 	})
 }
 
--- a/gateway/controlclient/client.go
+++ b/gateway/controlclient/client.go
@@ -107,6 +107,8 @@
 	// CatalogBytes is the size of the configuration in messages.
 	CatalogBytes int
 	Topology     *controlpb.Topology
+	// DrainEnds holds when the drains of the topology's upstreams end, by ID, as far as that is known.
+	DrainEnds map[string]time.Duration
 	// Nodes is the number of nodes among which connections are divided.
 	Nodes int
 	// Voters is nil if no voter is known.
@@ -209,7 +211,7 @@
 	previous := c.View()
 	next := &View{
 		Catalog: previous.Catalog, CatalogBytes: previous.CatalogBytes, Topology: previous.Topology,
-		Nodes: int(u.Nodes), Leader: address,
+		DrainEnds: previous.DrainEnds, Nodes: int(u.Nodes), Leader: address,
 	}
 	if len(u.Voters) > 0 {
 		next.Voters = &controlpb.VoterSet{Addresses: u.Voters, Index: u.VotersIndex}
@@ -220,16 +222,27 @@
 	if err := applyTopology(u, next); err != nil {
 		return err
 	}
+	if next.Topology != previous.Topology || len(u.Drains) > 0 {
+		next.DrainEnds = topology.NodeDrainEnds(previous.DrainEnds, next.Topology, u.Drains, c.reportSentAt(u.DrainsSequence))
+	}
 	c.publish(next)
 	if next.Nodes != previous.Nodes {
 		c.opts.Gate.SetFleetSize(next.Nodes)
 	}
-	if next.Catalog != previous.Catalog || next.Topology != previous.Topology || next.Nodes != previous.Nodes {
+	if next.Catalog != previous.Catalog || next.Topology != previous.Topology || len(u.Drains) > 0 || next.Nodes != previous.Nodes {
 		c.onViewChange(next)
 	}
 	return nil
 }
 
+// reportSentAt returns when a report was sent, or 0 if that is no longer known.
+func (c *Client) reportSentAt(sequence uint64) time.Duration {
+	if sequence == 0 || sequence > c.sequence || sequence+maxUnansweredReports <= c.sequence {
+		return 0
+	}
+	return c.sentAt[sequence%maxUnansweredReports]
+}
+
 // setCatalog sets the configuration of a view that is not published yet.
 func (c *Client) setCatalog(next *View, received *controlpb.Catalog, compiled *catalog.Catalog) {
 	c.receivedCatalog = received
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -74,7 +74,9 @@
 	// Voters is the target number of voters. There are fewer if too few nodes have a data
 	// folder.
 	Voters int
-	Log    *logrus.Entry
+	// DrainTime is how long an upstream takes new work after the acknowledgement that it drains.
+	DrainTime time.Duration
+	Log       *logrus.Entry
 }
 
 // Leader coordinates the fleet while its replica is the leader. The goroutine of Run owns its
@@ -124,6 +126,7 @@
 	fallsPushedAt time.Duration
 	// sentTopologies holds the newest topologies that nodes were sent.
 	sentTopologies topologyHistory
+	drains         drainList
 	membership     membership
 	// fences is the number of fences used in this term.
 	fences uint64
@@ -282,6 +285,8 @@
 	l.stopLeading()
 	l.leading, l.term, l.fences, l.leadingSince = true, term, 0, now
 	l.registry = topology.NewRegistry(term * revisionsPerTerm)
+	l.registry.SetDrainTime(l.config.DrainTime)
+	l.drains = drainList{}
 	l.groups = map[string]*group{}
 	l.streams, l.streamOf = map[*nodeStream]bool{}, map[string]*nodeStream{}
 	l.teams = map[string]bool{}
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -62,6 +62,8 @@
 	sentCatalogVersion   uint64
 	sentTopologyRevision uint64
 	sentVoters           []string
+	// sentDrains are the drains that the node was told on this stream.
+	sentDrains drainList
 	// primaries are those that the node cannot reach or knows as others; answered holds the
 	// primaries, by service, that have answered it, and read the services it has read from lately.
 	primaries     []*controlpb.PrimaryView
@@ -259,6 +261,7 @@
 	u.Throttles, s.sentThrottles = l.limiter.Throttles(s.sentThrottles)
 	l.addCatalog(s, u)
 	l.addTopology(s, u)
+	l.addDrains(clock.Now(), s, u)
 	if !l.lacksCatalog(s) {
 		s.answeredSequence = s.sequence
 	}
--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -54,14 +54,14 @@
 }
 
 // concernsUpstream reports whether the result says something about the upstream. The stop of the node, a
-// statement that cannot be sent to any upstream, and a caller that reads its rows slowly or not at all say
-// nothing about it.
+// statement that cannot be sent to any upstream, a caller that reads its rows slowly or not at all, and the end of a
+// drain say nothing about it.
 func (result attemptResult) concernsUpstream() bool {
 	if result.answer.Refusal == nil {
 		return true
 	}
 	switch result.answer.Refusal.Reason {
-	case reasonStopping, reasonTooLarge, reasonUnencodable, reasonCallerGone, reasonAnswerCut:
+	case reasonStopping, reasonTooLarge, reasonUnencodable, reasonCallerGone, reasonAnswerCut, reasonDrained:
 		return false
 	default:
 		return true
@@ -262,6 +262,9 @@
 	defer timer.Stop()
 	for {
 		p, changed := op.group.primaryPool()
+		if p != nil && p.isDrained(clock.Now()) {
+			return nil, drainedRefusal(p.target.ID)
+		}
 		reason := reasonNoPrimary
 		if p != nil && !op.group.isPrimaryLost() {
 			if p.failingFor(clock.Now()) == 0 {
@@ -378,6 +381,9 @@
 	s.setPhase(PhaseUpstream)
 	defer s.setPhase(PhaseWaiting)
 	defer interruptWhenDone(ctx, c)()
+	if result := s.refuseDrained(c); result != nil {
+		return Reply{}, result
+	}
 	alignment := c.alignValues(s.values)
 	if len(alignment) > 0 {
 		replies, err := c.roundTrip(deadline, alignment...)
@@ -391,6 +397,10 @@
 			result := retryResult(retryAnswerLost, Refusal{Code: rescode.UpstreamLost, Reason: reasonUpstreamGone, RetryAfter: shortRetryAfter})
 			return Reply{}, &result
 		}
+		// The values may have taken a while.
+		if result := s.refuseDrained(c); result != nil {
+			return Reply{}, result
+		}
 	}
 	prepared := s.prepared[st.Name]
 	change := c.setUp(&st, prepared)
--- /dev/null
+++ b/gateway/engine/drain.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/jayloom/jayloom/api/rescode"
+	"github.com/jayloom/jayloom/base/clock"
+)
+
+// drainMargin is the time that a statement may take from the check to its upstream: it must arrive there
+// before the end of the drain, not be sent before it.
+const drainMargin = 300 * time.Millisecond
+
+// drainIsOver reports whether nothing may be begun on an upstream any more because its drain is about to end,
+// or may have ended: endsAt is 0 if that is not known.
+func drainIsOver(now time.Duration, draining bool, endsAt time.Duration) bool {
+	return draining && now+drainMargin >= endsAt
+}
+
+// isDrained reports whether nothing may be begun on the upstream any more.
+func (p *pool) isDrained(now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return drainIsOver(now, p.draining, p.drainEndsAt)
+}
+
+// drainedRefusal is the refusal of work that only an upstream could run whose drain is over. Nothing was sent.
+func drainedRefusal(upstream string) *Refusal {
+	return &Refusal{Code: rescode.GroupFenced, Reason: reasonDrained, RetryAfter: failoverRetryAfter, Upstream: upstream}
+}
+
+// refuseDrained returns a result if the next statement on a connection would begin work on an upstream whose
+// drain is over. A transaction that has run a statement may go on.
+func (s *Session) refuseDrained(c *upstreamConn) *attemptResult {
+	if (s.tx != nil && s.tx.ran) || !c.pool.isDrained(clock.Now()) {
+		return nil
+	}
+	// The connection may be inside a transaction that was begun for the statement.
+	c.broken = true
+	result := retryResult(retryDrained, *drainedRefusal(c.pool.target.ID))
+	return &result
+}
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -43,8 +43,10 @@
 	// poolList holds the pools in the order of the topology. It is replaced, never modified, because
 	// it is read without mu.
 	poolList []*pool
-	primary  string
-	term     uint64
+	// drainEnds holds when the drains of upstreams end, by ID, as far as that is known.
+	drainEnds map[string]time.Duration
+	primary   string
+	term      uint64
 	// primaryLost is set when the primary refused to act as one, until another primary is
 	// known.
 	primaryLost      bool
@@ -80,7 +82,7 @@
 			g.pools[u.Id] = p
 		}
 		p.mu.Lock()
-		p.draining = u.Draining
+		p.draining, p.drainEndsAt = u.Draining, g.drainEnds[u.Id]
 		p.mu.Unlock()
 		p.setShare(maxConnections, nodes)
 		g.poolList = append(g.poolList, p)
@@ -101,6 +103,13 @@
 	g.primary, g.term, g.primaryChanging = primary.Upstream, primary.Term, primary.Changing
 }
 
+// setDrainEnds sets when the drains of upstreams end, for the topology that is passed to update next.
+func (g *group) setDrainEnds(ends map[string]time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.drainEnds = ends
+}
+
 // notifyPrimaryChange wakes those that wait for a new primary. The caller holds mu.
 func (g *group) notifyPrimaryChange() {
 	close(g.primaryChanged)
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -43,6 +43,7 @@
 	reasonIdleTransaction Reason = "transaction_idle"
 	reasonAttempts        Reason = "attempts_used_up"
 	reasonStopping        Reason = "node_stopping"
+	reasonDrained         Reason = "upstream_drained"
 	// reasonSessionStateFull is for a session that would hold more than any may, reasonNodeStateFull for one that
 	// is refused because of what all sessions hold.
 	reasonSessionStateFull Reason = "session_state_full"
@@ -60,6 +61,7 @@
 	retryAnswerLost  retryReason = "answer_lost"
 	retryDial        retryReason = "dial"
 	retryPlanExpired retryReason = "plan_expired"
+	retryDrained     retryReason = "upstream_drained"
 )
 
 var (
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -50,6 +50,8 @@
 	closed    bool
 	place     string
 	draining  bool
+	// drainEndsAt is when the drain ends, or 0 if that is not known.
+	drainEndsAt time.Duration
 
 	position     position.Position
 	behindAt     time.Duration
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -18,8 +18,10 @@
 	// readOnly transactions may run on a replica.
 	readOnly bool
 	conn     *upstreamConn
-	wrote    bool
-	failed   bool
+	// ran is set once an upstream has answered a statement of the caller.
+	ran    bool
+	wrote  bool
+	failed bool
 	// reason is why the transaction failed.
 	reason Reason
 }
@@ -84,6 +86,7 @@
 		return s.failLostTransaction(result)
 	}
 	if reply.Outcome == Done {
+		t.ran = true
 		t.wrote = t.wrote || st.mayWrite()
 		if !t.readOnly {
 			// An upstream that is no longer the primary refuses the transaction's statements,
--- a/gateway/topology/topology.go
+++ b/gateway/topology/topology.go
@@ -34,7 +34,9 @@
 	Place    string
 	Slots    uint32
 	Draining bool
-	Left     bool
+	// DrainEndsAt is when no new work may reach a draining upstream any more, or 0 if that is not known.
+	DrainEndsAt time.Duration
+	Left        bool
 	// ClaimsPrimary is set if the upstream announced that it is the primary.
 	ClaimsPrimary bool
 	// startedUnixMs, the start time of the process, and sequence order its announcements.
@@ -46,6 +48,9 @@
 	announcedAt time.Duration
 	// unconfirmed is true until the upstream has announced itself to this leader.
 	unconfirmed bool
+	// drainedEarlier is set if an earlier leader knew the upstream as draining and it then announced to this
+	// one that it is ready: it has started again, or the announcement was a late one.
+	drainedEarlier bool
 }
 
 // StartedUnixMs returns the start time of the upstream's process.
@@ -66,6 +71,7 @@
 	// others at its address, and there may be thousands of upstreams.
 	byAddress map[string]map[string]*Upstream
 	revision  uint64
+	drainTime time.Duration
 }
 
 // NewRegistry returns an empty Registry whose revisions start above base.
@@ -75,6 +81,11 @@
 	}
 }
 
+// SetDrainTime sets the time that an upstream takes new work after the acknowledgement that it drains.
+func (r *Registry) SetDrainTime(d time.Duration) {
+	r.drainTime = d
+}
+
 // put adds an upstream or replaces the one with its ID.
 func (r *Registry) put(u *Upstream) {
 	r.remove(u.ID)
@@ -132,6 +143,10 @@
 	if u != nil && !u.unconfirmed && u.startedUnixMs == a.StartedUnixMs {
 		next.Draining = next.Draining || u.Draining
 	}
+	next.drainedEarlier = mayHaveDrained(u, a)
+	if next.Draining {
+		next.DrainEndsAt = drainEnd(now, r.drainTime, u, a)
+	}
 	r.put(next)
 	if u == nil || isVisiblyDifferent(u, next) {
 		r.revision++
@@ -198,7 +213,7 @@
 // isVisiblyDifferent reports whether two states of an upstream differ in what nodes are told.
 func isVisiblyDifferent(a, b *Upstream) bool {
 	return a.Service != b.Service || a.Address != b.Address || a.Place != b.Place || a.Slots != b.Slots ||
-		a.Draining != b.Draining || a.Left != b.Left
+		a.Draining != b.Draining || a.DrainEndsAt != b.DrainEndsAt || a.Left != b.Left
 }
 
 func (r *Registry) markLeft(now time.Duration, id string) bool {
