--- a/control/process/process.go
+++ b/control/process/process.go
@@ -73,11 +73,16 @@
 		Log:      p.log,
 	})
 	store := control.NewStore(leader.Notify)
+	size, err := diskBytes(p.config.Control.DataFolder)
+	if err != nil {
+		p.log.WithError(err).Warn("size of the disk is not known; it is taken for a small one")
+	}
 	member, err := replica.Open(replica.Config{
 		Folder:          p.config.Control.DataFolder,
 		Address:         p.config.Control.AdvertiseGRPC,
 		Voters:          p.config.Cluster.Voters,
 		SnapshotEntries: p.config.Control.SnapshotEntries,
+		DiskBytes:       size,
 		DialOptions:     []grpc.DialOption{grpc.WithTransportCredentials(p.credentials)},
 		Log:             p.log,
 	}, store)
