Set the values of a session at an upstream in parts

A session may set some thousands of values. On a connection of another session all of them were sent in one write before a reply was read: with small windows the upstream's replies and the node's write can wait for each other until the timeout, which then counts against the upstream.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,6 +36,9 @@
 	// upstream's current latency.
 	minAttemptTime = 400 * time.Millisecond
 	latencyFactor  = 5
+	// maxSetupBatch bounds the statements that are sent before their replies are read. The replies to very many would
+	// fill the connection, and the upstream would read no further statement.
+	maxSetupBatch = 256
 )
 
 // attemptResult is the outcome of one attempt to run a statement.
@@ -384,23 +388,8 @@
 	if result := s.refuseDrained(c); result != nil {
 		return Reply{}, result
 	}
-	alignment := c.alignValues(s.values)
-	if len(alignment) > 0 {
-		replies, err := c.roundTrip(deadline, alignment...)
-		s.engine.recordRefusedSetup(c, st.ID, alignment, replies)
-		if err != nil || !allDone(replies) {
-			c.misaligned = true
-			if errors.Is(err, ErrInterrupted) {
-				result := finalResult(Answer{Refusal: stoppedWaiting()})
-				return Reply{}, &result
-			}
-			result := retryResult(retryAnswerLost, Refusal{Code: rescode.UpstreamLost, Reason: reasonUpstreamGone, RetryAfter: shortRetryAfter})
-			return Reply{}, &result
-		}
-		// The values may have taken a while.
-		if result := s.refuseDrained(c); result != nil {
-			return Reply{}, result
-		}
+	if result := s.align(c, deadline, st.ID); result != nil {
+		return Reply{}, result
 	}
 	prepared := s.prepared[st.Name]
 	change := c.setUp(&st, prepared)
@@ -434,6 +423,34 @@
 	return Reply{}, &result
 }
 
+// align sets the values of the upstream's session to those of the caller's session, before the statement with the
+// given identity. It returns the result of the attempt if that fails.
+func (s *Session) align(c *upstreamConn, deadline time.Time, id string) *attemptResult {
+	alignment := c.alignValues(s.values)
+	if len(alignment) == 0 {
+		return nil
+	}
+	for batch := range slices.Chunk(alignment, maxSetupBatch) {
+		replies, err := c.roundTrip(deadline, batch...)
+		s.engine.recordRefusedSetup(c, id, batch, replies)
+		if err != nil || !allDone(replies) {
+			c.misaligned = true
+			result := misalignedResult(err)
+			return &result
+		}
+	}
+	// The values may have taken a while.
+	return s.refuseDrained(c)
+}
+
+// misalignedResult returns the result of an attempt whose session values could not be set at the upstream.
+func misalignedResult(err error) attemptResult {
+	if errors.Is(err, ErrInterrupted) {
+		return finalResult(Answer{Refusal: stoppedWaiting()})
+	}
+	return retryResult(retryAnswerLost, Refusal{Code: rescode.UpstreamLost, Reason: reasonUpstreamGone, RetryAfter: shortRetryAfter})
+}
+
 // unsendableResult returns the result of an attempt whose statement could not be sent, to this upstream or to any
 // other.
 func unsendableResult(err error) attemptResult {
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -38,6 +38,8 @@
 	// closedInTransaction is set once that was inside a transaction.
 	refuseClose, closes int
 	closedInTransaction bool
+	// largestBatch is the largest number of statements that came in one write.
+	largestBatch int
 	// refuseToSend is the error with which its connections refuse statements of callers.
 	refuseToSend error
 	// interrupts makes statements of callers run and their answers be interrupted.
@@ -96,6 +98,7 @@
 		return c.server.refuseToSend
 	}
 	c.queued = append(c.queued, statements...)
+	c.server.largestBatch = max(c.server.largestBatch, len(statements))
 	return nil
 }
 
