Bound what the messages of all callers hold

Found by reading; the memory of a node was not measured.

What messages hold above 16 KiB each is now a tenth of the node's memory over all callers. A message above it is refused with BUSY as not run, and its session ends, since the rest is not read. Short messages are never refused for what others hold.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -47,6 +47,9 @@
 	// the node's memory limit. It is a third of what the collector keeps the heap below: garbage and the
 	// messages on their way need the rest.
 	sessionMemoryFraction = 0.2
+	// messageMemoryFraction is what the long messages of all callers may hold, as a fraction of the node's memory limit.
+	// While it is read and sent on, a message is held up to three times.
+	messageMemoryFraction = 0.1
 	// grpcBufferSize is the size in bytes of the read and write buffers of a connection
 	// between nodes.
 	grpcBufferSize = 8 << 10
@@ -316,8 +319,9 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	n.callerListener = listener
+	messages := platform.NewMessageMemory(int64(messageMemoryFraction * float64(n.settings.MemoryMB) * (1 << 20)))
 	n.callerServer = server.New(server.Options{
-		Engine: n.engine, Codec: platform.NewCallerCodec,
+		Engine: n.engine, Codec: func(c net.Conn) server.Codec { return platform.NewCallerCodec(c, messages) },
 		MaxCallers: server.MaxCallers(n.settings.MaxFileDescriptors), Log: n.log,
 	})
 	n.goroutines.Go(func() { n.callerServer.Serve(ctx, listener) })
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -33,6 +33,7 @@
 	reasonTooLarge        Reason = "message_too_large"
 	reasonUnencodable     Reason = "message_unencodable"
 	reasonCallerGone      Reason = "caller_gone"
+	reasonMessageMemory   Reason = "message_memory"
 	reasonUnknownName     Reason = "unknown_statement"
 	reasonAnswerLost      Reason = "answer_lost"
 	reasonTimeout         Reason = "statement_timeout"
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -193,6 +193,15 @@
 	return a
 }
 
+// RejectForMemory returns the answer to a message for which the node has no memory now. The session ends: the rest of
+// the message is not read.
+func (s *Session) RejectForMemory() Answer {
+	a := Answer{Refusal: &Refusal{Code: rescode.QueueFull, Reason: reasonMessageMemory, RetryAfter: shortRetryAfter}, Close: true}
+	s.engine.recordRefusal("", "unread", a.Refusal, s)
+	a.State = s.State()
+	return a
+}
+
 func (s *Session) dispatch(ctx context.Context, st Statement) Answer {
 	if s.tx != nil && s.tx.failed && st.Kind != Commit && st.Kind != Rollback {
 		return refusalAnswer(rescode.TransactionFailed, reasonFailedState)
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -40,6 +40,8 @@
 	ErrQuit = errors.New("the caller ended the session")
 	// ErrMalformed means that a message cannot be parsed. The session may continue.
 	ErrMalformed = errors.New("the message cannot be read")
+	// ErrNoMemory means that the node has no memory for a message now. The rest of the message is not read.
+	ErrNoMemory = errors.New("no memory for the message")
 	// ErrTooLarge means that a message exceeds the size limit.
 	ErrTooLarge = errors.New("the message is too large")
 )
@@ -59,6 +61,8 @@
 	WriteRows(rows []string) error
 	// WriteAnswer writes the answer to a statement, or its rest.
 	WriteAnswer(a engine.Answer) error
+	// Close gives back what the codec holds; the codec is not used afterwards.
+	Close()
 	// WriteRefusal tells the caller that its session was refused.
 	WriteRefusal(r *engine.Refusal) error
 }
@@ -178,6 +182,7 @@
 // take a while: what the caller sends meanwhile would not be read.
 func (c *callerConn) endSession() {
 	_ = c.conn.Close()
+	c.codec.Close()
 	if c.session != nil {
 		c.session.Close()
 	}
@@ -252,15 +257,19 @@
 
 // isAnswerable reports whether a message that could not be read gets an answer.
 func isAnswerable(err error) bool {
-	return errors.Is(err, ErrMalformed) || errors.Is(err, ErrTooLarge)
+	return errors.Is(err, ErrMalformed) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrNoMemory)
 }
 
 // answer runs a statement, or rejects one that could not be read because of err.
 func (c *callerConn) answer(ctx context.Context, st engine.Statement, err error) engine.Answer {
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrNoMemory):
+		return c.session.RejectForMemory()
+	case err != nil:
 		return c.session.Reject(st.ID, errors.Is(err, ErrTooLarge))
+	default:
+		return c.session.Handle(ctx, st)
 	}
-	return c.session.Handle(ctx, st)
 }
 
 // recordUnsentAnswer counts and logs an answer that did not reach the caller.
--- a/gateway/server/server_test.go
+++ b/gateway/server/server_test.go
@@ -28,6 +28,7 @@
 func (c byteCodec) WriteReady() error                    { return c.writeByte('W') }
 func (c byteCodec) Buffered() bool                       { return false }
 func (c byteCodec) WriteRows([]string) error             { return nil }
+func (c byteCodec) Close()                               {}
 
 func (c byteCodec) ReadStatement() (engine.Statement, error) {
 	var b [1]byte
