--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -371,10 +371,10 @@
 	return result
 }
 
-// exchange runs one statement on a connection. It first sets the upstream session's values to
-// those of the caller's session, and prepares the statement if necessary, closing others to
-// make room for it. The extra statements are sent in the same write as st; their replies are discarded. Without a reply
-// to st, it returns the result of the attempt instead.
+// exchange runs one statement on a connection. It first sets the upstream session's values to those of the caller's
+// session, and prepares the statement if necessary, closing others to make room for it. The extra statements are sent
+// in the same write as st; their replies are discarded. Without a reply to st, it returns the result of the attempt
+// instead.
 func (s *Session) exchange(ctx context.Context, op *operation, c *upstreamConn, deadline time.Time, st Statement, extra ...Statement) (Reply, *attemptResult) {
 	if refusal := s.engine.refuseRunning(clock.Now()); refusal != nil {
 		// The connection may be inside the caller's transaction.
@@ -393,15 +393,9 @@
 	}
 	prepared := s.prepared[st.Name]
 	change := c.setUp(&st, prepared)
-	batch := make([]Statement, 0, len(change.evicted)+2+len(extra))
-	for _, entry := range change.evicted {
-		batch = append(batch, Statement{Kind: Forget, Name: entry.name})
-	}
-	if change.added != nil {
-		batch = append(batch, change.added.prepare(prepared.preparedStatement))
-	}
-	replyIndex := len(batch)
-	batch = append(append(batch, st), extra...)
+	setup := change.statements(prepared.preparedStatement)
+	replyIndex := len(setup)
+	batch := slices.Concat(setup, []Statement{st}, extra)
 	s.relay.deadline = op.deadline
 	replies, err := c.roundTripTo(s.relay.sink(), deadline, batch...)
 	s.engine.recordRefusedSetup(c, st.ID, batch, replies)
--- a/gateway/engine/prepared.go
+++ b/gateway/engine/prepared.go
@@ -20,7 +20,8 @@
 	preparedEntryBytes = 128
 )
 
-// preparedStatement is a prepared statement of a caller.
+// preparedStatement is the access and shape of a prepared statement. Statements that are equal in both are prepared
+// once on a connection, whichever callers use them.
 type preparedStatement struct {
 	writes bool
 	shape  string
@@ -70,6 +71,18 @@
 	added   *preparedEntry
 }
 
+// statements returns the statements that make the change at the upstream; p is the statement that is added, if one is.
+func (c preparedChange) statements(p preparedStatement) []Statement {
+	var out []Statement
+	for _, entry := range c.evicted {
+		out = append(out, Statement{Kind: Forget, Name: entry.name})
+	}
+	if c.added != nil {
+		out = append(out, c.added.prepare(p))
+	}
+	return out
+}
+
 // lookup returns the name of a statement on the connection, and counts it as used.
 func (n *preparedNames) lookup(key textDigest) (name string, ok bool) {
 	e, ok := n.entries[key]
@@ -89,7 +102,8 @@
 }
 
 // overflow returns the least recently used statements that must be closed so that the others and added, which may
-// be nil, are within the bounds, or the first maxEvictions of them. The most recently used one is kept if there is none to add.
+// be nil, are within the bounds, or the first maxEvictions of them. The most recently used one is kept if there is
+// none to add.
 func (n *preparedNames) overflow(added *preparedEntry) []*preparedEntry {
 	count, bytes, kept := n.recent.Len(), n.bytes, 1
 	if added != nil {
