--- a/gateway/engine/logged.go
+++ b/gateway/engine/logged.go
@@ -8,6 +8,7 @@
 	return logged(id)
 }
 
+// logged returns what is logged of a text that a caller may have chosen.
 func logged(text string) string {
 	return text[:min(len(text), maxLoggedBytes)]
 }
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -308,6 +308,19 @@
 // recordRefusal counts and logs a refusal.
 func (e *Engine) recordRefusal(id, statement string, r *Refusal, s *Session) {
 	countRefusal(r.Code, r.Reason)
+	fields := e.refusalFields(id, statement, r, s)
+	if s != nil && isStateRefusal(r) {
+		team, _ := fields["team"].(string)
+		if !e.startStateRefusalLog(clock.Now(), team) {
+			return
+		}
+		s.addStateFields(fields)
+	}
+	e.log.WithFields(fields).Info("request refused")
+}
+
+// refusalFields returns the fields of the log line about a refusal. s is nil if the session was not opened.
+func (e *Engine) refusalFields(id, statement string, r *Refusal, s *Session) logrus.Fields {
 	fields := logrus.Fields{
 		"event": "refused", "id": LoggedID(id), "statement": statement, "code": uint32(r.Code), "result": r.Code.String(),
 		"reason": string(r.Reason), "retry_after_ms": r.RetryAfter.Milliseconds(),
@@ -327,14 +340,7 @@
 			}
 		}
 	}
-	if s != nil && isStateRefusal(r) {
-		team, _ := fields["team"].(string)
-		if !e.mayLogStateRefusal(clock.Now(), team) {
-			return
-		}
-		s.logStateRefusal(fields)
-	}
-	e.log.WithFields(fields).Info("request refused")
+	return fields
 }
 
 // String returns the name of the kind in logs.
--- a/gateway/engine/state.go
+++ b/gateway/engine/state.go
@@ -32,7 +32,7 @@
 
 func (v sessionValue) bytes() int64 { return stateBytes(v.name, v.value) }
 
-// sessionStatement is a prepared statement of a caller.
+// sessionStatement is a prepared statement of a caller's session, with the key that it has on connections.
 type sessionStatement struct {
 	preparedStatement
 	key textDigest
@@ -122,20 +122,21 @@
 	return r.Reason == reasonSessionStateFull || r.Reason == reasonNodeStateFull
 }
 
-// mayLogStateRefusal reports whether a refusal of session state is to be logged for a team: one a minute is.
-func (e *Engine) mayLogStateRefusal(now time.Duration, team string) bool {
+// startStateRefusalLog reports whether a refusal of session state is to be logged for a team, and records that it was:
+// one in each stateRefusalLogInterval is. All are counted.
+func (e *Engine) startStateRefusalLog(now time.Duration, team string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	last, logged := e.stateRefusalLoggedAt[team]
-	if logged && now-last < stateRefusalLogInterval {
+	last, known := e.stateRefusalLoggedAt[team]
+	if known && now-last < stateRefusalLogInterval {
 		return false
 	}
 	e.stateRefusalLoggedAt[team] = now
 	return true
 }
 
-// logStateRefusal adds what the session holds to the fields of a log line about a refusal.
-func (s *Session) logStateRefusal(fields logrus.Fields) {
+// addStateFields adds what the session holds to the fields of a log line about a refusal.
+func (s *Session) addStateFields(fields logrus.Fields) {
 	fields["session_bytes"] = s.state.Held()
 	fields["session_limit_bytes"] = s.engine.opts.SessionMemory.SessionLimit()
 }
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -157,8 +157,8 @@
 // marks the connection as misaligned.
 func (c *upstreamConn) alignValues(values map[textDigest]sessionValue) []Statement {
 	var out []Statement
-	for name := range c.values {
-		if _, ok := values[name]; !ok {
+	for key := range c.values {
+		if _, ok := values[key]; !ok {
 			out = append(out, Statement{Kind: Reset})
 			c.resets++
 			c.clearValues()
