--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -22,6 +22,9 @@
 // connection reset its state.
 const unknownSession = math.MaxUint64
 
+// noSession is the session of a connection without session state. Sessions are numbered from 1.
+const noSession = 0
+
 // upstreamConn is a connection to an upstream. While it is acquired, it belongs to the
 // goroutine that holds it.
 type upstreamConn struct {
@@ -37,7 +40,7 @@
 	parameters   map[string]string
 
 	// lastSession is the session whose settings and prepared statements the connection
-	// has, 0 for none.
+	// has, or noSession.
 	lastSession uint64
 	// prepared holds the proxy-chosen names of the statements that are prepared.
 	prepared map[string]bool
@@ -97,7 +100,7 @@
 
 // clearSessionState updates the recorded state after DISCARD ALL was sent.
 func (c *upstreamConn) clearSessionState() {
-	c.lastSession = 0
+	c.lastSession = noSession
 	c.readOnly = false
 	c.listens = false
 	c.tainted = false
--- a/proxy/execute.go
+++ b/proxy/execute.go
@@ -156,7 +156,7 @@
 	if s.parameterSQL == "" || s.parametersAccepted || x.conn.lastSession == s.id {
 		return nil
 	}
-	if x.conn.lastSession != 0 {
+	if x.conn.lastSession != noSession {
 		if answer, err := runInternal(x.conn, sqlReset); err != nil || answer.failed {
 			return &result{kind: resultUnsent, err: err}
 		}
@@ -207,7 +207,7 @@
 	if conn.lastSession == s.id {
 		return
 	}
-	if conn.lastSession != 0 {
+	if conn.lastSession != noSession {
 		metricResets.Inc()
 		x.resetSent = true
 		conn.query(sqlReset)
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -195,7 +195,7 @@
 		held.conn.pool.unpin(held.conn)
 	}
 	if effects.discards && s.endsWithDiscard(held, r) {
-		held.conn.lastSession = 0
+		held.conn.lastSession = noSession
 	}
 	if s.sessionConn == nil && leavesSessionState(r, effects) {
 		s.sessionConn = held
@@ -229,7 +229,7 @@
 // leavesSessionState reports whether a request leaves session state that ties the caller
 // to its connection.
 func leavesSessionState(r *request, effects tagEffects) bool {
-	if effects.discards && r.isSingleStatement() {
+	if effects.discards && r.hasSingleStatement() {
 		return false
 	}
 	return effects.pins || r.pinsByText()
@@ -238,10 +238,11 @@
 // endsWithDiscard reports whether a connection has no session state after a request with a DISCARD ALL, because
 // nothing followed it.
 func (s *caller) endsWithDiscard(held *heldConn, r *request) bool {
-	return r.sync && r.isSingleStatement() && !s.batch.started && len(held.conn.prepared) == 0
+	return r.sync && r.hasSingleStatement() && !s.batch.started && len(held.conn.prepared) == 0
 }
 
-func (r *request) isSingleStatement() bool {
+// hasSingleStatement reports whether the request runs one statement, whose text is known.
+func (r *request) hasSingleStatement() bool {
 	return len(r.statements) == 1 && !r.hasUnknown && isSingleStatement(r.statements[0])
 }
 
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -196,7 +196,8 @@
 	}
 }
 
-// recordDiscard records a DISCARD ALL when its answer arrives: what follows in the same batch leaves state again.
+// recordDiscard records a DISCARD ALL when its answer arrives. What follows in the same batch may leave state again,
+// so the session of the connection counts as unknown unless the end of the request shows that nothing did.
 func (x *exchange) recordDiscard() {
 	x.effects = tagEffects{discards: true}
 	x.caller.statements.clear()
@@ -207,7 +208,7 @@
 // setsLocally reports whether the request is a single SET whose effect ends with its
 // transaction. Its command tag does not differ from that of other SETs.
 func (x *exchange) setsLocally() bool {
-	if !x.r.isSingleStatement() {
+	if !x.r.hasSingleStatement() {
 		return false
 	}
 	word, _ := firstWord(x.r.statements[0])
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -169,7 +169,7 @@
 		if conn.lastSession == session {
 			return i
 		}
-		if conn.lastSession == 0 {
+		if conn.lastSession == noSession {
 			best = i
 		}
 	}
