--- a/control/replica/disk_test.go
+++ b/control/replica/disk_test.go
@@ -128,8 +128,8 @@
 	return state
 }
 
-// TestManyLargeChangesFitOnASmallDisk guards against a log that is cut by its number of entries only:
-// entries that hold a large configuration each filled the disk, and no change was acknowledged any more.
+// TestManyLargeChangesFitOnASmallDisk guards against a log that is cut by its number of entries only: entries
+// that each hold a large configuration fill the disk, and no change is acknowledged any more.
 func TestManyLargeChangesFitOnASmallDisk(t *testing.T) {
 	v := newSingleVoter(t)
 	c, mostUsed := encodePut(t, largeCatalog(manyRoutes)), int64(0)
@@ -272,7 +272,7 @@
 			accepted++
 		}
 	}
-	if bytes := accepted * len(c); bytes > smallDiskBytes/pendingFractionOfDisk || bytes < smallDiskBytes/pendingFractionOfDisk-len(c) {
+	if bytes := accepted * len(c); bytes > smallDiskBytes/pendingDiskDivisor || bytes < smallDiskBytes/pendingDiskDivisor-len(c) {
 		t.Errorf("%d proposals of %d bytes were accepted", accepted, len(c))
 	}
 	if err := v.replica.advance(); err != nil {
--- a/control/replica/proposals.go
+++ b/control/replica/proposals.go
@@ -114,7 +114,7 @@
 	if r.fullDisk.isFull {
 		return unavailableError("the disk of the leader is full")
 	}
-	limit := int(r.config.DiskBytes / pendingFractionOfDisk)
+	limit := int(r.config.DiskBytes / pendingDiskDivisor)
 	if len(r.pendingProposals) > 0 && r.pendingBytes+len(p.data) > limit {
 		return unavailableError("proposals of %d bytes are not yet applied", r.pendingBytes)
 	}
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -33,15 +33,17 @@
 	defaultSnapshotEntries = 1000
 	// defaultDiskBytes applies if Config.DiskBytes is 0.
 	defaultDiskBytes = 64_000_000
-	// logFractionOfDisk is the inverse of the part of the disk that the log may use before a snapshot
-	// is taken.
-	logFractionOfDisk = 4
-	// keptFractionOfDisk is the inverse of the part of the disk's size that entries before a snapshot
-	// may use in memory. A member that lags farther receives the snapshot.
-	keptFractionOfDisk = 16
-	// pendingFractionOfDisk is the inverse of the part of the disk's size that proposals which are not yet
-	// applied may have. What is not applied cannot be cut.
-	pendingFractionOfDisk = 8
+	// logDiskDivisor divides the size of the disk into what the log may use before a snapshot is taken.
+	logDiskDivisor = 4
+	// logMarginDivisor divides what the log may use into the margin below it at which a snapshot is due, so that
+	// the next entries do not exceed it.
+	logMarginDivisor = 8
+	// keptDiskDivisor divides the size of the disk into what entries before a snapshot may use in memory. A
+	// member that lags farther receives the snapshot.
+	keptDiskDivisor = 16
+	// pendingDiskDivisor divides the size of the disk into what proposals that are not yet applied may have in
+	// all. What is not applied cannot be cut.
+	pendingDiskDivisor = 8
 )
 
 // Config configures a Replica.
--- a/control/replica/storage.go
+++ b/control/replica/storage.go
@@ -104,14 +104,22 @@
 // half of it. A large snapshot leaves the log a smaller part, because for a moment its successor lies
 // beside it.
 func (r *Replica) isLogLarge() bool {
+	use := r.measureDiskUse()
+	limit := r.config.DiskBytes / logDiskDivisor
+	limit = min(limit, max(0, r.config.DiskBytes/2-use.SnapshotBytes)/2)
+	return use.LogBytes >= limit-limit/logMarginDivisor && r.wal.Removable(r.applied) >= use.LogBytes/2
+}
+
+// measureDiskUse returns the use of the disk and sets its gauges.
+func (r *Replica) measureDiskUse() wal.Usage {
 	use := r.wal.Usage()
 	metricLogBytes.Set(float64(use.LogBytes))
 	metricSnapshotBytes.Set(float64(use.SnapshotBytes))
-	limit := r.config.DiskBytes / logFractionOfDisk
-	limit = min(limit, max(0, r.config.DiskBytes/2-use.SnapshotBytes)/2)
-	return use.LogBytes >= limit-limit/8 && r.wal.Removable(r.applied) >= use.LogBytes/2
+	return use
 }
 
+// saveSnapshot saves a snapshot of the applied state and drops the entries before it. A snapshot for which there is
+// no room is delayed, which is no error.
 func (r *Replica) saveSnapshot() error {
 	meta, ok := r.node.SnapshotMeta(r.applied)
 	if !ok {
@@ -131,7 +139,7 @@
 	}
 	r.fullDisk.retryAt = 0
 	r.snapshot = &s
-	keptBytes := int(r.config.DiskBytes / keptFractionOfDisk)
+	keptBytes := int(r.config.DiskBytes / keptDiskDivisor)
 	r.node.Compact(r.node.CompactionIndex(meta.Index, entriesKeptAfterSnapshot, keptBytes), meta)
 	metricSnapshotsSaved.Inc()
 	return nil
--- a/wal/files.go
+++ b/wal/files.go
@@ -92,7 +92,8 @@
 	return errors.Mark(cause, ErrDiskFull)
 }
 
-// IsDiskFull reports whether an error says that there is no room, in contrast to a disk that is broken.
+// IsDiskFull reports whether an error says that there is no room, in contrast to a disk that is broken. Only after
+// ErrDiskFull can the log be used further.
 func IsDiskFull(err error) bool {
 	return errors.IsAny(err, ErrDiskFull, syscall.ENOSPC, syscall.EDQUOT)
 }
