--- a/cmd/jayloom-node/drain_test.go
+++ b/cmd/jayloom-node/drain_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against nodes that go on sending writes to a draining primary after the end of its drain while the
-// infrastructure is down and no other server can be promoted (issue 31, case 4 of the review).
+// infrastructure is down and no other server can be promoted.
 func TestNothingReachesADrainedPrimary(t *testing.T) {
 	d := startDeployment(t)
 	arrived := &arrivals{times: map[string][]time.Time{}}
--- a/gateway/coordinator/drains.go
+++ b/gateway/coordinator/drains.go
@@ -22,6 +22,7 @@
 	return l.drains
 }
 
+// knownDrainEnds returns when the drains of upstreams end, by ID, as far as that is known.
 func knownDrainEnds(upstreams []*topology.Upstream) map[string]time.Duration {
 	ends := map[string]time.Duration{}
 	for _, u := range upstreams {
@@ -32,17 +33,17 @@
 	return ends
 }
 
-// drainsSince returns the time that is left of the drains that were not sent yet.
-func drainsSince(now time.Duration, sent, current map[string]time.Duration) []*controlpb.UpstreamDrain {
-	var added []*controlpb.UpstreamDrain
+// unsentDrains returns the time that is left of the current drains that were not sent yet, or with another end.
+func unsentDrains(now time.Duration, sent, current map[string]time.Duration) []*controlpb.UpstreamDrain {
+	var unsent []*controlpb.UpstreamDrain
 	for id, end := range current {
 		if sentEnd, ok := sent[id]; ok && sentEnd == end {
 			continue
 		}
 		left := max(0, end-now)
-		added = append(added, &controlpb.UpstreamDrain{Upstream: id, LeftMs: uint32(left.Milliseconds())})
+		unsent = append(unsent, &controlpb.UpstreamDrain{Upstream: id, LeftMs: uint32(left.Milliseconds())})
 	}
-	return added
+	return unsent
 }
 
 // addDrains adds the time that is left of the drains that the node was not told. A node that does not have the
@@ -52,7 +53,7 @@
 	if s.sentTopologyRevision != current.revision || s.sentDrains.revision == current.revision {
 		return
 	}
-	u.Drains = drainsSince(now, s.sentDrains.ends, current.ends)
+	u.Drains = unsentDrains(now, s.sentDrains.ends, current.ends)
 	u.DrainsSequence = s.sequence
 	s.sentDrains = current
 }
--- a/gateway/engine/drain_test.go
+++ b/gateway/engine/drain_test.go
@@ -71,7 +71,7 @@
 }
 
 // Guards against work that is begun on a draining primary after the end of its drain, while no other is
-// promoted (issue 31, case 4 of the review), and against a refusal that does not promise that nothing has run.
+// promoted, and against a refusal that does not promise that nothing has run.
 func TestNothingBeginsAfterTheDrain(t *testing.T) {
 	for name, unknown := range map[string]bool{"known end": false, "unknown end": true} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/engine/rows.go
+++ b/gateway/engine/rows.go
@@ -26,8 +26,11 @@
 // rowRelay passes the rows of a session's current statement on to its caller. Once it has started, the statement
 // cannot be run again: the caller would be sent rows twice.
 type rowRelay struct {
-	writer   RowWriter
-	started  bool
+	writer RowWriter
+	// started is set once rows of the statement have been passed on.
+	started bool
+	// deadline is that of the operation. A reply whose rows have been passed on may take until then, because no time
+	// need be left for another attempt.
 	deadline time.Time
 }
 
--- a/gateway/engine/state_test.go
+++ b/gateway/engine/state_test.go
@@ -16,7 +16,7 @@
 	// testMemory and testMaxSessions are those of a node with 284 MB and 4200 file descriptors.
 	testMemory      = 57 << 20
 	testMaxSessions = 2940
-	// largeText is the size of the texts of the reviewers who ended a node; largeTextCount is their number.
+	// largeText is the size of large texts, in bytes; largeTextCount of them exceed the memory of the node.
 	largeText      = 512 << 10
 	largeTextCount = 800
 )
--- a/gateway/topology/drain.go
+++ b/gateway/topology/drain.go
@@ -19,6 +19,7 @@
 		// It was acknowledged at a time that is not known here, by an earlier leader or long ago.
 		return 0
 	case before.unconfirmed:
+		// 0 would mean that the end is not known.
 		return max(1, now+drainTime-earlierLeaderMargin)
 	case before.Draining && before.startedUnixMs == a.StartedUnixMs:
 		return before.DrainEndsAt
@@ -39,13 +40,14 @@
 	return before.drainedEarlier && before.startedUnixMs == a.StartedUnixMs
 }
 
-// NodeDrainEnds returns when the drains of a topology's upstreams end, by ID, on the clock of a node. previous
-// is what the node knew before, and told what the leader measured after it received the report that the node
-// sent at sentAt, so that the way of the messages counts against the drain. An upstream whose drain goes on
-// keeps the earliest end: a later leader may know less than the one that acknowledged the drain. A draining
-// upstream of which no end is known is not in the result.
+// NodeDrainEnds returns when the drains of a topology's upstreams end, by ID, on the clock of a node.
+//
+// previous is what the node knew before. remaining is the time that was left of drains when the leader had received
+// the report that the node sent at sentAt. It is counted from sentAt, so that the delay of messages can only
+// shorten a drain. An upstream whose drain goes on keeps the earliest end: a later leader may know less than the
+// one that acknowledged the drain. A draining upstream of which no end is known is not in the result.
 func NodeDrainEnds(
-	previous map[string]time.Duration, t *controlpb.Topology, told []*controlpb.UpstreamDrain, sentAt time.Duration,
+	previous map[string]time.Duration, t *controlpb.Topology, remaining []*controlpb.UpstreamDrain, sentAt time.Duration,
 ) map[string]time.Duration {
 	ends := map[string]time.Duration{}
 	for _, u := range t.GetUpstreams() {
@@ -54,7 +56,7 @@
 		}
 	}
 	draining := drainingUpstreams(t)
-	for _, d := range told {
+	for _, d := range remaining {
 		if !draining[d.Upstream] {
 			continue
 		}
