wal: say that the log has failed when there is no room to restart it

It returns ENOSPC now, so the replica ends at once as disk_full and its folder is opened again.

Found in the read-through by a newcomer. TestLogWithoutRoomForItsRestartSaysThatItFailed failed before, with 50 to 80 spare bytes.

--- a/control/replica/full_disk.go
+++ b/control/replica/full_disk.go
@@ -92,7 +92,7 @@
 	}
 	r.hardState = *ready.HardState
 	if err := r.wal.Append(r.hardState, nil); err != nil {
-		r.log.WithError(err).WithField("event", "disk_full").Debug("no room for a term or vote either")
+		r.log.WithError(err).WithField("event", "disk_full").Debug("the term and vote are not written")
 		return false
 	}
 	return true
--- a/wal/full_disk_test.go
+++ b/wal/full_disk_test.go
@@ -198,3 +198,34 @@
 		t.Fatalf("only entries %d to %d had room", last+1, end)
 	}
 }
+
+// TestLogWithoutRoomForItsRestartSaysThatItFailed guards against a log that has failed for good and says that it can
+// be used further: there was room for the leader's snapshot, but not for the segment behind it.
+func TestLogWithoutRoomForItsRestartSaysThatItFailed(t *testing.T) {
+	failed := 0
+	for room := int64(0); room <= 400; room += 10 {
+		disk := newDisk(1)
+		log, _ := openWithin(t, disk, unlimited)
+		if err := appendOne(log, 1); err != nil {
+			t.Fatal(err)
+		}
+		disk.SetCapacity(disk.Used() + stateBytes + room)
+		err := log.SaveSnapshot(stateSnapshot(100))
+		if err == nil {
+			continue
+		}
+		if !wal.IsDiskFull(err) {
+			t.Fatalf("with %d bytes: %v", room, err)
+		}
+		next := appendOne(log, 2)
+		if errors.Is(err, wal.ErrDiskFull) == errors.Is(next, wal.ErrFailed) {
+			t.Errorf("with %d bytes: %v, and then %v", room, err, next)
+		}
+		if errors.Is(next, wal.ErrFailed) {
+			failed++
+		}
+	}
+	if failed == 0 {
+		t.Error("the restart has always had room")
+	}
+}
--- a/wal/log.go
+++ b/wal/log.go
@@ -6,6 +6,7 @@
 	"io"
 	"path/filepath"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -206,6 +207,10 @@
 	if err := l.startSegment(true); err != nil {
 		// The segments hold entries that memory does not. They are removed when the folder is opened.
 		l.failed = true
+		if errors.Is(err, ErrDiskFull) {
+			// The log cannot be used further, as ErrDiskFull would say.
+			return errors.Wrapf(syscall.ENOSPC, "restart the log behind snapshot %d", snapshot)
+		}
 		return err
 	}
 	return l.removeObsoleteFiles(snapshot, true)
