Let a leader whose disk alone is full give way

What callers saw: with the disk of one control VM full (ENOSPC), and that VM leading, every change was refused for as long as the disk stayed full, although two of three VMs had room and held the entry that the leader could not write.

Cause: since a full disk does not end the leader. It keeps its entries in memory, the others commit them, but the leader applies only what is durable on its own disk, and refuses proposals while its disk is full.

A leader that has had no room for 1 s now becomes a follower if more is committed than is durable on its own disk: then a quorum of the others has had room, and does not elect it again before it holds these entries. If a quorum is full, nothing is committed, and the leader stays, as before (TestFullDisksOfAllVotersKeepTheLeader).

The leaders of the consensus simulation give way at random while they lack room; its invariants held, also with TestRandomFaults and 400 checks. Passed: consensus (2.5 s), control/replica (23 s).

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -253,6 +253,18 @@
 	return true
 }
 
+// GiveWay ends the leadership of a member that cannot make durable what a quorum of the others holds, so that one
+// of them can lead. It reports whether it did. The others do not elect this member again before it holds these
+// entries too.
+func (n *Node) GiveWay(now time.Duration) bool {
+	n.updateTime(now)
+	if n.role != Leader || n.log.committed <= n.log.synced {
+		return false
+	}
+	n.becomeFollower(n.hardState.Term, "")
+	return true
+}
+
 // canForget reports whether nobody relies on the entries that are not durable. A leader's may be
 // committed by others, and a candidate has named its last entry to those that vote for it.
 func (n *Node) canForget() bool {
--- a/consensus/simulation_test.go
+++ b/consensus/simulation_test.go
@@ -81,6 +81,9 @@
 	committedEntries map[Index]entryRecord
 }
 
+// giveWayPercent is the chance in percent that a leader without room gives way after a write.
+const giveWayPercent = 5
+
 const simulationStep = 5 * time.Millisecond
 
 func newSimulation(t testingT, seed uint64, voters int) *simulation {
@@ -193,6 +196,9 @@
 		v.ready = nil
 		if !v.hasRoomFor(r) {
 			if !v.node.AdvanceUnsynced(r, v.persistHardState(r)) {
+				if s.random.IntN(100) < giveWayPercent {
+					v.node.GiveWay(v.clock(s.now))
+				}
 				return
 			}
 			continue
--- a/control/replica/full_disk.go
+++ b/control/replica/full_disk.go
@@ -16,8 +16,12 @@
 // writes the whole state.
 const fullDiskSnapshotInterval = time.Second
 
+// fullLeaderGrace is how long a leader whose disk alone is full waits for room before it gives way. A snapshot
+// may make room sooner, and an election takes about as long.
+const fullLeaderGrace = time.Second
+
 // fullDisk is the state of a replica whose disk has no room. It keeps its role: a leader sends heartbeats
-// and refuses proposals, a follower answers with what is durable. Writes are tried again until there is
+// and refuses proposals until it gives way to others that have room, a follower answers with what is durable. Writes are tried again until there is
 // room.
 type fullDisk struct {
 	isFull  bool
@@ -98,6 +102,16 @@
 	return true
 }
 
+// giveWay ends the leadership of this replica if a quorum of the others has had room for what it has not: while it
+// leads, no change is confirmed.
+func (r *Replica) giveWay() {
+	if r.now() < r.fullDisk.since+fullLeaderGrace || !r.node.GiveWay(r.now()) {
+		return
+	}
+	r.log.WithField("event", "disk_full").WithField("term", r.node.Term()).
+		Warn("gave up the leadership, because other control VMs have room and this one has not")
+}
+
 // freeDisk cuts the log by a snapshot if that removes anything. The log has kept the room for one.
 func (r *Replica) freeDisk() error {
 	if r.applied <= r.snapshotIndex() || r.wal.Removable(r.applied) == 0 {
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -300,6 +300,7 @@
 		err := r.persist(ready)
 		if errors.Is(err, wal.ErrDiskFull) {
 			if isDone := r.advanceWithoutRoom(ready); !isDone {
+				r.giveWay()
 				return r.freeDisk()
 			}
 			continue
