Write nothing behind a row that was cut

What callers saw: a caller that read nothing of a large answer for 5 s and then went on read a line that was the beginning of a row and, behind it, "ERR UNSURE jayloom 4001 caller_gone".

Cause: rows that are passed on while they arrive may time out in the middle of a message. The statement was then refused, and the refusal written to the same connection.

The session now ends without an answer after rows could not be written, as it does after any other answer that could not.

TestNothingFollowsATornRow (6 s; 40 MB of rows to a caller that does not read) failed before with that line, the 3886th, and passes now.

--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -103,6 +103,8 @@
 	// statement.
 	inTransaction atomic.Bool
 	current       currentRequest
+	// rowsErr is why rows of an answer could not be written. A part of a message may have been, so nothing may follow.
+	rowsErr error
 }
 
 // New returns a Server.
@@ -239,6 +241,10 @@
 	c.current.begin(st, c.session.State() != engine.Idle)
 	defer c.current.end()
 	answer := c.answer(ctx, st, err)
+	if c.rowsErr != nil {
+		c.recordUnsentAnswer(st, c.rowsErr)
+		return false
+	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := c.codec.WriteAnswer(answer); err != nil {
 		c.recordUnsentAnswer(st, err)
@@ -249,10 +255,13 @@
 
 // WriteRows implements engine.RowWriter.
 func (c *callerConn) WriteRows(rows []string) error {
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	if c.rowsErr == nil {
+		c.rowsErr = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	}
+	if c.rowsErr == nil {
+		c.rowsErr = c.codec.WriteRows(rows)
 	}
-	return c.codec.WriteRows(rows)
+	return c.rowsErr
 }
 
 // isAnswerable reports whether a message that could not be read gets an answer.
