Do not blame a primary for a rollback that its caller left no time for

A read on the primary runs in a transaction of the node's own. If its caller reads the rows of a large answer until just before the timeout, the answer is complete and the rollback behind it is late: the answer was delivered, and the primary counted as one that does not answer, for all callers of the node.

An answer of which rows were passed on and that is complete now counts as an answer, whatever follows it; the connection is closed as before.

TestLateRollbackBehindPassedRowsSaysNothingAboutTheUpstream failed before: the primary counts as failing. It and gateway/engine (3.9 s) pass now.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -358,11 +358,13 @@
 		result.answer.Refusal.Upstream = p.target.ID
 	}
 	switch {
+	case s.relay.started && result.answer.Refusal == nil:
+		// The time includes the caller's for reading the answer, which may have left none for a rollback behind it.
+		p.recordSuccess()
 	case c.lostAnswer(result):
 		p.recordNoAnswer(clock.Now() - sentAt)
 	case !result.concernsUpstream():
 	case s.relay.started:
-		// The time includes the caller's for reading the answer.
 		p.recordSuccess()
 	default:
 		p.recordAnswer(clock.Now() - sentAt)
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -28,6 +28,8 @@
 	// answers to drop after the statement ran.
 	refuseBusy, dropAnswers int
 	unreachable             bool
+	// dropRollbacks makes the answers to rollbacks come too late.
+	dropRollbacks bool
 	// firstRows are passed on before the rest of an answer.
 	firstRows []string
 	// refusePrepare is the number of statements that it refuses to prepare.
@@ -123,6 +125,9 @@
 	if c.server.interrupts && st.ID != "" {
 		return Reply{}, ErrInterrupted
 	}
+	if c.server.dropRollbacks && st.Kind == Rollback {
+		return Reply{}, os.ErrDeadlineExceeded
+	}
 	if lost {
 		c.server.dropAnswers--
 		return Reply{}, os.ErrDeadlineExceeded
--- a/gateway/engine/rows_test.go
+++ b/gateway/engine/rows_test.go
@@ -90,3 +90,20 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a primary that is taken out of use because a caller has read a large answer for so long that no time
+// was left for the rollback behind it.
+func TestLateRollbackBehindPassedRowsSaysNothingAboutTheUpstream(t *testing.T) {
+	s, _ := newRelayingNode(t, &rowRecorder{})
+	session := s.open("intake", "key")
+	session.SendRowsTo(&rowRecorder{})
+	s.mustSucceed(session, read("1"))
+	p, _ := s.engine.group("wax").primaryPool()
+	// Without a recent answer, one failure suffices.
+	p.answeredAt = 0
+	s.servers["p"].update(func(f *fakeServer) { f.dropRollbacks = true })
+	s.mustSucceed(session, read("2"))
+	if p.failing {
+		t.Error("the primary counts as failing")
+	}
+}
