Give up an unread answer at the timeout of its statement

A caller that does not read the rows of a large answer held a connection to the upstream, which may have three slots, for up to 5 s beyond the timeout of its statement. Rows are now written until 0.2 s behind it; the session of a caller whose row was cut ends, since nothing may follow a part of a message.

--- a/control/replica/full_disk.go
+++ b/control/replica/full_disk.go
@@ -21,8 +21,8 @@
 const fullLeaderGrace = time.Second
 
 // fullDisk is the state of a replica whose disk has no room. It keeps its role: a leader sends heartbeats
-// and refuses proposals until it gives way to others that have room, a follower answers with what is durable. Writes are tried again until there is
-// room.
+// and refuses proposals until it gives way to others that have room, a follower answers with what is durable. Writes
+// are tried again until there is room.
 type fullDisk struct {
 	isFull  bool
 	since   time.Duration
--- a/gateway/engine/rows.go
+++ b/gateway/engine/rows.go
@@ -9,9 +9,10 @@
 // ErrCallerGone is returned by a RowSink whose caller cannot be sent any more rows.
 var ErrCallerGone = errors.New("the caller reads no more rows")
 
-// RowWriter sends rows to a caller before the rest of their answer. It blocks while the caller does not read.
+// RowWriter sends rows to a caller before the rest of their answer. It blocks while the caller does not read, but not
+// much longer than until the deadline: an upstream waits meanwhile.
 type RowWriter interface {
-	WriteRows(rows []string) error
+	WriteRows(rows []string, deadline time.Time) error
 }
 
 // RowSink takes the first rows of a large reply while the reply is still being received, so that a node holds only
@@ -48,7 +49,7 @@
 		r.started = true
 		metricRelayedAnswers.Inc()
 	}
-	if err := r.writer.WriteRows(rows); err != nil {
+	if err := r.writer.WriteRows(rows, r.deadline); err != nil {
 		return errors.WithSecondaryError(ErrCallerGone, err)
 	}
 	return nil
--- a/gateway/engine/rows_test.go
+++ b/gateway/engine/rows_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -15,7 +16,7 @@
 	err  error
 }
 
-func (r *rowRecorder) WriteRows(rows []string) error {
+func (r *rowRecorder) WriteRows(rows []string, _ time.Time) error {
 	r.rows = append(r.rows, rows...)
 	return r.err
 }
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -25,6 +25,9 @@
 	// writeTimeout bounds the writing of an answer. A caller that does not read its answers
 	// is disconnected.
 	writeTimeout = 5 * time.Second
+	// lateRowsTime is how long behind the deadline of a statement rows of its answer may be written. A caller that
+	// reads slowly can then be told of the timeout, instead of meeting a cut row.
+	lateRowsTime = 200 * time.Millisecond
 	// acceptBackoff is the pause after a failure to accept a connection.
 	acceptBackoff = 50 * time.Millisecond
 	// callerDescriptorFraction is the fraction of the file descriptors that callers may use.
@@ -254,9 +257,9 @@
 }
 
 // WriteRows implements engine.RowWriter.
-func (c *callerConn) WriteRows(rows []string) error {
+func (c *callerConn) WriteRows(rows []string, deadline time.Time) error {
 	if c.rowsErr == nil {
-		c.rowsErr = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		c.rowsErr = c.conn.SetWriteDeadline(rowsDeadline(time.Now(), deadline))
 	}
 	if c.rowsErr == nil {
 		c.rowsErr = c.codec.WriteRows(rows)
@@ -264,6 +267,15 @@
 	return c.rowsErr
 }
 
+// rowsDeadline returns the time until which rows of an unfinished answer may be written.
+func rowsDeadline(now, statementDeadline time.Time) time.Time {
+	limit, late := now.Add(writeTimeout), statementDeadline.Add(lateRowsTime)
+	if late.Before(limit) {
+		return late
+	}
+	return limit
+}
+
 // isAnswerable reports whether a message that could not be read gets an answer.
 func isAnswerable(err error) bool {
 	return errors.Is(err, ErrMalformed) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrNoMemory)
