Soak: the platform's words of refusals in the stand-in, and no skipped test

The words for refused statements were written in the soak; they stand in platform/standin with the others. TestChecksFindViolations and TestChecksFindViolationsOfPreparedStatements pass.

--- a/cmd/internal/soak/prepared_check_test.go
+++ b/cmd/internal/soak/prepared_check_test.go
@@ -8,9 +8,9 @@
 
 // Words with which nodes and servers refuse statements that they cannot read or do not know.
 const (
-	refusedMalformed = "BAD"
-	refusedTooLarge  = "TOOBIG"
-	refusedUnknown   = "NOSTMT"
+	refusedMalformed = standin.RefusedMalformed
+	refusedTooLarge  = standin.RefusedTooLarge
+	refusedUnknown   = standin.RefusedUnknownName
 )
 
 // checkPrepared finds statements that ran with another access or shape than their session had
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -70,9 +70,6 @@
 
 // Guards against a team that exceeds its rate while there is no leader.
 func TestSoakOfExceededRates(t *testing.T) {
-	if *firstSeed != 0 {
-		t.Skip("TestSoak plays the seeds that the flags name")
-	}
 	for _, seed := range exceededRateSeeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSeed(t, seed) })
 	}
--- a/cmd/internal/soak/violations_test.go
+++ b/cmd/internal/soak/violations_test.go
@@ -93,7 +93,7 @@
 		"malformed at the node":          {`("EXECUTE s1 x READ  y ") was refused with BAD`, func(h *history) { h.attempts[2].statements[0].answer.Refusal = refusedMalformed }},
 		"too large at the node":          {"was refused with TOOBIG", func(h *history) { h.attempts[2].statements[0].answer.Refusal = refusedTooLarge }},
 		"PREPARE refused at the node":    {`setup: d ("PREPARE s1 READ  ") was refused with BAD`, func(h *history) { h.setups = append(h.setups, refusedSetup("d", refusedMalformed)) }},
-		"CLOSE unknown at the node":      {"was refused with NOSTMT", func(h *history) { h.setups = append(h.setups, refusedSetup("d", refusedUnknown)) }},
+		"CLOSE unknown at the node":      {"was refused with " + refusedUnknown, func(h *history) { h.setups = append(h.setups, refusedSetup("d", refusedUnknown)) }},
 		"unknown at the server": {`setup: i-1 refused "EXECUTE p7 x" (c,`, func(h *history) {
 			h.refusals = []standin.Refusal{{Server: "i-1", ID: "c", Text: "EXECUTE p7 x", Word: refusedUnknown}}
 		}},
