Limits: a team gets its whole burst in a peak, and a small team its rate

Cause: a team was limited as soon as half of its burst was used, whatever it asked for, so in peaks of 1.5 to 2 times its rate a part of the burst stayed unused; and the bucket of a small team, whose requests arrive unevenly, was empty although it asked for less than its rate. Change: the level below which a team is limited follows what it uses beyond its rate in the time in which a limit takes effect (300 ms); a team may run into a debt of one second of its rate before it is limited.

--- a/policy/throttle/fleet_test.go
+++ b/policy/throttle/fleet_test.go
@@ -28,6 +28,8 @@
 	next      time.Duration
 	asked     int
 	refused   int
+	// onArrival, if set, is called for each request.
+	onArrival func(now time.Duration, admitted bool)
 	// admittedAt holds the times of admitted requests.
 	admittedAt []time.Duration
 }
@@ -129,7 +131,11 @@
 		t.next += time.Duration(f.random.ExpFloat64() / t.perSecond * float64(time.Second))
 		t.asked++
 		n := f.nodes[f.random.Intn(len(f.nodes))]
-		if n.gate.Admit(f.now, t.name, t.rate, t.burst) != Admitted {
+		admitted := n.gate.Admit(f.now, t.name, t.rate, t.burst) == Admitted
+		if t.onArrival != nil {
+			t.onArrival(f.now, admitted)
+		}
+		if !admitted {
 			t.refused++
 			continue
 		}
--- a/policy/throttle/limiter.go
+++ b/policy/throttle/limiter.go
@@ -11,11 +11,14 @@
 const (
 	// unlimited is the admitted fraction, in permille, of a team that is not limited.
 	unlimited = 1000
-	// limitBelow is the fraction of the burst in the bucket below which a team may be limited.
-	// The requests of a small team arrive unevenly, so it is limited only when fewer than that
-	// by unevenTokens are left.
+	// reactionTime is how long the fleet takes to limit a team: a report, the way to the leader, and the way back.
+	reactionTime = 300 * time.Millisecond
+	// limitBelow is the fraction of the burst in the bucket above which no team is limited.
+	// The requests of a small team arrive unevenly, so it is limited only when fewer than otherwise
+	// by unevenTokens are left, but at the latest with the debt of unevenTime.
 	limitBelow   = 0.5
 	unevenTokens = 7
+	unevenTime   = time.Second
 	// releaseFill is how much of the rest of the burst must be in the bucket before a limited team
 	// goes without a limit again. Fluctuations must not lift the limit of a team that asks for more
 	// than its rate: without a leader, nodes go on with the newest fraction.
@@ -188,14 +191,16 @@
 	t.admit, t.revision = admit, l.revision
 }
 
-// limitLevel returns the number of tokens in the bucket below which the team may be limited.
-func (t *team) limitLevel() float64 {
-	return max(0, limitBelow*t.burst-unevenTokens)
+// limitLevel returns the number of tokens in the bucket below which the team may be limited: what it uses beyond its
+// rate before a limit takes effect, so that a team that asks for little more than its rate can use its burst.
+func (t *team) limitLevel(now time.Duration) float64 {
+	beyond := max(0, t.arrived.perSecond(now)-t.rate) * reactionTime.Seconds()
+	return max(-t.rate*unevenTime.Seconds(), min(limitBelow*t.burst, beyond)-unevenTokens)
 }
 
 // hasBurst reports whether enough is in the bucket for the team to go without a limit.
-func (t *team) hasBurst() bool {
-	enough := t.limitLevel()
+func (t *team) hasBurst(now time.Duration) bool {
+	enough := t.limitLevel(now)
 	if t.admit < unlimited {
 		enough += releaseFill * (t.burst - enough)
 	}
@@ -206,7 +211,7 @@
 // enough is in the bucket, the team may use its burst. Below that it is admitted what is
 // refilled, corrected so that the bucket comes back to its target.
 func (t *team) wantedAdmit(now time.Duration) uint32 {
-	if t.hasBurst() {
+	if t.hasBurst(now) {
 		return unlimited
 	}
 	arriving := t.arrived.perSecond(now)
@@ -215,7 +220,7 @@
 		// nodes have reported.
 		return t.admit
 	}
-	allowed := t.rate + (t.level-targetFill*t.limitLevel())/correctionTime.Seconds()
+	allowed := t.rate + (t.level-targetFill*max(0, t.limitLevel(now)))/correctionTime.Seconds()
 	return uint32(unlimited * max(0, min(1, allowed/arriving)))
 }
 
