Data centre drains: the order in the replicated log, and its effect on nodes and primaries

Change: SetPlaceDrain is a command of the log; the order of the log decides between several. It is acknowledged once it is committed and the leader's goroutine counts its time, so no node is told a later end than the bound from the acknowledgement. Nodes are told all drains with the first update of a stream and after each change, outside of the topology, which may wait while an update extends the lease. They keep the earliest end that they know of an order, and an end that nobody can tell counts as passed: a later leader does not know when an earlier one acknowledged. Reads avoid the data centre at once; from 300 ms before the end nothing is sent there, statements of open transactions included, whose connection is closed; a primary there is replaced like a leaving one. platform/ translates Evacuate.Start, Evacuate.End and a list; the serving lease is not longer than the bound.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -40,6 +40,9 @@
 	// leaseFraction is the duration of the serving lease as a fraction of the longest time
 	// that a revocation may take. The rest covers clock drift.
 	leaseFraction = 0.8
+	// minDrainLease is the shortest time that the drain of a data centre limits the serving lease to. With a shorter
+	// one, each change of leader would interrupt all nodes.
+	minDrainLease = 3 * time.Second
 	// memoryLimitFraction is the Go runtime's soft memory limit, at which the garbage
 	// collector runs more often, as a fraction of the node's memory limit.
 	memoryLimitFraction = 0.6
@@ -169,20 +172,28 @@
 	}
 	n.leader = coordinator.NewLeader(coordinator.Config{
 		Upstreams: platform.NewUpstreamClient(), Promoter: platform.NewPromoter(s.PromotionAddress, s.Node, n.log),
-		Voters: 2*s.MaxLostVMs + 1, DrainTime: s.DrainTime, Log: n.log,
+		Voters: 2*s.MaxLostVMs + 1, DrainTime: s.DrainTime, PlaceDrainTime: s.PlaceDrainTime, Places: s.Places(), Log: n.log,
 	})
 }
 
+// currentSettings returns the settings as they are now: the file may have changed without a signal.
+func (n *node) currentSettings() *platform.Settings {
+	current, err := platform.ReadSettings(n.settingsPath)
+	if err != nil {
+		n.log.WithError(err).WithField("event", "settings_unreadable").Warn("settings file cannot be read; keeping those read at startup")
+		return n.settings
+	}
+	return current
+}
+
+// places returns the data centres in the settings.
+func (n *node) places() []string {
+	return n.currentSettings().Places()
+}
+
 func (n *node) seeds() []string {
 	seeds := []string{}
-	s := n.settings
-	// The settings file may have changed without a signal.
-	if current, err := platform.ReadSettings(n.settingsPath); err == nil {
-		s = current
-	} else {
-		n.log.WithError(err).WithField("event", "settings_unreadable").Warn("settings file cannot be read; keeping the seeds read at startup")
-	}
-	for _, ip := range s.SeedIPs {
+	for _, ip := range n.currentSettings().SeedIPs {
 		seeds = append(seeds, net.JoinHostPort(ip, strconv.Itoa(n.settings.FirstInternalPort)))
 	}
 	return seeds
@@ -212,7 +223,7 @@
 	n.service = coordinator.NewServer(directory{n}, n.leader)
 	n.controlClient = controlclient.New(controlclient.Options{
 		Node: n.settings.Node, Address: n.address, Seeds: n.seeds,
-		Lease: time.Duration(leaseFraction * float64(n.settings.MaxRevocationDelay)),
+		Lease: leaseDuration(n.settings),
 		Gate:  gate, Voter: n.voterIdentity, Local: n.service, Dial: dialNode, DialOptions: dialOptions(), Log: n.log,
 		Primaries: func(now time.Duration) []*controlpb.PrimaryView { return n.engine.Primaries(now) },
 	}, func(v *controlclient.View) { n.engine.Update(v) }, func(p controlclient.PrimaryPosition) { n.engine.RecordPosition(p) })
@@ -222,6 +233,16 @@
 	})
 }
 
+// leaseDuration returns how long a node serves without contact to the leader. It then neither accepts a withdrawn key
+// nor sends statements to a drained data centre.
+func leaseDuration(s *platform.Settings) time.Duration {
+	longest := s.MaxRevocationDelay
+	if s.PlaceDrainTime > 0 {
+		longest = min(longest, max(s.PlaceDrainTime, minDrainLease))
+	}
+	return time.Duration(leaseFraction * float64(longest))
+}
+
 // sessionMemory returns the budget for the state of the sessions that the settings allow.
 func sessionMemory(s *platform.Settings) *sessionmem.Budget {
 	bytes := int64(sessionMemoryFraction * float64(s.MemoryMB) * (1 << 20))
@@ -280,7 +301,7 @@
 		}
 	}
 	if s.ControlAddress != "" {
-		return n.listenHTTP(s.ControlAddress, platform.NewAPI(n.controlClient, s.ControlAddress, n.log))
+		return n.listenHTTP(s.ControlAddress, platform.NewAPI(n.controlClient, s.ControlAddress, n.places, n.log))
 	}
 	return nil
 }
--- a/gateway/controlclient/client.go
+++ b/gateway/controlclient/client.go
@@ -109,6 +109,8 @@
 	Topology     *controlpb.Topology
 	// DrainEnds holds when the drains of the topology's upstreams end, by ID, as far as that is known.
 	DrainEnds map[string]time.Duration
+	// PlaceDrains holds the drains of data centres, by place.
+	PlaceDrains map[string]topology.PlaceDrain
 	// Nodes is the number of nodes among which connections are divided.
 	Nodes int
 	// Voters is nil if no voter is known.
@@ -211,7 +213,7 @@
 	previous := c.View()
 	next := &View{
 		Catalog: previous.Catalog, CatalogBytes: previous.CatalogBytes, Topology: previous.Topology,
-		DrainEnds: previous.DrainEnds, Nodes: int(u.Nodes), Leader: address,
+		DrainEnds: previous.DrainEnds, PlaceDrains: previous.PlaceDrains, Nodes: int(u.Nodes), Leader: address,
 	}
 	if len(u.Voters) > 0 {
 		next.Voters = &controlpb.VoterSet{Addresses: u.Voters, Index: u.VotersIndex}
@@ -225,11 +227,15 @@
 	if next.Topology != previous.Topology || len(u.Drains) > 0 {
 		next.DrainEnds = topology.NodeDrainEnds(previous.DrainEnds, next.Topology, u.Drains, c.reportSentAt(u.DrainsSequence))
 	}
+	if u.PlaceDrains != nil {
+		next.PlaceDrains = topology.NodePlaceDrains(previous.PlaceDrains, u.PlaceDrains, c.reportSentAt(u.PlaceDrains.ReportSequence))
+	}
 	c.publish(next)
 	if next.Nodes != previous.Nodes {
 		c.opts.Gate.SetFleetSize(next.Nodes)
 	}
-	if next.Catalog != previous.Catalog || next.Topology != previous.Topology || len(u.Drains) > 0 || next.Nodes != previous.Nodes {
+	if next.Catalog != previous.Catalog || next.Topology != previous.Topology || len(u.Drains) > 0 || u.PlaceDrains != nil ||
+		next.Nodes != previous.Nodes {
 		c.onViewChange(next)
 	}
 	return nil
--- a/gateway/controlclient/local.go
+++ b/gateway/controlclient/local.go
@@ -39,6 +39,20 @@
 	return l.service.Announce(ctx, in)
 }
 
+// DrainPlace implements controlpb.GatewayClient.
+func (l localClient) DrainPlace(
+	ctx context.Context, in *controlpb.SetPlaceDrain, _ ...grpc.CallOption,
+) (*controlpb.SetPlaceDrainReply, error) {
+	return l.service.DrainPlace(ctx, in)
+}
+
+// ListPlaces implements controlpb.GatewayClient.
+func (l localClient) ListPlaces(
+	ctx context.Context, in *controlpb.ListPlacesRequest, _ ...grpc.CallOption,
+) (*controlpb.PlaceList, error) {
+	return l.service.ListPlaces(ctx, in)
+}
+
 // leadsItself reports whether this node is the leader.
 func (c *Client) leadsItself() bool {
 	return c.opts.Local != nil && c.opts.Local.Leads()
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -118,6 +118,7 @@
 	for service, g := range l.groups {
 		l.syncProbers(ctx, g, byService[service])
 		input := failoverInput(g, byService[service], reports.on(service))
+		l.markPlaceDrains(input.Servers, byService[service])
 		for _, action := range g.machine.Step(now, input) {
 			l.execute(ctx, service, g, action, byService[service])
 		}
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -76,7 +76,12 @@
 	Voters int
 	// DrainTime is how long an upstream takes new work after the acknowledgement that it drains.
 	DrainTime time.Duration
-	Log       *logrus.Entry
+	// PlaceDrainTime is the time after the acknowledgement of an order to drain a data centre in which work there
+	// ends.
+	PlaceDrainTime time.Duration
+	// Places are the data centres in the settings.
+	Places []string
+	Log    *logrus.Entry
 }
 
 // Leader coordinates the fleet while its replica is the leader. The goroutine of Run owns its
@@ -127,6 +132,7 @@
 	// sentTopologies holds the newest topologies that nodes were sent.
 	sentTopologies topologyHistory
 	drains         drainList
+	placeDrains    placeDrains
 	membership     membership
 	// fences is the number of fences used in this term.
 	fences uint64
@@ -249,6 +255,11 @@
 		l.handleRefusal(e)
 	case promotionAnswered:
 		l.handlePromotionOutcome(e)
+	case placesListed:
+		e.list <- l.placeList(clock.Now())
+	case placeDrainProposed:
+		// Run has handled the store's event before this one.
+		e.handled <- l.leading
 	case membershipChangeDone:
 		l.membership.inProgress = false
 		l.continueRepair(ctx, e)
@@ -273,7 +284,11 @@
 		return
 	}
 	// Most commands change the nodes or the topology, not the configuration.
-	if !l.leading || l.store.current().Catalog.GetVersion() == l.syncedVersion {
+	if !l.leading {
+		return
+	}
+	l.syncPlaceDrains(clock.Now())
+	if l.store.current().Catalog.GetVersion() == l.syncedVersion {
 		return
 	}
 	l.syncCatalog(clock.Now())
@@ -287,6 +302,7 @@
 	l.registry = topology.NewRegistry(term * revisionsPerTerm)
 	l.registry.SetDrainTime(l.config.DrainTime)
 	l.drains = drainList{}
+	l.adoptPlaceDrains()
 	l.groups = map[string]*group{}
 	l.streams, l.streamOf = map[*nodeStream]bool{}, map[string]*nodeStream{}
 	l.teams = map[string]bool{}
@@ -355,6 +371,7 @@
 	l.limiter.Step(now)
 	l.pushDelayed()
 	l.pushFalls(now)
+	l.logEndedPlaceDrains(now)
 	changed := l.registry.Expire(now)
 	changed = l.stepGroups(ctx, now) || changed || l.topologyChanged
 	l.topologyChanged = false
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -64,6 +64,8 @@
 	sentVoters           []string
 	// sentDrains are the drains that the node was told on this stream.
 	sentDrains drainList
+	// sentPlaceDrains is the revision of the drains of data centres that the node was told on this stream.
+	sentPlaceDrains uint64
 	// primaries are those that the node cannot reach or knows as others; answered holds the
 	// primaries, by service, that have answered it, and read the services it has read from lately.
 	primaries     []*controlpb.PrimaryView
@@ -262,6 +264,7 @@
 	l.addCatalog(s, u)
 	l.addTopology(s, u)
 	l.addDrains(clock.Now(), s, u)
+	l.addPlaceDrains(clock.Now(), s, u)
 	if !l.lacksCatalog(s) {
 		s.answeredSequence = s.sequence
 	}
--- a/gateway/coordinator/server.go
+++ b/gateway/coordinator/server.go
@@ -135,6 +135,32 @@
 	}
 }
 
+// DrainPlace implements controlpb.GatewayServer.
+func (s *Server) DrainPlace(ctx context.Context, in *controlpb.SetPlaceDrain) (*controlpb.SetPlaceDrainReply, error) {
+	if !s.Leads() {
+		return nil, s.redirect()
+	}
+	if err := s.leader.drainPlace(ctx, in); err != nil {
+		return nil, err
+	}
+	return &controlpb.SetPlaceDrainReply{}, nil
+}
+
+// ListPlaces implements controlpb.GatewayServer.
+func (s *Server) ListPlaces(ctx context.Context, _ *controlpb.ListPlacesRequest) (*controlpb.PlaceList, error) {
+	if !s.Leads() {
+		return nil, s.redirect()
+	}
+	list, err := s.leader.listPlaces(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if !s.Leads() {
+		return nil, s.redirect()
+	}
+	return list, nil
+}
+
 // AnnounceVoters implements controlpb.GatewayServer.
 func (s *Server) AnnounceVoters(_ context.Context, in *controlpb.VoterSet) (*controlpb.AnnounceVotersReply, error) {
 	s.directory.LearnVoters(in)
--- a/gateway/coordinator/store.go
+++ b/gateway/coordinator/store.go
@@ -4,6 +4,8 @@
 package coordinator
 
 import (
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -63,27 +65,30 @@
 }
 
 // Apply implements replica.Applier.
-func (s *Store) Apply(_ uint64, c *controlpb.Command) *controlpb.CommandResult {
+func (s *Store) Apply(index uint64, c *controlpb.Command) *controlpb.CommandResult {
 	s.mu.Lock()
-	result := s.applyCommand(c)
+	result := s.applyCommand(index, c)
 	s.mu.Unlock()
 	s.notify(storeEvent{})
 	return result
 }
 
-func (s *Store) applyCommand(c *controlpb.Command) *controlpb.CommandResult {
+func (s *Store) applyCommand(index uint64, c *controlpb.Command) *controlpb.CommandResult {
 	switch body := c.Change.(type) {
 	case *controlpb.Command_PutCatalog:
 		// Of two configurations with the same version, the first is kept.
 		if body.PutCatalog.Version > s.state.Catalog.GetVersion() {
-			s.state = &controlpb.GatewayState{Catalog: body.PutCatalog, Nodes: s.state.Nodes, Topology: s.state.Topology}
+			s.state = s.withChange(func(next *controlpb.GatewayState) { next.Catalog = body.PutCatalog })
 		}
 		return &controlpb.CommandResult{Revision: s.state.Catalog.GetVersion()}
 	case *controlpb.Command_RegisterNode:
 		s.registerNode(body.RegisterNode)
 		return &controlpb.CommandResult{Revision: s.state.Catalog.GetVersion()}
 	case *controlpb.Command_PutTopology:
-		s.state = &controlpb.GatewayState{Catalog: s.state.Catalog, Nodes: s.state.Nodes, Topology: body.PutTopology}
+		s.state = s.withChange(func(next *controlpb.GatewayState) { next.Topology = body.PutTopology })
+		return &controlpb.CommandResult{Revision: s.state.Catalog.GetVersion()}
+	case *controlpb.Command_SetPlaceDrain:
+		s.setPlaceDrain(index, body.SetPlaceDrain)
 		return &controlpb.CommandResult{Revision: s.state.Catalog.GetVersion()}
 	default:
 		return &controlpb.CommandResult{Code: uint32(rescode.InvalidCommand), Message: "command is not supported by gateway nodes"}
@@ -97,7 +102,34 @@
 		}
 	}
 	nodes := append(append([]*controlpb.NodeMember(nil), s.state.Nodes...), node)
-	s.state = &controlpb.GatewayState{Catalog: s.state.Catalog, Nodes: nodes, Topology: s.state.Topology}
+	s.state = s.withChange(func(next *controlpb.GatewayState) { next.Nodes = nodes })
+}
+
+// setPlaceDrain starts or ends the drain of a data centre. index is that of the command in the log. A drain in force
+// keeps the index of the order that started it.
+func (s *Store) setPlaceDrain(index uint64, c *controlpb.SetPlaceDrain) {
+	byName := func(p *controlpb.DrainedPlace, name string) int { return strings.Compare(p.Name, name) }
+	places := slices.Clone(s.state.DrainedPlaces)
+	i, drained := slices.BinarySearchFunc(places, c.Place, byName)
+	switch {
+	case c.Drained && !drained:
+		places = slices.Insert(places, i, &controlpb.DrainedPlace{Name: c.Place, Order: index})
+	case !c.Drained && drained:
+		places = slices.Delete(places, i, i+1)
+	default:
+		return
+	}
+	s.state = s.withChange(func(next *controlpb.GatewayState) { next.DrainedPlaces = places })
+}
+
+// withChange returns the state after a change of its fields. The present state is not modified, because it has been
+// handed out.
+func (s *Store) withChange(change func(next *controlpb.GatewayState)) *controlpb.GatewayState {
+	next := &controlpb.GatewayState{
+		Catalog: s.state.Catalog, Nodes: s.state.Nodes, Topology: s.state.Topology, DrainedPlaces: s.state.DrainedPlaces,
+	}
+	change(next)
+	return next
 }
 
 // Snapshot implements replica.Applier.
--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -65,7 +65,7 @@
 		return true
 	}
 	switch result.answer.Refusal.Reason {
-	case reasonStopping, reasonTooLarge, reasonUnencodable, reasonCallerGone, reasonAnswerCut, reasonDrained:
+	case reasonStopping, reasonTooLarge, reasonUnencodable, reasonCallerGone, reasonAnswerCut, reasonDrained, reasonPlaceDrained:
 		return false
 	default:
 		return true
@@ -267,7 +267,7 @@
 	for {
 		p, changed := op.group.primaryPool()
 		if p != nil && p.isDrained(clock.Now()) {
-			return nil, drainedRefusal(p.target.ID)
+			return nil, p.drainedRefusal(clock.Now())
 		}
 		reason := reasonNoPrimary
 		if p != nil && !op.group.isPrimaryLost() {
--- a/gateway/engine/drain.go
+++ b/gateway/engine/drain.go
@@ -21,22 +21,30 @@
 func (p *pool) isDrained(now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return drainIsOver(now, p.draining, p.drainEndsAt)
+	return drainIsOver(now, p.draining, p.drainEndsAt) || drainIsOver(now, p.placeDrained, p.placeDrainEndsAt)
 }
 
 // drainedRefusal is the refusal of work that only an upstream could run whose drain is over. Nothing was sent.
-func drainedRefusal(upstream string) *Refusal {
-	return &Refusal{Code: rescode.GroupFenced, Reason: reasonDrained, RetryAfter: failoverRetryAfter, Upstream: upstream}
+func (p *pool) drainedRefusal(now time.Duration) *Refusal {
+	reason := reasonDrained
+	if p.isPlaceDrained(now) {
+		reason = reasonPlaceDrained
+	}
+	return &Refusal{Code: rescode.GroupFenced, Reason: reason, RetryAfter: failoverRetryAfter, Upstream: p.target.ID}
 }
 
 // refuseDrained returns a result if the next statement on a connection would begin work on an upstream whose
-// drain is over. A transaction that has run a statement may go on.
+// drain is over. A transaction that has run a statement may go on, unless the data centre of the upstream is drained.
 func (s *Session) refuseDrained(c *upstreamConn) *attemptResult {
-	if (s.tx != nil && s.tx.ran) || !c.pool.isDrained(clock.Now()) {
+	now := clock.Now()
+	if s.tx != nil && s.tx.ran {
+		return c.refusePlaceDrained(now)
+	}
+	if !c.pool.isDrained(now) {
 		return nil
 	}
 	// The connection may be inside a transaction that was begun for the statement.
 	c.broken = true
-	result := retryResult(retryDrained, *drainedRefusal(c.pool.target.ID))
+	result := retryResult(retryDrained, *c.pool.drainedRefusal(now))
 	return &result
 }
--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -90,7 +90,7 @@
 		primaries[p.Service] = p
 	}
 	for name, s := range v.Catalog.Services() {
-		e.group(name).setDrainEnds(v.DrainEnds)
+		e.group(name).setDrains(v.DrainEnds, v.PlaceDrains)
 		e.group(name).update(byService[name], primaries[name], s.MaxConnections, v.Nodes)
 	}
 }
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -10,6 +10,7 @@
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/position"
+	"github.com/jayloom/jayloom/gateway/topology"
 )
 
 const (
@@ -45,8 +46,10 @@
 	poolList []*pool
 	// drainEnds holds when the drains of upstreams end, by ID, as far as that is known.
 	drainEnds map[string]time.Duration
-	primary   string
-	term      uint64
+	// placeDrains holds the drains of data centres, by place.
+	placeDrains map[string]topology.PlaceDrain
+	primary     string
+	term        uint64
 	// primaryLost is set when the primary refused to act as one, until another primary is
 	// known.
 	primaryLost      bool
@@ -83,6 +86,7 @@
 		}
 		p.mu.Lock()
 		p.draining, p.drainEndsAt = u.Draining, g.drainEnds[u.Id]
+		p.setPlace(u.Place, g.placeDrains)
 		p.mu.Unlock()
 		p.setShare(maxConnections, nodes)
 		g.poolList = append(g.poolList, p)
@@ -103,11 +107,12 @@
 	g.primary, g.term, g.primaryChanging = primary.Upstream, primary.Term, primary.Changing
 }
 
-// setDrainEnds sets when the drains of upstreams end, for the topology that is passed to update next.
-func (g *group) setDrainEnds(ends map[string]time.Duration) {
+// setDrains sets when the drains of upstreams end and which data centres are drained, for the topology that is passed
+// to update next.
+func (g *group) setDrains(ends map[string]time.Duration, places map[string]topology.PlaceDrain) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.drainEnds = ends
+	g.drainEnds, g.placeDrains = ends, places
 }
 
 // notifyPrimaryChange wakes those that wait for a new primary. The caller holds mu.
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -45,6 +45,7 @@
 	reasonAttempts        Reason = "attempts_used_up"
 	reasonStopping        Reason = "node_stopping"
 	reasonDrained         Reason = "upstream_drained"
+	reasonPlaceDrained    Reason = "data_centre_drained"
 	// reasonSessionStateFull is for a session that would hold more than any may, reasonNodeStateFull for one that
 	// is refused because of what all sessions hold.
 	reasonSessionStateFull Reason = "session_state_full"
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -52,6 +52,10 @@
 	draining  bool
 	// drainEndsAt is when the drain ends, or 0 if that is not known.
 	drainEndsAt time.Duration
+	// placeDrained is set while the data centre of the upstream is drained; placeDrainEndsAt is when that ends, or
+	// 0 if it is not known.
+	placeDrained     bool
+	placeDrainEndsAt time.Duration
 
 	position     position.Position
 	behindAt     time.Duration
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -50,6 +50,12 @@
 	if t.conn == nil {
 		return
 	}
+	if t.conn.pool.isPlaceDrained(clock.Now()) {
+		// Nothing more is sent there. Closing the connection rolls back.
+		t.conn.broken = true
+		t.releaseConn()
+		return
+	}
 	t.conn.rollBack(ctx, deadline)
 	t.releaseConn()
 }
