Warm-up of cold upstreams and home regions

Change: policy/warmup grants permits for requests to a cold upstream, bounded over the fleet: the leader's allocator hands them to the nodes that ask, each valid 400 ms from the report that it answers. Reads without a permit go to another upstream in the same attempt, what only the cold one can run waits for a permit. An upstream is cold by its announcement, after the drain of its data centre, and when it has not answered probes for 2.5 s. Services without a warm rate have none of this. Routes and teams may name home regions; statements go to upstreams in these only, and are refused at once where none is left. The check is repeated before each statement is sent.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -34,6 +34,7 @@
 	"github.com/jayloom/jayloom/gateway/stop"
 	"github.com/jayloom/jayloom/platform"
 	"github.com/jayloom/jayloom/policy/throttle"
+	"github.com/jayloom/jayloom/policy/warmup"
 )
 
 const (
@@ -172,7 +173,8 @@
 	}
 	n.leader = coordinator.NewLeader(coordinator.Config{
 		Upstreams: platform.NewUpstreamClient(), Promoter: platform.NewPromoter(s.PromotionAddress, s.Node, n.log),
-		Voters: 2*s.MaxLostVMs + 1, DrainTime: s.DrainTime, PlaceDrainTime: s.PlaceDrainTime, Places: s.Places(), Log: n.log,
+		Voters: 2*s.MaxLostVMs + 1, DrainTime: s.DrainTime, PlaceDrainTime: s.PlaceDrainTime, Places: s.Places(),
+		WarmupExcess: s.WarmupExcess, WarmupSlack: s.WarmupSlack, Log: n.log,
 	})
 }
 
@@ -220,15 +222,16 @@
 
 func (n *node) createClientAndEngine() {
 	gate := throttle.NewGate(func() { n.controlClient.ReportNow() })
+	permits := warmup.NewPermits()
 	n.service = coordinator.NewServer(directory{n}, n.leader)
 	n.controlClient = controlclient.New(controlclient.Options{
 		Node: n.settings.Node, Address: n.address, Seeds: n.seeds,
 		Lease: leaseDuration(n.settings),
-		Gate:  gate, Voter: n.voterIdentity, Local: n.service, Dial: dialNode, DialOptions: dialOptions(), Log: n.log,
+		Gate:  gate, Warmup: permits, Voter: n.voterIdentity, Local: n.service, Dial: dialNode, DialOptions: dialOptions(), Log: n.log,
 		Primaries: func(now time.Duration) []*controlpb.PrimaryView { return n.engine.Primaries(now) },
 	}, func(v *controlclient.View) { n.engine.Update(v) }, func(p controlclient.PrimaryPosition) { n.engine.RecordPosition(p) })
 	n.engine = engine.New(engine.Options{
-		Control: n.controlClient, Dialer: platform.Dialer{}, Gate: gate, Place: n.settings.Place, Log: n.log,
+		Control: n.controlClient, Dialer: platform.Dialer{}, Gate: gate, Permits: permits, RequestReport: n.controlClient.ReportNow, Place: n.settings.Place, Regions: n.settings.Regions, Log: n.log,
 		SessionMemory: sessionMemory(n.settings),
 	})
 }
--- a/gateway/catalog/catalog.go
+++ b/gateway/catalog/catalog.go
@@ -26,6 +26,8 @@
 	Priority uint32
 	// Public routes need no key.
 	Public bool
+	// Regions are the regions in which the statements may run; empty means any.
+	Regions []string
 }
 
 // Team owns API keys and has a rate limit.
@@ -33,6 +35,8 @@
 	Name  string
 	Rate  float64
 	Burst float64
+	// Regions are the regions in which the statements may run; empty means any.
+	Regions []string
 }
 
 // Service is a database group.
@@ -43,6 +47,9 @@
 	// SyncReplicas is the number of replicas that must receive a commit before it is
 	// acknowledged.
 	SyncReplicas int
+	// WarmupRate is the number of requests per second that an upstream can take while it warms up; 0 means that
+	// there is no limit.
+	WarmupRate float64
 }
 
 // Catalog is a validated configuration. It is immutable.
@@ -106,7 +113,7 @@
 		return invalid("service %q is declared twice", s.Name)
 	}
 	c.services[s.Name] = &Service{
-		Name: s.Name, MaxConnections: int(s.MaxConnections), SyncReplicas: int(s.SyncReplicas),
+		Name: s.Name, MaxConnections: int(s.MaxConnections), SyncReplicas: int(s.SyncReplicas), WarmupRate: s.WarmupRate,
 	}
 	return nil
 }
@@ -129,7 +136,7 @@
 		MaxStaleness:     milliseconds(r.MaxStalenessMs),
 		StatementTimeout: milliseconds(r.StatementTimeoutMs),
 		LatencyObjective: milliseconds(r.LatencyObjectiveMs),
-		Priority:         r.Priority, Public: r.Public,
+		Priority:         r.Priority, Public: r.Public, Regions: r.AllowedRegions,
 	}
 	return nil
 }
@@ -141,7 +148,7 @@
 	if c.teams[t.Name] != nil {
 		return invalid("team %q is declared twice", t.Name)
 	}
-	team := &Team{Name: t.Name, Rate: t.Rate, Burst: t.Burst}
+	team := &Team{Name: t.Name, Rate: t.Rate, Burst: t.Burst, Regions: t.AllowedRegions}
 	c.teams[t.Name] = team
 	for _, key := range t.Keys {
 		if key == "" {
--- a/gateway/controlclient/client.go
+++ b/gateway/controlclient/client.go
@@ -20,6 +20,7 @@
 	"github.com/jayloom/jayloom/gateway/catalog"
 	"github.com/jayloom/jayloom/gateway/position"
 	"github.com/jayloom/jayloom/gateway/topology"
+	"github.com/jayloom/jayloom/policy/warmup"
 )
 
 const (
@@ -72,6 +73,16 @@
 	UrgentAt() time.Duration
 }
 
+// Warmup asks for permits for upstreams that warm up and holds them.
+type Warmup interface {
+	// Demands returns the demands for the report that is sent now.
+	Demands(now time.Duration) []*controlpb.WarmupDemand
+	// Add adds permits from an answer to the report that was sent at sentAt.
+	Add(sentAt time.Duration, grants []*controlpb.WarmupGrant)
+	// UrgentAt returns the time from which a report is urgent.
+	UrgentAt() time.Duration
+}
+
 // Voter identifies the replica of a node with a data folder. Both fields are empty on a node
 // without one.
 type Voter struct {
@@ -89,6 +100,8 @@
 	// was sent.
 	Lease time.Duration
 	Gate  Gate
+	// Warmup is optional.
+	Warmup Warmup
 	// Primaries returns the node's view of the primaries of all services.
 	Primaries func(now time.Duration) []*controlpb.PrimaryView
 	// Voter returns the identity and address of the node's replica.
@@ -159,6 +172,9 @@
 // New returns a Client. Run calls onViewChange after each change of the view, and onPosition
 // for each position that the leader sends.
 func New(opts Options, onViewChange func(*View), onPosition func(PrimaryPosition)) *Client {
+	if opts.Warmup == nil {
+		opts.Warmup = warmup.NewPermits()
+	}
 	c := &Client{
 		opts: opts, incarnation: rand.Text(), onViewChange: onViewChange, onPosition: onPosition,
 		reportRequested: make(chan struct{}, 1), leaving: make(chan struct{}), left: make(chan struct{}),
--- a/gateway/controlclient/stream.go
+++ b/gateway/controlclient/stream.go
@@ -91,7 +91,8 @@
 // sendUrgentReport sends a report if one is urgent now, and else starts timer for the time from
 // which one will be.
 func (s *controlStream) sendUrgentReport(timer *time.Timer) error {
-	at := max(s.client.opts.Gate.UrgentAt(), s.lastReportAt+minUrgentInterval)
+	opts := s.client.opts
+	at := max(min(opts.Gate.UrgentAt(), opts.Warmup.UrgentAt()), s.lastReportAt+minUrgentInterval)
 	wait := at - clock.Now()
 	switch {
 	case wait <= 0:
@@ -124,7 +125,7 @@
 	v, voter := c.View(), c.opts.Voter()
 	report := &controlpb.NodeReport{
 		Sequence: c.sequence, TopologyRevision: v.Topology.GetRevision(),
-		Usage: c.opts.Gate.Report(now), Leaving: kind == lastReport,
+		Usage: c.opts.Gate.Report(now), Leaving: kind == lastReport, WarmupDemands: c.opts.Warmup.Demands(now),
 	}
 	if kind == regularReport {
 		views := c.opts.Primaries(now)
@@ -175,6 +176,7 @@
 	if until := int64(sentAt + c.opts.Lease); until > c.leaseUntil.Load() {
 		c.leaseUntil.Store(until)
 	}
+	c.opts.Warmup.Add(sentAt, u.WarmupGrants)
 	for _, p := range u.Positions {
 		if service, upstream, ok := primaryOf(p, c.View().Topology); ok {
 			c.onPosition(PrimaryPosition{
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -12,6 +12,7 @@
 	"github.com/jayloom/jayloom/gateway/failover"
 	"github.com/jayloom/jayloom/gateway/position"
 	"github.com/jayloom/jayloom/gateway/topology"
+	"github.com/jayloom/jayloom/policy/warmup"
 )
 
 const (
@@ -42,7 +43,11 @@
 type group struct {
 	machine      *failover.Machine
 	syncReplicas int
-	samples      map[string]failover.Sample
+	// warmupLimit bounds the requests to an upstream that warms up; without a rate there is no limit. warmupTime is
+	// how long an upstream that has started warms up.
+	warmupLimit warmup.Limit
+	warmupTime  time.Duration
+	samples     map[string]failover.Sample
 	// refusedSince holds when upstreams began to refuse connections.
 	refusedSince map[string]time.Duration
 	// probers holds the running probe loops by upstream.
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -81,7 +81,10 @@
 	PlaceDrainTime time.Duration
 	// Places are the data centres in the settings.
 	Places []string
-	Log    *logrus.Entry
+	// WarmupExcess and WarmupSlack bound the requests that an upstream which warms up may receive in any second: the
+	// rate that it can take times WarmupExcess, plus WarmupSlack.
+	WarmupExcess, WarmupSlack float64
+	Log                       *logrus.Entry
 }
 
 // Leader coordinates the fleet while its replica is the leader. The goroutine of Run owns its
@@ -133,6 +136,7 @@
 	sentTopologies topologyHistory
 	drains         drainList
 	placeDrains    placeDrains
+	warmups        warmups
 	membership     membership
 	// fences is the number of fences used in this term.
 	fences uint64
@@ -303,6 +307,7 @@
 	l.registry.SetDrainTime(l.config.DrainTime)
 	l.drains = drainList{}
 	l.adoptPlaceDrains()
+	l.warmups = newWarmups(now)
 	l.groups = map[string]*group{}
 	l.streams, l.streamOf = map[*nodeStream]bool{}, map[string]*nodeStream{}
 	l.teams = map[string]bool{}
@@ -359,6 +364,7 @@
 	l.teams, l.syncedVersion = teams, c.Version
 	for _, s := range c.Services {
 		l.groupOf(now, s.Name).syncReplicas = int(s.SyncReplicas)
+		l.setWarmupLimit(l.groupOf(now, s.Name), s)
 	}
 }
 
@@ -372,6 +378,7 @@
 	l.pushDelayed()
 	l.pushFalls(now)
 	l.logEndedPlaceDrains(now)
+	l.stepWarmups(now)
 	changed := l.registry.Expire(now)
 	changed = l.stepGroups(ctx, now) || changed || l.topologyChanged
 	l.topologyChanged = false
@@ -389,7 +396,9 @@
 	}
 	now, revision := clock.Now(), l.registry.Revision()
 	before := l.registry.Get(e.announcement.Id)
-	if !l.registry.ApplyAnnouncement(now, e.announcement) {
+	changed := l.registry.ApplyAnnouncement(now, e.announcement)
+	l.recordWarmup(now, e.announcement)
+	if !changed {
 		return
 	}
 	l.log.WithFields(logrus.Fields{
--- a/gateway/coordinator/metrics.go
+++ b/gateway/coordinator/metrics.go
@@ -13,8 +13,10 @@
 	metricProbeFailures     = metrics.NewCounter("jayloom_gateway_probe_failures_total")
 	metricDemotions         = metrics.NewCounter("jayloom_gateway_demotions_total")
 	metricMembershipChanges = metrics.NewCounter("jayloom_gateway_membership_changes_total")
+	metricWarmupGrants      = metrics.NewCounter("jayloom_gateway_warmup_permits_total")
 	// The following are those of the leader; a process that does not lead reports no node.
-	metricConnectedNodes = metrics.NewGauge("jayloom_gateway_connected_nodes", nil)
+	metricWarmingUpstreams = metrics.NewGauge("jayloom_gateway_warming_upstreams", nil)
+	metricConnectedNodes   = metrics.NewGauge("jayloom_gateway_connected_nodes", nil)
 	// metricLongestPromotionWait is how long a promotion has been waiting for upstreams that do not answer.
 	metricLongestPromotionWait = metrics.NewGauge("jayloom_gateway_longest_promotion_wait_seconds", nil)
 
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -113,7 +113,7 @@
 		delete(l.lostNodes, s.node)
 		return
 	}
-	l.answerReport(s, now)
+	l.answerReport(s, now, report.WarmupDemands)
 	l.pushFalls(now)
 }
 
@@ -196,10 +196,11 @@
 	}
 }
 
-// answerReport sends the update that answers a report. Only such an update contains positions:
+// answerReport sends the update that answers a report. Only such an update contains positions and permits:
 // the node computes their time from their age and the time at which it sent the report.
-func (l *Leader) answerReport(s *nodeStream, now time.Duration) {
+func (l *Leader) answerReport(s *nodeStream, now time.Duration, demands []*controlpb.WarmupDemand) {
 	u := l.newUpdate(s)
+	u.WarmupGrants = l.grantWarmup(now, demands)
 	if now-s.positionsSentAt >= positionsInterval {
 		s.positionsSentAt = now
 		u.Positions = l.primaryPositions(now, s)
--- a/gateway/coordinator/place_drains.go
+++ b/gateway/coordinator/place_drains.go
@@ -128,6 +128,7 @@
 		changed = true
 		delete(l.placeDrains.byPlace, place)
 		l.logPlaceDrain(place, d.order, placeInService)
+		l.warmUpPlace(now, place)
 	}
 	for place, order := range stored {
 		if _, known := l.placeDrains.byPlace[place]; known {
--- a/gateway/coordinator/place_list.go
+++ b/gateway/coordinator/place_list.go
@@ -47,8 +47,10 @@
 		}
 		for _, u := range l.registry.Live() {
 			p := placeOf(u.Place)
+			warmupLeft := max(0, l.warmups.byUpstream[u.ID].endsAt-now)
 			p.Upstreams = append(p.Upstreams, &controlpb.PlaceUpstream{
 				Id: u.ID, Service: u.Service, Primary: l.isPrimary(u.Service, u.ID), Draining: u.Draining,
+				WarmupLeftMs: uint32(warmupLeft.Milliseconds()),
 			})
 		}
 	}
--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -65,7 +65,7 @@
 		return true
 	}
 	switch result.answer.Refusal.Reason {
-	case reasonStopping, reasonTooLarge, reasonUnencodable, reasonCallerGone, reasonAnswerCut, reasonDrained, reasonPlaceDrained:
+	case reasonStopping, reasonTooLarge, reasonUnencodable, reasonCallerGone, reasonAnswerCut, reasonDrained, reasonPlaceDrained, reasonWarmup, reasonOutsideHome:
 		return false
 	default:
 		return true
@@ -197,7 +197,7 @@
 // read runs a bounded-staleness read on the upstream with the lowest expected cost, or on the
 // primary if no upstream is known to be fresh enough.
 func (s *Session) read(ctx context.Context, op *operation, st Statement) Answer {
-	skip := map[string]bool{}
+	skip := s.engine.outsideHome(op)
 	return s.runWithRetries(ctx, op, st, func(int) attemptResult {
 		now := clock.Now()
 		p, ok := op.group.planRead(
@@ -266,6 +266,9 @@
 	defer timer.Stop()
 	for {
 		p, changed := op.group.primaryPool()
+		if p != nil && !e.mayRunOn(op, p) {
+			return nil, homeRefusal(p.target.ID)
+		}
 		if p != nil && p.isDrained(clock.Now()) {
 			return nil, p.drainedRefusal(clock.Now())
 		}
@@ -387,12 +390,18 @@
 	s.setPhase(PhaseUpstream)
 	defer s.setPhase(PhaseWaiting)
 	defer interruptWhenDone(ctx, c)()
+	if result := s.refuseOutsideHome(op, c); result != nil {
+		return Reply{}, result
+	}
 	if result := s.refuseDrained(c); result != nil {
 		return Reply{}, result
 	}
 	if result := s.align(c, deadline, st.ID); result != nil {
 		return Reply{}, result
 	}
+	if result := s.takePermit(ctx, op, c, st); result != nil {
+		return Reply{}, result
+	}
 	prepared := s.prepared[st.Name]
 	change := c.setUp(&st, prepared)
 	setup := change.statements(prepared.preparedStatement)
--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -14,6 +14,7 @@
 	"github.com/jayloom/jayloom/gateway/sessionmem"
 	"github.com/jayloom/jayloom/gateway/stop"
 	"github.com/jayloom/jayloom/policy/throttle"
+	"github.com/jayloom/jayloom/policy/warmup"
 )
 
 // maintainInterval is how often Run maintains the groups.
@@ -47,8 +48,14 @@
 	Control ControlClient
 	Dialer  Dialer
 	Gate    Gate
+	// Permits is optional.
+	Permits Permits
+	// RequestReport asks for a report to the leader before the next interval. It is optional.
+	RequestReport func()
 	// Place is the place of this node.
 	Place string
+	// Regions holds the regions of all data centres, by place.
+	Regions map[string]string
 	// SessionMemory is the memory for the state of sessions. The default is a budget for the smallest node.
 	SessionMemory *sessionmem.Budget
 	Log           *logrus.Entry
@@ -70,6 +77,12 @@
 
 // New returns an Engine. It has no upstreams until Update is called.
 func New(opts Options) *Engine {
+	if opts.Permits == nil {
+		opts.Permits = warmup.NewPermits()
+	}
+	if opts.RequestReport == nil {
+		opts.RequestReport = func() {}
+	}
 	if opts.SessionMemory == nil {
 		opts.SessionMemory = sessionmem.New(defaultSessionMemory, defaultMaxSessions)
 	}
@@ -91,7 +104,7 @@
 	}
 	for name, s := range v.Catalog.Services() {
 		e.group(name).setDrains(v.DrainEnds, v.PlaceDrains)
-		e.group(name).update(byService[name], primaries[name], s.MaxConnections, v.Nodes)
+		e.group(name).update(byService[name], primaries[name], s, v.Nodes)
 	}
 }
 
@@ -105,7 +118,7 @@
 	defer e.mu.Unlock()
 	g := e.groups[service]
 	if g == nil {
-		g = newGroup(service, e.opts.Dialer, e.log)
+		g = newGroup(service, e.opts.Dialer, e.opts.Permits, e.log)
 		e.groups[service] = g
 	}
 	return g
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -9,6 +9,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/gateway/catalog"
 	"github.com/jayloom/jayloom/gateway/position"
 	"github.com/jayloom/jayloom/gateway/topology"
 )
@@ -37,6 +38,7 @@
 type group struct {
 	service string
 	dialer  Dialer
+	permits Permits
 	log     *logrus.Entry
 
 	mu    sync.Mutex
@@ -61,14 +63,16 @@
 	primaryChanged chan struct{}
 }
 
-func newGroup(service string, dialer Dialer, log *logrus.Entry) *group {
+func newGroup(service string, dialer Dialer, permits Permits, log *logrus.Entry) *group {
 	return &group{
-		service: service, dialer: dialer, log: log, pools: map[string]*pool{}, primaryChanged: make(chan struct{}),
+		service: service, dialer: dialer, permits: permits, log: log, pools: map[string]*pool{}, primaryChanged: make(chan struct{}),
 	}
 }
 
 // update applies the upstreams and the primary of a new topology.
-func (g *group) update(upstreams []*controlpb.TopologyUpstream, primary *controlpb.TopologyPrimary, maxConnections, nodes int) {
+func (g *group) update(
+	upstreams []*controlpb.TopologyUpstream, primary *controlpb.TopologyPrimary, service *catalog.Service, nodes int,
+) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	present := map[string]bool{}
@@ -86,9 +90,11 @@
 		}
 		p.mu.Lock()
 		p.draining, p.drainEndsAt = u.Draining, g.drainEnds[u.Id]
+		wasDrained := p.placeDrained
 		p.setPlace(u.Place, g.placeDrains)
+		p.updateWarmup(clock.Now(), u.Warming, service.WarmupRate > 0, wasDrained)
 		p.mu.Unlock()
-		p.setShare(maxConnections, nodes)
+		p.setShare(service.MaxConnections, nodes)
 		g.poolList = append(g.poolList, p)
 	}
 	for id, p := range g.pools {
@@ -173,7 +179,12 @@
 	pools := g.poolList
 	candidates := make([]Candidate, 0, len(pools))
 	for _, u := range pools {
-		candidates = append(candidates, u.candidate(now, team))
+		c := u.candidate(now, team)
+		c.NoPermit = u.needsPermit(now) && !g.permits.Has(now, u.target.ID)
+		if c.NoPermit && !c.Draining && !c.Failing && !skip[c.ID] {
+			g.permits.Want(c.ID, false)
+		}
+		candidates = append(candidates, c)
 	}
 	g.mu.Unlock()
 	if !ok {
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -46,6 +46,8 @@
 	reasonStopping        Reason = "node_stopping"
 	reasonDrained         Reason = "upstream_drained"
 	reasonPlaceDrained    Reason = "data_centre_drained"
+	reasonWarmup          Reason = "upstream_warming"
+	reasonOutsideHome     Reason = "outside_home_regions"
 	// reasonSessionStateFull is for a session that would hold more than any may, reasonNodeStateFull for one that
 	// is refused because of what all sessions hold.
 	reasonSessionStateFull Reason = "session_state_full"
@@ -64,6 +66,8 @@
 	retryDial        retryReason = "dial"
 	retryPlanExpired retryReason = "plan_expired"
 	retryDrained     retryReason = "upstream_drained"
+	retryWarmup      retryReason = "upstream_warming"
+	retryOutsideHome retryReason = "outside_home_regions"
 )
 
 var (
--- a/gateway/engine/plan.go
+++ b/gateway/engine/plan.go
@@ -39,9 +39,11 @@
 	// MustWait when a read must wait for a connection.
 	HasIdleConnection, MustWait bool
 	RecentlyBehind              bool
-	InFlight                    int
-	Latency                     time.Duration
-	Position                    position.Position
+	// NoPermit is true when the upstream warms up and there is no permit for it.
+	NoPermit bool
+	InFlight int
+	Latency  time.Duration
+	Position position.Position
 }
 
 // chooseCandidate returns the index of the candidate with the lowest cost for a read, or -1.
@@ -52,7 +54,7 @@
 func chooseCandidate(candidates []Candidate, place, primary string, minPosition position.Position, skip map[string]bool) int {
 	best, bestCost := -1, time.Duration(0)
 	for i, c := range candidates {
-		if c.Draining || c.Failing || skip[c.ID] {
+		if c.Draining || c.Failing || c.NoPermit || skip[c.ID] {
 			continue
 		}
 		proven := !c.Position.Before(minPosition)
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -56,6 +56,10 @@
 	// 0 if it is not known.
 	placeDrained     bool
 	placeDrainEndsAt time.Duration
+	// warming is set while the upstream warms up by the topology, and before coldUntil it may do so. Statements then
+	// need permits if warmupLimited is set.
+	warming, warmupLimited bool
+	coldUntil              time.Duration
 
 	position     position.Position
 	behindAt     time.Duration
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -81,6 +81,8 @@
 	team  string
 	// rate and burst are the limits of the team.
 	rate, burst float64
+	// teamRegions are the home regions of the team, empty if it has none.
+	teamRegions []string
 	group       *group
 	started     time.Duration
 	deadline    time.Time
@@ -113,7 +115,7 @@
 	if team == nil {
 		return nil, &Refusal{Code: rescode.KeyWithdrawn, Reason: reasonUnknownKey}
 	}
-	op.team, op.rate, op.burst = team.Name, team.Rate, team.Burst
+	op.team, op.rate, op.burst, op.teamRegions = team.Name, team.Rate, team.Burst, team.Regions
 	return op, nil
 }
 
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -165,7 +165,7 @@
 	if s.tx.conn != nil {
 		return nil
 	}
-	skip := map[string]bool{}
+	skip := s.engine.outsideHome(s.tx.op)
 	answer := s.runWithRetries(ctx, s.tx.op, st, func(int) attemptResult { return s.beginOnce(ctx, skip) })
 	return answer.Refusal
 }
