Warm-up: tests see missing expiry and a burst of a later leader; homes: no connection outside

The simulation alternates between the warm rate, at which permits lie unused, and bursts, so that permits without expiry exceed the bound. The delay of a new allocator's grants is gone: it starts without the burst, which keeps the bound.

--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -307,7 +307,7 @@
 	l.registry.SetDrainTime(l.config.DrainTime)
 	l.drains = drainList{}
 	l.adoptPlaceDrains()
-	l.warmups = newWarmups(now)
+	l.warmups = newWarmups()
 	l.groups = map[string]*group{}
 	l.streams, l.streamOf = map[*nodeStream]bool{}, map[string]*nodeStream{}
 	l.teams = map[string]bool{}
--- a/gateway/coordinator/place_drains_test.go
+++ b/gateway/coordinator/place_drains_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/testing/protocmp"
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
@@ -49,11 +50,8 @@
 	if err := restored.Restore(data); err != nil {
 		t.Fatal(err)
 	}
-	got := map[string]uint64{}
-	for _, p := range restored.current().DrainedPlaces {
-		got[p.Name] = p.Order
-	}
-	if diff := cmp.Diff(map[string]uint64{"a": 9, "b": 1}, got); diff != "" {
+	want := []*controlpb.DrainedPlace{{Name: "a", Order: 9}, {Name: "b", Order: 1}}
+	if diff := cmp.Diff(want, restored.current().DrainedPlaces, protocmp.Transform()); diff != "" {
 		t.Error(diff)
 	}
 	if restored.current().Catalog.GetVersion() != 5 || len(restored.current().Nodes) != 1 {
--- a/gateway/coordinator/warmups.go
+++ b/gateway/coordinator/warmups.go
@@ -36,8 +36,8 @@
 	allocator  *warmup.Allocator
 }
 
-func newWarmups(now time.Duration) warmups {
-	return warmups{byUpstream: map[string]upstreamWarmup{}, allocator: warmup.NewAllocator(now)}
+func newWarmups() warmups {
+	return warmups{byUpstream: map[string]upstreamWarmup{}, allocator: warmup.NewAllocator()}
 }
 
 // setWarmupLimit sets the limit of the upstreams of a group that warm up.
--- a/gateway/coordinator/warmups_test.go
+++ b/gateway/coordinator/warmups_test.go
@@ -91,7 +91,7 @@
 	announceWarmup(l, 1, time.Minute)
 	s := startStream(l, "n", &controlpb.NodeReport{Sequence: 1})
 	latestUpdate(t, s)
-	l.warmups.allocator = warmup.NewAllocator(clock.Now() - time.Minute)
+	l.warmups.allocator = warmup.NewAllocator()
 	l.warmups.allocator.Start(clock.Now()-time.Minute, drainingID, l.groups["wax0"].warmupLimit)
 	demands := []*controlpb.WarmupDemand{{Upstream: drainingID, Requests: 1000}, {Upstream: "unknown", Requests: 5}}
 	l.handle(context.Background(), reportReceived{s, &controlpb.NodeReport{Sequence: 2, WarmupDemands: demands}})
--- a/gateway/engine/home_test.go
+++ b/gateway/engine/home_test.go
@@ -54,7 +54,7 @@
 				s.servers[replica].update(func(f *fakeServer) { f.position = s.servers["p"].position })
 			}
 			s.configureHomes(c.route, c.team)
-			before := len(s.servers["p"].runs())
+			before, dials := len(s.servers["p"].runs()), s.servers["p"].dials
 			for _, statements := range [][]Statement{{write("1")}, {{ID: "1", Kind: Begin}, write("2")}} {
 				session := s.open("intake", "key")
 				for _, st := range statements {
@@ -82,11 +82,17 @@
 			if got := len(s.servers["p"].runs()); !c.writes && got != before {
 				t.Errorf("the primary outside the home regions ran %d statements", got-before)
 			}
+			if got := s.servers["p"].dials; !c.writes && got != dials {
+				t.Errorf("%d connections to the primary outside the home regions", got-dials)
+			}
 			if c.readsOn != "" {
 				s.expectRuns(c.readsOn, 2)
 			}
 			if c.neverRun != "" {
 				s.expectRuns(c.neverRun, 0)
+				if n := s.servers[c.neverRun].dials; n > 0 {
+					t.Errorf("%d connections to %s", n, c.neverRun)
+				}
 			}
 		})
 	}
--- a/policy/warmup/allocator.go
+++ b/policy/warmup/allocator.go
@@ -33,7 +33,6 @@
 
 // Allocator grants permits. It is not safe for concurrent use.
 type Allocator struct {
-	startsAt  time.Duration
 	upstreams map[string]*bucket
 }
 
@@ -44,10 +43,9 @@
 	refilledAt time.Duration
 }
 
-// NewAllocator returns the Allocator of a leader that starts at now. An earlier leader may have granted permits until
-// then.
-func NewAllocator(now time.Duration) *Allocator {
-	return &Allocator{startsAt: now + Lifetime, upstreams: map[string]*bucket{}}
+// NewAllocator returns the Allocator of a leader that starts now.
+func NewAllocator() *Allocator {
+	return &Allocator{upstreams: map[string]*bucket{}}
 }
 
 // Start limits an upstream from now on. It has no effect on one with the same limit.
@@ -56,8 +54,8 @@
 	if b != nil && b.limit == limit {
 		return
 	}
-	// Nothing can be granted at first: with another limit, permits for more may have been granted before.
-	a.upstreams[upstream] = &bucket{limit: limit, refilledAt: max(now, a.startsAt) + Lifetime}
+	// An earlier leader may have granted the whole burst a moment ago.
+	a.upstreams[upstream] = &bucket{limit: limit, level: 0, refilledAt: now}
 }
 
 // Retain forgets the upstreams that are not kept.
--- a/policy/warmup/warmup_test.go
+++ b/policy/warmup/warmup_test.go
@@ -18,6 +18,7 @@
 	// maxWait is how long a request waits for a permit, and repeatAfter when it asks again.
 	maxWait     = 300 * time.Millisecond
 	repeatAfter = 50 * time.Millisecond
+	burstPeriod = 3 * time.Second
 	// minUse is the part of the warm rate that a fleet with enough demand uses.
 	minUse = 0.6
 )
@@ -56,9 +57,11 @@
 	waiting   []request
 	// calm fleets have short delays, no cuts and one leader.
 	calm bool
-	// perSecond is the number of requests that all nodes together would send.
-	perSecond float64
-	usedAt    []time.Duration
+	// perSecond is the number of requests that all nodes together would send in the second half of each burstPeriod; in
+	// the first half they send at the warm rate. The part canGoElsewhere does not wait for a permit.
+	perSecond      float64
+	canGoElsewhere float64
+	usedAt         []time.Duration
 }
 
 func newFleet(seed int64) *fleet {
@@ -67,6 +70,7 @@
 	rate := float64(1 + random.Intn(60))
 	f.limit = Limit{Rate: rate, MaxPerSecond: rate*(1+random.Float64()) + float64(random.Intn(10))}
 	f.perSecond = rate * (0.5 + 20*random.Float64())
+	f.canGoElsewhere = random.Float64()
 	f.lead(startedAt)
 	for range 1 + random.Intn(300) {
 		f.nodes = append(f.nodes, &node{
@@ -79,7 +83,7 @@
 
 // lead begins the time of a leader.
 func (f *fleet) lead(now time.Duration) {
-	f.allocator = NewAllocator(now)
+	f.allocator = NewAllocator()
 	f.allocator.Start(now, upstream, f.limit)
 }
 
@@ -102,15 +106,28 @@
 				f.report(now, n)
 			}
 		}
-		for range f.arrivals() {
+		for range f.arrivals(now) {
 			n := f.nodes[f.random.Intn(len(f.nodes))]
+			if f.random.Float64() < f.canGoElsewhere {
+				f.sendOrLeave(now, n)
+				continue
+			}
 			f.waiting = append(f.waiting, request{node: n, arrivedAt: now, wantedAt: now - repeatAfter})
 		}
 		f.send(now)
 	}
 }
 
-// send sends the requests that have a permit.
+// sendOrLeave sends a request that does not wait for a permit.
+func (f *fleet) sendOrLeave(now time.Duration, n *node) {
+	if n.permits.Take(now+n.skew, upstream) {
+		f.usedAt = append(f.usedAt, now)
+		return
+	}
+	n.permits.Want(upstream, false)
+}
+
+// send sends the requests that wait and have a permit.
 func (f *fleet) send(now time.Duration) {
 	var waiting []request
 	for _, r := range f.waiting {
@@ -131,8 +148,12 @@
 }
 
 // arrivals returns the number of requests of a step.
-func (f *fleet) arrivals() int {
-	expected := f.perSecond * step.Seconds()
+func (f *fleet) arrivals(now time.Duration) int {
+	perSecond := f.perSecond
+	if !f.calm && now%burstPeriod < burstPeriod/2 {
+		perSecond = f.limit.Rate
+	}
+	expected := perSecond * step.Seconds()
 	if f.random.Float64() < expected-float64(int(expected)) {
 		return int(expected) + 1
 	}
@@ -200,7 +221,7 @@
 	for _, nodes := range []int{3, 85, 300} {
 		f := newFleet(1)
 		f.limit = Limit{Rate: 20, MaxPerSecond: 20*1.5 + 5}
-		f.perSecond, f.calm = 100, true
+		f.perSecond, f.canGoElsewhere, f.calm = 100, 0, true
 		f.lead(startedAt)
 		for len(f.nodes) < nodes {
 			f.nodes = append(f.nodes, &node{permits: NewPermits(), reportAt: startedAt + time.Duration(f.random.Int63n(int64(reportInterval)))})
