--- a/cmd/internal/soak/faults_test.go
+++ b/cmd/internal/soak/faults_test.go
@@ -108,6 +108,16 @@
 	}
 }
 
+// injectFaultsBeside injects faults while meanwhile runs, and returns when both are over.
+func (s *schedule) injectFaultsBeside(ctx context.Context, length time.Duration, meanwhile func(context.Context, *fleet, *operator)) {
+	ctx, cancel := context.WithCancel(ctx)
+	var beside sync.WaitGroup
+	beside.Go(func() { meanwhile(ctx, s.fleet, s.operator) })
+	s.injectFaults(ctx, length)
+	cancel()
+	beside.Wait()
+}
+
 func (s *schedule) summary() string {
 	var parts []string
 	for _, name := range slices.Sorted(maps.Keys(s.faultCounts)) {
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -101,6 +101,11 @@
 )
 
 func runSeed(t *testing.T, seed int64) {
+	runSeedWith(t, seed, func(context.Context, *fleet, *operator) {})
+}
+
+// runSeedWith plays a seed. It calls meanwhile beside the faults, with a context that ends with them.
+func runSeedWith(t *testing.T, seed int64, meanwhile func(context.Context, *fleet, *operator)) (*fleet, *history) {
 	f := newFleet(t, seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -113,7 +118,7 @@
 	sleep(ctx, warmUpTime)
 	s := newSchedule(f, o, seed)
 	h.faultsStartedAt = time.Now()
-	s.injectFaults(ctx, *faultTime)
+	s.injectFaultsBeside(ctx, *faultTime, meanwhile)
 	h.faultsEndedAt = time.Now()
 	sleep(ctx, recoveryTime+measureTime)
 	h.endedAt = time.Now()
@@ -128,6 +133,7 @@
 	for _, violation := range h.violations() {
 		t.Error(violation)
 	}
+	return f, h
 }
 
 // sleep waits for d or until ctx ends.
