--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -180,9 +180,8 @@
 	candidates := make([]Candidate, 0, len(pools))
 	for _, u := range pools {
 		c := u.candidate(now, team)
-		c.NoPermit = u.needsPermit(now) && !g.permits.Has(now, u.target.ID)
-		if c.NoPermit && !c.Draining && !c.Failing && !skip[c.ID] {
-			g.permits.Want(c.ID, false)
+		if c.NeedsPermit && !c.Draining && !c.Failing && !skip[c.ID] {
+			c.NoPermit = g.lacksPermit(now, c.ID)
 		}
 		candidates = append(candidates, c)
 	}
--- a/gateway/engine/health.go
+++ b/gateway/engine/health.go
@@ -163,6 +163,7 @@
 	defer p.mu.Unlock()
 	return Candidate{
 		ID: p.target.ID, Place: p.place, Draining: p.draining || p.placeDrained, Failing: p.failing || p.closed,
+		NeedsPermit:       p.mayBeCold(now),
 		HasIdleConnection: p.idleIndex(team) >= 0,
 		MustWait:          p.inUse >= p.currentWindow(now),
 		InFlight:          p.inUse + len(p.waiters), Latency: p.currentLatency(now),
--- a/gateway/engine/plan.go
+++ b/gateway/engine/plan.go
@@ -39,8 +39,8 @@
 	// MustWait when a read must wait for a connection.
 	HasIdleConnection, MustWait bool
 	RecentlyBehind              bool
-	// NoPermit is true when the upstream warms up and there is no permit for it.
-	NoPermit bool
+	// NeedsPermit is true when a statement needs a permit for the upstream, and NoPermit when there is none.
+	NeedsPermit, NoPermit bool
 	InFlight int
 	Latency  time.Duration
 	Position position.Position
--- a/gateway/engine/warmup.go
+++ b/gateway/engine/warmup.go
@@ -41,9 +41,23 @@
 func (p *pool) needsPermit(now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.mayBeCold(now)
+}
+
+// mayBeCold reports whether the upstream warms up, or may do so, and its service limits that. The caller holds mu.
+func (p *pool) mayBeCold(now time.Duration) bool {
 	return p.warmupLimited && (p.warming || now < p.coldUntil)
 }
 
+// lacksPermit reports whether there is no permit for a read on an upstream, and asks for one with the next report.
+func (g *group) lacksPermit(now time.Duration, upstream string) bool {
+	if g.permits.Has(now, upstream) {
+		return false
+	}
+	g.permits.Want(upstream, false)
+	return true
+}
+
 // takePermit returns a result if the statement needs a permit for its upstream and there is none. Statements that can
 // run on another upstream do not wait for one.
 func (s *Session) takePermit(ctx context.Context, op *operation, c *upstreamConn, st Statement) *attemptResult {
