Warm-up: an upstream is suspected to have started again when nobody hears of it, not when the leader cannot probe it

An upstream that was cut from the core but not from nodes would have been limited to its warm rate. Gauges of drains are removed when leadership is lost, and a data centre's name is quoted in them.

--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -339,6 +339,7 @@
 	l.streams, l.streamOf = nil, nil
 	metricConnectedNodes.Set(0)
 	metricLongestPromotionWait.Set(0)
+	l.removePlaceMetrics()
 	// The next leader needs the connections that are reserved for the leader.
 	l.config.Upstreams.CloseIdleConnections()
 	l.log.WithFields(logrus.Fields{"event": "leadership_lost", "term": l.term}).Warn("no longer leader of the fleet")
--- a/gateway/coordinator/place_drains.go
+++ b/gateway/coordinator/place_drains.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -58,8 +59,8 @@
 	placeDrained
 )
 
-func setPlaceMetric(place string, state placeDrainState) {
-	metrics.GetOrCreateGauge(`jayloom_gateway_data_centre_drain{data_centre="`+place+`"}`, nil).Set(float64(state))
+func placeMetricName(place string) string {
+	return `jayloom_gateway_data_centre_drain{data_centre=` + strconv.Quote(place) + `}`
 }
 
 // drainPlace commits the order to drain a data centre, or the end of a drain. A repeated order is committed again,
@@ -159,8 +160,16 @@
 	}
 }
 
+// removePlaceMetrics removes the gauges of drains: another process leads.
+func (l *Leader) removePlaceMetrics() {
+	for place := range l.placeDrains.byPlace {
+		metrics.UnregisterMetric(placeMetricName(place))
+	}
+	metricWarmingUpstreams.Set(0)
+}
+
 func (l *Leader) logPlaceDrain(place string, order uint64, state placeDrainState) {
-	setPlaceMetric(place, state)
+	metrics.GetOrCreateGauge(placeMetricName(place), nil).Set(float64(state))
 	names := map[placeDrainState]string{placeInService: "in_service", placeDraining: "draining", placeDrained: "drained"}
 	l.log.WithFields(logrus.Fields{
 		"event": "data_centre_drain", "data_centre": place, "order": order, "state": names[state],
--- a/gateway/coordinator/place_drains_test.go
+++ b/gateway/coordinator/place_drains_test.go
@@ -183,6 +183,8 @@
 		{&controlpb.SetPlaceDrain{Place: "new", Drained: true, Known: true}, codes.OK, []string{"a", "new"}},
 		{&controlpb.SetPlaceDrain{Place: "new"}, codes.OK, []string{"a"}},
 		{&controlpb.SetPlaceDrain{Place: "b"}, codes.OK, []string{"a"}},
+		{&controlpb.SetPlaceDrain{Place: `odd"{}`, Drained: true, Known: true}, codes.OK, []string{"a", `odd"{}`}},
+		{&controlpb.SetPlaceDrain{Place: `odd"{}`}, codes.OK, []string{"a"}},
 	} {
 		before := n.drains["a"]
 		if err := orderDrain(l, c.order); status.Code(err) != c.code {
--- a/gateway/coordinator/warmups.go
+++ b/gateway/coordinator/warmups.go
@@ -14,8 +14,8 @@
 	// lateAnnouncementTime is how long an announcement may be under way: the interval of announcements and the
 	// timeout of a call. Within it, an announcement from before a warm-up does not end that.
 	lateAnnouncementTime = 2500 * time.Millisecond
-	// restartSuspectedAfter is the time without an answer to a probe after which an upstream may have started
-	// again and be cold, until it announces that it is not.
+	// restartSuspectedAfter is the time without an announcement or an answer after which an upstream may have
+	// started again and be cold, until it announces that it is not.
 	restartSuspectedAfter = 2500 * time.Millisecond
 	// adoptedWarmupTime is how long an upstream that an earlier leader knew as warming up counts as such without
 	// an announcement.
@@ -131,7 +131,7 @@
 	}
 }
 
-// stepWarmups ends warm-ups whose time has passed, and suspects upstreams that do not answer.
+// stepWarmups ends warm-ups whose time has passed, and suspects upstreams that may have started again.
 func (l *Leader) stepWarmups(now time.Duration) {
 	for id, w := range l.warmups.byUpstream {
 		u := l.registry.Get(id)
@@ -142,16 +142,7 @@
 			l.setWarmup(now, u, upstreamWarmup{})
 		}
 	}
-	for service, g := range l.groups {
-		if g.warmupLimit.Rate == 0 {
-			continue
-		}
-		for id, sample := range g.samples {
-			if u := l.registry.Get(id); u != nil && !u.Left && u.Service == service && now-sample.At > restartSuspectedAfter {
-				l.suspectRestart(now, u)
-			}
-		}
-	}
+	l.suspectSilentUpstreams(now)
 	l.warmups.allocator.Retain(func(id string) bool { return l.registry.Get(id) != nil })
 	warming := 0
 	for id := range l.warmups.byUpstream {
@@ -162,6 +153,22 @@
 	metricWarmingUpstreams.Set(float64(warming))
 }
 
+// suspectSilentUpstreams suspects the upstreams that have neither announced themselves nor answered for long.
+func (l *Leader) suspectSilentUpstreams(now time.Duration) {
+	limited := false
+	for _, g := range l.groups {
+		limited = limited || g.warmupLimit.Rate > 0
+	}
+	if !limited {
+		return
+	}
+	for _, u := range l.registry.Live() {
+		if now-u.LastContact > restartSuspectedAfter {
+			l.suspectRestart(now, u)
+		}
+	}
+}
+
 // grantWarmup returns permits for the demands of a node.
 func (l *Leader) grantWarmup(now time.Duration, demands []*controlpb.WarmupDemand) []*controlpb.WarmupGrant {
 	var grants []*controlpb.WarmupGrant
--- a/gateway/coordinator/warmups_test.go
+++ b/gateway/coordinator/warmups_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
-	"github.com/jayloom/jayloom/gateway/failover"
 	"github.com/jayloom/jayloom/policy/warmup"
 )
 
@@ -53,12 +52,15 @@
 	announceWarmup(l, 3, time.Minute)
 	announceWarmup(l, 2, 0)
 	expectWarming(t, l, "late announcement", true)
+	l.registry.RecordContact(clock.Now()+2*time.Minute, drainingID)
 	l.stepWarmups(clock.Now() + 2*time.Minute)
 	expectWarming(t, l, "after its time", false)
 
-	l.groups["wax0"].samples[drainingID] = failover.Sample{At: clock.Now() - restartSuspectedAfter - time.Second}
 	l.stepWarmups(clock.Now())
-	expectWarming(t, l, "does not answer", true)
+	expectWarming(t, l, "in contact", false)
+	l.registry.Get(drainingID).LastContact = clock.Now() - restartSuspectedAfter - time.Second
+	l.stepWarmups(clock.Now())
+	expectWarming(t, l, "silent", true)
 
 	l = newWarmupLeader(t, 0)
 	announceWarmup(l, 1, time.Minute)
--- a/gateway/engine/plan.go
+++ b/gateway/engine/plan.go
@@ -41,9 +41,9 @@
 	RecentlyBehind              bool
 	// NeedsPermit is true when a statement needs a permit for the upstream, and NoPermit when there is none.
 	NeedsPermit, NoPermit bool
-	InFlight int
-	Latency  time.Duration
-	Position position.Position
+	InFlight              int
+	Latency               time.Duration
+	Position              position.Position
 }
 
 // chooseCandidate returns the index of the candidate with the lowest cost for a read, or -1.
