--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -257,7 +257,7 @@
 	p.mu.Lock()
 	team, failing := p.lastTeam, p.failing
 	p.mu.Unlock()
-	if team == "" || failing {
+	if team == "" || failing || p.isPlaceDrained(clock.Now()) {
 		return
 	}
 	deadline := time.Now().Add(positionQueryTimeout)
--- a/gateway/engine/place_drain_test.go
+++ b/gateway/engine/place_drain_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -51,6 +52,11 @@
 			s.mustSucceedRollback(rolls)
 			s.expectPlaceDrained(commits, write("4"), rescode.GroupFenced)
 			s.expectRuns("p", 3)
+			s.servers["p"].update(func(f *fakeServer) { f.largestBatch = 0 })
+			s.engine.group("wax").queryPosition(context.Background(), s.engine.group("wax").pools["p"])
+			if s.servers["p"].largestBatch > 0 {
+				t.Error("the node has asked the primary for its position")
+			}
 			for i, c := range s.servers["p"].conns {
 				if !c.closed {
 					t.Errorf("connection %d is open: its transaction is not rolled back", i)
