--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -231,7 +231,9 @@
 		Primaries: func(now time.Duration) []*controlpb.PrimaryView { return n.engine.Primaries(now) },
 	}, func(v *controlclient.View) { n.engine.Update(v) }, func(p controlclient.PrimaryPosition) { n.engine.RecordPosition(p) })
 	n.engine = engine.New(engine.Options{
-		Control: n.controlClient, Dialer: platform.Dialer{}, Gate: gate, Permits: permits, RequestReport: n.controlClient.ReportNow, Place: n.settings.Place, Regions: n.settings.Regions, Log: n.log,
+		Control: n.controlClient, Dialer: platform.Dialer{}, Gate: gate,
+		Permits: permits, RequestReport: n.controlClient.ReportNow,
+		Place: n.settings.Place, Regions: n.settings.Regions, Log: n.log,
 		SessionMemory: sessionMemory(n.settings),
 	})
 }
--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -58,14 +58,15 @@
 }
 
 // concernsUpstream reports whether the result says something about the upstream. The stop of the node, a
-// statement that cannot be sent to any upstream, a caller that reads its rows slowly or not at all, and the end of a
-// drain say nothing about it.
+// statement that cannot be sent to any upstream, a caller that reads its rows slowly or not at all, the end of a
+// drain, a missing permit and home regions say nothing about it.
 func (result attemptResult) concernsUpstream() bool {
 	if result.answer.Refusal == nil {
 		return true
 	}
 	switch result.answer.Refusal.Reason {
-	case reasonStopping, reasonTooLarge, reasonUnencodable, reasonCallerGone, reasonAnswerCut, reasonDrained, reasonPlaceDrained, reasonWarmup, reasonOutsideHome:
+	case reasonStopping, reasonTooLarge, reasonUnencodable, reasonCallerGone, reasonAnswerCut,
+		reasonDrained, reasonPlaceDrained, reasonWarmup, reasonOutsideHome:
 		return false
 	default:
 		return true
