--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -12,6 +12,7 @@
 	"github.com/jayloom/jayloom/gateway/failover"
 	"github.com/jayloom/jayloom/gateway/position"
 	"github.com/jayloom/jayloom/gateway/topology"
+	"github.com/jayloom/jayloom/policy/warmup"
 )
 
 const (
@@ -42,7 +43,11 @@
 type group struct {
 	machine      *failover.Machine
 	syncReplicas int
-	samples      map[string]failover.Sample
+	// warmupLimit bounds the requests to an upstream that warms up; without a rate there is no limit. warmupTime is
+	// how long an upstream that has started warms up.
+	warmupLimit warmup.Limit
+	warmupTime  time.Duration
+	samples     map[string]failover.Sample
 	// refusedSince holds when upstreams began to refuse connections.
 	refusedSince map[string]time.Duration
 	// probers holds the running probe loops by upstream.
@@ -118,6 +123,7 @@
 	for service, g := range l.groups {
 		l.syncProbers(ctx, g, byService[service])
 		input := failoverInput(g, byService[service], reports.on(service))
+		l.markPlaceDrains(input.Servers, byService[service])
 		for _, action := range g.machine.Step(now, input) {
 			l.execute(ctx, service, g, action, byService[service])
 		}
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -76,7 +76,15 @@
 	Voters int
 	// DrainTime is how long an upstream takes new work after the acknowledgement that it drains.
 	DrainTime time.Duration
-	Log       *logrus.Entry
+	// PlaceDrainTime is the time after the acknowledgement of an order to drain a data centre in which work there
+	// ends.
+	PlaceDrainTime time.Duration
+	// Places are the data centres in the settings.
+	Places []string
+	// WarmupExcess and WarmupSlack bound the requests that an upstream which warms up may receive in any second: the
+	// rate that it can take times WarmupExcess, plus WarmupSlack.
+	WarmupExcess, WarmupSlack float64
+	Log                       *logrus.Entry
 }
 
 // Leader coordinates the fleet while its replica is the leader. The goroutine of Run owns its
@@ -127,6 +135,8 @@
 	// sentTopologies holds the newest topologies that nodes were sent.
 	sentTopologies topologyHistory
 	drains         drainList
+	placeDrains    placeDrains
+	warmups        warmups
 	membership     membership
 	// fences is the number of fences used in this term.
 	fences uint64
@@ -249,6 +259,11 @@
 		l.handleRefusal(e)
 	case promotionAnswered:
 		l.handlePromotionOutcome(e)
+	case placesListed:
+		e.list <- l.placeList(clock.Now())
+	case placeDrainProposed:
+		// Run has handled the store's event before this one.
+		e.handled <- l.leading
 	case membershipChangeDone:
 		l.membership.inProgress = false
 		l.continueRepair(ctx, e)
@@ -273,7 +288,11 @@
 		return
 	}
 	// Most commands change the nodes or the topology, not the configuration.
-	if !l.leading || l.store.current().Catalog.GetVersion() == l.syncedVersion {
+	if !l.leading {
+		return
+	}
+	l.syncPlaceDrains(clock.Now())
+	if l.store.current().Catalog.GetVersion() == l.syncedVersion {
 		return
 	}
 	l.syncCatalog(clock.Now())
@@ -287,6 +306,8 @@
 	l.registry = topology.NewRegistry(term * revisionsPerTerm)
 	l.registry.SetDrainTime(l.config.DrainTime)
 	l.drains = drainList{}
+	l.adoptPlaceDrains()
+	l.warmups = newWarmups()
 	l.groups = map[string]*group{}
 	l.streams, l.streamOf = map[*nodeStream]bool{}, map[string]*nodeStream{}
 	l.teams = map[string]bool{}
@@ -318,6 +339,7 @@
 	l.streams, l.streamOf = nil, nil
 	metricConnectedNodes.Set(0)
 	metricLongestPromotionWait.Set(0)
+	l.removePlaceMetrics()
 	// The next leader needs the connections that are reserved for the leader.
 	l.config.Upstreams.CloseIdleConnections()
 	l.log.WithFields(logrus.Fields{"event": "leadership_lost", "term": l.term}).Warn("no longer leader of the fleet")
@@ -343,6 +365,7 @@
 	l.teams, l.syncedVersion = teams, c.Version
 	for _, s := range c.Services {
 		l.groupOf(now, s.Name).syncReplicas = int(s.SyncReplicas)
+		l.setWarmupLimit(l.groupOf(now, s.Name), s)
 	}
 }
 
@@ -355,6 +378,8 @@
 	l.limiter.Step(now)
 	l.pushDelayed()
 	l.pushFalls(now)
+	l.logEndedPlaceDrains(now)
+	l.stepWarmups(now)
 	changed := l.registry.Expire(now)
 	changed = l.stepGroups(ctx, now) || changed || l.topologyChanged
 	l.topologyChanged = false
@@ -372,7 +397,9 @@
 	}
 	now, revision := clock.Now(), l.registry.Revision()
 	before := l.registry.Get(e.announcement.Id)
-	if !l.registry.ApplyAnnouncement(now, e.announcement) {
+	changed := l.registry.ApplyAnnouncement(now, e.announcement)
+	l.recordWarmup(now, e.announcement)
+	if !changed {
 		return
 	}
 	l.log.WithFields(logrus.Fields{
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -64,6 +64,8 @@
 	sentVoters           []string
 	// sentDrains are the drains that the node was told on this stream.
 	sentDrains drainList
+	// sentPlaceDrains is the revision of the drains of data centres that the node was told on this stream.
+	sentPlaceDrains uint64
 	// primaries are those that the node cannot reach or knows as others; answered holds the
 	// primaries, by service, that have answered it, and read the services it has read from lately.
 	primaries     []*controlpb.PrimaryView
@@ -111,7 +113,7 @@
 		delete(l.lostNodes, s.node)
 		return
 	}
-	l.answerReport(s, now)
+	l.answerReport(s, now, report.WarmupDemands)
 	l.pushFalls(now)
 }
 
@@ -194,10 +196,11 @@
 	}
 }
 
-// answerReport sends the update that answers a report. Only such an update contains positions:
+// answerReport sends the update that answers a report. Only such an update contains positions and permits:
 // the node computes their time from their age and the time at which it sent the report.
-func (l *Leader) answerReport(s *nodeStream, now time.Duration) {
+func (l *Leader) answerReport(s *nodeStream, now time.Duration, demands []*controlpb.WarmupDemand) {
 	u := l.newUpdate(s)
+	u.WarmupGrants = l.grantWarmup(now, demands)
 	if now-s.positionsSentAt >= positionsInterval {
 		s.positionsSentAt = now
 		u.Positions = l.primaryPositions(now, s)
@@ -262,6 +265,7 @@
 	l.addCatalog(s, u)
 	l.addTopology(s, u)
 	l.addDrains(clock.Now(), s, u)
+	l.addPlaceDrains(clock.Now(), s, u)
 	if !l.lacksCatalog(s) {
 		s.answeredSequence = s.sequence
 	}
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -9,7 +9,9 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/gateway/catalog"
 	"github.com/jayloom/jayloom/gateway/position"
+	"github.com/jayloom/jayloom/gateway/topology"
 )
 
 const (
@@ -36,6 +38,7 @@
 type group struct {
 	service string
 	dialer  Dialer
+	permits Permits
 	log     *logrus.Entry
 
 	mu    sync.Mutex
@@ -45,8 +48,10 @@
 	poolList []*pool
 	// drainEnds holds when the drains of upstreams end, by ID, as far as that is known.
 	drainEnds map[string]time.Duration
-	primary   string
-	term      uint64
+	// placeDrains holds the drains of data centres, by place.
+	placeDrains map[string]topology.PlaceDrain
+	primary     string
+	term        uint64
 	// primaryLost is set when the primary refused to act as one, until another primary is
 	// known.
 	primaryLost      bool
@@ -58,14 +63,16 @@
 	primaryChanged chan struct{}
 }
 
-func newGroup(service string, dialer Dialer, log *logrus.Entry) *group {
+func newGroup(service string, dialer Dialer, permits Permits, log *logrus.Entry) *group {
 	return &group{
-		service: service, dialer: dialer, log: log, pools: map[string]*pool{}, primaryChanged: make(chan struct{}),
+		service: service, dialer: dialer, permits: permits, log: log, pools: map[string]*pool{}, primaryChanged: make(chan struct{}),
 	}
 }
 
 // update applies the upstreams and the primary of a new topology.
-func (g *group) update(upstreams []*controlpb.TopologyUpstream, primary *controlpb.TopologyPrimary, maxConnections, nodes int) {
+func (g *group) update(
+	upstreams []*controlpb.TopologyUpstream, primary *controlpb.TopologyPrimary, service *catalog.Service, nodes int,
+) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	present := map[string]bool{}
@@ -83,8 +90,11 @@
 		}
 		p.mu.Lock()
 		p.draining, p.drainEndsAt = u.Draining, g.drainEnds[u.Id]
+		wasDrained := p.placeDrained
+		p.setPlace(u.Place, g.placeDrains)
+		p.updateWarmup(clock.Now(), u.Warming, service.WarmupRate > 0, wasDrained)
 		p.mu.Unlock()
-		p.setShare(maxConnections, nodes)
+		p.setShare(service.MaxConnections, nodes)
 		g.poolList = append(g.poolList, p)
 	}
 	for id, p := range g.pools {
@@ -103,11 +113,12 @@
 	g.primary, g.term, g.primaryChanging = primary.Upstream, primary.Term, primary.Changing
 }
 
-// setDrainEnds sets when the drains of upstreams end, for the topology that is passed to update next.
-func (g *group) setDrainEnds(ends map[string]time.Duration) {
+// setDrains sets when the drains of upstreams end and which data centres are drained, for the topology that is passed
+// to update next.
+func (g *group) setDrains(ends map[string]time.Duration, places map[string]topology.PlaceDrain) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.drainEnds = ends
+	g.drainEnds, g.placeDrains = ends, places
 }
 
 // notifyPrimaryChange wakes those that wait for a new primary. The caller holds mu.
@@ -168,7 +179,11 @@
 	pools := g.poolList
 	candidates := make([]Candidate, 0, len(pools))
 	for _, u := range pools {
-		candidates = append(candidates, u.candidate(now, team))
+		c := u.candidate(now, team)
+		if c.NeedsPermit && !c.Draining && !c.Failing && !skip[c.ID] {
+			c.NoPermit = g.lacksPermit(now, c.ID)
+		}
+		candidates = append(candidates, c)
 	}
 	g.mu.Unlock()
 	if !ok {
@@ -242,7 +257,7 @@
 	p.mu.Lock()
 	team, failing := p.lastTeam, p.failing
 	p.mu.Unlock()
-	if team == "" || failing {
+	if team == "" || failing || p.isPlaceDrained(clock.Now()) {
 		return
 	}
 	deadline := time.Now().Add(positionQueryTimeout)
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -50,6 +50,12 @@
 	if t.conn == nil {
 		return
 	}
+	if t.conn.pool.isPlaceDrained(clock.Now()) {
+		// Nothing more is sent there. Closing the connection rolls back.
+		t.conn.broken = true
+		t.releaseConn()
+		return
+	}
 	t.conn.rollBack(ctx, deadline)
 	t.releaseConn()
 }
@@ -159,7 +165,7 @@
 	if s.tx.conn != nil {
 		return nil
 	}
-	skip := map[string]bool{}
+	skip := s.engine.outsideHome(s.tx.op)
 	answer := s.runWithRetries(ctx, s.tx.op, st, func(int) attemptResult { return s.beginOnce(ctx, skip) })
 	return answer.Refusal
 }
