Admission: the more urgent request first, refusals at once, pauses after an upstream shed work

Cause: catalog.Priority was read and never used; a pool's queue was in order of arrival. A burst of a cheap kind took the slots of the dearest one, and a request that waited in vain was refused after half of its objective.

Change: policy/admission, a package without clock and I/O, decides: priority first, then the earliest end of the objective; at most half of the requests in service to one team while others of its priority wait; one in nine to lower priorities; refusal at once by the expected wait, which counts the more urgent requests that arrive meanwhile; displaced waiters are refused at once; a repeat displaces no first attempt. After a BUSY answer the upstream is left alone for 30 to 120 ms on average, varied, twice as long for lower priorities; after TOOMANY no connection is opened for 40 to 320 ms, varied. Reads weigh these pauses when they choose an upstream. Retries are counted by reason. The expected wait uses the time that connections are held, transactions included, not the latency of one statement.

Existing tests of the pool use the new argument of acquire; their expectations are unchanged.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -7,31 +7,18 @@
 	"slices"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/position"
 )
 
 const (
-	// maxAttempts bounds the attempts for one statement, over all upstreams.
-	maxAttempts = 5
 	// primaryWait bounds the wait for a new primary during a failover. A longer wait would
 	// leave the caller no time to retry.
 	primaryWait = 150 * time.Millisecond
-	// maxBusyAttempts bounds the retries after an upstream reported that it is busy.
-	maxBusyAttempts = 2
-	// busyBackoff is multiplied by the number of attempts to give the pause before a busy or
-	// read-only upstream is retried.
-	busyBackoff = 15 * time.Millisecond
 	// attemptFraction is the fraction of the route's latency objective after which an
 	// unanswered read is retried on another upstream.
 	attemptFraction = 0.6
-	// connectionWaitFraction is the fraction of the latency objective that a statement may
-	// wait for a connection, but at least minConnectionWait.
-	connectionWaitFraction = 0.5
-	minConnectionWait      = 60 * time.Millisecond
 	// An attempt may take at least minAttemptTime, and at least latencyFactor times the
 	// upstream's current latency.
 	minAttemptTime = 400 * time.Millisecond
@@ -72,19 +59,6 @@
 	}
 }
 
-// shouldRetry reports whether attempt n+1 may help the caller. Retries after a busy or full
-// upstream are few, because many of them would keep it overloaded.
-func (result attemptResult) shouldRetry(n int) bool {
-	switch result.retryReason {
-	case retryBusy:
-		return n <= maxBusyAttempts
-	case retryQueue:
-		return n <= 1
-	default:
-		return true
-	}
-}
-
 func finalResult(a Answer) attemptResult { return attemptResult{answer: a} }
 
 // retryResult returns a retryable result. The refusal r goes to the caller if no attempt is
@@ -95,7 +69,7 @@
 
 // write runs a write outside a transaction on the primary.
 func (s *Session) write(ctx context.Context, op *operation, st Statement) Answer {
-	return s.runWithRetries(ctx, op, st, func(int) attemptResult {
+	return s.runWithRetries(ctx, op, st, func() attemptResult {
 		p, refusal := s.engine.primary(ctx, op)
 		if refusal != nil {
 			return finalResult(Answer{Refusal: refusal})
@@ -143,7 +117,7 @@
 	case Behind:
 		return retryResult(retryBehind, Refusal{Code: rescode.NoUpstream, Reason: reasonNoReplica, RetryAfter: shortRetryAfter})
 	case NoStatement, Misdirected:
-		return retryResult(retryBusy, Refusal{Code: rescode.NoUpstream, Reason: reasonUpstreamGone, RetryAfter: shortRetryAfter})
+		return retryResult(retryMisdirected, Refusal{Code: rescode.NoUpstream, Reason: reasonUpstreamGone, RetryAfter: shortRetryAfter})
 	case ReadOnly:
 		return retryResult(retryReadOnly, Refusal{Code: rescode.GroupFenced, Reason: reasonNoPrimary, RetryAfter: failoverRetryAfter})
 	case TimedOut:
@@ -158,7 +132,7 @@
 // readPrimary runs a read that must see every commit. It wraps the read in a transaction,
 // because a replaced primary refuses to begin transactions but still answers plain reads.
 func (s *Session) readPrimary(ctx context.Context, op *operation, st Statement) Answer {
-	return s.runWithRetries(ctx, op, st, func(int) attemptResult {
+	return s.runWithRetries(ctx, op, st, func() attemptResult {
 		p, refusal := s.engine.primary(ctx, op)
 		if refusal != nil {
 			return finalResult(Answer{Refusal: refusal})
@@ -197,11 +171,9 @@
 // read runs a bounded-staleness read on the upstream with the lowest expected cost, or on the
 // primary if no upstream is known to be fresh enough.
 func (s *Session) read(ctx context.Context, op *operation, st Statement) Answer {
-	skip := map[string]bool{}
-	return s.runWithRetries(ctx, op, st, func(int) attemptResult {
-		now := clock.Now()
-		p, ok := op.group.planRead(
-			now, op.route.MaxStaleness, s.engine.opts.Place, op.team, s.newestCommits[op.group.service], skip)
+	tried := triedUpstreams{}
+	return s.runWithRetries(ctx, op, st, func() attemptResult {
+		p, ok := s.planRead(op, tried)
 		if !ok {
 			primary, refusal := s.engine.primary(ctx, op)
 			if refusal != nil {
@@ -215,13 +187,22 @@
 		result := s.withConn(ctx, op, p, deadline, func(c *upstreamConn) attemptResult {
 			return s.readOn(ctx, op, c, st, deadline)
 		})
-		if result.retryable && result.retryReason != retryPlanExpired {
-			skip[p.target.ID] = true
-		}
+		tried.record(p, result)
 		return result
 	})
 }
 
+// planRead chooses an upstream for a read of an operation. ok is false when only the primary can
+// serve it. When each upstream has been tried, those that had no room may be tried again.
+func (s *Session) planRead(op *operation, tried triedUpstreams) (p *pool, ok bool) {
+	own := s.newestCommits[op.group.service]
+	p, ok = op.group.planRead(clock.Now(), op, s.engine.opts.Place, own, tried)
+	if !ok && tried.forgetOverloaded() {
+		p, ok = op.group.planRead(clock.Now(), op, s.engine.opts.Place, own, tried)
+	}
+	return p, ok
+}
+
 func (s *Session) readOn(ctx context.Context, op *operation, c *upstreamConn, st Statement, deadline time.Time) attemptResult {
 	// The minimum position is computed again, because the wait for the connection may have
 	// made the one of the plan too old.
@@ -290,51 +271,16 @@
 	}
 }
 
-// maxConnectionWait returns how long the operation may wait for a connection. After a longer
-// wait it could not meet its latency objective.
-func (op *operation) maxConnectionWait() time.Duration {
-	return max(minConnectionWait, time.Duration(connectionWaitFraction*float64(op.route.LatencyObjective)))
-}
-
-// runWithRetries repeats an attempt while its result is retryable and time is left.
-func (s *Session) runWithRetries(ctx context.Context, op *operation, st Statement, attempt func(n int) attemptResult) Answer {
-	for n := 1; ; n++ {
-		result := attempt(n)
-		if !result.retryable || s.relay.started {
-			return result.answer
-		}
-		if ctx.Err() != nil || n >= maxAttempts || time.Until(op.deadline) < busyBackoff || !result.shouldRetry(n) {
-			return result.answer
-		}
-		countRetry(result.retryReason)
-		s.engine.log.WithFields(logrus.Fields{
-			"event": "retried", "id": LoggedID(st.ID), "reason": string(result.retryReason), "attempt": n, "upstream": result.upstream(),
-			"elapsed_ms": (clock.Now() - op.started).Milliseconds(), "service": op.group.service,
-		}).Info("retrying request")
-		if result.retryReason == retryBusy || result.retryReason == retryReadOnly {
-			pause(ctx, time.Duration(n)*busyBackoff)
-		}
-	}
-}
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // acquireFailureResult maps a failure to acquire a connection to a retryable result.
 func acquireFailureResult(refusal *Refusal) attemptResult {
 	switch refusal.Reason {
 	case reasonStopping:
 		return finalResult(Answer{Refusal: refusal})
-	case reasonPoolFull, reasonPoolTimeout:
+	case reasonPoolFull, reasonPoolTimeout, reasonDisplaced, reasonUpstreamPaused:
 		return retryResult(retryQueue, *refusal)
 	case reasonUpstreamFull:
+		return retryResult(retryFull, *refusal)
+	case reasonUpstreamBusy:
 		return retryResult(retryBusy, *refusal)
 	default:
 		return retryResult(retryDial, *refusal)
@@ -345,7 +291,7 @@
 // latency and health.
 func (s *Session) withConn(ctx context.Context, op *operation, p *pool, deadline time.Time, f func(*upstreamConn) attemptResult) attemptResult {
 	waitStart := clock.Now()
-	c, refusal := p.acquire(ctx, op.team, deadline, op.maxConnectionWait())
+	c, refusal := p.acquire(ctx, op.connRequest(deadline))
 	observeSeconds(metricConnWaitSeconds, clock.Now()-waitStart)
 	if refusal != nil {
 		refusal.Upstream = p.target.ID
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -159,22 +159,22 @@
 // planRead chooses an upstream for a read that may miss commits no older than maxStaleness.
 // ok is false when only the primary can serve it.
 func (g *group) planRead(
-	now, maxStaleness time.Duration, place, team string, own position.Position, skip map[string]bool,
+	now time.Duration, op *operation, place string, own position.Position, tried triedUpstreams,
 ) (p *pool, ok bool) {
 	g.mu.Lock()
 	g.lastReadAt = now
-	minPosition, ok := minReadPosition(now, maxStaleness, &g.observations, own)
+	minPosition, ok := minReadPosition(now, op.route.MaxStaleness, &g.observations, own)
 	primary := g.primary
 	pools := g.poolList
 	candidates := make([]Candidate, 0, len(pools))
 	for _, u := range pools {
-		candidates = append(candidates, u.candidate(now, team))
+		candidates = append(candidates, u.candidate(now, op.team, op.route.Priority))
 	}
 	g.mu.Unlock()
 	if !ok {
 		return nil, false
 	}
-	i := chooseCandidate(candidates, place, primary, minPosition, skip)
+	i := chooseCandidate(candidates, place, primary, minPosition, tried)
 	if i < 0 {
 		return nil, false
 	}
@@ -246,7 +246,7 @@
 		return
 	}
 	deadline := time.Now().Add(positionQueryTimeout)
-	c, refusal := p.acquire(ctx, team, deadline, positionQueryTimeout)
+	c, refusal := p.acquire(ctx, connRequest{team: team, objectiveEnd: clock.Now() + positionQueryTimeout, deadline: deadline})
 	if refusal != nil {
 		return
 	}
@@ -273,7 +273,7 @@
 	if due {
 		p.reconnecting = true
 		p.open++
-		p.inUse++
+		p.use(p.lastTeam)
 	}
 	team := p.lastTeam
 	p.mu.Unlock()
@@ -281,7 +281,7 @@
 		return
 	}
 	go func() {
-		c, refusal := p.dial(ctx, team, time.Now().Add(dialTimeout))
+		c, refusal := p.dial(ctx, team, 0, time.Now().Add(dialTimeout))
 		if refusal == nil {
 			p.release(c)
 		}
--- a/gateway/engine/group_test.go
+++ b/gateway/engine/group_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/gateway/catalog"
 	"github.com/jayloom/jayloom/gateway/position"
 )
 
@@ -35,7 +36,8 @@
 	if v := g.primaryView(readAt); v.ReadMs != 0 {
 		t.Errorf("a read is reported %d ms ago, there was none", v.ReadMs)
 	}
-	g.planRead(readAt, time.Second, "here", "team", position.Position{}, nil)
+	op := &operation{team: "team", route: &catalog.Route{MaxStaleness: time.Second}}
+	g.planRead(readAt, op, "here", position.Position{}, nil)
 	for age, want := range map[time.Duration]uint32{0: 1, positionInterest - time.Millisecond: 10_000, positionInterest: 0} {
 		if v := g.primaryView(readAt + age); v.ReadMs != want {
 			t.Errorf("after %s: %d, want %d", age, v.ReadMs, want)
--- a/gateway/engine/health.go
+++ b/gateway/engine/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -96,6 +97,14 @@
 	return defaultLatency + time.Duration(kept*float64(p.latency-defaultLatency))
 }
 
+// recordDial records that the upstream accepted a connection.
+func (p *pool) recordDial() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.full.Accepted()
+	p.markAnswering(clock.Now())
+}
+
 func (p *pool) recordSuccess() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,15 +166,16 @@
 }
 
 // candidate returns the state of the upstream that chooseCandidate compares, for a read of a
-// team.
-func (p *pool) candidate(now time.Duration, team string) Candidate {
+// team with a priority.
+func (p *pool) candidate(now time.Duration, team string, priority uint32) Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return Candidate{
 		ID: p.target.ID, Place: p.place, Draining: p.draining, Failing: p.failing || p.closed,
 		HasIdleConnection: p.idleIndex(team) >= 0,
 		MustWait:          p.inUse >= p.currentWindow(now),
-		InFlight:          p.inUse + len(p.waiters), Latency: p.currentLatency(now),
+		Pause:             p.remainingPause(now, team, priority),
+		InFlight:          p.inUse + p.waiters.Len(), Latency: p.currentLatency(now),
 		Position: p.position, RecentlyBehind: p.behindAt != 0 && now-p.behindAt < behindBackoff,
 	}
 }
@@ -176,14 +186,47 @@
 	return max(1, min(p.share.currentMaxOpen(now), int(grown)))
 }
 
-// recordBusy shrinks the window after the upstream refused work because of overload.
-func (p *pool) recordBusy() {
+// recordBusy shrinks the window and pauses the use of the upstream after it refused a request
+// of a priority because of overload.
+func (p *pool) recordBusy(priority uint32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.shedWork(priority)
+}
+
+// shedWork is recordBusy for a caller that holds mu.
+func (p *pool) shedWork(priority uint32) {
 	now := clock.Now()
+	p.shed.Shed(now, priority, rand.Float64())
 	if p.busyAt != 0 && now-p.busyAt < windowDecreaseInterval {
 		return
 	}
 	p.window = max(1, windowDecrease*float64(p.currentWindow(now)))
 	p.busyAt = now
 }
+
+// recordAccepted records that the upstream ran a request.
+func (p *pool) recordAccepted() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shed.Accepted()
+}
+
+// recordHold adds the time for which a connection was in use to the moving average. The caller
+// holds mu.
+func (p *pool) recordHold(now, held time.Duration) {
+	current := p.currentHoldTime(now)
+	p.holdTime = current + time.Duration(latencySampleWeight*float64(held-current))
+	p.heldAt = now
+}
+
+// currentHoldTime returns how long a connection is expected to be in use: at least for one
+// statement, and for as long as transactions hold it. The caller holds mu.
+func (p *pool) currentHoldTime(now time.Duration) time.Duration {
+	latency := p.currentLatency(now)
+	if p.heldAt == 0 || p.holdTime < latency {
+		return latency
+	}
+	kept := math.Exp2(-float64(now-p.heldAt) / float64(latencyHalfLife))
+	return latency + time.Duration(kept*float64(p.holdTime-latency))
+}
--- a/gateway/engine/plan.go
+++ b/gateway/engine/plan.go
@@ -38,10 +38,13 @@
 	// HasIdleConnection is true when an idle connection of the team is available, and
 	// MustWait when a read must wait for a connection.
 	HasIdleConnection, MustWait bool
-	RecentlyBehind              bool
-	InFlight                    int
-	Latency                     time.Duration
-	Position                    position.Position
+	// Pause is how long nothing is offered to the upstream because it has shed work or had no
+	// connection left.
+	Pause          time.Duration
+	RecentlyBehind bool
+	InFlight       int
+	Latency        time.Duration
+	Position       position.Position
 }
 
 // chooseCandidate returns the index of the candidate with the lowest cost for a read, or -1.
@@ -49,17 +52,17 @@
 // upstreams with three slots, one of which is slow or lagging: each node estimates from the
 // answers that it gets, so a slow upstream gets as many reads as it can answer, and the nodes
 // need not coordinate.
-func chooseCandidate(candidates []Candidate, place, primary string, minPosition position.Position, skip map[string]bool) int {
+func chooseCandidate(candidates []Candidate, place, primary string, minPosition position.Position, tried triedUpstreams) int {
 	best, bestCost := -1, time.Duration(0)
 	for i, c := range candidates {
-		if c.Draining || c.Failing || skip[c.ID] {
+		if c.Draining || c.Failing || tried.has(c.ID) {
 			continue
 		}
 		proven := !c.Position.Before(minPosition)
 		if c.RecentlyBehind && !proven {
 			continue
 		}
-		cost := time.Duration(c.InFlight+1) * c.Latency
+		cost := time.Duration(c.InFlight+1)*c.Latency + c.Pause
 		if c.Place != place {
 			cost += otherPlaceCost
 		}
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,26 +12,21 @@
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/position"
+	"github.com/jayloom/jayloom/policy/admission"
 )
 
 const (
 	// dialTimeout bounds one attempt to connect, up to the upstream's greeting.
 	dialTimeout = 600 * time.Millisecond
-	// fullBackoff is how long no connection is opened after the upstream refused one because
-	// it had too many.
-	fullBackoff = 500 * time.Millisecond
 	// idleTimeout is how long a connection may stay idle while no more than share.maxIdle are
 	// open.
 	idleTimeout = 30 * time.Second
-	// overtakeLimit is how long the first waiter may be overtaken by waiters whose team has
-	// an idle connection.
-	overtakeLimit = 120 * time.Millisecond
 )
 
 // pool holds the connections of this node to one upstream. It limits the load when many nodes
 // use one upstream at once, as after a failover or in a burst: connections in use are bounded
 // by a window, which shrinks when the upstream reports that it is busy. Further callers wait
-// in a queue, and are refused at once if their expected wait is too long.
+// in a queue or are refused, as package admission decides.
 type pool struct {
 	target Target
 	dialer Dialer
@@ -41,15 +37,25 @@
 	// open counts connections that are idle, in use or being dialed; inUse counts the latter
 	// two.
 	open, inUse int
+	// inUseByTeam divides inUse by team.
+	inUseByTeam map[string]int
 	// share bounds open. window is the bound of inUse at busyAt, and grows from then on.
-	share     share
-	window    float64
-	busyAt    time.Duration
-	fullUntil time.Duration
-	waiters   []*waiter
-	closed    bool
-	place     string
-	draining  bool
+	share  share
+	window float64
+	busyAt time.Duration
+	// shed pauses all use after the upstream shed work, full the opening of connections after
+	// it had none left.
+	shed    admission.Backoff
+	full    admission.Pause
+	waiters admission.Queue[chan handover]
+	// wakeAt is when waiters are served again after a pause, or 0 if that is not scheduled.
+	wakeAt time.Duration
+	// holdTime is the average time for which a connection is in use, as of heldAt.
+	holdTime time.Duration
+	heldAt   time.Duration
+	closed   bool
+	place    string
+	draining bool
 	// drainEndsAt is when the drain ends, or 0 if that is not known.
 	drainEndsAt time.Duration
 
@@ -64,21 +70,10 @@
 	reconnecting bool
 }
 
-// waiter is a caller that waits in the queue of a pool.
-type waiter struct {
-	team  string
-	since time.Duration
-	ready chan handover
-}
-
-// handover gives a waiter a connection, or the right to dial one if conn is nil.
-type handover struct {
-	conn   *upstreamConn
-	closed bool
-}
-
 func newPool(t Target, place string, dialer Dialer, log *logrus.Entry) *pool {
-	return &pool{target: t, place: place, dialer: dialer, log: log, share: share{maxOpen: 1}, window: 1}
+	return &pool{
+		target: t, place: place, dialer: dialer, log: log, share: share{maxOpen: 1}, window: 1, inUseByTeam: map[string]int{},
+	}
 }
 
 // setShare sets the node's share of the upstream's connections.
@@ -94,69 +89,6 @@
 	p.serveWaiters()
 }
 
-// acquire returns a connection for a team, waiting until deadline if necessary. It refuses at
-// once if the expected wait is longer than maxWait.
-func (p *pool) acquire(ctx context.Context, team string, deadline time.Time, maxWait time.Duration) (*upstreamConn, *Refusal) {
-	for {
-		if ctx.Err() != nil {
-			return nil, stoppedWaiting()
-		}
-		h, w, refusal := p.acquireOrEnqueue(team, maxWait)
-		if refusal == nil && w != nil {
-			h, refusal = p.await(ctx, w, earlierDeadline(deadline, maxWait))
-		}
-		switch {
-		case refusal != nil:
-			return nil, refusal
-		case h.closed:
-			return nil, &Refusal{Code: rescode.NoUpstream, Reason: reasonUpstreamGone}
-		case h.conn == nil:
-			return p.dial(ctx, team, deadline)
-		case h.conn.conn.Usable():
-			return h.conn, nil
-		}
-		h.conn.broken = true
-		p.release(h.conn)
-	}
-}
-
-// earlierDeadline returns the earlier of deadline and the time that is limit from now.
-func earlierDeadline(deadline time.Time, limit time.Duration) time.Time {
-	if end := time.Now().Add(limit); end.Before(deadline) {
-		return end
-	}
-	return deadline
-}
-
-// acquireOrEnqueue acquires a connection or the right to dial one, or else returns a new
-// waiter.
-func (p *pool) acquireOrEnqueue(team string, maxWait time.Duration) (handover, *waiter, *Refusal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := clock.Now()
-	p.lastTeam = team
-	if p.closed {
-		return handover{closed: true}, nil, nil
-	}
-	if len(p.waiters) == 0 {
-		if h, ok := p.tryAcquire(now, team); ok {
-			return h, nil, nil
-		}
-	}
-	if p.expectedWait(now) > maxWait {
-		return handover{}, nil, &Refusal{Code: rescode.QueueFull, Reason: reasonPoolFull, RetryAfter: p.expectedWait(now)}
-	}
-	w := &waiter{team: team, since: now, ready: make(chan handover, 1)}
-	p.waiters = append(p.waiters, w)
-	metricPoolWaits.Inc()
-	return handover{}, w, nil
-}
-
-// expectedWait returns how long a new waiter would have to wait. The caller holds mu.
-func (p *pool) expectedWait(now time.Duration) time.Duration {
-	return time.Duration(len(p.waiters)+1) * p.currentLatency(now) / time.Duration(p.currentWindow(now))
-}
-
 // tryAcquire acquires an idle connection of the team, or else the right to dial one. To dial,
 // it may close the connection that has been idle for the longest time. The caller holds mu.
 func (p *pool) tryAcquire(now time.Duration, team string) (handover, bool) {
@@ -166,27 +98,39 @@
 	if i := p.idleIndex(team); i >= 0 {
 		c := p.idle[i]
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
-		p.inUse++
+		p.use(team)
+		c.acquiredAt = now
 		return handover{conn: c}, true
 	}
-	limit := p.share.currentMaxOpen(now)
 	switch {
-	case p.open < limit && now >= p.fullUntil:
+	case p.open < p.share.currentMaxOpen(now) && now >= p.full.Until():
 		p.open++
 	case len(p.idle) > 0:
 		p.idle[0].close()
 		p.idle = p.idle[1:]
 		metricReplacedForTeam.Inc()
-	case p.open == 0:
-		// The upstream was full; one attempt shows whether it still is.
-		p.open++
 	default:
 		return handover{}, false
 	}
-	p.inUse++
+	p.use(team)
 	return handover{}, true
 }
 
+// use counts a connection that a team begins to use. The caller holds mu.
+func (p *pool) use(team string) {
+	p.inUse++
+	p.inUseByTeam[team]++
+}
+
+// unuse counts a connection that a team no longer uses. The caller holds mu.
+func (p *pool) unuse(team string) {
+	p.inUse--
+	p.inUseByTeam[team]--
+	if p.inUseByTeam[team] <= 0 {
+		delete(p.inUseByTeam, team)
+	}
+}
+
 // idleIndex returns the index of the most recently used idle connection of a team, or -1. The
 // caller holds mu.
 func (p *pool) idleIndex(team string) int {
@@ -198,84 +142,29 @@
 	return -1
 }
 
-// await waits until w is served, but no longer than until deadline or the end of ctx.
-func (p *pool) await(ctx context.Context, w *waiter, deadline time.Time) (handover, *Refusal) {
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	refusal := &Refusal{Code: rescode.QueueTimeout, Reason: reasonPoolTimeout}
-	select {
-	case h := <-w.ready:
-		return h, nil
-	case <-timer.C:
-	case <-ctx.Done():
-		refusal = stoppedWaiting()
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i, other := range p.waiters {
-		if other == w {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			return handover{}, refusal
-		}
-	}
-	return <-w.ready, nil
-}
-
-// serveWaiters hands available connections to waiters. The caller holds mu.
-func (p *pool) serveWaiters() {
-	if len(p.waiters) == 0 {
-		return
-	}
-	now := clock.Now()
-	for len(p.waiters) > 0 {
-		i := p.nextWaiter(now)
-		w := p.waiters[i]
-		h, ok := p.tryAcquire(now, w.team)
-		if !ok {
-			return
-		}
-		p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-		w.ready <- h
-	}
-}
-
-// nextWaiter returns the index of the waiter to serve next. It prefers one whose team has an
-// idle connection, which saves the upstream a new connection, unless the first has waited for
-// overtakeLimit. The caller holds mu.
-func (p *pool) nextWaiter(now time.Duration) int {
-	if now-p.waiters[0].since >= overtakeLimit {
-		return 0
-	}
-	for i, w := range p.waiters {
-		if p.idleIndex(w.team) >= 0 {
-			return i
-		}
-	}
-	return 0
-}
-
 // dial opens a connection. The caller has acquired the right to do so.
-func (p *pool) dial(parent context.Context, team string, deadline time.Time) (*upstreamConn, *Refusal) {
+func (p *pool) dial(parent context.Context, team string, priority uint32, deadline time.Time) (*upstreamConn, *Refusal) {
 	limit := time.Now().Add(dialTimeout)
 	if deadline.Before(limit) {
 		limit = deadline
 	}
 	ctx, cancel := context.WithDeadline(parent, limit)
 	defer cancel()
+	began := clock.Now()
 	conn, pos, err := p.dialer.Dial(ctx, p.target, team)
 	if err == nil {
 		metricDials.Inc()
-		p.recordSuccess()
+		p.recordDial()
 		if !pos.IsZero() {
 			p.setPosition(pos)
 		}
-		return &upstreamConn{conn: conn, pool: p, team: team}, nil
+		return &upstreamConn{conn: conn, pool: p, team: team, priority: priority, acquiredAt: began}, nil
 	}
 	metricDialFailures.Inc()
-	p.cancelDial()
+	defer p.cancelDial(team)
 	var refused *DialRefusedError
 	if errors.As(err, &refused) {
-		return nil, p.recordDialRefusal(refused.Outcome)
+		return nil, p.recordDialRefusal(refused.Outcome, priority)
 	}
 	if parent.Err() != nil {
 		return nil, stoppedWaiting()
@@ -286,14 +175,18 @@
 
 // recordDialRefusal records an upstream's refusal of a connection and maps it to a refusal
 // for the caller.
-func (p *pool) recordDialRefusal(o Outcome) *Refusal {
+func (p *pool) recordDialRefusal(o Outcome, priority uint32) *Refusal {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch o {
 	case TooManyConnections:
-		p.fullUntil = clock.Now() + fullBackoff
-		p.share.fullAt = clock.Now()
-		return &Refusal{Code: rescode.TooManyConnections, Reason: reasonUpstreamFull}
+		now := clock.Now()
+		p.full.Refused(now, rand.Float64())
+		p.share.fullAt = now
+		return &Refusal{Code: rescode.TooManyConnections, Reason: reasonUpstreamFull, RetryAfter: p.retryAfter(now, priority)}
+	case Busy:
+		p.shedWork(priority)
+		return &Refusal{Code: rescode.QueueFull, Reason: reasonUpstreamBusy, RetryAfter: p.retryAfter(clock.Now(), priority)}
 	case Misdirected:
 		// Another server uses the address now.
 		p.markFailing()
@@ -304,11 +197,11 @@
 }
 
 // cancelDial gives up the right to dial a connection.
-func (p *pool) cancelDial() {
+func (p *pool) cancelDial(team string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
-	p.inUse--
+	p.unuse(team)
 	p.serveWaiters()
 }
 
@@ -317,12 +210,14 @@
 func (p *pool) release(c *upstreamConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.inUse--
+	p.unuse(c.team)
+	now := clock.Now()
+	p.recordHold(now, now-c.acquiredAt)
 	if !c.reusable() || p.closed {
 		c.close()
 		p.open--
 	} else {
-		c.idleAt = clock.Now()
+		c.idleAt = now
 		p.idle = append(p.idle, c)
 	}
 	p.serveWaiters()
@@ -366,8 +261,7 @@
 		p.open--
 	}
 	p.idle = nil
-	for _, w := range p.waiters {
-		w.ready <- handover{closed: true}
+	for _, w := range p.waiters.Clear() {
+		w.Value <- handover{closed: true}
 	}
-	p.waiters = nil
 }
--- a/gateway/engine/pool_test.go
+++ b/gateway/engine/pool_test.go
@@ -23,9 +23,16 @@
 	return p, server
 }
 
+// testRequest returns a request whose wait for a connection may take up to maxWait.
+func testRequest(team string, maxWait time.Duration) connRequest {
+	return connRequest{
+		team: team, objectiveEnd: clock.Now() + time.Duration(float64(maxWait)/connectionWaitFraction), deadline: time.Now().Add(longDeadline),
+	}
+}
+
 func mustAcquire(t *testing.T, p *pool, team string) *upstreamConn {
 	t.Helper()
-	c, refusal := p.acquire(context.Background(), team, time.Now().Add(longDeadline), longWait)
+	c, refusal := p.acquire(context.Background(), testRequest(team, longWait))
 	if refusal != nil {
 		t.Fatalf("acquire refused: %+v", refusal)
 	}
@@ -37,7 +44,7 @@
 func TestPoolRespectsShare(t *testing.T) {
 	p, server := newTestPool(2)
 	a, b := mustAcquire(t, p, "a"), mustAcquire(t, p, "b")
-	if c, refusal := p.acquire(context.Background(), "c", time.Now().Add(longDeadline), shortWait); refusal == nil {
+	if c, refusal := p.acquire(context.Background(), testRequest("c", shortWait)); refusal == nil {
 		t.Errorf("acquired a third connection: %+v", c)
 	}
 	p.release(a)
@@ -72,7 +79,7 @@
 		t.Errorf("%d idle connections are kept although there are more nodes than connections", p.open)
 	}
 	server.full = true
-	if _, refusal := p.acquire(context.Background(), "c", time.Now().Add(longDeadline), longWait); refusal == nil {
+	if _, refusal := p.acquire(context.Background(), testRequest("c", longWait)); refusal == nil {
 		t.Fatal("connected to a full upstream")
 	}
 	if now = clock.Now(); p.share.currentMaxOpen(now) != 1 || p.share.currentMaxOpen(now+surplusBackoff) != surplusMaxOpen {
@@ -108,13 +115,13 @@
 	if got := p.currentWindow(now); got != 4 {
 		t.Fatalf("window %d at the start", got)
 	}
-	p.recordBusy()
-	p.recordBusy()
+	p.recordBusy(0)
+	p.recordBusy(0)
 	if got := p.currentWindow(p.busyAt); got != 2 {
 		t.Errorf("window %d after refusals at one moment, want one cut to 2", got)
 	}
 	p.busyAt -= windowDecreaseInterval
-	p.recordBusy()
+	p.recordBusy(0)
 	if got := p.currentWindow(p.busyAt); got != 1 {
 		t.Errorf("window %d after another refusal", got)
 	}
@@ -129,11 +136,11 @@
 	p, _ := newTestPool(1)
 	held := mustAcquire(t, p, "a")
 	p.recordAnswer(200 * time.Millisecond)
-	_, refusal := p.acquire(context.Background(), "a", time.Now().Add(longDeadline), 50*time.Millisecond)
+	_, refusal := p.acquire(context.Background(), testRequest("a", 50*time.Millisecond))
 	if refusal == nil || refusal.Code != rescode.QueueFull || refusal.RetryAfter == 0 {
 		t.Errorf("refusal %+v, want QueueFull with RetryAfter", refusal)
 	}
-	if len(p.waiters) != 0 {
+	if p.waiters.Len() != 0 {
 		t.Error("the refused caller still waits")
 	}
 	p.release(held)
@@ -144,24 +151,24 @@
 func TestWaitersAreServedInOrder(t *testing.T) {
 	p, server := newTestPool(1)
 	held := mustAcquire(t, p, "a")
-	h1, w1, _ := p.acquireOrEnqueue("b", longWait)
-	_, w2, _ := p.acquireOrEnqueue("a", longWait)
+	h1, w1 := p.acquireOrEnqueue(testRequest("b", longWait))
+	_, w2 := p.acquireOrEnqueue(testRequest("a", longWait))
 	if w1 == nil || w2 == nil || h1.conn != nil {
 		t.Fatal("the callers do not wait")
 	}
 	p.release(held)
 	select {
-	case h := <-w2.ready:
+	case h := <-w2.Value:
 		if h.conn != held || server.dials != 1 {
 			t.Error("the waiter did not get its team's connection")
 		}
 	default:
 		t.Fatal("the waiter of the connection's team was not served first")
 	}
-	p.waiters[0].since -= overtakeLimit
+	w1.Arrived -= time.Second
 	p.release(held)
 	select {
-	case <-w1.ready:
+	case <-w1.Value:
 	default:
 		t.Error("a waiter that was overtaken for long enough was not served")
 	}
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -84,6 +84,11 @@
 	group       *group
 	started     time.Duration
 	deadline    time.Time
+	// objectiveEnd is when the latency objective ends. For a transaction it is counted from its
+	// first statement.
+	objectiveEnd time.Duration
+	// repeated is set for further attempts of the node for the same statement.
+	repeated bool
 }
 
 // admit checks that the caller may run a statement now. The result is not cached, because a
@@ -103,7 +108,7 @@
 	}
 	op := &operation{
 		route: route, group: s.engine.group(route.Service), started: now,
-		deadline: time.Now().Add(route.StatementTimeout),
+		deadline: time.Now().Add(route.StatementTimeout), objectiveEnd: now + route.LatencyObjective,
 	}
 	if route.Public {
 		op.team = publicTeam
--- a/gateway/engine/stopping_test.go
+++ b/gateway/engine/stopping_test.go
@@ -78,22 +78,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	refused := make(chan *Refusal)
 	go func() {
-		_, refusal := p.acquire(ctx, "b", time.Now().Add(longDeadline), longWait)
+		_, refusal := p.acquire(ctx, testRequest("b", longWait))
 		refused <- refusal
 	}()
 	for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
 		p.mu.Lock()
-		waiting = len(p.waiters)
+		waiting = p.waiters.Len()
 		p.mu.Unlock()
 	}
 	cancel()
 	if r := <-refused; r == nil || r.Reason != reasonStopping {
 		t.Errorf("the waiting caller got %+v", r)
 	}
-	if len(p.waiters) != 0 {
+	if p.waiters.Len() != 0 {
 		t.Error("the caller is still in the queue")
 	}
-	if _, r := p.acquire(ctx, "b", time.Now().Add(longDeadline), longWait); r == nil || r.Reason != reasonStopping {
+	if _, r := p.acquire(ctx, testRequest("b", longWait)); r == nil || r.Reason != reasonStopping {
 		t.Errorf("a caller that comes later got %+v", r)
 	}
 }
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -159,21 +159,20 @@
 	if s.tx.conn != nil {
 		return nil
 	}
-	skip := map[string]bool{}
-	answer := s.runWithRetries(ctx, s.tx.op, st, func(int) attemptResult { return s.beginOnce(ctx, skip) })
+	s.tx.op.objectiveEnd = clock.Now() + s.tx.op.route.LatencyObjective
+	tried := triedUpstreams{}
+	answer := s.runWithRetries(ctx, s.tx.op, st, func() attemptResult { return s.beginOnce(ctx, tried) })
 	return answer.Refusal
 }
 
 // beginOnce makes one attempt to begin the transaction. A read-only transaction begins on a
 // replica if its route allows that and one is fresh enough.
-func (s *Session) beginOnce(ctx context.Context, skip map[string]bool) attemptResult {
+func (s *Session) beginOnce(ctx context.Context, tried triedUpstreams) attemptResult {
 	t := s.tx
 	begin := Begin
 	var p *pool
 	if t.readOnly && t.op.route.Consistency != controlpb.Consistency_CONSISTENCY_PRIMARY {
-		planned, ok := t.op.group.planRead(
-			clock.Now(), t.op.route.MaxStaleness, s.engine.opts.Place, t.op.team, s.newestCommits[t.op.group.service], skip)
-		if ok {
+		if planned, ok := s.planRead(t.op, tried); ok {
 			begin, p = BeginRead, planned
 		}
 	}
@@ -185,8 +184,8 @@
 		p = primary
 	}
 	result := s.beginOn(ctx, p, begin)
-	if result.retryable && begin == BeginRead && result.retryReason != retryPlanExpired {
-		skip[p.target.ID] = true
+	if begin == BeginRead {
+		tried.record(p, result)
 	}
 	return result
 }
@@ -195,8 +194,9 @@
 // along with a begin that is refused would run outside the transaction.
 func (s *Session) beginOn(ctx context.Context, p *pool, kind Kind) attemptResult {
 	t := s.tx
-	c, refusal := p.acquire(ctx, t.op.team, t.op.deadline, t.op.maxConnectionWait())
+	c, refusal := p.acquire(ctx, t.op.connRequest(t.op.deadline))
 	if refusal != nil {
+		refusal.Upstream = p.target.ID
 		return acquireFailureResult(refusal)
 	}
 	begin := Statement{Kind: kind}
@@ -258,7 +258,7 @@
 		t.fail(refusal.Reason)
 		return Answer{Refusal: refusal}
 	}
-	return s.runWithRetries(ctx, t.op, st, func(int) attemptResult { return s.commitOnce(ctx, st) })
+	return s.runWithRetries(ctx, t.op, st, func() attemptResult { return s.commitOnce(ctx, st) })
 }
 
 // commitOnce makes one attempt to commit. Only a commit that the upstream refused as busy,
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -67,6 +67,10 @@
 	pool   *pool
 	team   string
 	idleAt time.Duration
+	// acquiredAt is when the connection was last taken into use.
+	acquiredAt time.Duration
+	// priority is that of the request that uses the connection.
+	priority uint32
 	// values holds the digests of the values of the upstream's session by the digests of their names. Callers'
 	// texts are not kept here.
 	values     map[textDigest]connValue
@@ -120,8 +124,11 @@
 		if !r.Position.IsZero() {
 			c.pool.setPosition(r.Position)
 		}
-		if r.Outcome == Busy {
-			c.pool.recordBusy()
+		switch {
+		case r.Outcome == Busy:
+			c.pool.recordBusy(c.priority)
+		case st.ID != "" && r.Outcome == Done:
+			c.pool.recordAccepted()
 		}
 		c.state = r.State
 		replies = append(replies, r)
