--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -62,6 +62,9 @@
 	// stop is the plan of a stop once one has begun.
 	stop atomic.Pointer[stop.Plan]
 
+	// opening holds callers while the node has no configuration yet.
+	opening *opening
+
 	mu     sync.Mutex
 	groups map[string]*group
 	// stateRefusalLoggedAt is when the last refusal of session state was logged, by team.
@@ -73,7 +76,9 @@
 	if opts.SessionMemory == nil {
 		opts.SessionMemory = sessionmem.New(defaultSessionMemory, defaultMaxSessions)
 	}
-	return &Engine{opts: opts, log: opts.Log, groups: map[string]*group{}, stateRefusalLoggedAt: map[string]time.Duration{}}
+	e := &Engine{opts: opts, log: opts.Log, groups: map[string]*group{}, stateRefusalLoggedAt: map[string]time.Duration{}}
+	e.opening = newOpening(e)
+	return e
 }
 
 // Update applies a new view of the topology and the catalog.
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -316,7 +316,7 @@
 
 func (s *testNode) open(database, key string) *Session {
 	s.t.Helper()
-	session, refusal := s.engine.OpenSession(database, key)
+	session, refusal := s.engine.OpenSession(context.Background(), database, key)
 	if refusal != nil {
 		s.t.Fatalf("session refused: %+v", refusal)
 	}
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -221,6 +221,20 @@
 		p.idle = append(p.idle, c)
 	}
 	p.serveWaiters()
+	p.closeIdleIfScarce(now)
+}
+
+// closeIdleIfScarce closes idle connections beyond maxIdle while the upstream may have none left
+// for other nodes. The caller holds mu.
+func (p *pool) closeIdleIfScarce(now time.Duration) {
+	if !p.share.isScarce(now) {
+		return
+	}
+	for len(p.idle) > 0 && p.open > p.share.maxIdle {
+		p.idle[0].close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
 }
 
 // closeExpiredIdle closes connections that have been idle for too long. It also serves
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -26,6 +26,9 @@
 	publicTeam = ""
 	// maxKeyBytes is the length of the longest key that a session presents.
 	maxKeyBytes = 4 << 10
+	// firstStatementTime is the time behind the beginning of a session in which the statement arrives for which a
+	// caller opened it.
+	firstStatementTime = 50 * time.Millisecond
 	// closeTimeout bounds the rollback when a session is closed inside a transaction.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -45,27 +48,51 @@
 	newestCommits map[string]position.Position
 	tx            *transaction
 
+	// waitedSince is when the caller asked for the session, if it had to wait for the node's configuration; openedAt
+	// is when the session began.
+	waitedSince, openedAt time.Duration
+
 	relay rowRelay
 	// phase holds the Phase of the current statement.
 	phase atomic.Uint32
 }
 
-// OpenSession begins a session for a caller of a database, or refuses it.
-func (e *Engine) OpenSession(database, key string) (*Session, *Refusal) {
+// OpenSession begins a session for a caller of a database, or refuses it. While the node has just started and has no
+// configuration yet, it waits for that, until the end of ctx at most.
+func (e *Engine) OpenSession(ctx context.Context, database, key string) (*Session, *Refusal) {
 	s := &Session{engine: e, database: strings.Clone(database), key: heldKey(key)}
-	refusal := e.refuseBeginning(clock.Now())
-	if refusal == nil {
-		_, refusal = s.admit()
+	arrived := clock.Now()
+	refusal := s.refuseOpening()
+	if refusal != nil && refusal.lacksConfiguration() && e.opening.wait(ctx, s.database, len(s.database)+len(s.key)) {
+		s.waitedSince = arrived
+		refusal = s.refuseOpening()
 	}
 	if refusal != nil {
+		refusal.Elapsed = clock.Now() - arrived
 		e.recordRefusal("", "open", refusal, nil)
 		return nil, refusal
 	}
+	e.opening.markOpened()
+	s.openedAt = clock.Now()
 	s.state = e.opts.SessionMemory.Open()
 	metricSessions.Inc()
 	return s, nil
 }
 
+// refuseOpening returns a refusal if the session may not begin now.
+func (s *Session) refuseOpening() *Refusal {
+	if refusal := s.engine.refuseBeginning(clock.Now()); refusal != nil {
+		return refusal
+	}
+	_, refusal := s.admit()
+	return refusal
+}
+
+// lacksConfiguration reports whether the node has no configuration that it may use.
+func (r *Refusal) lacksConfiguration() bool {
+	return r.Reason == reasonNoCatalog || r.Reason == reasonNoLease
+}
+
 // heldKey returns the key that a session keeps. Callers of public routes need none and may send any text; one above
 // maxKeyBytes is no team's key.
 func heldKey(key string) string {
@@ -108,7 +135,7 @@
 	}
 	op := &operation{
 		route: route, group: s.engine.group(route.Service), started: now,
-		deadline: time.Now().Add(route.StatementTimeout), objectiveEnd: now + route.LatencyObjective,
+		deadline: time.Now().Add(route.StatementTimeout), objectiveEnd: s.askedAt(now) + route.LatencyObjective,
 	}
 	if route.Public {
 		op.team = publicTeam
@@ -122,6 +149,15 @@
 	return op, nil
 }
 
+// askedAt returns since when the caller has waited for the answer to a statement that arrived now. A statement that
+// follows the beginning of the session at once is what the caller opened it for.
+func (s *Session) askedAt(now time.Duration) time.Duration {
+	if s.waitedSince != 0 && now-s.openedAt < firstStatementTime {
+		return s.waitedSince
+	}
+	return now
+}
+
 // State returns the state of the session.
 func (s *Session) State() State {
 	switch {
--- a/gateway/engine/session_test.go
+++ b/gateway/engine/session_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -140,7 +141,7 @@
 	s.mustSucceed(session, read("2"))
 	s.control.leaseExpired = true
 	s.expectCode(s.handle(session, read("3")), rescode.ProxyDetached)
-	if _, refusal := s.engine.OpenSession("intake", "key"); refusal == nil || refusal.Code != rescode.ProxyDetached {
+	if _, refusal := s.engine.OpenSession(context.Background(), "intake", "key"); refusal == nil || refusal.Code != rescode.ProxyDetached {
 		t.Errorf("a new session without a lease: refusal %+v", refusal)
 	}
 }
--- a/gateway/engine/share.go
+++ b/gateway/engine/share.go
@@ -54,8 +54,13 @@
 
 // currentMaxOpen returns how many connections may be open.
 func (s share) currentMaxOpen(now time.Duration) int {
-	if s.fullAt != 0 && now-s.fullAt < surplusBackoff {
+	if s.isScarce(now) {
 		return max(1, s.maxIdle)
 	}
 	return s.maxOpen
 }
+
+// isScarce reports whether the upstream had no connection left a short time ago.
+func (s share) isScarce(now time.Duration) bool {
+	return s.fullAt != 0 && now-s.fullAt < surplusBackoff
+}
--- a/gateway/engine/state_test.go
+++ b/gateway/engine/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -196,7 +197,7 @@
 		t.Errorf("the key %q is held", got)
 	}
 	s, _ := newBoundedNode(t)
-	if _, refusal := s.engine.OpenSession("intake", strings.Repeat("k", largeText)); refusal == nil || refusal.Code != rescode.KeyWithdrawn {
+	if _, refusal := s.engine.OpenSession(context.Background(), "intake", strings.Repeat("k", largeText)); refusal == nil || refusal.Code != rescode.KeyWithdrawn {
 		t.Errorf("a long key on a route that needs one: %+v", refusal)
 	}
 }
--- a/gateway/engine/stopping_test.go
+++ b/gateway/engine/stopping_test.go
@@ -31,7 +31,7 @@
 	s := newTestNode(t)
 	session := s.open("intake", "key")
 	s.stopAt(0.45)
-	_, refusal := s.engine.OpenSession("intake", "key")
+	_, refusal := s.engine.OpenSession(context.Background(), "intake", "key")
 	s.expectStopping("session", refusal, rescode.ProxyDraining)
 	for _, st := range []Statement{write("1"), read("2"), {ID: "3", Kind: Begin}} {
 		a := s.handle(session, st)
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -176,7 +176,7 @@
 
 func (c *callerConn) run(ctx context.Context) {
 	defer c.endSession()
-	if !c.openSession() {
+	if !c.openSession(ctx) {
 		return
 	}
 	for c.serveStatement(ctx) {
@@ -195,12 +195,12 @@
 
 // openSession reads the startup message and opens the session. It reports whether that
 // succeeded.
-func (c *callerConn) openSession() bool {
+func (c *callerConn) openSession(ctx context.Context) bool {
 	database, key, err := c.readStartup()
 	if err != nil {
 		return false
 	}
-	session, refusal := c.server.opts.Engine.OpenSession(database, key)
+	session, refusal := c.server.opts.Engine.OpenSession(ctx, database, key)
 	if refusal != nil {
 		c.refuse(refusal)
 		return false
--- a/gateway/server/shutdown_test.go
+++ b/gateway/server/shutdown_test.go
@@ -224,7 +224,7 @@
 	s, _, _ := newTestServer(t, 0)
 	s.draining.Store(true)
 	near, other := tcpPair(t)
-	session, refusal := s.opts.Engine.OpenSession("lots", "")
+	session, refusal := s.opts.Engine.OpenSession(context.Background(), "lots", "")
 	if refusal != nil {
 		t.Fatal(refusal)
 	}
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -125,14 +125,22 @@
 	q.waiters = slices.Insert(q.waiters, i, w)
 }
 
-// moreUrgent reports whether w goes before other: the higher priority, and within it the earlier end of the objective.
+// moreUrgent reports whether w goes before other: the higher priority, within it those whose objective can still be
+// met, and then the earlier end of the objective.
 func (w *Waiter[T]) moreUrgent(other *Waiter[T]) bool {
-	if w.Priority != other.Priority {
+	switch {
+	case w.Priority != other.Priority:
 		return w.Priority < other.Priority
+	case w.late() != other.late():
+		return other.late()
+	default:
+		return w.ObjectiveEnd < other.ObjectiveEnd
 	}
-	return w.ObjectiveEnd < other.ObjectiveEnd
 }
 
+// late reports whether the objective ended before the request came.
+func (r Request) late() bool { return r.ObjectiveEnd <= r.Arrived }
+
 // overload returns what must be refused now that w waits: either w itself, or waiters behind it.
 func (q *Queue[T]) overload(now time.Duration, w *Waiter[T], c Capacity) ([]Removed[T], Refusal) {
 	var removed []Removed[T]
