Callers wait for the configuration of a node that has just started

Cause: after a loss of all power each node has its configuration half a second after its start.

Change: a session that is opened within 3 s of the start of a node that has not served yet waits for the first configuration and lease, up to 1.5 s (callers give up after 2 s), at most 256 callers and 1 MiB. Once the configuration is there, sessions begin one after the other: those that can still meet their objective 30 ms apart, the more urgent first, the others spread over a second, so that the servers do not meet the openings of all nodes at once. A stop ends the wait. The wait counts against the objective of the first statement. After such a start, and while an upstream has no connection left, idle connections beyond the share are closed at once: servers keep those of VMs that lost power for 3 s.

--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -124,6 +124,13 @@
 	return g.pools[g.primary], g.primaryChanged
 }
 
+// currentPools returns the pools of all upstreams.
+func (g *group) currentPools() []*pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.poolList
+}
+
 // markPrimaryLost records that the upstream refused to act as the primary.
 func (g *group) markPrimaryLost(id string) {
 	g.mu.Lock()
--- a/gateway/engine/opening.go
+++ b/gateway/engine/opening.go
@@ -97,8 +97,9 @@
 	serving := o.engine.isServing(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if serving {
-		o.recordOpened()
+	if serving && o.recordOpened() {
+		// Callers that wait for a configuration show that the other nodes have restarted too.
+		o.engine.expectScarcity(now + restartScarcity)
 	}
 	for stopping || serving {
 		caller := o.next(now, stopping)
@@ -130,13 +131,23 @@
 	o.recordOpened()
 }
 
-// recordOpened records that the node has its configuration. The caller holds mu.
-func (o *opening) recordOpened() {
+// recordOpened records that the node has its configuration, and reports whether that is new. The caller holds mu.
+func (o *opening) recordOpened() bool {
 	if !o.callers.Opened() {
-		return
+		return false
 	}
 	o.engine.log.WithFields(logrus.Fields{"event": "opened", "waiting": o.callers.Len()}).
 		Info("the node has its configuration; waiting sessions begin")
+	return true
+}
+
+// expectScarcity makes all pools keep few idle connections until a time.
+func (e *Engine) expectScarcity(until time.Duration) {
+	for _, g := range e.allGroups() {
+		for _, p := range g.currentPools() {
+			p.expectScarcity(until)
+		}
+	}
 }
 
 // isServing reports whether the node has a configuration that it may use.
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -80,9 +80,9 @@
 func (p *pool) setShare(maxConnections, nodes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	fullAt := p.share.fullAt
+	fullAt, scarceUntil := p.share.fullAt, p.share.scarceUntil
 	p.share = newShare(maxConnections, nodes)
-	p.share.fullAt = fullAt
+	p.share.fullAt, p.share.scarceUntil = fullAt, scarceUntil
 	if p.busyAt == 0 {
 		p.window = float64(p.share.maxOpen)
 	}
@@ -224,6 +224,13 @@
 	p.closeIdleIfScarce(now)
 }
 
+// expectScarcity makes the pool keep few idle connections until a time.
+func (p *pool) expectScarcity(until time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share.scarceUntil = until
+}
+
 // closeIdleIfScarce closes idle connections beyond maxIdle while the upstream may have none left
 // for other nodes. The caller holds mu.
 func (p *pool) closeIdleIfScarce(now time.Duration) {
--- a/gateway/engine/share.go
+++ b/gateway/engine/share.go
@@ -23,6 +23,9 @@
 	// surplusBackoff is how long a node opens no more than maxIdle connections after the
 	// upstream had no connection left.
 	surplusBackoff = 3 * time.Second
+	// restartScarcity is how long after a restart of all nodes connections are scarce: upstreams
+	// keep those of VMs that lost power for some seconds.
+	restartScarcity = 3 * time.Second
 )
 
 // share is how many connections to one upstream a node may have. Some deployments have nearly
@@ -35,6 +38,9 @@
 	maxIdle, maxOpen int
 	// fullAt is when the upstream last had no connection left, or zero.
 	fullAt time.Duration
+	// scarceUntil is until when the upstream may have none left for other nodes because all have
+	// restarted.
+	scarceUntil time.Duration
 }
 
 // newShare returns the share of one node out of nodes. maxConnections is the limit of the
@@ -54,13 +60,18 @@
 
 // currentMaxOpen returns how many connections may be open.
 func (s share) currentMaxOpen(now time.Duration) int {
-	if s.isScarce(now) {
+	if s.wasFull(now) {
 		return max(1, s.maxIdle)
 	}
 	return s.maxOpen
 }
 
-// isScarce reports whether the upstream had no connection left a short time ago.
+// isScarce reports whether the upstream may have no connection left for other nodes.
 func (s share) isScarce(now time.Duration) bool {
+	return now < s.scarceUntil || s.wasFull(now)
+}
+
+// wasFull reports whether the upstream had no connection left a short time ago.
+func (s share) wasFull(now time.Duration) bool {
 	return s.fullAt != 0 && now-s.fullAt < surplusBackoff
 }
--- a/policy/admission/opening.go
+++ b/policy/admission/opening.go
@@ -11,12 +11,18 @@
 	startupPeriod = 3 * time.Second
 	// maxOpeningWait is how long a caller waits. Callers give up after two seconds, and a shorter wait leaves them
 	// time for another node.
-	maxOpeningWait = time.Second
+	maxOpeningWait = 1500 * time.Millisecond
 	// maxOpeningCallers and maxOpeningBytes bound the callers that wait and what their messages hold.
 	maxOpeningCallers = 256
 	maxOpeningBytes   = 1 << 20
-	// openingInterval is the mean time between two callers whose sessions begin.
-	openingInterval = 12 * time.Millisecond
+	// openingInterval is the mean time between two callers whose sessions begin in time for their objectives. Others
+	// are spread over lateOpeningTime, at most maxOpeningInterval apart, so that they do not take the connections and
+	// rate limits from new callers.
+	openingInterval    = 30 * time.Millisecond
+	lateOpeningTime    = time.Second
+	maxOpeningInterval = 100 * time.Millisecond
+	// openingServiceTime is the time that the first statement of a session is expected to take.
+	openingServiceTime = 60 * time.Millisecond
 )
 
 // Opening decides which callers of a node that has just started wait for its configuration, and when their sessions
@@ -90,19 +96,28 @@
 	if now < o.nextAt {
 		return nil
 	}
-	o.nextAt = now + spread(openingInterval, random)
 	first := slices.MinFunc(o.callers, func(a, b *OpeningCaller[T]) int {
 		return compareCallers(now, a, b, urgency)
 	})
+	interval := openingInterval
+	if first.isLate(now, urgency(first.Value).Objective) {
+		interval = min(maxOpeningInterval, max(openingInterval, lateOpeningTime/time.Duration(len(o.callers))))
+	}
+	o.nextAt = now + spread(interval, random)
 	o.Leave(first)
 	return first
 }
 
+// isLate reports whether a session that begins now cannot meet an objective any more.
+func (c *OpeningCaller[T]) isLate(now, objective time.Duration) bool {
+	return now+openingServiceTime >= c.Arrived+objective
+}
+
 // compareCallers orders callers by the time at which their sessions begin. It returns 0 for callers that keep their
 // order of arrival.
 func compareCallers[T any](now time.Duration, a, b *OpeningCaller[T], urgency func(T) Urgency) int {
 	ua, ub := urgency(a.Value), urgency(b.Value)
-	lateA, lateB := now-a.Arrived >= ua.Objective, now-b.Arrived >= ub.Objective
+	lateA, lateB := a.isLate(now, ua.Objective), b.isLate(now, ub.Objective)
 	switch {
 	case lateA != lateB && lateB:
 		return -1
