--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -69,7 +69,7 @@
 	}
 	if refusal != nil {
 		refusal.Elapsed = clock.Now() - arrived
-		e.recordRefusal("", "open", refusal, nil)
+		e.recordRefusal("", "open", refusal, s)
 		return nil, refusal
 	}
 	e.opening.markOpened()
@@ -350,7 +350,7 @@
 func (e *Engine) recordRefusal(id, statement string, r *Refusal, s *Session) {
 	countRefusal(r.Code, r.Reason)
 	fields := e.refusalFields(id, statement, r, s)
-	if s != nil && isStateRefusal(r) {
+	if isStateRefusal(r) {
 		team, _ := fields["team"].(string)
 		if !e.startStateRefusalLog(clock.Now(), team) {
 			return
@@ -360,7 +360,7 @@
 	e.log.WithFields(fields).Info("request refused")
 }
 
-// refusalFields returns the fields of the log line about a refusal. s is nil if the session was not opened.
+// refusalFields returns the fields of the log line about a refusal.
 func (e *Engine) refusalFields(id, statement string, r *Refusal, s *Session) logrus.Fields {
 	fields := logrus.Fields{
 		"event": "refused", "id": LoggedID(id), "statement": statement, "code": uint32(r.Code), "result": r.Code.String(),
@@ -373,13 +373,15 @@
 		fields["topology"] = view.Topology.GetRevision()
 		fields["leader"] = view.Leader
 	}
-	if s != nil {
-		fields["database"] = s.database
-		if view.Catalog != nil {
-			if team := view.Catalog.TeamByKey(s.key); team != nil {
-				fields["team"] = team.Name
-			}
-		}
+	fields["database"] = logged(s.database)
+	if view.Catalog == nil {
+		return fields
+	}
+	if team := view.Catalog.TeamByKey(s.key); team != nil {
+		fields["team"] = team.Name
+	}
+	if route := view.Catalog.Route(s.database); route != nil {
+		fields["priority"], fields["objective_ms"] = route.Priority, route.LatencyObjective.Milliseconds()
 	}
 	return fields
 }
