A read that may have run is not refused as not run

Cause: a read whose answer was lost is repeated. When the repeat was refused (upstream_full, connection_wait and the like), the caller got that refusal, which promises that nothing has run, although the first attempt may have run; the team's use was taken back too.

Change: the answer is then the refusal of the lost attempt, with the time to come back of the last one.

--- a/gateway/engine/admission_test.go
+++ b/gateway/engine/admission_test.go
@@ -104,3 +104,23 @@
 		t.Errorf("%d connections are open although they are scarce", p.open)
 	}
 }
+
+// Guards against a read that ran, whose answer was lost, and whose caller is told that it has not run because a further
+// attempt was refused.
+func TestLostReadIsNotPromisedNotRun(t *testing.T) {
+	n := newTestNode(t)
+	session := n.open("intake", "key")
+	n.servers["p"].update(func(s *fakeServer) { s.dropAnswers = 1 })
+	lost := n.handle(session, read("1"))
+	if lost.Refusal != nil {
+		t.Fatalf("the read was not repeated: %+v", lost.Refusal)
+	}
+	n.servers["p"].update(func(s *fakeServer) { s.dropAnswers, s.full = 1, true })
+	answer := n.handle(session, read("2"))
+	if answer.Refusal == nil || answer.Refusal.promisesNotRun() {
+		t.Errorf("refusal %+v after the read ran", answer.Refusal)
+	}
+	if len(n.servers["p"].runs()) != 3 {
+		t.Errorf("%d runs", len(n.servers["p"].runs()))
+	}
+}
--- a/gateway/engine/retry.go
+++ b/gateway/engine/retry.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
 )
 
@@ -74,14 +75,19 @@
 // of its pool.
 func (s *Session) runWithRetries(ctx context.Context, op *operation, st Statement, attempt func() attemptResult) Answer {
 	retries := retryCounts{}
+	// lost is the refusal of an attempt that may have run, as a read that is repeated.
+	var lost *Refusal
 	for {
 		op.repeated = retries.total > 0
 		result := attempt()
 		if !result.retryable || s.relay.started {
-			return result.answer
+			return s.withoutFalsePromise(result.answer, lost)
 		}
 		if ctx.Err() != nil || time.Until(op.deadline) < retryBackoff || !retries.allow(result.retryReason) {
-			return result.answer
+			return s.withoutFalsePromise(result.answer, lost)
+		}
+		if !result.answer.Refusal.promisesNotRun() {
+			lost = result.answer.Refusal
 		}
 		countRetry(result.retryReason)
 		s.engine.log.WithFields(logrus.Fields{
@@ -94,6 +100,24 @@
 	}
 }
 
+// withoutFalsePromise returns the answer to a statement, of which an earlier attempt was lost with the given refusal, if
+// any. The answer does not promise then that the statement has not run. What a transaction has lost is its begin.
+func (s *Session) withoutFalsePromise(a Answer, lost *Refusal) Answer {
+	if lost == nil || s.tx != nil || a.Refusal == nil || !a.Refusal.promisesNotRun() {
+		return a
+	}
+	refusal := *lost
+	refusal.RetryAfter = a.Refusal.RetryAfter
+	a.Refusal = &refusal
+	return a
+}
+
+// promisesNotRun reports whether the refusal promises that the statement has not run.
+func (r *Refusal) promisesNotRun() bool {
+	info, ok := rescode.Lookup(r.Code)
+	return ok && info.Execution == rescode.NotRun
+}
+
 // retriesSamePlace reports whether a retry goes to the same upstream without waiting in its queue.
 func (s *Session) retriesSamePlace(reason retryReason) bool {
 	switch reason {
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -306,12 +306,10 @@
 
 // returnAdmission takes an operation that was refused without having run from the team's use.
 func (s *Session) returnAdmission(op *operation, r *Refusal) {
-	if r == nil || op.team == publicTeam {
+	if r == nil || op.team == publicTeam || !r.promisesNotRun() {
 		return
 	}
-	if info, ok := rescode.Lookup(r.Code); ok && info.Execution == rescode.NotRun {
-		s.engine.opts.Gate.Refund(op.team)
-	}
+	s.engine.opts.Gate.Refund(op.team)
 }
 
 // admitOperation is like admit, but also counts the operation against the team's limits.
