Opening: sessions that cannot be answered within 150 ms are late

Right after a restart of all nodes a statement takes longer than in calm, and a session with 60 ms left was late after it had taken a turn.

--- a/policy/admission/opening.go
+++ b/policy/admission/opening.go
@@ -22,7 +22,7 @@
 	lateOpeningTime    = time.Second
 	maxOpeningInterval = 100 * time.Millisecond
 	// openingServiceTime is the time that the first statement of a session is expected to take.
-	openingServiceTime = 60 * time.Millisecond
+	openingServiceTime = 150 * time.Millisecond
 )
 
 // Opening decides which callers of a node that has just started wait for its configuration, and when their sessions
