Reads avoid a lagging replica for longer the more often it was behind

Change: the pause doubles with each refusal, from 60 to 960 ms, and starts again once a read had its position there. Refusals of reads that were already on their way count once.

Test: TestLaggingUpstreamIsAvoidedForLonger; with the constant pause it finds 60 ms where 120 and 240 are expected.

--- a/gateway/engine/health.go
+++ b/gateway/engine/health.go
@@ -30,8 +30,10 @@
 	// count as failing.
 	failureGracePeriod = 300 * time.Millisecond
 	// behindBackoff is how long reads avoid an upstream that had not reached a minimum
-	// position.
-	behindBackoff = 60 * time.Millisecond
+	// position. It doubles with each further refusal, up to maxBehindBackoff: a replica that lags
+	// by seconds would else refuse most reads once before they run elsewhere.
+	behindBackoff    = 60 * time.Millisecond
+	maxBehindBackoff = 960 * time.Millisecond
 )
 
 func (p *pool) setPosition(pos position.Position) {
@@ -44,7 +46,20 @@
 func (p *pool) recordBehind() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.behindAt = clock.Now()
+	now := clock.Now()
+	if now < p.behindUntil {
+		// Sent before the refusal that began the pause was known.
+		return
+	}
+	p.behindPause = min(maxBehindBackoff, max(behindBackoff, 2*p.behindPause))
+	p.behindUntil = now + p.behindPause
+}
+
+// recordCaughtUp records that the upstream had reached the minimum position of a read.
+func (p *pool) recordCaughtUp() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.behindPause = 0
 }
 
 // recordAnswer records that the upstream answered, and its latency.
@@ -176,7 +191,7 @@
 		MustWait:          p.inUse >= p.currentWindow(now),
 		Pause:             p.remainingPause(now, team, priority),
 		InFlight:          p.inUse + p.waiters.Len(), Latency: p.currentLatency(now),
-		Position: p.position, RecentlyBehind: p.behindAt != 0 && now-p.behindAt < behindBackoff,
+		Position: p.position, RecentlyBehind: now < p.behindUntil,
 	}
 }
 
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -59,8 +59,10 @@
 	// drainEndsAt is when the drain ends, or 0 if that is not known.
 	drainEndsAt time.Duration
 
-	position     position.Position
-	behindAt     time.Duration
+	position position.Position
+	// Until behindUntil reads avoid the upstream, which was behind; behindPause is how long that is.
+	behindUntil  time.Duration
+	behindPause  time.Duration
 	latency      time.Duration
 	latencyAt    time.Duration
 	failingAt    time.Duration
--- a/gateway/engine/pool_test.go
+++ b/gateway/engine/pool_test.go
@@ -264,3 +264,23 @@
 		t.Errorf("kept observations %v", o.entries)
 	}
 }
+
+// With a replica that lags by seconds: guards against most reads being refused there before they run elsewhere, and
+// against a replica that has caught up and stays unused.
+func TestLaggingUpstreamIsAvoidedForLonger(t *testing.T) {
+	p, _ := newTestPool(1)
+	for _, want := range []time.Duration{behindBackoff, 2 * behindBackoff, 4 * behindBackoff} {
+		p.recordBehind()
+		p.recordBehind()
+		now := clock.Now()
+		if pause := p.behindUntil - now; pause > want || pause < want-behindBackoff/2 || !p.candidate(now, "a", 0).RecentlyBehind {
+			t.Errorf("avoided for %v, want %v", pause, want)
+		}
+		p.behindUntil = 0
+	}
+	p.recordCaughtUp()
+	p.recordBehind()
+	if pause := p.behindUntil - clock.Now(); pause > behindBackoff {
+		t.Errorf("avoided for %v after it had caught up", pause)
+	}
+}
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -129,6 +129,9 @@
 			c.pool.recordBusy(c.priority)
 		case st.ID != "" && r.Outcome == Done:
 			c.pool.recordAccepted()
+			if !st.MinPosition.IsZero() {
+				c.pool.recordCaughtUp()
+			}
 		}
 		c.state = r.State
 		replies = append(replies, r)
