Pool: waiters that are held back by a pause do not hold up a more urgent request

A request that came while others waited went through the queue, and could be refused for its expected wait although a connection was free. Test: TestPausedWaitersDoNotHoldUpOthers, refused with connection_queue without the change.

--- a/gateway/engine/admission.go
+++ b/gateway/engine/admission.go
@@ -93,7 +93,8 @@
 		return handover{closed: true}, nil
 	}
 	p.waiters.RecordArrival(now, r.priority)
-	if p.waiters.Len() == 0 && now >= p.shed.Until(r.priority) {
+	// Waiters that may not be served now, as during a pause that concerns only them, do not hold up others.
+	if now >= p.shed.Until(r.priority) && p.nextWaiter(now) == nil {
 		if h, ok := p.tryAcquire(now, r.team); ok {
 			return h, nil
 		}
@@ -128,7 +129,7 @@
 	switch {
 	case now < p.shed.Until(r.priority):
 		out.Reason = reasonUpstreamPaused
-	case p.dialPause(now, r.team) > 0:
+	case p.dialPause(now) > 0:
 		out.Code, out.Reason = rescode.TooManyConnections, reasonUpstreamFull
 	}
 	return out
@@ -146,16 +147,16 @@
 	}
 }
 
-// remainingPause returns how long nothing of a team and a priority is offered to the upstream.
-// The caller holds mu.
-func (p *pool) remainingPause(now time.Duration, team string, priority uint32) time.Duration {
-	return max(0, p.shed.Until(priority)-now, p.dialPause(now, team))
+// remainingPause returns how long nothing of a priority is offered to the upstream. The caller
+// holds mu.
+func (p *pool) remainingPause(now time.Duration, priority uint32) time.Duration {
+	return max(0, p.shed.Until(priority)-now, p.dialPause(now))
 }
 
-// dialPause returns for how long a team gets no connection because the upstream had none left.
-// The caller holds mu.
-func (p *pool) dialPause(now time.Duration, team string) time.Duration {
-	if len(p.idle) > 0 || p.idleIndex(team) >= 0 {
+// dialPause returns for how long there is no connection because the upstream had none left. An
+// idle one may be used, or replaced by one for another team. The caller holds mu.
+func (p *pool) dialPause(now time.Duration) time.Duration {
+	if len(p.idle) > 0 {
 		return 0
 	}
 	return max(0, p.full.Until()-now)
@@ -200,7 +201,7 @@
 func (p *pool) serveWaiters() {
 	now := clock.Now()
 	for p.waiters.Len() > 0 {
-		w := p.waiters.Next(now, p.capacity(now), func(team string) bool { return p.idleIndex(team) >= 0 })
+		w := p.nextWaiter(now)
 		if w == nil {
 			break
 		}
@@ -214,6 +215,11 @@
 	p.scheduleWake(now)
 }
 
+// nextWaiter returns the waiter to serve next, or nil. The caller holds mu.
+func (p *pool) nextWaiter(now time.Duration) *connWaiter {
+	return p.waiters.Next(now, p.capacity(now), func(team string) bool { return p.idleIndex(team) >= 0 })
+}
+
 // scheduleWake makes waiters be served at the end of the next pause. The caller holds mu.
 func (p *pool) scheduleWake(now time.Duration) {
 	if p.waiters.Len() == 0 {
--- a/gateway/engine/admission_test.go
+++ b/gateway/engine/admission_test.go
@@ -42,6 +42,21 @@
 	}
 }
 
+// Guards against an urgent request that is refused because of less urgent ones, which wait for the end of a pause.
+func TestPausedWaitersDoNotHoldUpOthers(t *testing.T) {
+	p, _ := newTestPool(4)
+	p.recordAnswer(time.Second)
+	p.recordBusy(1)
+	low := testRequest("a", longWait)
+	low.priority = 1
+	if _, w := p.acquireOrEnqueue(low); w == nil {
+		t.Fatal("the less urgent request does not wait")
+	}
+	if h, w := p.acquireOrEnqueue(testRequest("b", shortWait)); w != nil || h.refusal != nil {
+		t.Errorf("the urgent request waits or is refused: %+v", h.refusal)
+	}
+}
+
 // Guards against a request that waits for the end of a pause although its objective ends before.
 func TestPauseBeyondObjectiveRefusesAtOnce(t *testing.T) {
 	p, server := newTestPool(4)
--- a/gateway/engine/health.go
+++ b/gateway/engine/health.go
@@ -189,7 +189,7 @@
 		ID: p.target.ID, Place: p.place, Draining: p.draining, Failing: p.failing || p.closed,
 		HasIdleConnection: p.idleIndex(team) >= 0,
 		MustWait:          p.inUse >= p.currentWindow(now),
-		Pause:             p.remainingPause(now, team, priority),
+		Pause:             p.remainingPause(now, priority),
 		InFlight:          p.inUse + p.waiters.Len(), Latency: p.currentLatency(now),
 		Position: p.position, RecentlyBehind: now < p.behindUntil,
 	}
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -148,13 +148,7 @@
 	ahead, lower := 0, 0
 	for _, other := range q.order(c) {
 		wait := q.expectedWait(now, ahead, lower, other, c)
-		reason := Reason("")
-		switch {
-		case ahead >= maxWaiting:
-			reason = QueueLimit
-		case now+wait > other.WaitUntil:
-			reason = TooLong
-		}
+		reason := other.refusalReason(now, ahead, wait)
 		switch {
 		case other == w && reason != "":
 			return nil, Refusal{Reason: reason, RetryAfter: wait}
@@ -174,6 +168,18 @@
 	return removed, Refusal{}
 }
 
+// refusalReason returns why a request cannot wait with so many ahead of it and an expected wait, or nothing if it can.
+func (r Request) refusalReason(now time.Duration, ahead int, wait time.Duration) Reason {
+	switch {
+	case ahead >= maxWaiting:
+		return QueueLimit
+	case now+wait > r.WaitUntil:
+		return TooLong
+	default:
+		return ""
+	}
+}
+
 // expectedWait returns the time until w is served, with so many waiters ahead of it, of which lower are of lower
 // priority than the most urgent waiter.
 func (q *Queue[T]) expectedWait(now time.Duration, ahead, lower int, w *Waiter[T], c Capacity) time.Duration {
@@ -303,7 +309,7 @@
 // lower one has been overtaken often enough.
 func (q *Queue[T]) eligible(now time.Duration, c Capacity) []*Waiter[T] {
 	waiters := q.waiters
-	if q.overtakes >= maxOvertakes {
+	if len(waiters) > 0 && q.overtakes >= maxOvertakes {
 		if lower := q.lower(waiters[0].Priority); len(lower) > 0 && c.blocked(now, lower[0].Priority) == 0 {
 			waiters = lower
 		}
