--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -135,6 +135,13 @@
 	return g.pools[g.primary], g.primaryChanged
 }
 
+// currentPools returns the pools of all upstreams.
+func (g *group) currentPools() []*pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.poolList
+}
+
 // markPrimaryLost records that the upstream refused to act as the primary.
 func (g *group) markPrimaryLost(id string) {
 	g.mu.Lock()
@@ -170,17 +177,17 @@
 // planRead chooses an upstream for a read that may miss commits no older than maxStaleness.
 // ok is false when only the primary can serve it.
 func (g *group) planRead(
-	now, maxStaleness time.Duration, place, team string, own position.Position, skip map[string]bool,
+	now time.Duration, op *operation, place string, own position.Position, tried triedUpstreams,
 ) (p *pool, ok bool) {
 	g.mu.Lock()
 	g.lastReadAt = now
-	minPosition, ok := minReadPosition(now, maxStaleness, &g.observations, own)
+	minPosition, ok := minReadPosition(now, op.route.MaxStaleness, &g.observations, own)
 	primary := g.primary
 	pools := g.poolList
 	candidates := make([]Candidate, 0, len(pools))
 	for _, u := range pools {
-		c := u.candidate(now, team)
-		if c.NeedsPermit && !c.Draining && !c.Failing && !skip[c.ID] {
+		c := u.candidate(now, op.team, op.route.Priority)
+		if c.NeedsPermit && !c.Draining && !c.Failing && !tried.has(c.ID) {
 			c.NoPermit = g.lacksPermit(now, c.ID)
 		}
 		candidates = append(candidates, c)
@@ -189,7 +196,7 @@
 	if !ok {
 		return nil, false
 	}
-	i := chooseCandidate(candidates, place, primary, minPosition, skip)
+	i := chooseCandidate(candidates, place, primary, minPosition, tried)
 	if i < 0 {
 		return nil, false
 	}
@@ -261,7 +268,7 @@
 		return
 	}
 	deadline := time.Now().Add(positionQueryTimeout)
-	c, refusal := p.acquire(ctx, team, deadline, positionQueryTimeout)
+	c, refusal := p.acquire(ctx, connRequest{team: team, objectiveEnd: clock.Now() + positionQueryTimeout, deadline: deadline})
 	if refusal != nil {
 		return
 	}
@@ -288,7 +295,7 @@
 	if due {
 		p.reconnecting = true
 		p.open++
-		p.inUse++
+		p.use(p.lastTeam)
 	}
 	team := p.lastTeam
 	p.mu.Unlock()
@@ -296,7 +303,7 @@
 		return
 	}
 	go func() {
-		c, refusal := p.dial(ctx, team, time.Now().Add(dialTimeout))
+		c, refusal := p.dial(ctx, team, 0, time.Now().Add(dialTimeout))
 		if refusal == nil {
 			p.release(c)
 		}
--- a/gateway/engine/health.go
+++ b/gateway/engine/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,8 +30,10 @@
 	// count as failing.
 	failureGracePeriod = 300 * time.Millisecond
 	// behindBackoff is how long reads avoid an upstream that had not reached a minimum
-	// position.
-	behindBackoff = 60 * time.Millisecond
+	// position. It doubles with each further refusal, up to maxBehindBackoff: a replica that lags
+	// by seconds would else refuse most reads once before they run elsewhere.
+	behindBackoff    = 60 * time.Millisecond
+	maxBehindBackoff = 960 * time.Millisecond
 )
 
 func (p *pool) setPosition(pos position.Position) {
@@ -43,7 +46,20 @@
 func (p *pool) recordBehind() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.behindAt = clock.Now()
+	now := clock.Now()
+	if now < p.behindUntil {
+		// Sent before the refusal that began the pause was known.
+		return
+	}
+	p.behindPause = min(maxBehindBackoff, max(behindBackoff, 2*p.behindPause))
+	p.behindUntil = now + p.behindPause
+}
+
+// recordCaughtUp records that the upstream had reached the minimum position of a read.
+func (p *pool) recordCaughtUp() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.behindPause = 0
 }
 
 // recordAnswer records that the upstream answered, and its latency.
@@ -96,6 +112,14 @@
 	return defaultLatency + time.Duration(kept*float64(p.latency-defaultLatency))
 }
 
+// recordDial records that the upstream accepted a connection.
+func (p *pool) recordDial() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.full.Accepted()
+	p.markAnswering(clock.Now())
+}
+
 func (p *pool) recordSuccess() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,8 +181,8 @@
 }
 
 // candidate returns the state of the upstream that chooseCandidate compares, for a read of a
-// team.
-func (p *pool) candidate(now time.Duration, team string) Candidate {
+// team with a priority.
+func (p *pool) candidate(now time.Duration, team string, priority uint32) Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return Candidate{
@@ -166,8 +190,9 @@
 		NeedsPermit:       p.mayBeCold(now),
 		HasIdleConnection: p.idleIndex(team) >= 0,
 		MustWait:          p.inUse >= p.currentWindow(now),
-		InFlight:          p.inUse + len(p.waiters), Latency: p.currentLatency(now),
-		Position: p.position, RecentlyBehind: p.behindAt != 0 && now-p.behindAt < behindBackoff,
+		Pause:             p.remainingPause(now, priority),
+		InFlight:          p.inUse + p.waiters.Len(), Latency: p.currentLatency(now),
+		Position: p.position, RecentlyBehind: now < p.behindUntil,
 	}
 }
 
@@ -177,14 +202,47 @@
 	return max(1, min(p.share.currentMaxOpen(now), int(grown)))
 }
 
-// recordBusy shrinks the window after the upstream refused work because of overload.
-func (p *pool) recordBusy() {
+// recordBusy shrinks the window and pauses the use of the upstream after it refused a request
+// of a priority because of overload.
+func (p *pool) recordBusy(priority uint32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.shedWork(priority)
+}
+
+// shedWork is recordBusy for a caller that holds mu.
+func (p *pool) shedWork(priority uint32) {
 	now := clock.Now()
+	p.shed.Shed(now, priority, rand.Float64())
 	if p.busyAt != 0 && now-p.busyAt < windowDecreaseInterval {
 		return
 	}
 	p.window = max(1, windowDecrease*float64(p.currentWindow(now)))
 	p.busyAt = now
 }
+
+// recordAccepted records that the upstream ran a request.
+func (p *pool) recordAccepted() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shed.Accepted()
+}
+
+// recordHold adds the time for which a connection was in use to the moving average. The caller
+// holds mu.
+func (p *pool) recordHold(now, held time.Duration) {
+	current := p.currentHoldTime(now)
+	p.holdTime = current + time.Duration(latencySampleWeight*float64(held-current))
+	p.heldAt = now
+}
+
+// currentHoldTime returns how long a connection is expected to be in use: at least for one
+// statement, and for as long as transactions hold it. The caller holds mu.
+func (p *pool) currentHoldTime(now time.Duration) time.Duration {
+	latency := p.currentLatency(now)
+	if p.heldAt == 0 || p.holdTime < latency {
+		return latency
+	}
+	kept := math.Exp2(-float64(now-p.heldAt) / float64(latencyHalfLife))
+	return latency + time.Duration(kept*float64(p.holdTime-latency))
+}
--- a/gateway/engine/home.go
+++ b/gateway/engine/home.go
@@ -29,18 +29,15 @@
 	return len(allowed) == 0 || slices.Contains(allowed, region)
 }
 
-// outsideHome returns the upstreams that an operation may not run on, by ID.
-func (e *Engine) outsideHome(op *operation) map[string]bool {
-	outside := map[string]bool{}
+// outsideHome returns the upstreams that an operation may not run on, as ones that were tried.
+func (e *Engine) outsideHome(op *operation) triedUpstreams {
+	outside := triedUpstreams{}
 	if !op.restricted() {
 		return outside
 	}
-	op.group.mu.Lock()
-	pools := op.group.poolList
-	op.group.mu.Unlock()
-	for _, p := range pools {
+	for _, p := range op.group.currentPools() {
 		if !e.mayRunOn(op, p) {
-			outside[p.target.ID] = true
+			outside[p.target.ID] = retryOutsideHome
 		}
 	}
 	return outside
--- a/gateway/engine/plan.go
+++ b/gateway/engine/plan.go
@@ -38,7 +38,10 @@
 	// HasIdleConnection is true when an idle connection of the team is available, and
 	// MustWait when a read must wait for a connection.
 	HasIdleConnection, MustWait bool
-	RecentlyBehind              bool
+	// Pause is how long nothing is offered to the upstream because it has shed work or had no
+	// connection left.
+	Pause          time.Duration
+	RecentlyBehind bool
 	// NeedsPermit is true when a statement needs a permit for the upstream, and NoPermit when there is none.
 	NeedsPermit, NoPermit bool
 	InFlight              int
@@ -51,17 +54,17 @@
 // upstreams with three slots, one of which is slow or lagging: each node estimates from the
 // answers that it gets, so a slow upstream gets as many reads as it can answer, and the nodes
 // need not coordinate.
-func chooseCandidate(candidates []Candidate, place, primary string, minPosition position.Position, skip map[string]bool) int {
+func chooseCandidate(candidates []Candidate, place, primary string, minPosition position.Position, tried triedUpstreams) int {
 	best, bestCost := -1, time.Duration(0)
 	for i, c := range candidates {
-		if c.Draining || c.Failing || c.NoPermit || skip[c.ID] {
+		if c.Draining || c.Failing || c.NoPermit || tried.has(c.ID) {
 			continue
 		}
 		proven := !c.Position.Before(minPosition)
 		if c.RecentlyBehind && !proven {
 			continue
 		}
-		cost := time.Duration(c.InFlight+1) * c.Latency
+		cost := time.Duration(c.InFlight+1)*c.Latency + c.Pause
 		if c.Place != place {
 			cost += otherPlaceCost
 		}
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -26,6 +26,9 @@
 	publicTeam = ""
 	// maxKeyBytes is the length of the longest key that a session presents.
 	maxKeyBytes = 4 << 10
+	// firstStatementTime is the time behind the beginning of a session in which the statement arrives for which a
+	// caller opened it.
+	firstStatementTime = 50 * time.Millisecond
 	// closeTimeout bounds the rollback when a session is closed inside a transaction.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -45,27 +48,51 @@
 	newestCommits map[string]position.Position
 	tx            *transaction
 
+	// waitedSince is when the caller asked for the session, if it had to wait for the node's configuration; openedAt
+	// is when the session began.
+	waitedSince, openedAt time.Duration
+
 	relay rowRelay
 	// phase holds the Phase of the current statement.
 	phase atomic.Uint32
 }
 
-// OpenSession begins a session for a caller of a database, or refuses it.
-func (e *Engine) OpenSession(database, key string) (*Session, *Refusal) {
+// OpenSession begins a session for a caller of a database, or refuses it. While the node has just started and has no
+// configuration yet, it waits for that, until the end of ctx at most.
+func (e *Engine) OpenSession(ctx context.Context, database, key string) (*Session, *Refusal) {
 	s := &Session{engine: e, database: strings.Clone(database), key: heldKey(key)}
-	refusal := e.refuseBeginning(clock.Now())
-	if refusal == nil {
-		_, refusal = s.admit()
+	arrived := clock.Now()
+	refusal := s.refuseOpening()
+	if refusal != nil && refusal.lacksConfiguration() && e.opening.wait(ctx, s.database, len(s.database)+len(s.key)) {
+		s.waitedSince = arrived
+		refusal = s.refuseOpening()
 	}
 	if refusal != nil {
-		e.recordRefusal("", "open", refusal, nil)
+		refusal.Elapsed = clock.Now() - arrived
+		e.recordRefusal("", "open", refusal, s)
 		return nil, refusal
 	}
+	e.opening.markOpened()
+	s.openedAt = clock.Now()
 	s.state = e.opts.SessionMemory.Open()
 	metricSessions.Inc()
 	return s, nil
 }
 
+// refuseOpening returns a refusal if the session may not begin now.
+func (s *Session) refuseOpening() *Refusal {
+	if refusal := s.engine.refuseBeginning(clock.Now()); refusal != nil {
+		return refusal
+	}
+	_, refusal := s.admit()
+	return refusal
+}
+
+// lacksConfiguration reports whether the node has no configuration that it may use.
+func (r *Refusal) lacksConfiguration() bool {
+	return r.Reason == reasonNoCatalog || r.Reason == reasonNoLease
+}
+
 // heldKey returns the key that a session keeps. Callers of public routes need none and may send any text; one above
 // maxKeyBytes is no team's key.
 func heldKey(key string) string {
@@ -86,6 +113,11 @@
 	group       *group
 	started     time.Duration
 	deadline    time.Time
+	// objectiveEnd is when the latency objective ends. For a transaction it is counted from its
+	// first statement.
+	objectiveEnd time.Duration
+	// repeated is set for further attempts of the node for the same statement.
+	repeated bool
 }
 
 // admit checks that the caller may run a statement now. The result is not cached, because a
@@ -105,7 +137,7 @@
 	}
 	op := &operation{
 		route: route, group: s.engine.group(route.Service), started: now,
-		deadline: time.Now().Add(route.StatementTimeout),
+		deadline: time.Now().Add(route.StatementTimeout), objectiveEnd: s.askedAt(now) + route.LatencyObjective,
 	}
 	if route.Public {
 		op.team = publicTeam
@@ -119,6 +151,15 @@
 	return op, nil
 }
 
+// askedAt returns since when the caller has waited for the answer to a statement that arrived now. A statement that
+// follows the beginning of the session at once is what the caller opened it for.
+func (s *Session) askedAt(now time.Duration) time.Duration {
+	if s.waitedSince != 0 && now-s.openedAt < firstStatementTime {
+		return s.waitedSince
+	}
+	return now
+}
+
 // State returns the state of the session.
 func (s *Session) State() State {
 	switch {
@@ -267,12 +308,10 @@
 
 // returnAdmission takes an operation that was refused without having run from the team's use.
 func (s *Session) returnAdmission(op *operation, r *Refusal) {
-	if r == nil || op.team == publicTeam {
+	if r == nil || op.team == publicTeam || !r.promisesNotRun() {
 		return
 	}
-	if info, ok := rescode.Lookup(r.Code); ok && info.Execution == rescode.NotRun {
-		s.engine.opts.Gate.Refund(op.team)
-	}
+	s.engine.opts.Gate.Refund(op.team)
 }
 
 // admitOperation is like admit, but also counts the operation against the team's limits.
@@ -311,7 +350,7 @@
 func (e *Engine) recordRefusal(id, statement string, r *Refusal, s *Session) {
 	countRefusal(r.Code, r.Reason)
 	fields := e.refusalFields(id, statement, r, s)
-	if s != nil && isStateRefusal(r) {
+	if isStateRefusal(r) {
 		team, _ := fields["team"].(string)
 		if !e.startStateRefusalLog(clock.Now(), team) {
 			return
@@ -321,7 +360,7 @@
 	e.log.WithFields(fields).Info("request refused")
 }
 
-// refusalFields returns the fields of the log line about a refusal. s is nil if the session was not opened.
+// refusalFields returns the fields of the log line about a refusal.
 func (e *Engine) refusalFields(id, statement string, r *Refusal, s *Session) logrus.Fields {
 	fields := logrus.Fields{
 		"event": "refused", "id": LoggedID(id), "statement": statement, "code": uint32(r.Code), "result": r.Code.String(),
@@ -334,13 +373,15 @@
 		fields["topology"] = view.Topology.GetRevision()
 		fields["leader"] = view.Leader
 	}
-	if s != nil {
-		fields["database"] = s.database
-		if view.Catalog != nil {
-			if team := view.Catalog.TeamByKey(s.key); team != nil {
-				fields["team"] = team.Name
-			}
-		}
+	fields["database"] = logged(s.database)
+	if view.Catalog == nil {
+		return fields
+	}
+	if team := view.Catalog.TeamByKey(s.key); team != nil {
+		fields["team"] = team.Name
+	}
+	if route := view.Catalog.Route(s.database); route != nil {
+		fields["priority"], fields["objective_ms"] = route.Priority, route.LatencyObjective.Milliseconds()
 	}
 	return fields
 }
--- a/gateway/engine/warmup.go
+++ b/gateway/engine/warmup.go
@@ -87,7 +87,7 @@
 
 // awaitPermit waits for a permit, for no longer than the operation may wait for a connection.
 func (s *Session) awaitPermit(ctx context.Context, op *operation, p *pool) bool {
-	limit := earlierDeadline(op.deadline, op.maxConnectionWait())
+	limit := earlierDeadline(op.deadline, maxConnectionWait(clock.Now(), op.objectiveEnd))
 	wantedAt := time.Duration(0)
 	for time.Now().Before(limit) && ctx.Err() == nil {
 		now := clock.Now()
@@ -103,3 +103,11 @@
 	}
 	return false
 }
+
+// earlierDeadline returns the earlier of deadline and the time that is limit from now.
+func earlierDeadline(deadline time.Time, limit time.Duration) time.Time {
+	if end := time.Now().Add(limit); end.Before(deadline) {
+		return end
+	}
+	return deadline
+}
