Leader: a changed topology is published once a tick, not for each report

Cause: each announcement raised the revision, and currentTopology built, compared and compressed the topology again for the next report.

Change: the tick publishes a changed topology; reports are answered with the published one.

Tests that read the topology between two ticks now publish first; what they check is unchanged.

--- a/gateway/coordinator/coordinator_test.go
+++ b/gateway/coordinator/coordinator_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/base/compress"
 	"github.com/jayloom/jayloom/control/replica"
 	"github.com/jayloom/jayloom/gateway/failover"
@@ -161,6 +162,11 @@
 	}
 }
 
+// publish makes the changes since the last tick known to nodes.
+func publish(l *Leader) {
+	l.publishTopology(clock.Now())
+}
+
 // startStream starts the control stream of a node with its first report.
 func startStream(l *Leader, node string, report *controlpb.NodeReport) *nodeStream {
 	a := &nodeStream{updates: make(chan *controlpb.NodeUpdate, updateQueueSize), cancel: func() {}}
--- a/gateway/coordinator/drains.go
+++ b/gateway/coordinator/drains.go
@@ -14,14 +14,6 @@
 	ends     map[string]time.Duration
 }
 
-// currentDrains returns the drains of the current topology. It is computed once for all nodes.
-func (l *Leader) currentDrains() drainList {
-	if revision := l.registry.Revision(); l.drains.revision != revision {
-		l.drains = drainList{revision: revision, ends: knownDrainEnds(l.registry.Live())}
-	}
-	return l.drains
-}
-
 // knownDrainEnds returns when the drains of upstreams end, by ID, as far as that is known.
 func knownDrainEnds(upstreams []*topology.Upstream) map[string]time.Duration {
 	ends := map[string]time.Duration{}
@@ -49,7 +41,7 @@
 // addDrains adds the time that is left of the drains that the node was not told. A node that does not have the
 // current topology yet could not tell which drain is meant, and is told with it.
 func (l *Leader) addDrains(now time.Duration, s *nodeStream, u *controlpb.NodeUpdate) {
-	current := l.currentDrains()
+	current := l.drains
 	if s.sentTopologyRevision != current.revision || s.sentDrains.revision == current.revision {
 		return
 	}
--- a/gateway/coordinator/drains_test.go
+++ b/gateway/coordinator/drains_test.go
@@ -128,6 +128,7 @@
 		for sequence := range uint64(3) {
 			announce(later, 0, 3+sequence, controlpb.UpstreamPhase_UPSTREAM_PHASE_DRAINING)
 		}
+		publish(later)
 		connected, restarted := *n, &drainingNode{t: t}
 		connected.connect(later)
 		if diff := cmp.Diff(ends, connected.ends); saved != earlier && diff != "" {
@@ -148,6 +149,7 @@
 	l := newDrainLeader(t)
 	announce(l, 0, 1, controlpb.UpstreamPhase_UPSTREAM_PHASE_READY)
 	announce(l, 0, 2, controlpb.UpstreamPhase_UPSTREAM_PHASE_DRAINING)
+	publish(l)
 	s := &nodeStream{sequence: 1}
 	u := &controlpb.NodeUpdate{}
 	l.addDrains(clock.Now(), s, u)
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -104,16 +104,15 @@
 	return g
 }
 
-// stepGroups runs the failover state machines of all groups and reports whether nodes must be
-// notified.
-func (l *Leader) stepGroups(ctx context.Context, now time.Duration) bool {
+// stepGroups runs the failover state machines of all groups.
+func (l *Leader) stepGroups(ctx context.Context, now time.Duration) {
 	byService := map[string][]*topology.Upstream{}
 	for _, u := range l.registry.Live() {
 		byService[u.Service] = append(byService[u.Service], u)
 		l.groupOf(now, u.Service)
 	}
 	l.probing.Store(intervalsFor(l.registry.Size(), len(l.groups)))
-	changed, reports := false, l.primaryReports(now)
+	reports := l.primaryReports(now)
 	longestWait := time.Duration(0)
 	for service, g := range l.groups {
 		l.syncProbers(ctx, g, byService[service])
@@ -134,14 +133,12 @@
 			}).Info("primary changed")
 			g.sentPrimary = current
 			l.registry.IncrementRevision()
-			changed = true
 		}
 		for upstream, p := range g.probers {
 			p.isPrimary.Store(upstream == id)
 		}
 	}
 	metricLongestPromotionWait.Set(longestWait.Seconds())
-	return changed
 }
 
 func failoverInput(g *group, upstreams []*topology.Upstream, r failover.Reachability) failover.Input {
--- a/gateway/coordinator/groups_bench_test.go
+++ b/gateway/coordinator/groups_bench_test.go
@@ -21,6 +21,7 @@
 	}
 	l.adoptTopology(clock.Now(), t)
 	l.registry.IncrementRevision()
+	publish(l)
 	for i := range nodes {
 		s := startStream(l, fmt.Sprintf("n%d", i), &controlpb.NodeReport{Sequence: 1})
 		report := &controlpb.NodeReport{Sequence: 2, Regular: true, TopologyRevision: l.currentTopology().Revision}
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -108,9 +108,6 @@
 	// lostNodes holds nodes whose stream ended without a last report.
 	lostNodes    map[string]time.Duration
 	lastStreamID uint64
-	// topologyChanged is set if the topology has changed since the last tick. On startup all
-	// servers announce themselves at the same time, and the nodes get one update for all.
-	topologyChanged bool
 	// savingTopology is set while the topology is being committed, topologySaveStartedAt is when
 	// the last commit was started, and savedRevision is the newest revision known to be
 	// committed.
@@ -126,8 +123,10 @@
 	fallsPushedAt time.Duration
 	// sentTopologies holds the newest topologies that nodes were sent.
 	sentTopologies topologyHistory
-	drains         drainList
-	membership     membership
+	publication    publication
+	// drains are those of the newest topology that nodes were sent.
+	drains     drainList
+	membership membership
 	// fences is the number of fences used in this term.
 	fences uint64
 	// catalogHistory holds the configurations that nodes may still have.
@@ -286,7 +285,6 @@
 	l.leading, l.term, l.fences, l.leadingSince = true, term, 0, now
 	l.registry = topology.NewRegistry(term * revisionsPerTerm)
 	l.registry.SetDrainTime(l.config.DrainTime)
-	l.drains = drainList{}
 	l.groups = map[string]*group{}
 	l.streams, l.streamOf = map[*nodeStream]bool{}, map[string]*nodeStream{}
 	l.teams = map[string]bool{}
@@ -299,6 +297,7 @@
 	l.limiter, l.syncedVersion = throttle.NewLimiter(now), 0
 	l.syncCatalog(now)
 	l.adoptTopology(now, l.store.current().Topology)
+	l.publishTopology(now)
 	l.log.WithFields(logrus.Fields{
 		"event": "leadership_gained", "term": term, "nodes": len(l.store.current().Nodes), "catalog": l.store.current().Catalog.GetVersion(),
 	}).Info("became leader of the fleet")
@@ -355,10 +354,9 @@
 	l.limiter.Step(now)
 	l.pushDelayed()
 	l.pushFalls(now)
-	changed := l.registry.Expire(now)
-	changed = l.stepGroups(ctx, now) || changed || l.topologyChanged
-	l.topologyChanged = false
-	if changed {
+	l.registry.Expire(now)
+	l.stepGroups(ctx, now)
+	if l.publishChanges(now) {
 		l.pushAll()
 	}
 	l.stepMembership(ctx, now)
@@ -370,7 +368,7 @@
 	if !l.leading {
 		return
 	}
-	now, revision := clock.Now(), l.registry.Revision()
+	now := clock.Now()
 	before := l.registry.Get(e.announcement.Id)
 	if !l.registry.ApplyAnnouncement(now, e.announcement) {
 		return
@@ -387,7 +385,6 @@
 		delete(g.samples, e.announcement.Id)
 	}
 	g.probeNow()
-	l.topologyChanged = l.topologyChanged || l.registry.Revision() != revision
 }
 
 // putCatalog commits a configuration and returns the version in force. A configuration whose
--- a/gateway/coordinator/node_stream_test.go
+++ b/gateway/coordinator/node_stream_test.go
@@ -187,6 +187,7 @@
 	l.handle(context.Background(), reportReceived{asked[0], &controlpb.NodeReport{Sequence: 2, Topology: &controlpb.Topology{
 		Revision: known, Upstreams: []*controlpb.TopologyUpstream{{Id: "u", Service: "wax", Address: "10.0.0.1:1"}},
 	}}})
+	publish(l)
 	if got := l.currentTopology().Upstreams; len(got) != 1 || got[0].Id != "u" {
 		t.Errorf("the adopted topology has %v", got)
 	}
@@ -254,6 +255,7 @@
 		g.primaryPosition = measuredPosition{"p-" + service, position.Position{Term: 4, Number: 7}, clock.Now()}
 	}
 	l.registry.IncrementRevision()
+	publish(l)
 	a := startStream(l, "n1", &controlpb.NodeReport{Sequence: 1})
 	u := latestUpdate(t, a)
 	for _, p := range u.Positions {
@@ -298,6 +300,7 @@
 		g.primaryPosition = measuredPosition{"p-" + service, position.Position{Term: 4, Number: 7}, clock.Now()}
 	}
 	l.registry.IncrementRevision()
+	publish(l)
 	a := startStream(l, "n1", &controlpb.NodeReport{Sequence: 1, Regular: true, ReadServices: []string{"wax007", "unknown"}})
 	first := latestUpdate(t, a)
 	if len(first.Positions) != 1 || first.Topology.Primaries[first.Positions[0].PrimaryIndex-1].Service != "wax007" {
--- a/gateway/coordinator/saved_topology.go
+++ b/gateway/coordinator/saved_topology.go
@@ -17,7 +17,7 @@
 // topology would keep callers waiting for that long. An outdated entry does no harm, because
 // connections name the upstream that they expect.
 func (l *Leader) saveTopology(ctx context.Context, now time.Duration) {
-	revision := l.registry.Revision()
+	revision := l.currentTopology().Revision
 	if l.savingTopology || revision == l.savedRevision || now-l.topologySaveStartedAt < topologySaveInterval {
 		return
 	}
--- a/gateway/coordinator/topology.go
+++ b/gateway/coordinator/topology.go
@@ -39,9 +39,7 @@
 	for _, p := range t.Primaries {
 		l.groupOf(now, p.Service).machine.Adopt(now, p.Upstream, p.Term)
 	}
-	if l.registry.AddUnconfirmed(now, t) {
-		l.topologyChanged = true
-	}
+	l.registry.AddUnconfirmed(now, t)
 	l.adoptedRevision = max(l.adoptedRevision, t.Revision)
 }
 
@@ -71,12 +69,9 @@
 		Warn("entry of an earlier leader's topology skipped")
 }
 
-// currentTopology returns the topology, which must not be modified. All nodes get the same one of
-// each revision, because reports name primaries by their position in it.
+// currentTopology returns the newest published topology, which must not be modified. All nodes get the same
+// one of each revision, because reports name primaries by their position in it.
 func (l *Leader) currentTopology() *controlpb.Topology {
-	if l.sentTopologies.newest().GetRevision() != l.registry.Revision() {
-		l.sentTopologies.add(l.newTopology())
-	}
 	return l.sentTopologies.newest()
 }
 
--- a/gateway/coordinator/topology_test.go
+++ b/gateway/coordinator/topology_test.go
@@ -65,6 +65,7 @@
 func TestNodeWithoutRecentTopologyReceivesAll(t *testing.T) {
 	l, _ := newTestLeader(t)
 	announce(l, 0, 1, controlpb.UpstreamPhase_UPSTREAM_PHASE_READY)
+	publish(l)
 	first := l.currentTopology().Revision
 	recent := startStream(l, "n1", &controlpb.NodeReport{Sequence: 1, TopologyRevision: first})
 	latestUpdate(t, recent)
