Nodes: buffers of messages between 32 KiB and 1 MiB fit the message

Cause: gRPC's default pool has no size between 32 KiB and 1 MiB. A configuration or a topology of 33 to 60 KB on its way to a node, and each commit of a topology to a voter, held 1 MiB: 37 of 66 MB in a heap profile of the leader of 300 machines and 900 groups (27 answers to Preload, 9 appends to voters; trial on a scratch copy). When the first configuration was pushed the heap reached the soft limit of 110 MB and the collector ran without end.

Change: a tier of sizes, none more than twice a message.

--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -111,6 +111,7 @@
 
 func run(o options, s *platform.Settings) error {
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB) * (1 << 20)))
+	useMessageBuffers()
 	n := newNode(o, s, logging.NewRateLimited(os.Stdout, "jayloom-node", s.Node))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
