Large fleets: nodes answer unchanged announcements and report them to the leader

Cause: each of 2,700 upstreams announces itself each 1.2 s, and each announcement was a call to the leader. At 300 machines and 900 groups these were 2,100 to 2,700 calls a second, and the leader had 0.29 cores of 0.51 on average, all of them while it started: its lease lapsed when the first configuration was pushed.

Change: from 256 upstreams on, a node answers an announcement that repeats what the leader has acknowledged to it on the present control stream, and names itself for the next ones. Contacts go with its regular reports, the newest of each upstream and 128 at most. What differs in anything but the sequence, drains or leaves goes to the leader as before. The leader names contacts that do not match its own state, and the node passes those upstreams' next announcements on. Smaller fleets are served as before.

--- a/gateway/controlclient/calls.go
+++ b/gateway/controlclient/calls.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
 )
 
 // maxRelayedBytes is the size of a document of an operator up to which a node passes it on. A larger
@@ -35,6 +36,29 @@
 	}
 }
 
+// AnnounceUpstream passes the announcement of an upstream on to the leader, or answers it if it repeats one that the leader
+// has acknowledged. It reports whether this node answers further ones, so that the upstream is best sent here again.
+func (c *Client) AnnounceUpstream(ctx context.Context, a *controlpb.UpstreamAnnouncement) (answersNext bool, err error) {
+	relays := c.relaysContacts()
+	if relays && c.contacts.answer(clock.Now(), a) {
+		metricRelayedAnnouncements.Inc()
+		return true, nil
+	}
+	stream := c.contacts.stream()
+	err = c.Call(ctx, func(ctx context.Context, client controlpb.GatewayClient) error {
+		_, err := client.Announce(ctx, a)
+		return err
+	})
+	return err == nil && relays && c.contacts.remember(stream, a), err
+}
+
+// relaysContacts reports whether this node answers unchanged announcements: in a large fleet, while it has a control
+// stream.
+func (c *Client) relaysContacts() bool {
+	v := c.View()
+	return v.Leader != "" && len(v.Topology.GetUpstreams()) >= minRelayedFleet
+}
+
 // awaitLeader returns the address of the leader, or an empty string if the node finds none before ctx
 // ends.
 func (c *Client) awaitLeader(ctx context.Context) string {
--- a/gateway/controlclient/client.go
+++ b/gateway/controlclient/client.go
@@ -127,6 +127,7 @@
 	view            atomic.Pointer[View]
 	leaseUntil      atomic.Int64
 	reportRequested chan struct{}
+	contacts        *contactRelay
 	// leaving is closed by Leave, left when Run returns.
 	leaving      chan struct{}
 	left         chan struct{}
@@ -159,7 +160,7 @@
 func New(opts Options, onViewChange func(*View), onPosition func(PrimaryPosition)) *Client {
 	c := &Client{
 		opts: opts, incarnation: rand.Text(), onViewChange: onViewChange, onPosition: onPosition,
-		reportRequested: make(chan struct{}, 1), leaving: make(chan struct{}), left: make(chan struct{}),
+		reportRequested: make(chan struct{}, 1), contacts: newContactRelay(), leaving: make(chan struct{}), left: make(chan struct{}),
 		connections: newConnectionCache(opts.Dial, opts.DialOptions),
 	}
 	c.view.Store(&View{})
--- a/gateway/controlclient/stream.go
+++ b/gateway/controlclient/stream.go
@@ -33,6 +33,7 @@
 func (s *controlStream) run(ctx context.Context) error {
 	c := s.client
 	c.opts.Gate.StartStream()
+	c.contacts.startStream()
 	s.firstSequence = c.sequence + 1
 	s.lastUpdateAt = clock.Now()
 	if err := s.sendReport(regularReport); err != nil {
@@ -129,6 +130,7 @@
 	if kind == regularReport {
 		views := c.opts.Primaries(now)
 		report.Regular = true
+		report.Contacts = c.contacts.take(now)
 		addPrimaries(report, views, v.Topology)
 		if c.sequence == s.firstSequence {
 			report.ReadServices = readServices(views)
@@ -167,6 +169,7 @@
 	if err := c.apply(u, s.address); err != nil {
 		return err
 	}
+	c.contacts.forget(u.UnknownContacts)
 	c.opts.Gate.Apply(u.Throttles, s.updates == 1)
 	if u.Sequence < s.firstSequence || u.Sequence+maxUnansweredReports <= c.sequence {
 		return nil
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -71,6 +71,8 @@
 	read          []string
 	voterIdentity string
 	voterAddress  string
+	// unknownContacts holds the upstreams that the node reported without a match, until it has been told.
+	unknownContacts []string
 	// topologyWanted is set until the node has been asked for its topology.
 	topologyWanted bool
 	// sentThrottles is the revision of the limits that was sent.
@@ -105,6 +107,7 @@
 	if report.VoterIdentity != "" {
 		s.voterIdentity, s.voterAddress = report.VoterIdentity, report.VoterAddress
 	}
+	l.recordContacts(now, s, report.Contacts)
 	l.limiter.Report(now, s.node, s.id, report.Usage)
 	if report.Leaving {
 		l.removeStream(s, true)
@@ -115,6 +118,15 @@
 	l.pushFalls(now)
 }
 
+// recordContacts records the upstreams whose unchanged announcements a node has answered.
+func (l *Leader) recordContacts(now time.Duration, s *nodeStream, contacts []*controlpb.UpstreamContact) {
+	for _, c := range contacts {
+		if !l.registry.RecordUnchanged(now-time.Duration(c.AgeMs)*time.Millisecond, c) {
+			s.unknownContacts = append(s.unknownContacts, c.Id)
+		}
+	}
+}
+
 // addStream registers a new stream and ends an earlier stream of the same node.
 func (l *Leader) addStream(ctx context.Context, now time.Duration, s *nodeStream, first *controlpb.NodeReport) {
 	if other := l.streamOf[first.Node]; other != nil {
@@ -258,6 +270,7 @@
 		u.Voters, u.VotersIndex, s.sentVoters = voters.Addresses, voters.Index, voters.Addresses
 	}
 	u.TopologyWanted, s.topologyWanted = s.topologyWanted, false
+	u.UnknownContacts, s.unknownContacts = s.unknownContacts, nil
 	u.Throttles, s.sentThrottles = l.limiter.Throttles(s.sentThrottles)
 	l.addCatalog(s, u)
 	l.addTopology(s, u)
--- a/gateway/coordinator/topology_test.go
+++ b/gateway/coordinator/topology_test.go
@@ -24,10 +24,14 @@
 
 // announce lets an upstream announce itself.
 func announce(l *Leader, number int, sequence uint64, phase controlpb.UpstreamPhase) {
-	l.handle(context.Background(), announcementReceived{&controlpb.UpstreamAnnouncement{
+	l.handle(context.Background(), announcementReceived{announcement(number, sequence, phase), make(chan struct{})})
+}
+
+func announcement(number int, sequence uint64, phase controlpb.UpstreamPhase) *controlpb.UpstreamAnnouncement {
+	return &controlpb.UpstreamAnnouncement{
 		Id: fmt.Sprintf("i-%010d", number), Service: fmt.Sprintf("wax%d", number/3), Address: fmt.Sprintf("10.0.%d.%d:5432", number/250, number%250),
 		Place: "hafnarfj", Slots: 4, StartedUnixMs: 7, Sequence: sequence, Phase: phase,
-	}, make(chan struct{})})
+	}
 }
 
 // Load pattern: 600 upstreams, of which one changes in each tick for two seconds. Guards against the
--- a/gateway/topology/topology.go
+++ b/gateway/topology/topology.go
@@ -42,6 +42,8 @@
 	// startedUnixMs, the start time of the process, and sequence order its announcements.
 	startedUnixMs int64
 	sequence      uint64
+	// fingerprint is that of the newest announcement to this leader, 0 if there was none.
+	fingerprint uint64
 	// LastContact is when the upstream last announced itself or answered; announcedAt is the
 	// former.
 	LastContact time.Duration
@@ -137,7 +139,8 @@
 	next := &Upstream{
 		ID: a.Id, Service: a.Service, Address: a.Address, Place: a.Place, Slots: a.Slots,
 		Draining:      a.Phase == controlpb.UpstreamPhase_UPSTREAM_PHASE_DRAINING,
-		ClaimsPrimary: a.Primary, startedUnixMs: a.StartedUnixMs, sequence: a.Sequence, LastContact: now, announcedAt: now,
+		ClaimsPrimary: a.Primary, startedUnixMs: a.StartedUnixMs, sequence: a.Sequence, fingerprint: Fingerprint(a),
+		LastContact: now, announcedAt: now,
 	}
 	// A draining process never becomes ready again.
 	if u != nil && !u.unconfirmed && u.startedUnixMs == a.StartedUnixMs {
