--- a/gateway/coordinator/prober.go
+++ b/gateway/coordinator/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -59,33 +60,41 @@
 	return rand.N(time.Duration(i.upstreams)*firstProbeSpacing + 1)
 }
 
-// prober is the probe loop of one upstream.
+// prober probes one upstream repeatedly. Between two rounds it holds a timer and no goroutine, because there may be
+// thousands of upstreams.
 type prober struct {
+	leader    *Leader
+	ctx       context.Context
 	cancel    context.CancelFunc
+	upstream  topology.Upstream
+	term      uint64
 	isPrimary atomic.Bool
-	address   string
-	// trigger starts a probe before the next interval.
-	trigger chan struct{}
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// running is set while a round runs, triggered if another one has been asked for.
+	running, triggered bool
+
+	// The remaining fields belong to the round that runs.
+
+	status   failover.Sample
+	probedAt time.Duration
 }
 
 func (g *group) stopProbers() {
 	for _, p := range g.probers {
-		p.cancel()
+		p.stop()
 	}
 	g.probers = map[string]*prober{}
 }
 
 func (g *group) probeNow() {
 	for _, p := range g.probers {
-		select {
-		case p.trigger <- struct{}{}:
-		default:
-		}
+		p.trigger()
 	}
 }
 
-// syncProbers starts a probe loop for each upstream that has none, and stops the loops of
-// upstreams that are gone or have another address.
+// syncProbers starts a prober for each upstream that has none, and stops those of upstreams that are gone or have another address.
 func (l *Leader) syncProbers(ctx context.Context, g *group, upstreams []*topology.Upstream) {
 	present := map[string]string{}
 	for _, u := range upstreams {
@@ -95,8 +104,8 @@
 		}
 	}
 	for id, p := range g.probers {
-		if address, ok := present[id]; !ok || address != p.address {
-			p.cancel()
+		if address, ok := present[id]; !ok || address != p.upstream.Address {
+			p.stop()
 			delete(g.probers, id)
 			delete(g.samples, id)
 			delete(g.refusedSince, id)
@@ -105,61 +114,88 @@
 }
 
 func (l *Leader) startProber(ctx context.Context, g *group, u topology.Upstream) {
-	ctx, cancel := context.WithCancel(ctx)
-	p := &prober{cancel: cancel, address: u.Address, trigger: make(chan struct{}, 1)}
+	p := &prober{leader: l, upstream: u, term: l.term}
+	p.ctx, p.cancel = context.WithCancel(ctx)
 	g.probers[u.ID] = p
-	term := l.term
-	go func() { l.runProber(ctx, p, u, term) }()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.timer = time.AfterFunc(l.probing.Load().firstProbeDelay(), p.run)
+}
+
+func (p *prober) stop() {
+	p.cancel()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.timer.Stop()
+}
+
+// trigger starts a probe before the next interval, or after the round that runs.
+func (p *prober) trigger() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.triggered = true
+	if !p.running && p.ctx.Err() == nil {
+		p.timer.Reset(0)
+	}
+}
+
+// run makes a round and starts the timer for the next one. The timer calls it.
+func (p *prober) run() {
+	if p.begin() {
+		p.finish(p.round())
+	}
 }
 
-// runProber probes an upstream until ctx ends. Between probes, it sends position queries to a
-// primary.
-func (l *Leader) runProber(ctx context.Context, p *prober, u topology.Upstream, term uint64) {
-	var status failover.Sample
-	probedAt := time.Duration(0)
-	if _, ok := p.waitFor(ctx, l.probing.Load().firstProbeDelay()); !ok {
+// begin reports whether a round is to run now.
+func (p *prober) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running || p.ctx.Err() != nil {
+		return false
+	}
+	if p.triggered {
+		p.probedAt = 0
+	}
+	p.running, p.triggered = true, false
+	return true
+}
+
+// finish ends a round. The next one comes after wait, or at once if it was asked for.
+func (p *prober) finish(wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running = false
+	if p.ctx.Err() != nil {
 		return
 	}
-	for {
-		now, intervals := clock.Now(), l.probing.Load()
-		if probedAt == 0 || now-probedAt >= intervals.probe || !status.Primary {
-			switch s, result := l.probe(ctx, u); result {
-			case probeAnswered:
-				status, probedAt = s, now
-				l.post(ctx, probeCompleted{u, term, s})
-			case probeRefused:
-				l.post(ctx, connectionRefused{u, term, clock.Now()})
-			}
-		}
-		if status.Primary || p.isPrimary.Load() {
-			l.queryPosition(ctx, u, term, &status)
-		}
-		wait := intervals.probe
-		if status.Primary || p.isPrimary.Load() {
-			wait = intervals.positionQuery
-		}
-		triggered, ok := p.waitFor(ctx, wait)
-		if !ok {
-			return
-		}
-		if triggered {
-			probedAt = 0
-		}
+	if p.triggered {
+		wait = 0
 	}
+	p.timer.Reset(wait)
 }
 
-// waitFor waits until a probe is triggered or the given time has passed. ok is false if ctx has ended.
-func (p *prober) waitFor(ctx context.Context, d time.Duration) (triggered, ok bool) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false, false
-	case <-p.trigger:
-		return true, true
-	case <-timer.C:
-		return false, true
+// round probes the upstream if that is due, and sends a position query to a primary. It returns the time until the
+// next round.
+func (p *prober) round() time.Duration {
+	l := p.leader
+	now, intervals := clock.Now(), l.probing.Load()
+	if p.probedAt == 0 || now-p.probedAt >= intervals.probe || !p.status.Primary {
+		switch s, result := l.probe(p.ctx, p.upstream); result {
+		case probeAnswered:
+			p.status, p.probedAt = s, now
+			l.post(p.ctx, probeCompleted{p.upstream, p.term, s})
+		case probeRefused:
+			l.post(p.ctx, connectionRefused{p.upstream, p.term, clock.Now()})
+		}
+	}
+	if !p.status.Primary && !p.isPrimary.Load() {
+		return intervals.probe
+	}
+	l.queryPosition(p.ctx, p.upstream, p.term, &p.status)
+	if !p.status.Primary && !p.isPrimary.Load() {
+		return intervals.probe
 	}
+	return intervals.positionQuery
 }
 
 // probeResult is the result of a probe.
--- a/gateway/coordinator/prober_test.go
+++ b/gateway/coordinator/prober_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"runtime"
+	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -97,3 +101,115 @@
 		t.Errorf("refused since %s, but it has announced itself", since)
 	}
 }
+
+// countingUpstreams counts the probes of each upstream and those that run at the same time.
+type countingUpstreams struct {
+	fakeUpstreams
+	mu              sync.Mutex
+	probes          map[string]int
+	running, atOnce int
+}
+
+func (c *countingUpstreams) Probe(_ context.Context, u topology.Upstream) (failover.Sample, error) {
+	c.mu.Lock()
+	c.probes[u.ID]++
+	c.running++
+	c.atOnce = max(c.atOnce, c.running)
+	c.mu.Unlock()
+	time.Sleep(answerTime)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running--
+	return failover.Sample{}, nil
+}
+
+// count returns how often an upstream was probed, and how many probes ran at once.
+func (c *countingUpstreams) count(id string) (probes, atOnce int) {
+	synctest.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.probes[id], c.atOnce
+}
+
+// answerTime is how long countingUpstreams takes for an answer.
+const answerTime = 2 * time.Millisecond
+
+// startProbers starts probers for so many upstreams of one group.
+func startProbers(ctx context.Context, l *Leader, upstreams int) *group {
+	g := l.groupOf(clock.Now(), "wax")
+	var all []*topology.Upstream
+	for i := range upstreams {
+		all = append(all, &topology.Upstream{ID: fmt.Sprintf("u%d", i), Service: "wax", Address: "10.0.0.1:1"})
+	}
+	l.probing.Store(intervalsFor(upstreams, 1))
+	l.syncProbers(ctx, g, all)
+	return g
+}
+
+// Load pattern: 3,000 upstreams between two probes. Guards against a goroutine for each, whose stacks were 29 MB of the
+// leader's memory (sweep at 300 machines).
+func TestWaitingProbersHoldNoGoroutine(t *testing.T) {
+	const upstreams, maxGoroutines = 3000, 50
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		l, _ := newTestLeader(t)
+		c := &countingUpstreams{probes: map[string]int{}}
+		l.config.Upstreams = c
+		before := runtime.NumGoroutine()
+		go drainUntil(ctx, l)
+		g := startProbers(ctx, l, upstreams)
+		time.Sleep(20 * time.Second)
+		goroutines := runtime.NumGoroutine() - before
+		g.stopProbers()
+		if goroutines > maxGoroutines {
+			t.Errorf("%d goroutines for %d upstreams", goroutines, upstreams)
+		}
+		for i := range upstreams {
+			if probes, _ := c.count(fmt.Sprintf("u%d", i)); probes == 0 {
+				t.Errorf("upstream %d was not probed", i)
+			}
+		}
+	})
+}
+
+// drainUntil takes the events of a leader until ctx ends.
+func drainUntil(ctx context.Context, l *Leader) {
+	for {
+		select {
+		case <-l.events:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Guards against two probes of an upstream at a time, a trigger that is lost because a probe runs, and a prober that
+// goes on after it was stopped.
+func TestTriggeredProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		l, _ := newTestLeader(t)
+		c := &countingUpstreams{probes: map[string]int{}}
+		l.config.Upstreams = c
+		go drainUntil(ctx, l)
+		g := startProbers(ctx, l, 1)
+		time.Sleep(answerTime / 2)
+		for range 5 {
+			g.probeNow()
+		}
+		time.Sleep(3 * answerTime)
+		if probes, atOnce := c.count("u0"); probes != 2 || atOnce != 1 {
+			t.Errorf("%d probes, %d at once; want one that ran and one that was asked for meanwhile", probes, atOnce)
+		}
+		g.probeNow()
+		stopped := g.probers["u0"]
+		g.stopProbers()
+		stopped.trigger()
+		time.Sleep(10 * time.Second)
+		if probes, _ := c.count("u0"); probes > 3 {
+			t.Errorf("%d probes after the stop", probes-2)
+		}
+	})
+}
