Leader: a new leader of a large fleet does not probe all servers at once

Cause: after a change of leader each upstream's first announcement counted as a change and triggered probes of its whole group, and first probes of 2,700 upstreams came within 0.8 s: 3,600 to 4,000 probes a second, each with a new connection.

Change: an announcement that says what the earlier leader knew triggers nothing. From 600 upstreams on, primaries are probed first, within a second, and replicas within one interval of probes behind that.

Seen to fail: TestConfirmationsOfKnownUpstreamsCauseNoProbes without the check, the delays of first probes without the order.

--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -368,17 +368,20 @@
 	if !l.leading {
 		return
 	}
-	now := clock.Now()
+	now, revision := clock.Now(), l.registry.Revision()
 	before := l.registry.Get(e.announcement.Id)
 	if !l.registry.ApplyAnnouncement(now, e.announcement) {
 		return
 	}
+	g := l.groupOf(now, e.announcement.Service)
+	if l.registry.Revision() == revision && l.confirmsEarlier(g, before, e.announcement) {
+		return
+	}
 	l.log.WithFields(logrus.Fields{
 		"event": "upstream_changed", "upstream": e.announcement.Id, "service": e.announcement.Service,
 		"phase": e.announcement.Phase.String(), "primary": e.announcement.Primary,
 		"started_ms": e.announcement.StartedUnixMs, "sequence": e.announcement.Sequence,
 	}).Info("upstream announced a change")
-	g := l.groupOf(now, e.announcement.Service)
 	if after := l.registry.Get(e.announcement.Id); before != nil && before.AnnouncedAt() != 0 &&
 		after.StartedUnixMs() != before.StartedUnixMs() {
 		// The samples are of an earlier process.
@@ -387,6 +390,13 @@
 	g.probeNow()
 }
 
+// confirmsEarlier reports whether the first announcement of an upstream to this leader says what the earlier leader
+// knew. It needs no probe: after a change of leader, thousands of upstreams announce themselves within a second.
+func (l *Leader) confirmsEarlier(g *group, before *topology.Upstream, a *controlpb.UpstreamAnnouncement) bool {
+	primary, _, _ := g.machine.Primary()
+	return before != nil && before.AnnouncedAt() == 0 && a.Primary == (primary == a.Id)
+}
+
 // putCatalog commits a configuration and returns the version in force. A configuration whose
 // version is not higher than that changes nothing and is confirmed.
 func (l *Leader) putCatalog(ctx context.Context, in *controlpb.Catalog) (uint64, error) {
--- a/gateway/coordinator/prober.go
+++ b/gateway/coordinator/prober.go
@@ -29,8 +29,14 @@
 	// and between the probes of all upstreams.
 	positionQuerySpacing = 800 * time.Microsecond
 	probeSpacing         = 2 * time.Millisecond
-	// firstProbeSpacing is the average time between the first probes of a new leader.
-	firstProbeSpacing = 300 * time.Microsecond
+	// firstProbeSpacing is the average time between the first probes of a new leader, firstPrimarySpacing that between
+	// those of primaries in a large fleet.
+	firstProbeSpacing   = 300 * time.Microsecond
+	firstPrimarySpacing = time.Millisecond
+	// maxFirstPrimaryDelay is below the time after which a new leader replaces primaries that have not answered.
+	maxFirstPrimaryDelay = time.Second
+	// probedTogetherUpTo is the number of upstreams that a new leader probes for the first time without an order.
+	probedTogetherUpTo = 600
 	// probeTimeout limits one probe or position query, including the time to connect.
 	probeTimeout = 500 * time.Millisecond
 )
@@ -38,7 +44,7 @@
 // probeIntervals are the times between two calls of the leader to one upstream.
 type probeIntervals struct {
 	probe, positionQuery time.Duration
-	upstreams            int
+	upstreams, primaries int
 }
 
 // intervalsFor returns the intervals for a fleet of the given size.
@@ -50,14 +56,23 @@
 	return &probeIntervals{
 		probe:         max(minProbeInterval, time.Duration(upstreams)*probeSpacing),
 		positionQuery: min(positionQuery, maxPositionQueryInterval),
-		upstreams:     upstreams,
+		upstreams:     upstreams, primaries: primaries,
 	}
 }
 
-// firstProbeDelay returns how long to wait before the first probe of an upstream. A new leader starts to
-// probe all of them at the same time, while all nodes reconnect to it.
-func (i *probeIntervals) firstProbeDelay() time.Duration {
-	return rand.N(time.Duration(i.upstreams)*firstProbeSpacing + 1)
+// firstProbeDelay returns how long to wait before the first probe of an upstream.
+//
+// Load pattern: a new leader opens connections to thousands of upstreams while all nodes reconnect to it. Primaries go
+// first, because one that has not answered is replaced. Replicas are probed when a decision needs them.
+func (i *probeIntervals) firstProbeDelay(primary bool) time.Duration {
+	if i.upstreams <= probedTogetherUpTo {
+		return rand.N(time.Duration(i.upstreams)*firstProbeSpacing + 1)
+	}
+	primariesDone := min(time.Duration(i.primaries)*firstPrimarySpacing, maxFirstPrimaryDelay)
+	if primary {
+		return rand.N(primariesDone + 1)
+	}
+	return primariesDone + rand.N(i.probe)
 }
 
 // prober probes one upstream repeatedly. Between two rounds it holds a timer and no goroutine, because there may be
@@ -119,7 +134,8 @@
 	g.probers[u.ID] = p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.timer = time.AfterFunc(l.probing.Load().firstProbeDelay(), p.run)
+	primary, _, _ := g.machine.Primary()
+	p.timer = time.AfterFunc(l.probing.Load().firstProbeDelay(u.ClaimsPrimary || u.ID == primary), p.run)
 }
 
 func (p *prober) stop() {
