Leader: nodes get the difference to the saved topology after a change of leader

Cause: a new leader has other revisions, so each node got the whole topology again, some 43 KB compressed for each of 300 nodes, in the second in which it has most to do. The topology was also committed twice a second while it changed, which is 200 KB to each voter with 2,700 upstreams.

Change: the saved topology, whose revision nodes know, is the base of a difference. It lists all primaries, because whether a change was under way is not saved. The time between two commits grows with the upstreams, from 500 on.

Seen to fail: TestNewLeaderSendsOnlyTheDifference without the base (161 KB in place of a change) and without the primaries.

--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -296,7 +296,10 @@
 	l.pushedFall, l.fallsPushedAt = 0, now-fallPushInterval
 	l.limiter, l.syncedVersion = throttle.NewLimiter(now), 0
 	l.syncCatalog(now)
-	l.adoptTopology(now, l.store.current().Topology)
+	if saved := l.store.current().Topology; saved != nil {
+		l.adoptTopology(now, saved)
+		l.sentTopologies.add(earlierTopology(saved))
+	}
 	l.publishTopology(now)
 	l.log.WithFields(logrus.Fields{
 		"event": "leadership_gained", "term": term, "nodes": len(l.store.current().Nodes), "catalog": l.store.current().Catalog.GetVersion(),
--- a/gateway/coordinator/node_stream_test.go
+++ b/gateway/coordinator/node_stream_test.go
@@ -80,7 +80,7 @@
 	l.groups["wax"].machine.Adopt(clock.Now(), "p", 4)
 	tickUntilSaved(l)
 	committed := l.store.current().Topology
-	l.topologySaveStartedAt -= topologySaveInterval
+	l.topologySaveStartedAt -= minTopologySaveInterval
 	tickUntilSaved(l)
 	if again := l.store.current().Topology; again != committed {
 		t.Errorf("an unchanged topology was committed again: %v, %v", committed, again)
--- a/gateway/coordinator/saved_topology.go
+++ b/gateway/coordinator/saved_topology.go
@@ -9,8 +9,17 @@
 	"github.com/jayloom/jayloom/api/controlpb"
 )
 
-// topologySaveInterval is the minimum time between two commits of the topology.
-const topologySaveInterval = 500 * time.Millisecond
+const (
+	// minTopologySaveInterval is the minimum time between two commits of the topology, and topologySaveSpacing that
+	// time for each upstream in a large fleet, whose topology takes hundreds of kilobytes to each voter.
+	minTopologySaveInterval = 500 * time.Millisecond
+	topologySaveSpacing     = time.Millisecond
+)
+
+// topologySaveInterval returns the minimum time between two commits of the topology of so many upstreams.
+func topologySaveInterval(upstreams int) time.Duration {
+	return max(minTopologySaveInterval, time.Duration(upstreams)*topologySaveSpacing)
+}
 
 // saveTopology commits the known upstreams and primaries for later leaders. Upstreams announce
 // themselves only once a second, and after a power loss of all VMs a leader without a saved
@@ -18,7 +27,7 @@
 // connections name the upstream that they expect.
 func (l *Leader) saveTopology(ctx context.Context, now time.Duration) {
 	revision := l.currentTopology().Revision
-	if l.savingTopology || revision == l.savedRevision || now-l.topologySaveStartedAt < topologySaveInterval {
+	if l.savingTopology || revision == l.savedRevision || now-l.topologySaveStartedAt < topologySaveInterval(l.registry.Size()) {
 		return
 	}
 	t := persistentTopology(l.currentTopology())
--- a/gateway/coordinator/topology.go
+++ b/gateway/coordinator/topology.go
@@ -97,6 +97,18 @@
 	s.sentTopologyRevision = current.Revision
 }
 
+// earlierTopology returns what nodes have that were sent an earlier leader's topology of the given saved one. Whether
+// changes of primaries were under way is not saved, so that nodes are told of all primaries again.
+func earlierTopology(saved *controlpb.Topology) *controlpb.Topology {
+	t := &controlpb.Topology{Revision: saved.Revision, Upstreams: saved.Upstreams}
+	for _, p := range saved.Primaries {
+		t.Primaries = append(t.Primaries, &controlpb.TopologyPrimary{
+			Service: p.Service, Upstream: p.Upstream, Term: p.Term, Changing: true,
+		})
+	}
+	return t
+}
+
 func (l *Leader) newTopology() *controlpb.Topology {
 	t := &controlpb.Topology{Revision: l.registry.Revision()}
 	for _, u := range l.registry.Live() {
--- a/gateway/coordinator/topology_test.go
+++ b/gateway/coordinator/topology_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/testing/protocmp"
 
 	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
 )
 
 const (
@@ -130,3 +131,30 @@
 		}
 	}
 }
+
+// Load pattern: a change of leader in a fleet of 2,700 upstreams. Guards against the whole topology for each of 300
+// nodes, which fills the link of the new leader, and against a node that keeps a change of primary for under way.
+func TestNewLeaderSendsOnlyTheDifference(t *testing.T) {
+	earlier, _ := newTestLeader(t)
+	for i := range 2700 {
+		announce(earlier, i, 1, controlpb.UpstreamPhase_UPSTREAM_PHASE_READY)
+	}
+	earlier.groupOf(clock.Now(), "wax0").machine.Adopt(clock.Now(), "i-0000000001", 4)
+	publish(earlier)
+	tickUntilSaved(earlier)
+	known := proto.CloneOf(earlier.currentTopology())
+	known.Primaries[0].Changing = true
+	later, _ := newTestLeader(t)
+	later.store.Apply(1, &controlpb.Command{Change: &controlpb.Command_PutTopology{PutTopology: earlier.store.current().Topology}})
+	later.startLeading(9)
+	u := latestUpdate(t, startStream(later, "n1", &controlpb.NodeReport{Sequence: 1, TopologyRevision: known.Revision}))
+	if u.Topology != nil || u.TopologyChange == nil {
+		t.Fatalf("sent %d bytes of topology", proto.Size(u))
+	}
+	if got := len(u.TopologyChange.Changed.Upstreams); got != 0 {
+		t.Errorf("%d unchanged upstreams were sent", got)
+	}
+	if diff := cmp.Diff(later.currentTopology(), applyChange(t, known, u.TopologyChange), protocmp.Transform()); diff != "" {
+		t.Error(diff)
+	}
+}
