Leader: updates wait for a lease that has lapsed for a moment

Cause: when the first configuration went to 300 nodes and the voters, the leader's lease lapsed for some hundredths of a second.

Change: an update waits up to 0.4 s, less than nodes wait for an answer, while this process still leads. Nothing leaves without a lease, as before.

--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -26,6 +26,10 @@
 	eventQueueSize = 1024
 	// proposalTimeout limits a proposal that the leader itself makes.
 	proposalTimeout = 2 * time.Second
+	// maxLeaseLapse is how long updates to nodes wait for the lease of a leader that has not been replaced. It is below
+	// the time after which nodes take the leader for silent; leaseCheckInterval is the time between two checks.
+	maxLeaseLapse      = 400 * time.Millisecond
+	leaseCheckInterval = 20 * time.Millisecond
 	// revisionsPerTerm is the number of topology revisions reserved for each leader term.
 	revisionsPerTerm = 1 << 32
 )
@@ -184,6 +188,31 @@
 	return l.replica().Status().Leading && l.replica().LeaseValid(now)
 }
 
+// awaitLease waits until this process holds the leader lease, and returns false if it is not the leader any more or
+// the wait takes too long.
+//
+// Load pattern: a configuration goes to hundreds of nodes and a topology to all voters, and the lease lapses for some
+// hundredths of a second. If the streams of all nodes ended then, each would begin again with a first report, and the
+// leader would have more to do than before.
+func (l *Leader) awaitLease(ctx context.Context) bool {
+	if l.holdsLease(clock.Now()) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxLeaseLapse)
+	defer cancel()
+	for l.replicator.Load() != nil && l.replica().Status().Leading {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(leaseCheckInterval):
+		}
+		if l.holdsLease(clock.Now()) {
+			return true
+		}
+	}
+	return false
+}
+
 // post sends an event to the leader's goroutine. It returns false if ctx ends first.
 func (l *Leader) post(ctx context.Context, e event) bool {
 	select {
--- a/gateway/coordinator/server.go
+++ b/gateway/coordinator/server.go
@@ -171,7 +171,7 @@
 		case u := <-ns.updates:
 			// An update extends the node's serving lease, so it must not be sent after the
 			// leader's own lease has expired.
-			if !s.Leads() {
+			if !s.leader.awaitLease(ctx) {
 				return s.redirect()
 			}
 			if err := stream.Send(u); err != nil {
