--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -198,6 +198,7 @@
 	if l.holdsLease(clock.Now()) {
 		return true
 	}
+	metricLeaseWaits.Inc()
 	ctx, cancel := context.WithTimeout(ctx, maxLeaseLapse)
 	defer cancel()
 	for l.replicator.Load() != nil && l.replica().Status().Leading {
--- a/gateway/coordinator/metrics.go
+++ b/gateway/coordinator/metrics.go
@@ -19,6 +19,8 @@
 	metricLongestPromotionWait = metrics.NewGauge("jayloom_gateway_longest_promotion_wait_seconds", nil)
 
 	metricReports          = metrics.NewCounter("jayloom_gateway_reports_total")
+	metricUnknownContacts  = metrics.NewCounter("jayloom_gateway_unknown_contacts_total")
+	metricLeaseWaits       = metrics.NewCounter("jayloom_gateway_lease_waits_total")
 	metricUpdates          = metrics.NewCounter("jayloom_gateway_updates_total")
 	metricTopologiesSent   = metrics.NewCounter("jayloom_gateway_topologies_sent_total")
 	metricTopologyChanges  = metrics.NewCounter("jayloom_gateway_topology_changes_sent_total")
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -122,6 +122,7 @@
 func (l *Leader) recordContacts(now time.Duration, s *nodeStream, contacts []*controlpb.UpstreamContact) {
 	for _, c := range contacts {
 		if !l.registry.RecordUnchanged(now-time.Duration(c.AgeMs)*time.Millisecond, c) {
+			metricUnknownContacts.Inc()
 			s.unknownContacts = append(s.unknownContacts, c.Id)
 		}
 	}
