Large fleets: nodes that start get the topology from voters too

Cause: after a loss of all processes each of 300 nodes needs the whole topology from the leader, beside the configuration.

Change: from 256 upstreams on, a voter's answer to Preload has its stored topology. The leader knows its revision and sends the difference. The node uses neither before the leader has answered.

Seen to fail: TestPreloadedTopologyIsCompletedByTheLeader without the topology and when it replaces a newer one; TestVotersPreloadTheTopologyOfLargeFleets without the threshold.

--- a/gateway/controlclient/preload_test.go
+++ b/gateway/controlclient/preload_test.go
@@ -10,26 +10,34 @@
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/base/clock"
+	"github.com/jayloom/jayloom/base/compress"
 )
 
 // storedCatalog is a voter that has stored a configuration.
 type storedCatalog struct {
 	controlpb.UnimplementedGatewayServer
 	catalog *controlpb.Catalog
+	// topology is compressed.
+	topology []byte
 }
 
 func (s storedCatalog) Preload(context.Context, *controlpb.PreloadRequest) (*controlpb.PreloadReply, error) {
-	return &controlpb.PreloadReply{Catalog: s.catalog}, nil
+	return &controlpb.PreloadReply{Catalog: s.catalog, CompressedTopology: s.topology}, nil
 }
 
 func startVoter(t *testing.T, stored *controlpb.Catalog) string {
+	t.Helper()
+	return startVoterWith(t, storedCatalog{catalog: stored})
+}
+
+func startVoterWith(t *testing.T, stored storedCatalog) string {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := grpc.NewServer()
-	controlpb.RegisterGatewayServer(server, storedCatalog{catalog: stored})
+	controlpb.RegisterGatewayServer(server, stored)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 	return listener.Addr().String()
@@ -93,3 +101,34 @@
 		}
 	}
 }
+
+// Load pattern: 300 nodes of a fleet with 2,700 upstreams start at the same time. Guards against a whole topology from the
+// leader for each, against one of a voter that replaces a newer one, and against a malformed one that ends the attempt.
+func TestPreloadedTopologyIsCompletedByTheLeader(t *testing.T) {
+	c := newTestClient()
+	c.connections = newConnectionCache(nil, []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())})
+	defer c.connections.closeAll()
+	stored := &controlpb.Topology{Revision: 7, Upstreams: []*controlpb.TopologyUpstream{{Id: "a", Service: "wax"}}}
+	data, err := compress.Message(stored)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.preload(context.Background(), startVoterWith(t, storedCatalog{catalog: &controlpb.Catalog{Version: 3}, topology: []byte("odd")}))
+	if c.View().Topology != nil || c.View().Catalog == nil {
+		t.Errorf("topology %v, configuration %v", c.View().Topology, c.View().Catalog)
+	}
+	c.preload(context.Background(), startVoterWith(t, storedCatalog{catalog: &controlpb.Catalog{Version: 3}, topology: data}))
+	if got := c.View().Topology.GetRevision(); got != 7 || c.MayServe(clock.Now()) {
+		t.Fatalf("topology %d; the node serves: %v", got, c.MayServe(clock.Now()))
+	}
+	update := &controlpb.NodeUpdate{TopologyChange: &controlpb.TopologyChange{BaseRevision: 7, Changed: &controlpb.Topology{
+		Revision: 9, Upstreams: []*controlpb.TopologyUpstream{{Id: "b", Service: "wax"}},
+	}}}
+	if err := c.apply(update, "leader"); err != nil || len(c.View().Topology.Upstreams) != 2 {
+		t.Errorf("the leader's change gives %v, %v", c.View().Topology, err)
+	}
+	c.preload(context.Background(), startVoterWith(t, storedCatalog{catalog: &controlpb.Catalog{Version: 3}, topology: data}))
+	if got := c.View().Topology.Revision; got != 9 {
+		t.Errorf("topology %d of a voter replaced that of the leader", got)
+	}
+}
--- a/gateway/coordinator/server.go
+++ b/gateway/coordinator/server.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/jayloom/jayloom/api/controlpb"
 	"github.com/jayloom/jayloom/api/rescode"
@@ -37,22 +38,44 @@
 	preloads preloads
 }
 
-// preloads holds the newest configuration in the form in which nodes are sent it. It is safe for
+// minPreloadedFleet is the number of upstreams from which nodes get the topology from voters too.
+const minPreloadedFleet = 256
+
+// preloads holds the newest configuration and topology in the form in which nodes are sent them. It is safe for
 // concurrent use.
 type preloads struct {
-	mu     sync.Mutex
-	stored *controlpb.Catalog
-	sent   encoded[*controlpb.Catalog]
+	mu       sync.Mutex
+	catalog  preloaded[*controlpb.Catalog]
+	topology preloaded[*controlpb.Topology]
+}
+
+// preloaded is a stored message and the form in which nodes are sent it.
+type preloaded[T interface {
+	comparable
+	proto.Message
+}] struct {
+	stored T
+	sent   encoded[T]
 }
 
-// of returns a stored configuration as it is sent.
-func (p *preloads) of(stored *controlpb.Catalog, log *logrus.Entry) encoded[*controlpb.Catalog] {
+// of returns the answer to a node that asks for the stored state.
+func (p *preloads) of(state *controlpb.GatewayState, log *logrus.Entry) *controlpb.PreloadReply {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.stored != stored {
-		p.stored, p.sent = stored, encode(withoutDocument(stored), log)
+	reply := &controlpb.PreloadReply{}
+	if c := state.Catalog; c != nil {
+		if p.catalog.stored != c {
+			p.catalog.stored, p.catalog.sent = c, encode(withoutDocument(c), log)
+		}
+		reply.Catalog, reply.CompressedCatalog = p.catalog.sent.plain, p.catalog.sent.compressed
+	}
+	if t := state.Topology; len(t.GetUpstreams()) >= minPreloadedFleet {
+		if p.topology.stored != t {
+			p.topology.stored, p.topology.sent = t, encode(t, log)
+		}
+		reply.CompressedTopology = p.topology.sent.compressed
 	}
-	return p.sent
+	return reply
 }
 
 // NewServer returns the Gateway service of a node. leader is nil on a node without a data folder.
@@ -146,12 +169,7 @@
 	if s.leader == nil {
 		return &controlpb.PreloadReply{}, nil
 	}
-	c := s.leader.store.current().Catalog
-	if c == nil {
-		return &controlpb.PreloadReply{}, nil
-	}
-	sent := s.preloads.of(c, s.leader.log)
-	return &controlpb.PreloadReply{Catalog: sent.plain, CompressedCatalog: sent.compressed}, nil
+	return s.preloads.of(s.leader.store.current(), s.leader.log), nil
 }
 
 // Attend implements controlpb.GatewayServer.
--- a/gateway/coordinator/topology_test.go
+++ b/gateway/coordinator/topology_test.go
@@ -158,3 +158,19 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a voter that sends nodes of a small fleet a topology, or those of a large one none.
+func TestVotersPreloadTheTopologyOfLargeFleets(t *testing.T) {
+	for upstreams, want := range map[int]bool{minPreloadedFleet - 1: false, minPreloadedFleet: true} {
+		state := &controlpb.GatewayState{Topology: &controlpb.Topology{Revision: 7}}
+		for i := range upstreams {
+			state.Topology.Upstreams = append(state.Topology.Upstreams, &controlpb.TopologyUpstream{Id: fmt.Sprintf("i-%010d", i), Service: "wax"})
+		}
+		p := &preloads{}
+		for range 2 {
+			if got := len(p.of(state, discardLog()).CompressedTopology) > 0; got != want {
+				t.Errorf("%d upstreams: preloaded %v, want %v", upstreams, got, want)
+			}
+		}
+	}
+}
