--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -26,6 +26,10 @@
 	eventQueueSize = 1024
 	// proposalTimeout limits a proposal that the leader itself makes.
 	proposalTimeout = 2 * time.Second
+	// maxLeaseLapse is how long updates to nodes wait for the lease of a leader that has not been replaced. It is below
+	// the time after which nodes take the leader for silent; leaseCheckInterval is the time between two checks.
+	maxLeaseLapse      = 400 * time.Millisecond
+	leaseCheckInterval = 20 * time.Millisecond
 	// revisionsPerTerm is the number of topology revisions reserved for each leader term.
 	revisionsPerTerm = 1 << 32
 )
@@ -116,9 +120,6 @@
 	// lostNodes holds nodes whose stream ended without a last report.
 	lostNodes    map[string]time.Duration
 	lastStreamID uint64
-	// topologyChanged is set if the topology has changed since the last tick. On startup all
-	// servers announce themselves at the same time, and the nodes get one update for all.
-	topologyChanged bool
 	// savingTopology is set while the topology is being committed, topologySaveStartedAt is when
 	// the last commit was started, and savedRevision is the newest revision known to be
 	// committed.
@@ -134,10 +135,12 @@
 	fallsPushedAt time.Duration
 	// sentTopologies holds the newest topologies that nodes were sent.
 	sentTopologies topologyHistory
-	drains         drainList
-	placeDrains    placeDrains
-	warmups        warmups
-	membership     membership
+	publication    publication
+	// drains are those of the newest topology that nodes were sent.
+	drains      drainList
+	placeDrains placeDrains
+	warmups     warmups
+	membership  membership
 	// fences is the number of fences used in this term.
 	fences uint64
 	// catalogHistory holds the configurations that nodes may still have.
@@ -195,6 +198,32 @@
 	return l.replica().Status().Leading && l.replica().LeaseValid(now)
 }
 
+// awaitLease waits until this process holds the leader lease, and returns false if it is not the leader any more or
+// the wait takes too long.
+//
+// Load pattern: a configuration goes to hundreds of nodes and a topology to all voters, and the lease lapses for some
+// hundredths of a second. If the streams of all nodes ended then, each would begin again with a first report, and the
+// leader would have more to do than before.
+func (l *Leader) awaitLease(ctx context.Context) bool {
+	if l.holdsLease(clock.Now()) {
+		return true
+	}
+	metricLeaseWaits.Inc()
+	ctx, cancel := context.WithTimeout(ctx, maxLeaseLapse)
+	defer cancel()
+	for l.replicator.Load() != nil && l.replica().Status().Leading {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(leaseCheckInterval):
+		}
+		if l.holdsLease(clock.Now()) {
+			return true
+		}
+	}
+	return false
+}
+
 // post sends an event to the leader's goroutine. It returns false if ctx ends first.
 func (l *Leader) post(ctx context.Context, e event) bool {
 	select {
@@ -305,7 +334,6 @@
 	l.leading, l.term, l.fences, l.leadingSince = true, term, 0, now
 	l.registry = topology.NewRegistry(term * revisionsPerTerm)
 	l.registry.SetDrainTime(l.config.DrainTime)
-	l.drains = drainList{}
 	l.adoptPlaceDrains()
 	l.warmups = newWarmups()
 	l.groups = map[string]*group{}
@@ -319,7 +347,11 @@
 	l.pushedFall, l.fallsPushedAt = 0, now-fallPushInterval
 	l.limiter, l.syncedVersion = throttle.NewLimiter(now), 0
 	l.syncCatalog(now)
-	l.adoptTopology(now, l.store.current().Topology)
+	if saved := l.store.current().Topology; saved != nil {
+		l.adoptTopology(now, saved)
+		l.sentTopologies.add(earlierTopology(saved))
+	}
+	l.publishTopology(now)
 	l.log.WithFields(logrus.Fields{
 		"event": "leadership_gained", "term": term, "nodes": len(l.store.current().Nodes), "catalog": l.store.current().Catalog.GetVersion(),
 	}).Info("became leader of the fleet")
@@ -380,10 +412,9 @@
 	l.pushFalls(now)
 	l.logEndedPlaceDrains(now)
 	l.stepWarmups(now)
-	changed := l.registry.Expire(now)
-	changed = l.stepGroups(ctx, now) || changed || l.topologyChanged
-	l.topologyChanged = false
-	if changed {
+	l.registry.Expire(now)
+	l.stepGroups(ctx, now)
+	if l.publishChanges(now) {
 		l.pushAll()
 	}
 	l.stepMembership(ctx, now)
@@ -402,19 +433,28 @@
 	if !changed {
 		return
 	}
+	g := l.groupOf(now, e.announcement.Service)
+	if l.registry.Revision() == revision && l.confirmsEarlier(g, before, e.announcement) {
+		return
+	}
 	l.log.WithFields(logrus.Fields{
 		"event": "upstream_changed", "upstream": e.announcement.Id, "service": e.announcement.Service,
 		"phase": e.announcement.Phase.String(), "primary": e.announcement.Primary,
 		"started_ms": e.announcement.StartedUnixMs, "sequence": e.announcement.Sequence,
 	}).Info("upstream announced a change")
-	g := l.groupOf(now, e.announcement.Service)
 	if after := l.registry.Get(e.announcement.Id); before != nil && before.AnnouncedAt() != 0 &&
 		after.StartedUnixMs() != before.StartedUnixMs() {
 		// The samples are of an earlier process.
 		delete(g.samples, e.announcement.Id)
 	}
 	g.probeNow()
-	l.topologyChanged = l.topologyChanged || l.registry.Revision() != revision
+}
+
+// confirmsEarlier reports whether the first announcement of an upstream to this leader says what the earlier leader
+// knew. It needs no probe: after a change of leader, thousands of upstreams announce themselves within a second.
+func (l *Leader) confirmsEarlier(g *group, before *topology.Upstream, a *controlpb.UpstreamAnnouncement) bool {
+	primary, _, _ := g.machine.Primary()
+	return before != nil && before.AnnouncedAt() == 0 && a.Primary == (primary == a.Id)
 }
 
 // putCatalog commits a configuration and returns the version in force. A configuration whose
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -73,6 +73,8 @@
 	read          []string
 	voterIdentity string
 	voterAddress  string
+	// unknownContacts holds the upstreams that the node reported without a match, until it has been told.
+	unknownContacts []string
 	// topologyWanted is set until the node has been asked for its topology.
 	topologyWanted bool
 	// sentThrottles is the revision of the limits that was sent.
@@ -107,6 +109,7 @@
 	if report.VoterIdentity != "" {
 		s.voterIdentity, s.voterAddress = report.VoterIdentity, report.VoterAddress
 	}
+	l.recordContacts(now, s, report.Contacts)
 	l.limiter.Report(now, s.node, s.id, report.Usage)
 	if report.Leaving {
 		l.removeStream(s, true)
@@ -117,6 +120,16 @@
 	l.pushFalls(now)
 }
 
+// recordContacts records the upstreams whose unchanged announcements a node has answered.
+func (l *Leader) recordContacts(now time.Duration, s *nodeStream, contacts []*controlpb.UpstreamContact) {
+	for _, c := range contacts {
+		if !l.registry.RecordUnchanged(now-time.Duration(c.AgeMs)*time.Millisecond, c) {
+			metricUnknownContacts.Inc()
+			s.unknownContacts = append(s.unknownContacts, c.Id)
+		}
+	}
+}
+
 // addStream registers a new stream and ends an earlier stream of the same node.
 func (l *Leader) addStream(ctx context.Context, now time.Duration, s *nodeStream, first *controlpb.NodeReport) {
 	if other := l.streamOf[first.Node]; other != nil {
@@ -261,6 +274,7 @@
 		u.Voters, u.VotersIndex, s.sentVoters = voters.Addresses, voters.Index, voters.Addresses
 	}
 	u.TopologyWanted, s.topologyWanted = s.topologyWanted, false
+	u.UnknownContacts, s.unknownContacts = s.unknownContacts, nil
 	u.Throttles, s.sentThrottles = l.limiter.Throttles(s.sentThrottles)
 	l.addCatalog(s, u)
 	l.addTopology(s, u)
--- a/gateway/coordinator/topology.go
+++ b/gateway/coordinator/topology.go
@@ -39,9 +39,7 @@
 	for _, p := range t.Primaries {
 		l.groupOf(now, p.Service).machine.Adopt(now, p.Upstream, p.Term)
 	}
-	if l.registry.AddUnconfirmed(now, t) {
-		l.topologyChanged = true
-	}
+	l.registry.AddUnconfirmed(now, t)
 	l.adoptWarmups(now, t)
 	l.adoptedRevision = max(l.adoptedRevision, t.Revision)
 }
@@ -72,12 +70,9 @@
 		Warn("entry of an earlier leader's topology skipped")
 }
 
-// currentTopology returns the topology, which must not be modified. All nodes get the same one of
-// each revision, because reports name primaries by their position in it.
+// currentTopology returns the newest published topology, which must not be modified. All nodes get the same
+// one of each revision, because reports name primaries by their position in it.
 func (l *Leader) currentTopology() *controlpb.Topology {
-	if l.sentTopologies.newest().GetRevision() != l.registry.Revision() {
-		l.sentTopologies.add(l.newTopology())
-	}
 	return l.sentTopologies.newest()
 }
 
@@ -103,6 +98,18 @@
 	s.sentTopologyRevision = current.Revision
 }
 
+// earlierTopology returns what nodes have that were sent an earlier leader's topology of the given saved one. Whether
+// changes of primaries were under way is not saved, so that nodes are told of all primaries again.
+func earlierTopology(saved *controlpb.Topology) *controlpb.Topology {
+	t := &controlpb.Topology{Revision: saved.Revision, Upstreams: saved.Upstreams}
+	for _, p := range saved.Primaries {
+		t.Primaries = append(t.Primaries, &controlpb.TopologyPrimary{
+			Service: p.Service, Upstream: p.Upstream, Term: p.Term, Changing: true,
+		})
+	}
+	return t
+}
+
 func (l *Leader) newTopology() *controlpb.Topology {
 	t := &controlpb.Topology{Revision: l.registry.Revision()}
 	for _, u := range l.registry.Live() {
--- a/gateway/coordinator/topology_test.go
+++ b/gateway/coordinator/topology_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/testing/protocmp"
 
 	"github.com/jayloom/jayloom/api/controlpb"
+	"github.com/jayloom/jayloom/base/clock"
 )
 
 const (
@@ -24,10 +25,14 @@
 
 // announce lets an upstream announce itself.
 func announce(l *Leader, number int, sequence uint64, phase controlpb.UpstreamPhase) {
-	l.handle(context.Background(), announcementReceived{&controlpb.UpstreamAnnouncement{
+	l.handle(context.Background(), announcementReceived{announcement(number, sequence, phase), make(chan struct{})})
+}
+
+func announcement(number int, sequence uint64, phase controlpb.UpstreamPhase) *controlpb.UpstreamAnnouncement {
+	return &controlpb.UpstreamAnnouncement{
 		Id: fmt.Sprintf("i-%010d", number), Service: fmt.Sprintf("wax%d", number/3), Address: fmt.Sprintf("10.0.%d.%d:5432", number/250, number%250),
 		Place: "hafnarfj", Slots: 4, StartedUnixMs: 7, Sequence: sequence, Phase: phase,
-	}, make(chan struct{})})
+	}
 }
 
 // Load pattern: 600 upstreams, of which one changes in each tick for two seconds. Guards against the
@@ -65,6 +70,7 @@
 func TestNodeWithoutRecentTopologyReceivesAll(t *testing.T) {
 	l, _ := newTestLeader(t)
 	announce(l, 0, 1, controlpb.UpstreamPhase_UPSTREAM_PHASE_READY)
+	publish(l)
 	first := l.currentTopology().Revision
 	recent := startStream(l, "n1", &controlpb.NodeReport{Sequence: 1, TopologyRevision: first})
 	latestUpdate(t, recent)
@@ -125,3 +131,46 @@
 		}
 	}
 }
+
+// Load pattern: a change of leader in a fleet of 2,700 upstreams. Guards against the whole topology for each of 300
+// nodes, which fills the link of the new leader, and against a node that keeps a change of primary for under way.
+func TestNewLeaderSendsOnlyTheDifference(t *testing.T) {
+	earlier, _ := newTestLeader(t)
+	for i := range 2700 {
+		announce(earlier, i, 1, controlpb.UpstreamPhase_UPSTREAM_PHASE_READY)
+	}
+	earlier.groupOf(clock.Now(), "wax0").machine.Adopt(clock.Now(), "i-0000000001", 4)
+	publish(earlier)
+	tickUntilSaved(earlier)
+	known := proto.CloneOf(earlier.currentTopology())
+	known.Primaries[0].Changing = true
+	later, _ := newTestLeader(t)
+	later.store.Apply(1, &controlpb.Command{Change: &controlpb.Command_PutTopology{PutTopology: earlier.store.current().Topology}})
+	later.startLeading(9)
+	u := latestUpdate(t, startStream(later, "n1", &controlpb.NodeReport{Sequence: 1, TopologyRevision: known.Revision}))
+	if u.Topology != nil || u.TopologyChange == nil {
+		t.Fatalf("sent %d bytes of topology", proto.Size(u))
+	}
+	if got := len(u.TopologyChange.Changed.Upstreams); got != 0 {
+		t.Errorf("%d unchanged upstreams were sent", got)
+	}
+	if diff := cmp.Diff(later.currentTopology(), applyChange(t, known, u.TopologyChange), protocmp.Transform()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a voter that sends nodes of a small fleet a topology, or those of a large one none.
+func TestVotersPreloadTheTopologyOfLargeFleets(t *testing.T) {
+	for upstreams, want := range map[int]bool{minPreloadedFleet - 1: false, minPreloadedFleet: true} {
+		state := &controlpb.GatewayState{Topology: &controlpb.Topology{Revision: 7}}
+		for i := range upstreams {
+			state.Topology.Upstreams = append(state.Topology.Upstreams, &controlpb.TopologyUpstream{Id: fmt.Sprintf("i-%010d", i), Service: "wax"})
+		}
+		p := &preloads{}
+		for range 2 {
+			if got := len(p.of(state, discardLog()).CompressedTopology) > 0; got != want {
+				t.Errorf("%d upstreams: preloaded %v, want %v", upstreams, got, want)
+			}
+		}
+	}
+}
--- a/gateway/coordinator/warmups.go
+++ b/gateway/coordinator/warmups.go
@@ -49,15 +49,10 @@
 		g.warmupLimit = warmup.Limit{Rate: s.WarmupRate, MaxPerSecond: s.WarmupRate*l.config.WarmupExcess + l.config.WarmupSlack}
 	}
 	if g.warmupLimit != before {
-		l.markTopologyChanged()
+		l.registry.IncrementRevision()
 	}
 }
 
-func (l *Leader) markTopologyChanged() {
-	l.registry.IncrementRevision()
-	l.topologyChanged = true
-}
-
 // isWarming reports whether nodes need permits for an upstream.
 func (l *Leader) isWarming(u *topology.Upstream) bool {
 	_, warming := l.warmups.byUpstream[u.ID]
@@ -99,7 +94,7 @@
 		"event": "upstream_warmup", "upstream": u.ID, "service": u.Service, "warming": warming,
 		"left_ms": max(0, w.endsAt-now).Milliseconds(),
 	}).Info("warm-up of an upstream changed")
-	l.markTopologyChanged()
+	l.registry.IncrementRevision()
 }
 
 // suspectRestart treats an upstream as one that has just started, until it announces otherwise.
