Test of warm-ups: publish the topology as the next tick does

Cause: since the leader publishes a changed topology once a tick, the topology that nodes are sent is no longer made when it is asked for. The test published none and read an empty one. It checks the same as before, on the published topology.

--- a/gateway/coordinator/warmups_test.go
+++ b/gateway/coordinator/warmups_test.go
@@ -37,6 +37,7 @@
 // expectWarming checks whether the topology that nodes are sent says that the upstream warms up.
 func expectWarming(t *testing.T, l *Leader, when string, want bool) {
 	t.Helper()
+	l.publishChanges(clock.Now())
 	if got := l.currentTopology().Upstreams[0].Warming; got != want {
 		t.Errorf("%s: warming %v, want %v", when, got, want)
 	}
