--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -29,6 +29,7 @@
 	"github.com/jayloom/jayloom/gateway/controlclient"
 	"github.com/jayloom/jayloom/gateway/coordinator"
 	"github.com/jayloom/jayloom/gateway/engine"
+	"github.com/jayloom/jayloom/gateway/forward"
 	"github.com/jayloom/jayloom/gateway/server"
 	"github.com/jayloom/jayloom/gateway/sessionmem"
 	"github.com/jayloom/jayloom/gateway/stop"
@@ -56,6 +57,11 @@
 	// grpcWindowSize is the flow-control window in bytes between nodes. A fixed size
 	// disables gRPC's bandwidth estimation, which sends pings on each connection.
 	grpcWindowSize = 1 << 20
+	// linkBufferSize is the size in bytes of the buffers of a link on which statements are forwarded, and
+	// linkWindowSize how much of one answer it holds while the caller does not read.
+	linkBufferSize     = 4 << 10
+	linkWindowSize     = 64 << 10
+	linkConnWindowSize = 512 << 10
 	// connectBackoff is the first delay between connection attempts to a node.
 	// connectTimeout bounds one attempt and is also the longest delay.
 	connectBackoff = 50 * time.Millisecond
@@ -84,6 +90,8 @@
 	service         *coordinator.Server
 	controlClient   *controlclient.Client
 	engine          *engine.Engine
+	forwardClient   *forward.Client
+	forwardServer   *forward.Server
 	callerServer    *server.Server
 	callerListener  net.Listener
 	httpServers     []*http.Server
@@ -150,6 +158,7 @@
 	}
 	n.goroutines.Go(func() { n.controlClient.Run(ctx) })
 	n.goroutines.Go(func() { n.engine.Run(ctx) })
+	n.goroutines.Go(func() { n.forwardClient.Run(ctx) })
 	if err := n.serveHTTP(); err != nil {
 		return err
 	}
@@ -207,19 +216,29 @@
 	}
 }
 
+// linkOptions are the options of the links on which statements are forwarded. There may be dozens of them.
+func linkOptions() []grpc.DialOption {
+	return append(dialOptions(),
+		grpc.WithReadBufferSize(linkBufferSize), grpc.WithWriteBufferSize(linkBufferSize),
+		grpc.WithInitialWindowSize(linkWindowSize), grpc.WithInitialConnWindowSize(linkConnWindowSize))
+}
+
 func (n *node) createClientAndEngine() {
 	gate := throttle.NewGate(func() { n.controlClient.ReportNow() })
 	n.service = coordinator.NewServer(directory{n}, n.leader)
 	n.controlClient = controlclient.New(controlclient.Options{
-		Node: n.settings.Node, Address: n.address, Seeds: n.seeds,
+		Node: n.settings.Node, Address: n.address, Seeds: n.seeds, Place: n.settings.Place, ForwardAddress: n.address,
 		Lease: time.Duration(leaseFraction * float64(n.settings.MaxRevocationDelay)),
 		Gate:  gate, Voter: n.voterIdentity, Local: n.service, Dial: dialNode, DialOptions: dialOptions(), Log: n.log,
 		Primaries: func(now time.Duration) []*controlpb.PrimaryView { return n.engine.Primaries(now) },
 	}, func(v *controlclient.View) { n.engine.Update(v) }, func(p controlclient.PrimaryPosition) { n.engine.RecordPosition(p) })
+	n.forwardClient = forward.NewClient(forward.Options{Dial: dialNode, DialOptions: linkOptions(), Log: n.log})
 	n.engine = engine.New(engine.Options{
+		Forwarder: n.forwardClient, Address: n.address,
 		Control: n.controlClient, Dialer: platform.Dialer{}, Gate: gate, Place: n.settings.Place, Log: n.log,
 		SessionMemory: sessionMemory(n.settings),
 	})
+	n.forwardServer = forward.NewServer(n.engine, n.log)
 }
 
 // sessionMemory returns the budget for the state of the sessions that the settings allow.
@@ -239,6 +258,7 @@
 		grpc.ReadBufferSize(grpcBufferSize), grpc.WriteBufferSize(grpcBufferSize),
 		grpc.InitialWindowSize(grpcWindowSize), grpc.InitialConnWindowSize(grpcWindowSize))...)
 	n.service.Register(n.grpcServer)
+	n.forwardServer.Register(n.grpcServer)
 	if n.leader != nil {
 		n.replicaEndpoint.Register(n.grpcServer)
 		n.goroutines.Go(func() { n.leader.Run(ctx) })
@@ -354,7 +374,10 @@
 func (n *node) shutdown(ctx context.Context) {
 	plan := stop.NewPlan(clock.Now(), n.settings.ShutdownGrace)
 	close(n.draining)
+	n.engine.BeginStop(plan)
+	n.controlClient.BeginStop()
 	var drained sync.WaitGroup
+	drained.Go(func() { n.forwardServer.Shutdown(ctx, plan) })
 	drained.Go(func() { n.drainCalls(ctx, plan) })
 	if n.callerServer != nil {
 		n.callerServer.Shutdown(ctx, n.callerListener, plan)
--- a/gateway/controlclient/client.go
+++ b/gateway/controlclient/client.go
@@ -83,6 +83,8 @@
 	Node string
 	// Address is the address at which other nodes reach this one.
 	Address string
+	// Place is the place of this node, and ForwardAddress the address at which it takes forwarded statements, or empty.
+	Place, ForwardAddress string
 	// Seeds returns addresses of nodes, any of which may redirect to the leader.
 	Seeds func() []string
 	// Lease is the duration of the serving lease, which starts when an answered report
@@ -127,6 +129,7 @@
 	view            atomic.Pointer[View]
 	leaseUntil      atomic.Int64
 	reportRequested chan struct{}
+	stopping        atomic.Bool
 	// leaving is closed by Leave, left when Run returns.
 	leaving      chan struct{}
 	left         chan struct{}
@@ -192,6 +195,11 @@
 	}
 }
 
+// BeginStop tells the leader with the next report that this node is stopping.
+func (c *Client) BeginStop() {
+	c.stopping.Store(true)
+}
+
 // Leave sends a last report and ends Run.
 func (c *Client) Leave(ctx context.Context) {
 	close(c.leaving)
--- a/gateway/controlclient/stream.go
+++ b/gateway/controlclient/stream.go
@@ -124,7 +124,7 @@
 	v, voter := c.View(), c.opts.Voter()
 	report := &controlpb.NodeReport{
 		Sequence: c.sequence, TopologyRevision: v.Topology.GetRevision(),
-		Usage: c.opts.Gate.Report(now), Leaving: kind == lastReport,
+		Usage: c.opts.Gate.Report(now), Leaving: kind == lastReport, Stopping: c.stopping.Load(),
 	}
 	if kind == regularReport {
 		views := c.opts.Primaries(now)
@@ -139,6 +139,7 @@
 	}
 	if c.sequence == s.firstSequence {
 		report.Node, report.Incarnation, report.Throttles = c.opts.Node, c.incarnation, c.opts.Gate.Throttles(now)
+		report.Place, report.ForwardAddress = c.opts.Place, c.opts.ForwardAddress
 	}
 	if s.wantedTopology != nil {
 		report.Topology, s.wantedTopology = s.wantedTopology, nil
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -128,6 +128,7 @@
 	sentTopologies topologyHistory
 	drains         drainList
 	membership     membership
+	holders        holderState
 	// fences is the number of fences used in this term.
 	fences uint64
 	// catalogHistory holds the configurations that nodes may still have.
@@ -287,6 +288,7 @@
 	l.registry = topology.NewRegistry(term * revisionsPerTerm)
 	l.registry.SetDrainTime(l.config.DrainTime)
 	l.drains = drainList{}
+	l.holders = holderState{chosen: map[string][]string{}, steppedAt: now}
 	l.groups = map[string]*group{}
 	l.streams, l.streamOf = map[*nodeStream]bool{}, map[string]*nodeStream{}
 	l.teams = map[string]bool{}
@@ -357,6 +359,7 @@
 	l.pushFalls(now)
 	changed := l.registry.Expire(now)
 	changed = l.stepGroups(ctx, now) || changed || l.topologyChanged
+	changed = l.stepHolders(now) || changed
 	l.topologyChanged = false
 	if changed {
 		l.pushAll()
--- a/gateway/coordinator/metrics.go
+++ b/gateway/coordinator/metrics.go
@@ -12,6 +12,7 @@
 var (
 	metricProbeFailures     = metrics.NewCounter("jayloom_gateway_probe_failures_total")
 	metricDemotions         = metrics.NewCounter("jayloom_gateway_demotions_total")
+	metricHolderChanges     = metrics.NewCounter("jayloom_gateway_holder_changes_total")
 	metricMembershipChanges = metrics.NewCounter("jayloom_gateway_membership_changes_total")
 	// The following are those of the leader; a process that does not lead reports no node.
 	metricConnectedNodes = metrics.NewGauge("jayloom_gateway_connected_nodes", nil)
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -71,6 +71,11 @@
 	read          []string
 	voterIdentity string
 	voterAddress  string
+	// place and forwardAddress are where the node takes forwarded statements, stopping is set once it takes none, and
+	// reportedAt is when its newest report came.
+	place, forwardAddress string
+	stopping              bool
+	reportedAt            time.Duration
 	// topologyWanted is set until the node has been asked for its topology.
 	topologyWanted bool
 	// sentThrottles is the revision of the limits that was sent.
@@ -92,7 +97,7 @@
 		l.addStream(ctx, now, s, report)
 	}
 	l.adoptTopology(now, report.Topology)
-	s.sequence = report.Sequence
+	s.sequence, s.stopping, s.reportedAt = report.Sequence, report.Stopping, now
 	if report.Regular {
 		s.primaries, s.primariesReceivedAt = report.Primaries, now
 		s.answered = l.sentTopologies.resolve(report.TopologyRevision, report.AnsweredPrimaries)
@@ -124,6 +129,7 @@
 	}
 	l.lastStreamID++
 	s.node, s.incarnation, s.id = first.Node, first.Incarnation, l.lastStreamID
+	s.place, s.forwardAddress = first.Place, first.ForwardAddress
 	s.sentCatalogVersion, s.sentTopologyRevision = first.CatalogVersion, first.TopologyRevision
 	l.streams[s], l.streamOf[s.node] = true, s
 	l.limiter.Adopt(now, first.Throttles)
--- a/gateway/coordinator/topology.go
+++ b/gateway/coordinator/topology.go
@@ -42,6 +42,7 @@
 	if l.registry.AddUnconfirmed(now, t) {
 		l.topologyChanged = true
 	}
+	l.adoptHolders(t)
 	l.adoptedRevision = max(l.adoptedRevision, t.Revision)
 }
 
@@ -107,6 +108,7 @@
 	for _, u := range l.registry.Live() {
 		t.Upstreams = append(t.Upstreams, &controlpb.TopologyUpstream{
 			Id: u.ID, Service: u.Service, Address: u.Address, Place: u.Place, Slots: u.Slots, Draining: u.Draining,
+			Holders: l.holders.chosen[u.ID],
 		})
 	}
 	for _, service := range slices.Sorted(maps.Keys(l.groups)) {
--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -47,6 +47,11 @@
 	retryReason retryReason
 	// retryable is set when the statement did not run, or has no effect and may run again.
 	retryable bool
+	// notServed is set when another node did not take a forwarded statement, elsewhere when the result concerns that
+	// node and not the upstream.
+	notServed, elsewhere bool
+	// cause is why the answer is missing; nil if the statement was not sent.
+	cause error
 }
 
 // upstream returns the upstream that was tried, or "" if none was.
@@ -61,6 +66,9 @@
 // statement that cannot be sent to any upstream, a caller that reads its rows slowly or not at all, and the end of a
 // drain say nothing about it.
 func (result attemptResult) concernsUpstream() bool {
+	if result.elsewhere {
+		return false
+	}
 	if result.answer.Refusal == nil {
 		return true
 	}
@@ -171,6 +179,9 @@
 func (s *Session) readPrimaryOn(ctx context.Context, op *operation, c *upstreamConn, st Statement) attemptResult {
 	deadline := op.deadline
 	at := clock.Now()
+	if c.forwarded {
+		return s.readPrimaryForwarded(ctx, op, c, at, st)
+	}
 	begun, result := s.exchange(ctx, op, c, deadline, Statement{Kind: Begin})
 	if result != nil {
 		return *result
@@ -194,6 +205,23 @@
 	return outcomeResult(reply.Outcome)
 }
 
+// readPrimaryForwarded sends the transaction of a read in one message. The other node runs the read only if the
+// transaction was begun.
+func (s *Session) readPrimaryForwarded(ctx context.Context, op *operation, c *upstreamConn, at time.Duration, st Statement) attemptResult {
+	reply, result := s.exchangeBetween(ctx, op, c, op.deadline, []Statement{{Kind: Begin}}, st, []Statement{{Kind: Rollback}})
+	if result != nil {
+		return *result
+	}
+	switch reply.Outcome {
+	case Done:
+		op.group.recordPosition(at, c.pool.target.ID, reply.Position)
+		return finalResult(Answer{Rows: reply.Rows, Digest: reply.Digest})
+	case ReadOnly:
+		op.group.markPrimaryLost(c.pool.target.ID)
+	}
+	return outcomeResult(reply.Outcome)
+}
+
 // read runs a bounded-staleness read on the upstream with the lowest expected cost, or on the
 // primary if no upstream is known to be fresh enough.
 func (s *Session) read(ctx context.Context, op *operation, st Statement) Answer {
@@ -342,10 +370,20 @@
 }
 
 // withConn acquires a connection to an upstream, runs f on it, and records the upstream's
-// latency and health.
+// latency and health. What the node that holds the connections does not take runs on a connection of this node.
 func (s *Session) withConn(ctx context.Context, op *operation, p *pool, deadline time.Time, f func(*upstreamConn) attemptResult) attemptResult {
+	result := s.withConnOnce(ctx, op, p, deadline, false, f)
+	if result.notServed {
+		result = s.withConnOnce(ctx, op, p, deadline, true, f)
+	}
+	return result
+}
+
+func (s *Session) withConnOnce(
+	ctx context.Context, op *operation, p *pool, deadline time.Time, direct bool, f func(*upstreamConn) attemptResult,
+) attemptResult {
 	waitStart := clock.Now()
-	c, refusal := p.acquire(ctx, op.team, deadline, op.maxConnectionWait())
+	c, refusal := p.connect(ctx, op, deadline, direct)
 	observeSeconds(metricConnWaitSeconds, clock.Now()-waitStart)
 	if refusal != nil {
 		refusal.Upstream = p.target.ID
@@ -378,6 +416,13 @@
 // in the same write as st; their replies are discarded. Without a reply to st, it returns the result of the attempt
 // instead.
 func (s *Session) exchange(ctx context.Context, op *operation, c *upstreamConn, deadline time.Time, st Statement, extra ...Statement) (Reply, *attemptResult) {
+	return s.exchangeBetween(ctx, op, c, deadline, nil, st, extra)
+}
+
+// exchangeBetween is an exchange with further statements before and after st.
+func (s *Session) exchangeBetween(
+	ctx context.Context, op *operation, c *upstreamConn, deadline time.Time, before []Statement, st Statement, after []Statement,
+) (Reply, *attemptResult) {
 	if refusal := s.engine.refuseRunning(clock.Now()); refusal != nil {
 		// The connection may be inside the caller's transaction.
 		c.broken = true
@@ -390,14 +435,18 @@
 	if result := s.refuseDrained(c); result != nil {
 		return Reply{}, result
 	}
-	if result := s.align(c, deadline, st.ID); result != nil {
+	var alignment []Statement
+	if c.forwarded {
+		// The other node aligns its connection itself, so that no round trip to it is needed.
+		alignment = c.alignValues(s.values)
+	} else if result := s.align(c, deadline, st.ID); result != nil {
 		return Reply{}, result
 	}
 	prepared := s.prepared[st.Name]
 	change := c.setUp(&st, prepared)
-	setup := change.statements(prepared.preparedStatement)
+	setup := slices.Concat(alignment, change.statements(prepared.preparedStatement), before)
 	replyIndex := len(setup)
-	batch := slices.Concat(setup, []Statement{st}, extra)
+	batch := slices.Concat(setup, []Statement{st}, after)
 	s.relay.deadline = op.deadline
 	replies, err := c.roundTripTo(s.relay.sink(), deadline, batch...)
 	s.engine.recordRefusedSetup(c, st.ID, batch, replies)
@@ -405,6 +454,9 @@
 		result := unsendableResult(err)
 		return Reply{}, &result
 	}
+	if result := forwardFailureResult(err); result != nil && len(replies) <= replyIndex {
+		return Reply{}, result
+	}
 	c.prepared.apply(change)
 	if i, refused := refusedSetup(batch, replies); refused {
 		c.misaligned = true
@@ -450,10 +502,12 @@
 // unsendableResult returns the result of an attempt whose statement could not be sent, to this upstream or to any
 // other.
 func unsendableResult(err error) attemptResult {
+	result := finalResult(refusalAnswer(rescode.MalformedPacket, reasonUnencodable))
 	if errors.Is(err, ErrTooLarge) {
-		return finalResult(refusalAnswer(rescode.PacketTooLarge, reasonTooLarge))
+		result = finalResult(refusalAnswer(rescode.PacketTooLarge, reasonTooLarge))
 	}
-	return finalResult(refusalAnswer(rescode.MalformedPacket, reasonUnencodable))
+	result.cause = err
+	return result
 }
 
 // interruptWhenDone interrupts the statements on a connection when ctx ends. The returned function
@@ -486,8 +540,10 @@
 			reason = reasonAnswerCut
 		}
 	}
-	if st.mayWrite() {
-		return finalResult(refusalAnswer(rescode.AnswerLost, reason))
+	result := retryResult(retryAnswerLost, Refusal{Code: code, Reason: reason})
+	if st.MayWrite() {
+		result = finalResult(refusalAnswer(rescode.AnswerLost, reason))
 	}
-	return retryResult(retryAnswerLost, Refusal{Code: code, Reason: reason})
+	result.cause, result.elsewhere = err, concernsOtherNode(err)
+	return result
 }
--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -47,6 +47,9 @@
 	Control ControlClient
 	Dialer  Dialer
 	Gate    Gate
+	// Forwarder is optional. Address is the address at which this node takes forwarded units of work.
+	Forwarder Forwarder
+	Address   string
 	// Place is the place of this node.
 	Place string
 	// SessionMemory is the memory for the state of sessions. The default is a budget for the smallest node.
@@ -89,6 +92,9 @@
 	for _, p := range v.Topology.Primaries {
 		primaries[p.Service] = p
 	}
+	if e.opts.Forwarder != nil {
+		e.opts.Forwarder.Retain(allHolders(v.Topology))
+	}
 	for name, s := range v.Catalog.Services() {
 		e.group(name).setDrainEnds(v.DrainEnds)
 		e.group(name).update(byService[name], primaries[name], s.MaxConnections, v.Nodes)
@@ -106,6 +112,7 @@
 	g := e.groups[service]
 	if g == nil {
 		g = newGroup(service, e.opts.Dialer, e.log)
+		g.forwarder, g.address = e.opts.Forwarder, e.opts.Address
 		e.groups[service] = g
 	}
 	return g
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -37,6 +37,9 @@
 	service string
 	dialer  Dialer
 	log     *logrus.Entry
+	// forwarder may be nil. address is that of this node.
+	forwarder Forwarder
+	address   string
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -84,6 +87,7 @@
 		p.mu.Lock()
 		p.draining, p.drainEndsAt = u.Draining, g.drainEnds[u.Id]
 		p.mu.Unlock()
+		p.setHolders(g.forwarder, g.address, u.Holders)
 		p.setShare(maxConnections, nodes)
 		g.poolList = append(g.poolList, p)
 	}
@@ -246,15 +250,19 @@
 		return
 	}
 	deadline := time.Now().Add(positionQueryTimeout)
-	c, refusal := p.acquire(ctx, team, deadline, positionQueryTimeout)
-	if refusal != nil {
-		return
+	c := p.openForwarded(ctx, ForwardedUnit{Team: team, MaxWait: positionQueryTimeout, StatementTimeout: positionQueryTimeout})
+	if c == nil {
+		var refusal *Refusal
+		if c, refusal = p.acquire(ctx, team, deadline, positionQueryTimeout); refusal != nil {
+			return
+		}
 	}
 	defer p.release(c)
 	metricPositionQueries.Inc()
 	at := clock.Now()
 	replies, err := c.roundTrip(deadline, Statement{Kind: Begin}, Statement{Kind: Rollback})
 	switch {
+	case err != nil && concernsOtherNode(err):
 	case err != nil:
 		p.recordFailure()
 	case replies[0].Outcome == Done:
--- a/gateway/engine/health.go
+++ b/gateway/engine/health.go
@@ -161,6 +161,9 @@
 func (p *pool) candidate(now time.Duration, team string) Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.forwards() && !p.isHolder() {
+		return p.heldCandidate(now)
+	}
 	return Candidate{
 		ID: p.target.ID, Place: p.place, Draining: p.draining, Failing: p.failing || p.closed,
 		HasIdleConnection: p.idleIndex(team) >= 0,
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -45,6 +45,8 @@
 	reasonAttempts        Reason = "attempts_used_up"
 	reasonStopping        Reason = "node_stopping"
 	reasonDrained         Reason = "upstream_drained"
+	// reasonNotForwarded is for a statement that the node which holds its connection did not take.
+	reasonNotForwarded Reason = "not_forwarded"
 	// reasonSessionStateFull is for a session that would hold more than any may, reasonNodeStateFull for one that
 	// is refused because of what all sessions hold.
 	reasonSessionStateFull Reason = "session_state_full"
@@ -63,6 +65,7 @@
 	retryDial        retryReason = "dial"
 	retryPlanExpired retryReason = "plan_expired"
 	retryDrained     retryReason = "upstream_drained"
+	retryForward     retryReason = "not_forwarded"
 )
 
 var (
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -62,6 +62,8 @@
 	answeredAt   time.Duration
 	lastTeam     string
 	reconnecting bool
+
+	held heldElsewhere
 }
 
 // waiter is a caller that waits in the queue of a pool.
@@ -87,6 +89,9 @@
 	defer p.mu.Unlock()
 	fullAt := p.share.fullAt
 	p.share = newShare(maxConnections, nodes)
+	if p.isHolder() {
+		p.share = newHolderShare(maxConnections, len(p.held.addresses))
+	}
 	p.share.fullAt = fullAt
 	if p.busyAt == 0 {
 		p.window = float64(p.share.maxOpen)
@@ -315,6 +320,10 @@
 // release returns a connection to the pool, or closes it if it is broken or inside a transaction, which closing
 // rolls back.
 func (p *pool) release(c *upstreamConn) {
+	if c.forwarded {
+		p.releaseForwarded(c)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.inUse--
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -254,7 +254,7 @@
 
 func (s *Session) runSingle(ctx context.Context, op *operation, st Statement) Answer {
 	switch {
-	case st.mayWrite():
+	case st.MayWrite():
 		return s.write(ctx, op, st)
 	case op.route.Consistency == controlpb.Consistency_CONSISTENCY_PRIMARY:
 		return s.readPrimary(ctx, op, st)
--- a/gateway/engine/share.go
+++ b/gateway/engine/share.go
@@ -3,15 +3,14 @@
 import (
 	"math"
 	"time"
+
+	"github.com/jayloom/jayloom/gateway/holders"
 )
 
 const (
-	// reservedConnections of each upstream are left for the control leader's probes.
-	reservedConnections = 1
-	// smallShare is the equal part of an upstream's connections below which a node may have
-	// up to surplusMaxOpen connections for a short time.
-	smallShare = 2
-	// surplusMaxOpen allows for a transaction that holds a connection while its caller
+	reservedConnections = holders.ReservedConnections
+	// surplusMaxOpen is how many connections a node may have for a short time where its equal part is below
+	// holders.SmallShare. It allows for a transaction that holds a connection while its caller
 	// pauses.
 	surplusMaxOpen = 3
 	// idleFraction is the fraction of the equal part that may stay open while idle. An
@@ -43,15 +42,22 @@
 	if maxConnections <= 0 {
 		return share{maxIdle: math.MaxInt32, maxOpen: math.MaxInt32}
 	}
-	available := max(1, maxConnections-reservedConnections)
-	equalPart := available / max(1, nodes)
+	available := max(1, maxConnections-holders.ReservedConnections)
+	equalPart := holders.EqualPart(maxConnections, nodes)
 	maxIdle := int(idleFraction * float64(available) / float64(max(1, nodes)))
-	if equalPart >= smallShare {
+	if equalPart >= holders.SmallShare {
 		return share{maxIdle: maxIdle, maxOpen: equalPart}
 	}
 	return share{maxIdle: maxIdle, maxOpen: min(surplusMaxOpen, available)}
 }
 
+// newHolderShare returns the share of one of n nodes that hold the connections to an upstream for all others. It
+// keeps them open while idle.
+func newHolderShare(maxConnections, n int) share {
+	limit := holders.Share(maxConnections, n)
+	return share{maxIdle: limit, maxOpen: limit}
+}
+
 // currentMaxOpen returns how many connections may be open.
 func (s share) currentMaxOpen(now time.Duration) int {
 	if s.fullAt != 0 && now-s.fullAt < surplusBackoff {
--- a/gateway/engine/statement.go
+++ b/gateway/engine/statement.go
@@ -51,8 +51,8 @@
 	MinPosition position.Position
 }
 
-// mayWrite reports whether the statement may have an effect that outlives it.
-func (st Statement) mayWrite() bool {
+// MayWrite reports whether the statement may have an effect that outlives it.
+func (st Statement) MayWrite() bool {
 	switch st.Kind {
 	case Write, Commit:
 		return true
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -87,7 +87,7 @@
 	}
 	if reply.Outcome == Done {
 		t.ran = true
-		t.wrote = t.wrote || st.mayWrite()
+		t.wrote = t.wrote || st.MayWrite()
 		if !t.readOnly {
 			// An upstream that is no longer the primary refuses the transaction's statements,
 			// so this reply proves that it is.
@@ -194,8 +194,16 @@
 // beginOn begins the transaction on an upstream and waits for the reply. A statement sent
 // along with a begin that is refused would run outside the transaction.
 func (s *Session) beginOn(ctx context.Context, p *pool, kind Kind) attemptResult {
+	result := s.beginOnConn(ctx, p, kind, false)
+	if result.notServed {
+		result = s.beginOnConn(ctx, p, kind, true)
+	}
+	return result
+}
+
+func (s *Session) beginOnConn(ctx context.Context, p *pool, kind Kind, direct bool) attemptResult {
 	t := s.tx
-	c, refusal := p.acquire(ctx, t.op.team, t.op.deadline, t.op.maxConnectionWait())
+	c, refusal := p.connect(ctx, t.op, t.op.deadline, direct)
 	if refusal != nil {
 		return acquireFailureResult(refusal)
 	}
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -82,6 +82,8 @@
 	misaligned bool
 	// resets counts the times that the upstream's session was reset.
 	resets int
+	// forwarded connections carry one unit of work to the node that holds the connections to the upstream.
+	forwarded bool
 }
 
 // connValue is a value that is set on a connection.
@@ -120,7 +122,7 @@
 		if !r.Position.IsZero() {
 			c.pool.setPosition(r.Position)
 		}
-		if r.Outcome == Busy {
+		if r.Outcome == Busy && !c.forwarded {
 			c.pool.recordBusy()
 		}
 		c.state = r.State
--- /dev/null
+++ b/gateway/holders/holders.go
@@ -0,0 +1,176 @@
+// Package holders decides which gateway nodes hold the connections to an upstream, and which of them holds those of
+// a team. It has no clock and no I/O.
+//
+// Load pattern: nearly a hundred nodes, an upstream that accepts fewer connections than there are nodes, and nearly a
+// hundred teams, each of which needs connections of its own. When each node opens connections itself, nearly every
+// statement opens one, which takes as much of the upstream's capacity as the statement.
+package holders
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+const (
+	// ReservedConnections of each upstream are left for the control leader's probes.
+	ReservedConnections = 1
+	// SmallShare is the number of connections below which an equal part of an upstream's is too small for a node:
+	// a transaction holds one while its caller pauses.
+	SmallShare = 2
+	// MaxPerUpstream is the number of nodes that hold the connections to one upstream. Several of them share the
+	// traffic of the upstream, and the loss of one leaves most teams their connections.
+	MaxPerUpstream = 3
+	// connectionFraction is the fraction of an upstream's connections that its holders use. The rest is for the
+	// successor of a lost holder, whose connections the upstream keeps for some seconds, and for nodes that reach
+	// no holder.
+	connectionFraction = 0.7
+	// retainedShare is the equal part below which holders that were chosen stay in use, so that a node more or less
+	// does not switch them on and off.
+	retainedShare = SmallShare + 1
+)
+
+// Node is a connected node.
+type Node struct {
+	Name    string
+	Address string
+	Place   string
+	// Voter is set for a node with a data folder, which is used only if its place has no other one.
+	Voter bool
+}
+
+// Upstream is a server whose connections may be held.
+type Upstream struct {
+	ID    string
+	Place string
+	// MaxConnections is the number of connections that it accepts, or 0 if that is not limited.
+	MaxConnections int
+}
+
+// EqualPart returns the part of an upstream's connections that each node of a fleet may open.
+func EqualPart(maxConnections, nodes int) int {
+	return max(1, maxConnections-ReservedConnections) / max(1, nodes)
+}
+
+// Share returns how many connections each of n holders of an upstream may open.
+func Share(maxConnections, n int) int {
+	return max(1, int(connectionFraction*float64(maxConnections-ReservedConnections))/max(1, n))
+}
+
+// Choose returns the addresses of the holders, sorted, of each upstream that needs some. current holds those of the previous
+// choice: a holder that is still connected is kept, so a node that has just connected displaces none. fleetSize is the
+// number of nodes among which connections are divided.
+func Choose(current map[string][]string, upstreams []Upstream, nodes []Node, fleetSize int) map[string][]string {
+	c := &chooser{byPlace: map[string][]Node{}, roles: map[string]int{}, chosen: map[string][]string{}}
+	for _, n := range candidates(nodes) {
+		c.byPlace[n.Place] = append(c.byPlace[n.Place], n)
+	}
+	scarce := scarceUpstreams(current, upstreams, fleetSize)
+	c.keep(current, scarce)
+	c.fill(scarce)
+	for _, addresses := range c.chosen {
+		slices.Sort(addresses)
+	}
+	return c.chosen
+}
+
+// candidates returns the nodes of each place that may hold connections.
+func candidates(nodes []Node) []Node {
+	plain := map[string]bool{}
+	for _, n := range nodes {
+		if !n.Voter {
+			plain[n.Place] = true
+		}
+	}
+	var out []Node
+	for _, n := range nodes {
+		if !n.Voter || !plain[n.Place] {
+			out = append(out, n)
+		}
+	}
+	slices.SortFunc(out, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// scarceUpstreams returns the upstreams whose connections are too few for each node to have some, sorted by ID.
+func scarceUpstreams(current map[string][]string, upstreams []Upstream, fleetSize int) []Upstream {
+	var out []Upstream
+	for _, u := range upstreams {
+		limit := SmallShare
+		if len(current[u.ID]) > 0 {
+			limit = retainedShare
+		}
+		if u.MaxConnections > 0 && EqualPart(u.MaxConnections, fleetSize) < limit {
+			out = append(out, u)
+		}
+	}
+	slices.SortFunc(out, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// chooser is the state of one choice.
+type chooser struct {
+	byPlace map[string][]Node
+	// roles counts the upstreams that each node holds, by address.
+	roles  map[string]int
+	chosen map[string][]string
+}
+
+// keep keeps the current holders that are still candidates.
+func (c *chooser) keep(current map[string][]string, upstreams []Upstream) {
+	for _, u := range upstreams {
+		for _, n := range c.byPlace[u.Place] {
+			if len(c.chosen[u.ID]) < MaxPerUpstream && slices.Contains(current[u.ID], n.Address) {
+				c.add(u.ID, n)
+			}
+		}
+	}
+}
+
+func (c *chooser) add(upstream string, n Node) {
+	c.chosen[upstream] = append(c.chosen[upstream], n.Address)
+	c.roles[n.Address]++
+}
+
+// fill adds holders until each upstream has as many as its place can give to all, one for each in turn.
+func (c *chooser) fill(upstreams []Upstream) {
+	perPlace := map[string]int{}
+	for _, u := range upstreams {
+		perPlace[u.Place]++
+	}
+	for count := 1; count <= MaxPerUpstream; count++ {
+		for _, u := range upstreams {
+			nodes := c.byPlace[u.Place]
+			enough := count == 1 || len(nodes) >= count*perPlace[u.Place]
+			if len(c.chosen[u.ID]) < count && enough {
+				c.addBest(u.ID, nodes)
+			}
+		}
+	}
+}
+
+// addBest adds the node with the fewest upstreams; among equals, the one with the highest score for the upstream.
+func (c *chooser) addBest(upstream string, nodes []Node) {
+	best, bestScore := -1, uint64(0)
+	for i, n := range nodes {
+		if slices.Contains(c.chosen[upstream], n.Address) {
+			continue
+		}
+		s := score(upstream, n.Name)
+		if best >= 0 {
+			order := cmp.Compare(c.roles[n.Address], c.roles[nodes[best].Address])
+			if order > 0 || (order == 0 && s <= bestScore) {
+				continue
+			}
+		}
+		best, bestScore = i, s
+	}
+	if best >= 0 {
+		c.add(upstream, nodes[best])
+	}
+}
+
+// Equal reports whether two choices are the same.
+func Equal(a, b map[string][]string) bool {
+	return maps.EqualFunc(a, b, slices.Equal)
+}
--- /dev/null
+++ b/gateway/holders/holders_test.go
@@ -0,0 +1,154 @@
+package holders
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// fleet returns nodes in three places, two of which in each have a data folder, and the upstreams of groups with one
+// in each place.
+func fleet(size, groups int) ([]Node, []Upstream) {
+	var nodes []Node
+	for i := range size {
+		nodes = append(nodes, Node{
+			Name: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Place: fmt.Sprintf("place-%d", i%3), Voter: i < 6,
+		})
+	}
+	var upstreams []Upstream
+	for i := range 3 * groups {
+		upstreams = append(upstreams, Upstream{ID: fmt.Sprintf("u%d", i), Place: fmt.Sprintf("place-%d", i%3), MaxConnections: 56})
+	}
+	return nodes, upstreams
+}
+
+// roles counts the upstreams that each node holds.
+func roles(chosen map[string][]string) map[string]int {
+	out := map[string]int{}
+	for _, addresses := range chosen {
+		for _, a := range addresses {
+			out[a]++
+		}
+	}
+	return out
+}
+
+// Guards against a node that carries the traffic of two upstreams while others carry none, against holders far from
+// their upstream, whose statements would cross between places twice, and against a voter that does both.
+func TestHoldersAreSpread(t *testing.T) {
+	for _, size := range []int{85, 300} {
+		nodes, upstreams := fleet(size, 8)
+		chosen := Choose(nil, upstreams, nodes, size)
+		for _, u := range upstreams {
+			if len(chosen[u.ID]) != MaxPerUpstream {
+				t.Errorf("%d nodes: %s has the holders %v", size, u.ID, chosen[u.ID])
+			}
+			for _, address := range chosen[u.ID] {
+				i := slices.IndexFunc(nodes, func(n Node) bool { return n.Address == address })
+				if nodes[i].Place != u.Place || nodes[i].Voter {
+					t.Errorf("%d nodes: %s in %s is held by %+v", size, u.ID, u.Place, nodes[i])
+				}
+			}
+		}
+		for address, n := range roles(chosen) {
+			if n > 1 {
+				t.Errorf("%d nodes: %s holds %d upstreams", size, address, n)
+			}
+		}
+	}
+}
+
+// Guards against connections that are opened anew because a node came or left that did not hold them.
+func TestOnlyTheLostHolderIsReplaced(t *testing.T) {
+	for _, size := range []int{85, 300} {
+		nodes, upstreams := fleet(size, 8)
+		chosen := Choose(nil, upstreams, nodes, size)
+		lost := chosen["u4"][0]
+		left := slices.DeleteFunc(slices.Clone(nodes), func(n Node) bool { return n.Address == lost })
+		after := Choose(chosen, upstreams, left, size)
+		for id, before := range chosen {
+			kept := 0
+			for _, a := range before {
+				if slices.Contains(after[id], a) {
+					kept++
+				}
+			}
+			want := MaxPerUpstream
+			if id == "u4" {
+				want--
+			}
+			if kept != want || len(after[id]) != MaxPerUpstream || slices.Contains(after[id], lost) {
+				t.Errorf("%d nodes: holders of %s changed from %v to %v", size, id, before, after[id])
+			}
+		}
+		if diff := cmp.Diff(after, Choose(after, upstreams, nodes, size)); diff != "" {
+			t.Errorf("%d nodes: a node that returned displaced holders: %s", size, diff)
+		}
+	}
+}
+
+// Guards against holders that are switched on in a fleet whose nodes have enough connections each, and against
+// switching on and off when one node comes and goes.
+func TestHoldersOnlyWhereConnectionsAreScarce(t *testing.T) {
+	nodes, upstreams := fleet(11, 3)
+	if chosen := Choose(nil, upstreams, nodes, 27); len(chosen) != 0 {
+		t.Errorf("with two connections for each node: %v", chosen)
+	}
+	chosen := Choose(nil, upstreams, nodes, 28)
+	if len(chosen) != len(upstreams) {
+		t.Errorf("with one connection for each node: %v", chosen)
+	}
+	if diff := cmp.Diff(chosen, Choose(chosen, upstreams, nodes, 27)); diff != "" {
+		t.Errorf("after a node has left: %s", diff)
+	}
+	unlimited := []Upstream{{ID: "u", Place: "place-0"}}
+	if chosen := Choose(nil, unlimited, nodes, 300); len(chosen) != 0 {
+		t.Errorf("without a limit of connections: %v", chosen)
+	}
+}
+
+// Guards against a place without a node that could hold its upstream, and against voters as holders where there are
+// other nodes.
+func TestPlacesWithFewNodes(t *testing.T) {
+	nodes := []Node{{Name: "a", Address: "a", Place: "x", Voter: true}, {Name: "b", Address: "b", Place: "y"}}
+	upstreams := []Upstream{
+		{ID: "u1", Place: "x", MaxConnections: 2}, {ID: "u2", Place: "y", MaxConnections: 2},
+		{ID: "u3", Place: "y", MaxConnections: 2}, {ID: "u4", Place: "z", MaxConnections: 2},
+	}
+	want := map[string][]string{"u1": {"a"}, "u2": {"b"}, "u3": {"b"}}
+	if diff := cmp.Diff(want, Choose(nil, upstreams, nodes, 2)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a holder that gets most teams, and against teams that move although their holder stays.
+func TestTeamsAreSpreadAndStay(t *testing.T) {
+	holders := []string{"10.0.0.7:4001", "10.0.0.8:4001", "10.0.0.9:4001"}
+	const teams = 300
+	first := map[string]int{}
+	for i := range teams {
+		team := fmt.Sprintf("team%d", i)
+		ranked := Rank(team, holders)
+		first[ranked[0]]++
+		if got := Rank(team, ranked[:2])[0]; got != ranked[0] {
+			t.Errorf("%s moved from %s to %s", team, ranked[0], got)
+		}
+	}
+	for _, h := range holders {
+		if n := first[h]; n < teams/4 || n > teams*5/12 {
+			t.Errorf("%s holds %d of %d teams", h, n, teams)
+		}
+	}
+}
+
+// Guards against a sum of connections that leaves none for the successor of a lost holder.
+func TestLostHolderLeavesRoomForItsSuccessor(t *testing.T) {
+	for _, limit := range []int{23, 56, 70} {
+		share := Share(limit, MaxPerUpstream)
+		if sum := (MaxPerUpstream + 1) * share; sum > limit-ReservedConnections {
+			t.Errorf("%d holders and a successor open %d connections of %d", MaxPerUpstream, sum, limit)
+		}
+	}
+}
