--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -92,9 +92,7 @@
 	for _, p := range v.Topology.Primaries {
 		primaries[p.Service] = p
 	}
-	if e.opts.Forwarder != nil {
-		e.opts.Forwarder.Retain(allHolders(v.Topology))
-	}
+	e.retainLinks(v.Topology)
 	for name, s := range v.Catalog.Services() {
 		e.group(name).setDrainEnds(v.DrainEnds)
 		e.group(name).update(byService[name], primaries[name], s.MaxConnections, v.Nodes)
--- a/gateway/engine/forwarding.go
+++ b/gateway/engine/forwarding.go
@@ -18,8 +18,8 @@
 	// Open returns a connection that carries a unit to the node at an address, or nil if that node cannot be used now.
 	// Nothing is sent before the first Send.
 	Open(ctx context.Context, address string, u ForwardedUnit) Conn
-	// Retain is told the nodes to which units may be sent from now on.
-	Retain(addresses []string)
+	// Retain is told the nodes to which units may be sent from now on, and those to which they likely are.
+	Retain(possible, likely []string)
 }
 
 // ForwardedUnit describes a single statement or a whole transaction that another node runs.
@@ -237,11 +237,27 @@
 	}
 }
 
-// allHolders returns the addresses of the nodes that hold connections to any upstream.
-func allHolders(t *controlpb.Topology) []string {
-	var out []string
+// retainLinks tells the forwarder to which nodes units may be sent. Most go to upstreams in this node's place, where
+// reads run, and to primaries.
+func (e *Engine) retainLinks(t *controlpb.Topology) {
+	if e.opts.Forwarder == nil {
+		return
+	}
+	primaries := map[string]bool{}
+	for _, p := range t.GetPrimaries() {
+		primaries[p.Upstream] = true
+	}
+	var possible, likely []string
 	for _, u := range t.GetUpstreams() {
-		out = append(out, u.Holders...)
+		for _, address := range u.Holders {
+			if address == e.opts.Address {
+				continue
+			}
+			possible = append(possible, address)
+			if primaries[u.Id] || u.Place == e.opts.Place {
+				likely = append(likely, address)
+			}
+		}
 	}
-	return out
+	e.opts.Forwarder.Retain(possible, likely)
 }
--- a/gateway/forward/client.go
+++ b/gateway/forward/client.go
@@ -81,12 +81,18 @@
 	return l
 }
 
-// Retain implements engine.Forwarder. It closes the links to all other nodes on which no unit waits.
-func (c *Client) Retain(addresses []string) {
+// Retain implements engine.Forwarder. It opens the likely links, and closes those to nodes that are not possible any
+// more and on which no unit is open.
+func (c *Client) Retain(possible, likely []string) {
+	for _, address := range likely {
+		if l := c.link(address); l != nil {
+			l.conn.Connect()
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, l := range c.links {
-		if !slices.Contains(addresses, address) && l.isIdle() {
+		if !slices.Contains(possible, address) && l.isIdle() {
 			l.close()
 			delete(c.links, address)
 			metricOpenLinks.Add(-1)
