--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -228,8 +228,9 @@
 	n.service = coordinator.NewServer(directory{n}, n.leader)
 	n.controlClient = controlclient.New(controlclient.Options{
 		Node: n.settings.Node, Address: n.address, Seeds: n.seeds, Place: n.settings.Place, ForwardAddress: n.address,
-		Lease: time.Duration(leaseFraction * float64(n.settings.MaxRevocationDelay)),
-		Gate:  gate, Voter: n.voterIdentity, Local: n.service, Dial: dialNode, DialOptions: dialOptions(), Log: n.log,
+		LinkMbps: n.settings.LinkMbps,
+		Lease:    time.Duration(leaseFraction * float64(n.settings.MaxRevocationDelay)),
+		Gate:     gate, Voter: n.voterIdentity, Local: n.service, Dial: dialNode, DialOptions: dialOptions(), Log: n.log,
 		Primaries: func(now time.Duration) []*controlpb.PrimaryView { return n.engine.Primaries(now) },
 	}, func(v *controlclient.View) { n.engine.Update(v) }, func(p controlclient.PrimaryPosition) { n.engine.RecordPosition(p) })
 	n.forwardClient = forward.NewClient(forward.Options{Dial: dialNode, DialOptions: linkOptions(), Log: n.log})
--- a/gateway/controlclient/client.go
+++ b/gateway/controlclient/client.go
@@ -85,6 +85,8 @@
 	Address string
 	// Place is the place of this node, and ForwardAddress the address at which it takes forwarded statements, or empty.
 	Place, ForwardAddress string
+	// LinkMbps is the bandwidth of this node's link, or 0 if it is not known.
+	LinkMbps int
 	// Seeds returns addresses of nodes, any of which may redirect to the leader.
 	Seeds func() []string
 	// Lease is the duration of the serving lease, which starts when an answered report
--- a/gateway/controlclient/stream.go
+++ b/gateway/controlclient/stream.go
@@ -139,7 +139,7 @@
 	}
 	if c.sequence == s.firstSequence {
 		report.Node, report.Incarnation, report.Throttles = c.opts.Node, c.incarnation, c.opts.Gate.Throttles(now)
-		report.Place, report.ForwardAddress = c.opts.Place, c.opts.ForwardAddress
+		report.Place, report.ForwardAddress, report.LinkMbps = c.opts.Place, c.opts.ForwardAddress, uint32(c.opts.LinkMbps)
 	}
 	if s.wantedTopology != nil {
 		report.Topology, s.wantedTopology = s.wantedTopology, nil
--- a/gateway/coordinator/holders.go
+++ b/gateway/coordinator/holders.go
@@ -17,6 +17,8 @@
 	// silentNodeTimeout is the time without a report after which a node holds no connections for others. Reports come
 	// every 250 ms.
 	silentNodeTimeout = time.Second
+	// nodeSettleTime is how long a node is connected before it holds connections beside others.
+	nodeSettleTime = 2 * time.Second
 	// maxStepGap is the time between two steps above which the leader itself has not run, so that it has not
 	// received the reports of nodes either.
 	maxStepGap = 400 * time.Millisecond
@@ -79,16 +81,19 @@
 	return out
 }
 
-// holderNodes returns the nodes that may hold connections for others: those that report, but not the leader.
+// holderNodes returns the nodes that may hold connections for others: those that report and are not stopping.
 func (l *Leader) holderNodes(now time.Duration) []holders.Node {
 	self := l.replica().Status().Identity
 	var out []holders.Node
 	for s := range l.streams {
-		isLeader := s.voterIdentity != "" && s.voterIdentity == self
-		if isLeader || s.stopping || s.forwardAddress == "" || now-s.reportedAt > silentNodeTimeout {
+		if s.stopping || s.forwardAddress == "" || now-s.reportedAt > silentNodeTimeout {
 			continue
 		}
-		out = append(out, holders.Node{Name: s.node, Address: s.forwardAddress, Place: s.place, Voter: s.voterIdentity != ""})
+		out = append(out, holders.Node{
+			Name: s.node, Address: s.forwardAddress, Place: s.place, LinkMbps: s.linkMbps,
+			Voter: s.voterIdentity != "", Leader: s.voterIdentity != "" && s.voterIdentity == self,
+			Settled: now-s.attendedAt >= nodeSettleTime,
+		})
 	}
 	return out
 }
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -71,11 +71,12 @@
 	read          []string
 	voterIdentity string
 	voterAddress  string
-	// place and forwardAddress are where the node takes forwarded statements, stopping is set once it takes none, and
-	// reportedAt is when its newest report came.
-	place, forwardAddress string
-	stopping              bool
-	reportedAt            time.Duration
+	// place and forwardAddress are where the node takes forwarded statements over a link with linkMbps, and stopping
+	// is set once it takes none. attendedAt is when its first report came, reportedAt when its newest did.
+	place, forwardAddress  string
+	linkMbps               int
+	stopping               bool
+	attendedAt, reportedAt time.Duration
 	// topologyWanted is set until the node has been asked for its topology.
 	topologyWanted bool
 	// sentThrottles is the revision of the limits that was sent.
@@ -129,7 +130,7 @@
 	}
 	l.lastStreamID++
 	s.node, s.incarnation, s.id = first.Node, first.Incarnation, l.lastStreamID
-	s.place, s.forwardAddress = first.Place, first.ForwardAddress
+	s.place, s.forwardAddress, s.linkMbps, s.attendedAt = first.Place, first.ForwardAddress, int(first.LinkMbps), now
 	s.sentCatalogVersion, s.sentTopologyRevision = first.CatalogVersion, first.TopologyRevision
 	l.streams[s], l.streamOf[s.node] = true, s
 	l.limiter.Adopt(now, first.Throttles)
--- a/gateway/forward/client.go
+++ b/gateway/forward/client.go
@@ -25,6 +25,9 @@
 	pingTimeout    = 300 * time.Millisecond
 	// probeInterval is the pause between two attempts to reach a silent node.
 	probeInterval = 250 * time.Millisecond
+	// silentConnRetention is how long a connection that has gone silent stays open. It is above the longest wait for a
+	// statement that may write.
+	silentConnRetention = 30 * time.Second
 	// refusalPeriod is how long no unit for an upstream is sent to a node that refused one.
 	refusalPeriod = 500 * time.Millisecond
 )
@@ -86,7 +89,7 @@
 func (c *Client) Retain(possible, likely []string) {
 	for _, address := range likely {
 		if l := c.link(address); l != nil {
-			l.conn.Connect()
+			l.currentConn().Connect()
 		}
 	}
 	c.mu.Lock()
--- a/gateway/forward/link.go
+++ b/gateway/forward/link.go
@@ -20,8 +20,8 @@
 // link is the connection to one node.
 type link struct {
 	address string
+	options Options
 	log     *logrus.Entry
-	conn    *grpc.ClientConn
 	// receivedAt is when bytes last arrived.
 	receivedAt atomic.Int64
 	// closing ends the probes of a silent node.
@@ -29,6 +29,8 @@
 	cancel  context.CancelFunc
 
 	mu sync.Mutex
+	// conn carries new units. It is replaced when it goes silent: an open connection may stay silent for good.
+	conn *grpc.ClientConn
 	// waiting holds the units that wait for an answer; waitingSince is when the first of them began to.
 	waiting      map[*unitConn]bool
 	waitingSince time.Duration
@@ -39,23 +41,48 @@
 }
 
 func newLink(address string, o Options) (*link, error) {
-	l := &link{address: address, log: o.Log, waiting: map[*unitConn]bool{}, refusedAt: map[string]time.Duration{}}
+	l := &link{address: address, options: o, log: o.Log, waiting: map[*unitConn]bool{}, refusedAt: map[string]time.Duration{}}
 	l.closing, l.cancel = context.WithCancel(context.Background())
+	conn, err := l.newConn()
+	if err != nil {
+		return nil, err
+	}
+	l.conn = conn
+	return l, nil
+}
+
+func (l *link) newConn() (*grpc.ClientConn, error) {
 	dialer := grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := o.Dial(ctx, address)
+		conn, err := l.options.Dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
 		return receivingConn{conn, &l.receivedAt}, nil
 	})
 	// A statement must not be sent twice by gRPC.
-	options := append(slices.Clone(o.DialOptions), dialer, grpc.WithDisableRetry(), grpc.WithDisableServiceConfig())
-	conn, err := grpc.NewClient("passthrough:///"+address, options...)
+	options := append(slices.Clone(l.options.DialOptions), dialer, grpc.WithDisableRetry(), grpc.WithDisableServiceConfig())
+	conn, err := grpc.NewClient("passthrough:///"+l.address, options...)
+	return conn, errors.Wrapf(err, "create link to node %s", l.address)
+}
+
+// currentConn returns the connection for new units.
+func (l *link) currentConn() *grpc.ClientConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// replaceConn replaces a silent connection. The old one stays open for the answers that may still come on it, but no
+// longer than any statement waits. The caller holds mu.
+func (l *link) replaceConn() {
+	next, err := l.newConn()
 	if err != nil {
-		return nil, errors.Wrapf(err, "create link to node %s", address)
+		// The options are those of the silent connection.
+		return
 	}
-	l.conn = conn
-	return l, nil
+	old := l.conn
+	l.conn = next
+	time.AfterFunc(silentConnRetention, func() { _ = old.Close() })
 }
 
 // receivingConn records when bytes arrive on a network connection.
@@ -74,12 +101,12 @@
 }
 
 func (l *link) client() controlpb.ForwardClient {
-	return controlpb.NewForwardClient(l.conn)
+	return controlpb.NewForwardClient(l.currentConn())
 }
 
 func (l *link) close() {
 	l.cancel()
-	_ = l.conn.Close()
+	_ = l.currentConn().Close()
 }
 
 // unusable returns why no unit for an upstream can be sent now, or nothing. A caller waits at most connectWait for a
@@ -103,7 +130,8 @@
 
 // awaitReady waits until the link is open, but no longer than connectWait.
 func (l *link) awaitReady(ctx context.Context) bool {
-	state := l.conn.GetState()
+	conn := l.currentConn()
+	state := conn.GetState()
 	if state == connectivity.Ready {
 		return true
 	}
@@ -111,12 +139,12 @@
 	defer cancel()
 	for state != connectivity.Ready {
 		if state == connectivity.Idle {
-			l.conn.Connect()
+			conn.Connect()
 		}
-		if state == connectivity.TransientFailure || !l.conn.WaitForStateChange(ctx, state) {
+		if state == connectivity.TransientFailure || !conn.WaitForStateChange(ctx, state) {
 			return false
 		}
-		state = l.conn.GetState()
+		state = conn.GetState()
 	}
 	return true
 }
@@ -197,6 +225,7 @@
 	for c := range l.waiting {
 		c.abandon()
 	}
+	l.replaceConn()
 	go l.probe()
 }
 
--- a/gateway/holders/holders.go
+++ b/gateway/holders/holders.go
@@ -21,6 +21,12 @@
 	// MaxPerUpstream is the number of nodes that hold the connections to one upstream. Several of them share the
 	// traffic of the upstream, and the loss of one leaves most teams their connections.
 	MaxPerUpstream = 3
+	// minPerUpstream is the number of holders below which the leader holds connections too: with a single holder, its
+	// loss would send all nodes to connections of their own.
+	minPerUpstream = 2
+	// wideLinkFactor is how many times the bandwidth of the narrowest link of its place a node has whose link counts
+	// as wide. On a narrow link, an answer of a kilobyte that passes a holder takes as long as a short statement.
+	wideLinkFactor = 4
 	// connectionFraction is the fraction of an upstream's connections that its holders use. The rest is for the
 	// successor of a lost holder, whose connections the upstream keeps for some seconds, and for nodes that reach
 	// no holder.
@@ -35,8 +41,13 @@
 	Name    string
 	Address string
 	Place   string
-	// Voter is set for a node with a data folder, which is used only if its place has no other one.
-	Voter bool
+	// Voter is set for a node with a data folder, Leader for the one that decides.
+	Voter, Leader bool
+	// LinkMbps is the bandwidth of the node's link, or 0 if it is not known.
+	LinkMbps int
+	// Settled is set once the node has been connected for a while. Others are chosen only for upstreams without a
+	// holder.
+	Settled bool
 }
 
 // Upstream is a server whose connections may be held.
@@ -54,7 +65,7 @@
 
 // Share returns how many connections each of n holders of an upstream may open.
 func Share(maxConnections, n int) int {
-	return max(1, int(connectionFraction*float64(maxConnections-ReservedConnections))/max(1, n))
+	return max(1, int(connectionFraction*float64(maxConnections-ReservedConnections))/max(minPerUpstream, n))
 }
 
 // Choose returns the addresses of the holders, sorted, of each upstream that needs some. current holds those of the previous
@@ -62,8 +73,8 @@
 // number of nodes among which connections are divided.
 func Choose(current map[string][]string, upstreams []Upstream, nodes []Node, fleetSize int) map[string][]string {
 	c := &chooser{byPlace: map[string][]Node{}, roles: map[string]int{}, chosen: map[string][]string{}}
-	for _, n := range candidates(nodes) {
-		c.byPlace[n.Place] = append(c.byPlace[n.Place], n)
+	for place, here := range groupByPlace(nodes) {
+		c.byPlace[place] = candidates(here)
 	}
 	scarce := scarceUpstreams(current, upstreams, fleetSize)
 	c.keep(current, scarce)
@@ -74,22 +85,45 @@
 	return c.chosen
 }
 
-// candidates returns the nodes of each place that may hold connections.
-func candidates(nodes []Node) []Node {
-	plain := map[string]bool{}
+func groupByPlace(nodes []Node) map[string][]Node {
+	out := map[string][]Node{}
 	for _, n := range nodes {
-		if !n.Voter {
-			plain[n.Place] = true
+		out[n.Place] = append(out[n.Place], n)
+	}
+	return out
+}
+
+// candidates returns the nodes of a place that may hold connections, sorted by name: those with a wide link if there
+// are any, else those without a data folder, else all. The leader has its own work, and is one of them only if its
+// link is wide and there are few.
+func candidates(nodes []Node) []Node {
+	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
+	others := without(nodes, func(n Node) bool { return n.Leader })
+	if wide := without(nodes, isNarrow(nodes)); len(wide) > 0 {
+		if rest := without(wide, func(n Node) bool { return n.Leader }); len(rest) >= minPerUpstream {
+			return rest
 		}
+		return wide
 	}
-	var out []Node
-	for _, n := range nodes {
-		if !n.Voter || !plain[n.Place] {
-			out = append(out, n)
+	if plain := without(others, func(n Node) bool { return n.Voter }); len(plain) > 0 {
+		return plain
+	}
+	return others
+}
+
+// isNarrow reports whether the link of a node is not much wider than the narrowest one of the nodes.
+func isNarrow(nodes []Node) func(Node) bool {
+	narrowest := 0
+	for i, n := range nodes {
+		if i == 0 || n.LinkMbps < narrowest {
+			narrowest = n.LinkMbps
 		}
 	}
-	slices.SortFunc(out, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
-	return out
+	return func(n Node) bool { return narrowest == 0 || n.LinkMbps < wideLinkFactor*narrowest }
+}
+
+func without(nodes []Node, excluded func(Node) bool) []Node {
+	return slices.DeleteFunc(slices.Clone(nodes), excluded)
 }
 
 // scarceUpstreams returns the upstreams whose connections are too few for each node to have some, sorted by ID.
@@ -132,7 +166,7 @@
 	c.roles[n.Address]++
 }
 
-// fill adds holders until each upstream has as many as its place can give to all, one for each in turn.
+// fill adds holders until each upstream has minPerUpstream, and more if its place has a node for each.
 func (c *chooser) fill(upstreams []Upstream) {
 	perPlace := map[string]int{}
 	for _, u := range upstreams {
@@ -141,8 +175,7 @@
 	for count := 1; count <= MaxPerUpstream; count++ {
 		for _, u := range upstreams {
 			nodes := c.byPlace[u.Place]
-			enough := count == 1 || len(nodes) >= count*perPlace[u.Place]
-			if len(c.chosen[u.ID]) < count && enough {
+			if len(c.chosen[u.ID]) < count && (count <= minPerUpstream || len(nodes) >= count*perPlace[u.Place]) {
 				c.addBest(u.ID, nodes)
 			}
 		}
@@ -153,7 +186,7 @@
 func (c *chooser) addBest(upstream string, nodes []Node) {
 	best, bestScore := -1, uint64(0)
 	for i, n := range nodes {
-		if slices.Contains(c.chosen[upstream], n.Address) {
+		if slices.Contains(c.chosen[upstream], n.Address) || (!n.Settled && len(c.chosen[upstream]) > 0) {
 			continue
 		}
 		s := score(upstream, n.Name)
--- a/gateway/holders/holders_test.go
+++ b/gateway/holders/holders_test.go
@@ -15,6 +15,7 @@
 	for i := range size {
 		nodes = append(nodes, Node{
 			Name: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Place: fmt.Sprintf("place-%d", i%3), Voter: i < 6,
+			Leader: i == 0, Settled: true,
 		})
 	}
 	var upstreams []Upstream
@@ -112,17 +113,64 @@
 // Guards against a place without a node that could hold its upstream, and against voters as holders where there are
 // other nodes.
 func TestPlacesWithFewNodes(t *testing.T) {
-	nodes := []Node{{Name: "a", Address: "a", Place: "x", Voter: true}, {Name: "b", Address: "b", Place: "y"}}
+	nodes := []Node{
+		{Name: "a", Address: "a", Place: "x", Voter: true}, {Name: "b", Address: "b", Place: "y"},
+		{Name: "l", Address: "l", Place: "w", Voter: true, Leader: true},
+	}
 	upstreams := []Upstream{
 		{ID: "u1", Place: "x", MaxConnections: 2}, {ID: "u2", Place: "y", MaxConnections: 2},
-		{ID: "u3", Place: "y", MaxConnections: 2}, {ID: "u4", Place: "z", MaxConnections: 2},
+		{ID: "u3", Place: "y", MaxConnections: 2}, {ID: "u4", Place: "z", MaxConnections: 2}, {ID: "u5", Place: "w", MaxConnections: 2},
 	}
 	want := map[string][]string{"u1": {"a"}, "u2": {"b"}, "u3": {"b"}}
-	if diff := cmp.Diff(want, Choose(nil, upstreams, nodes, 2)); diff != "" {
+	if diff := cmp.Diff(want, Choose(nil, upstreams, nodes, 3)); diff != "" {
 		t.Error(diff)
 	}
 }
 
+// Guards against answers that pass a narrow link twice where nodes with wide links could hold the connections, against
+// a single such node, whose loss would concern all teams, and against the leader as a holder beside two others.
+func TestNodesWithWideLinksHoldConnections(t *testing.T) {
+	nodes, upstreams := fleet(85, 8)
+	for i := range nodes {
+		nodes[i].LinkMbps = 2
+		if nodes[i].Voter {
+			nodes[i].LinkMbps = 100
+		}
+	}
+	for id, addresses := range Choose(nil, upstreams, nodes, len(nodes)) {
+		for _, a := range addresses {
+			if i := slices.IndexFunc(nodes, func(n Node) bool { return n.Address == a }); !nodes[i].Voter {
+				t.Errorf("%s is held by %+v", id, nodes[i])
+			}
+		}
+		if len(addresses) != minPerUpstream {
+			t.Errorf("%s has the holders %v", id, addresses)
+		}
+	}
+	nodes[9].LinkMbps = 100
+	for id, addresses := range Choose(nil, upstreams, nodes, len(nodes)) {
+		if slices.Contains(addresses, nodes[0].Address) {
+			t.Errorf("%s is held by the leader: %v", id, addresses)
+		}
+	}
+}
+
+// Guards against teams that move to a node each time that it restarts, and against an upstream that waits for a holder.
+func TestNodeThatHasJustConnected(t *testing.T) {
+	nodes := []Node{{Name: "a", Address: "a", Place: "x"}, {Name: "b", Address: "b", Place: "x"}}
+	upstreams := []Upstream{{ID: "u", Place: "x", MaxConnections: 2}}
+	first := Choose(nil, upstreams, nodes, 2)
+	if len(first["u"]) != 1 {
+		t.Errorf("before any node has settled: %v", first)
+	}
+	for i := range nodes {
+		nodes[i].Settled = true
+	}
+	if got := Choose(first, upstreams, nodes, 2); len(got["u"]) != 2 {
+		t.Errorf("after all have: %v", got)
+	}
+}
+
 // Guards against a holder that gets most teams, and against teams that move although their holder stays.
 func TestTeamsAreSpreadAndStay(t *testing.T) {
 	holders := []string{"10.0.0.7:4001", "10.0.0.8:4001", "10.0.0.9:4001"}
