Forwarding: replies before the rows of a later statement go first, links with open units stay, faster detection of a silent holder

Cause: the rows of a read that runs in a transaction of the node itself reached the caller's node before the reply to the BEGIN, so a large answer failed. A link was closed under a transaction whose caller paused when its holder was replaced.

--- a/gateway/engine/unit.go
+++ b/gateway/engine/unit.go
@@ -53,7 +53,13 @@
 	// StatementTimeout is how long a reply may take of which rows have been passed on.
 	StatementTimeout time.Duration
 	// Rows takes the first rows of large replies.
-	Rows RowWriter
+	Rows UnitRows
+}
+
+// UnitRows passes the first rows of a large reply on to the node of the caller.
+type UnitRows interface {
+	// WriteRows passes rows on, and before them the replies to earlier statements that Run has not returned yet.
+	WriteRows(earlier []Reply, rows []string) error
 }
 
 // Unit is a single statement or a whole transaction that another node has forwarded to this one, which holds the
@@ -66,6 +72,15 @@
 	pool    *pool
 	// conn is nil while the unit needs none.
 	conn *upstreamConn
+	// replies holds those to the statements of the current Run that have not been passed on.
+	replies []Reply
+}
+
+// WriteRows implements RowWriter.
+func (u *Unit) WriteRows(rows []string, _ time.Time) error {
+	earlier := u.replies
+	u.replies = nil
+	return u.options.Rows.WriteRows(earlier, rows)
 }
 
 // OpenUnit begins a unit of work. It returns nil if this node must not serve it.
@@ -83,7 +98,7 @@
 		return nil
 	}
 	u := &Unit{options: o, session: &Session{engine: e}, pool: p}
-	u.session.relay.writer = o.Rows
+	u.session.relay.writer = u
 	u.op = &operation{
 		route: &catalog.Route{Service: o.Service, Priority: o.Priority, StatementTimeout: o.StatementTimeout},
 		team:  o.Team, group: g, started: now,
@@ -126,16 +141,17 @@
 	}
 }
 
-// Run runs statements and returns their replies, which are fewer if there is a failure.
+// Run runs statements and returns their replies, but for those that were passed on before rows. There are fewer if there
+// is a failure.
 func (u *Unit) Run(ctx context.Context, timeout time.Duration, statements []Statement) ([]Reply, *UnitFailure) {
 	now := time.Now()
 	deadline := now.Add(timeout)
 	u.op.deadline = now.Add(max(timeout, u.options.StatementTimeout))
-	replies := make([]Reply, 0, len(statements))
-	for len(replies) < len(statements) {
-		rest := statements[len(replies):]
+	u.replies = make([]Reply, 0, len(statements))
+	for rest := statements; len(rest) > 0; {
 		if u.keep(rest[0]) {
-			replies = append(replies, Reply{State: u.state()})
+			u.replies = append(u.replies, Reply{State: u.state()})
+			rest = rest[1:]
 			continue
 		}
 		count := 1
@@ -144,23 +160,25 @@
 			count = 2
 		}
 		ran, failure := u.runOnConn(ctx, deadline, rest[:count])
-		replies = append(replies, ran...)
+		u.replies = append(u.replies, ran...)
 		if failure != nil {
 			u.Close()
-			return replies, failure
+			return u.replies, failure
 		}
-		last := ran[0]
-		if last.Outcome != Done && isBegin(rest[0].Kind) {
+		refused := ran[0].Outcome != Done && isBegin(rest[0].Kind)
+		rest = rest[count:]
+		if refused {
 			// The rest would run outside the transaction.
-			for len(replies) < len(statements) {
-				replies = append(replies, Reply{Outcome: last.Outcome, State: last.State})
+			for range rest {
+				u.replies = append(u.replies, Reply{Outcome: ran[0].Outcome, State: ran[0].State})
 			}
+			break
 		}
 	}
 	if u.conn != nil && (u.conn.state == Idle || !u.conn.reusable() && u.conn.broken) {
 		u.Close()
 	}
-	return replies, nil
+	return u.replies, nil
 }
 
 func isBegin(k Kind) bool {
--- a/gateway/forward/client.go
+++ b/gateway/forward/client.go
@@ -18,11 +18,11 @@
 	// connectWait is how long a statement waits for a new link.
 	connectWait = 60 * time.Millisecond
 	// watchInterval is the time between two checks of the links on which units wait.
-	watchInterval = 100 * time.Millisecond
+	watchInterval = 50 * time.Millisecond
 	// silenceTimeout is the time without a byte on a link on which units wait after which the node is asked whether it
 	// runs, and pingTimeout is how long it may take to answer.
-	silenceTimeout = 150 * time.Millisecond
-	pingTimeout    = 300 * time.Millisecond
+	silenceTimeout = 80 * time.Millisecond
+	pingTimeout    = 150 * time.Millisecond
 	// probeInterval is the pause between two attempts to reach a silent node.
 	probeInterval = 250 * time.Millisecond
 	// silentConnRetention is how long a connection that has gone silent stays open. It is above the longest wait for a
--- a/gateway/forward/conn.go
+++ b/gateway/forward/conn.go
@@ -34,8 +34,9 @@
 	cancel context.CancelCauseFunc
 	// stream is nil before the first Send.
 	stream grpc.BidiStreamingClient[controlpb.UnitRequest, controlpb.UnitReply]
-	// replies holds those that have arrived, and failure what follows them.
+	// replies holds those that have arrived; rows, the first of the next reply, and failure follow them.
 	replies []*controlpb.StatementReply
+	rows    [][]byte
 	failure error
 	// writes is set while a statement without a reply may write.
 	writes      atomic.Bool
@@ -45,6 +46,7 @@
 func newUnitConn(l *link, u engine.ForwardedUnit) *unitConn {
 	c := &unitConn{link: l, unit: u}
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
+	l.addUnit()
 	return c
 }
 
@@ -90,56 +92,60 @@
 		if c.failure != nil {
 			return engine.Reply{}, c.failure
 		}
-		reply, err := c.receiveMessage(deadline)
+		var err error
+		if len(c.rows) > 0 {
+			deadline, err = c.passRows(sink)
+		} else {
+			err = c.receiveMessage(deadline)
+		}
 		if err != nil {
 			c.link.endWait(c)
 			return engine.Reply{}, err
 		}
-		if len(reply.Rows) > 0 {
-			if deadline, err = passRows(reply.Rows, sink); err != nil {
-				c.link.endWait(c)
-				return engine.Reply{}, err
-			}
-			continue
-		}
-		c.link.endWait(c)
-		c.take(reply)
 	}
 	next := c.replies[0]
 	c.replies = c.replies[1:]
 	return fromReply(next), nil
 }
 
-// receiveMessage reads one message until a deadline.
-func (c *unitConn) receiveMessage(deadline time.Time) (*controlpb.UnitReply, error) {
+// receiveMessage takes one message that arrives before a deadline.
+func (c *unitConn) receiveMessage(deadline time.Time) error {
 	timer := time.AfterFunc(time.Until(deadline), func() { c.cancel(os.ErrDeadlineExceeded) })
 	defer timer.Stop()
 	reply, err := c.stream.Recv()
-	if err == nil {
-		return reply, nil
-	}
-	if status.Code(err) == codes.Unimplemented {
+	switch {
+	case err == nil:
+		c.take(reply)
+		return nil
+	case status.Code(err) == codes.Unimplemented:
 		// A node of an earlier version.
 		c.link.refuse(c.unit.Target.ID)
-		return nil, notServed(fallbackRefused)
+		return notServed(fallbackRefused)
+	default:
+		return c.orInterrupted(c.lost(err))
 	}
-	return nil, c.orInterrupted(c.lost(err))
 }
 
-// passRows passes rows on and returns the deadline of the rest of the reply.
-func passRows(rows [][]byte, sink engine.RowSink) (time.Time, error) {
+// passRows passes the held rows on and returns the deadline of the rest of the reply.
+func (c *unitConn) passRows(sink engine.RowSink) (time.Time, error) {
 	if sink == nil {
 		return time.Time{}, errors.New("more rows than a statement of the system is answered with")
 	}
-	if err := sink.WriteRows(fromRows(rows)); err != nil {
+	rows := fromRows(c.rows)
+	c.rows = nil
+	if err := sink.WriteRows(rows); err != nil {
 		return time.Time{}, err
 	}
 	return sink.Deadline(), nil
 }
 
-// take keeps the replies and the failure of the answer to a request.
+// take keeps what a message holds. One without rows is the end of the answer to a request.
 func (c *unitConn) take(reply *controlpb.UnitReply) {
-	c.replies = reply.Replies
+	c.replies, c.rows = reply.Replies, reply.Rows
+	if len(c.rows) > 0 {
+		return
+	}
+	c.link.endWait(c)
 	if reply.Load != nil && c.unit.Load != nil {
 		c.unit.Load.RecordLoad(c.link.address, fromLoad(reply.Load))
 	}
@@ -214,8 +220,8 @@
 // Usable implements engine.Conn.
 func (c *unitConn) Usable() bool { return c.ctx.Err() == nil }
 
-// Close implements engine.Conn. It ends the unit at the other node too.
+// Close implements engine.Conn. It ends the unit at the other node too, and is called once.
 func (c *unitConn) Close() {
-	c.link.endWait(c)
+	c.link.removeUnit(c)
 	c.cancel(errUnitClosed)
 }
--- a/gateway/forward/link.go
+++ b/gateway/forward/link.go
@@ -31,6 +31,8 @@
 	mu sync.Mutex
 	// conn carries new units. It is replaced when it goes silent: an open connection may stay silent for good.
 	conn *grpc.ClientConn
+	// units counts those that are open.
+	units int
 	// waiting holds the units that wait for an answer; waitingSince is when the first of them began to.
 	waiting      map[*unitConn]bool
 	waitingSince time.Duration
@@ -173,11 +175,26 @@
 	delete(l.waiting, c)
 }
 
-// isIdle reports whether no unit waits for an answer.
+// addUnit counts a unit that is opened.
+func (l *link) addUnit() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.units++
+}
+
+// removeUnit counts a unit that has ended.
+func (l *link) removeUnit(c *unitConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.units--
+	delete(l.waiting, c)
+}
+
+// isIdle reports whether no unit is open.
 func (l *link) isIdle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.waiting) == 0
+	return l.units == 0
 }
 
 // watch asks the node whether it runs if units have waited for a while and no byte has come.
--- a/gateway/forward/server.go
+++ b/gateway/forward/server.go
@@ -31,6 +31,8 @@
 	controlpb.UnimplementedForwardServer
 	engine *engine.Engine
 	log    *logrus.Entry
+	// limit bounds the units that are served at the same time.
+	limit  int64
 	active atomic.Int64
 	// stopping is done once running statements are given up.
 	stopping context.Context
@@ -39,7 +41,7 @@
 
 // NewServer returns a Server that runs units on the connections of an engine.
 func NewServer(e *engine.Engine, log *logrus.Entry) *Server {
-	s := &Server{engine: e, log: log}
+	s := &Server{engine: e, log: log, limit: maxUnits}
 	s.stopping, s.giveUp = context.WithCancel(context.Background())
 	return s
 }
@@ -86,7 +88,7 @@
 		return err
 	}
 	defer s.active.Add(-1)
-	if s.active.Add(1) > maxUnits {
+	if s.active.Add(1) > s.limit {
 		return refuseUnit(stream)
 	}
 	c := &carrier{server: s, stream: stream}
@@ -106,7 +108,7 @@
 	return stream.Send(&controlpb.UnitReply{Failure: toFailure(&engine.UnitFailure{Kind: engine.UnitNotServed})})
 }
 
-func unitOptions(h *controlpb.UnitHeader, rows engine.RowWriter) engine.UnitOptions {
+func unitOptions(h *controlpb.UnitHeader, rows engine.UnitRows) engine.UnitOptions {
 	return engine.UnitOptions{
 		Service: h.GetService(), Upstream: h.GetUpstream(), Team: h.GetTeam(), Priority: h.GetPriority(),
 		MaxWait: duration(h.GetMaxWaitMs()), StatementTimeout: duration(h.GetStatementTimeoutMs()), Rows: rows,
@@ -186,8 +188,8 @@
 	c.unit.Close()
 }
 
-// WriteRows implements engine.RowWriter. gRPC's flow control blocks it while the other node does not read; that node
+// WriteRows implements engine.UnitRows. gRPC's flow control blocks it while the other node does not read; that node
 // ends the stream when its caller does not.
-func (c *carrier) WriteRows(rows []string, _ time.Time) error {
-	return c.stream.Send(&controlpb.UnitReply{Rows: toRows(rows)})
+func (c *carrier) WriteRows(earlier []engine.Reply, rows []string) error {
+	return c.stream.Send(&controlpb.UnitReply{Replies: toReplies(earlier), Rows: toRows(rows)})
 }
