--- /dev/null
+++ b/gateway/engine/forwarding_test.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/jayloom/jayloom/base/clock"
+)
+
+// noForwarder cannot reach any node.
+type noForwarder struct{ asked []string }
+
+func (f *noForwarder) Open(_ context.Context, address string, _ ForwardedUnit) Conn {
+	f.asked = append(f.asked, address)
+	return nil
+}
+
+func (*noForwarder) Retain(_, _ []string) {}
+
+// Guards against a choice of upstreams by the load that a node reported which holds no connections any more, or that it
+// reported long ago.
+func TestLoadOfHolders(t *testing.T) {
+	p := newPool(Target{ID: "p"}, "here", nil, discardLog())
+	p.setHolders(&noForwarder{}, "self", []string{"a", "b"})
+	p.RecordLoad("a", UpstreamLoad{InUse: 2, Waiting: 1, Latency: 3 * time.Millisecond})
+	p.RecordLoad("b", UpstreamLoad{InUse: 1, Latency: 7 * time.Millisecond})
+	p.RecordLoad("of another upstream", UpstreamLoad{InUse: 50})
+	want := UpstreamLoad{InUse: 3, Waiting: 1, Latency: 7 * time.Millisecond}
+	if diff := cmp.Diff(want, p.heldLoad(clock.Now()-time.Minute)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(UpstreamLoad{}, p.heldLoad(clock.Now()+time.Minute)); diff != "" {
+		t.Errorf("of loads that are too old: %s", diff)
+	}
+	p.setHolders(&noForwarder{}, "self", []string{"b", "c"})
+	if diff := cmp.Diff(UpstreamLoad{}, p.heldLoad(0)); diff != "" {
+		t.Errorf("after a change of holders: %s", diff)
+	}
+}
+
+// Guards against a holder that forwards to others what its own connections are for, and against a node that asks no
+// second holder.
+func TestOrderOfHolders(t *testing.T) {
+	for self, want := range map[string]int{"b": 0, "a": 1, "elsewhere": 2} {
+		forwarder := &noForwarder{}
+		p := newPool(Target{ID: "p"}, "here", nil, discardLog())
+		// The order of the team is b, a.
+		p.setHolders(forwarder, self, []string{"b", "a"})
+		if c := p.openForwarded(context.Background(), ForwardedUnit{Team: "team"}); c != nil {
+			t.Error("a unit was forwarded to a node that cannot be reached")
+		}
+		if len(forwarder.asked) != want {
+			t.Errorf("node %s asked %v", self, forwarder.asked)
+		}
+	}
+}
