--- a/gateway/controlclient/stream.go
+++ b/gateway/controlclient/stream.go
@@ -126,7 +126,8 @@
 	v, voter := c.View(), c.opts.Voter()
 	report := &controlpb.NodeReport{
 		Sequence: c.sequence, TopologyRevision: v.Topology.GetRevision(),
-		Usage: c.opts.Gate.Report(now), Leaving: kind == lastReport, WarmupDemands: c.opts.Warmup.Demands(now),
+		Usage: c.opts.Gate.Report(now), Leaving: kind == lastReport, Stopping: c.stopping.Load(),
+		WarmupDemands: c.opts.Warmup.Demands(now),
 	}
 	if kind == regularReport {
 		views := c.opts.Primaries(now)
@@ -142,6 +143,7 @@
 	}
 	if c.sequence == s.firstSequence {
 		report.Node, report.Incarnation, report.Throttles = c.opts.Node, c.incarnation, c.opts.Gate.Throttles(now)
+		report.Place, report.ForwardAddress, report.LinkMbps = c.opts.Place, c.opts.ForwardAddress, uint32(c.opts.LinkMbps)
 	}
 	if s.wantedTopology != nil {
 		report.Topology, s.wantedTopology = s.wantedTopology, nil
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -141,6 +141,7 @@
 	placeDrains placeDrains
 	warmups     warmups
 	membership  membership
+	holders     holderState
 	// fences is the number of fences used in this term.
 	fences uint64
 	// catalogHistory holds the configurations that nodes may still have.
@@ -336,6 +337,7 @@
 	l.registry.SetDrainTime(l.config.DrainTime)
 	l.adoptPlaceDrains()
 	l.warmups = newWarmups()
+	l.holders = holderState{chosen: map[string][]string{}, steppedAt: now}
 	l.groups = map[string]*group{}
 	l.streams, l.streamOf = map[*nodeStream]bool{}, map[string]*nodeStream{}
 	l.teams = map[string]bool{}
@@ -414,6 +416,7 @@
 	l.stepWarmups(now)
 	l.registry.Expire(now)
 	l.stepGroups(ctx, now)
+	l.stepHolders(now)
 	if l.publishChanges(now) {
 		l.pushAll()
 	}
--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -75,6 +75,12 @@
 	voterAddress  string
 	// unknownContacts holds the upstreams that the node reported without a match, until it has been told.
 	unknownContacts []string
+	// place and forwardAddress are where the node takes forwarded statements over a link with linkMbps, and stopping
+	// is set once it takes none. attendedAt is when its first report came, reportedAt when its newest did.
+	place, forwardAddress  string
+	linkMbps               int
+	stopping               bool
+	attendedAt, reportedAt time.Duration
 	// topologyWanted is set until the node has been asked for its topology.
 	topologyWanted bool
 	// sentThrottles is the revision of the limits that was sent.
@@ -96,7 +102,7 @@
 		l.addStream(ctx, now, s, report)
 	}
 	l.adoptTopology(now, report.Topology)
-	s.sequence = report.Sequence
+	s.sequence, s.stopping, s.reportedAt = report.Sequence, report.Stopping, now
 	if report.Regular {
 		s.primaries, s.primariesReceivedAt = report.Primaries, now
 		s.answered = l.sentTopologies.resolve(report.TopologyRevision, report.AnsweredPrimaries)
@@ -139,6 +145,7 @@
 	}
 	l.lastStreamID++
 	s.node, s.incarnation, s.id = first.Node, first.Incarnation, l.lastStreamID
+	s.place, s.forwardAddress, s.linkMbps, s.attendedAt = first.Place, first.ForwardAddress, int(first.LinkMbps), now
 	s.sentCatalogVersion, s.sentTopologyRevision = first.CatalogVersion, first.TopologyRevision
 	l.streams[s], l.streamOf[s.node] = true, s
 	l.limiter.Adopt(now, first.Throttles)
--- a/gateway/coordinator/topology.go
+++ b/gateway/coordinator/topology.go
@@ -41,6 +41,7 @@
 	}
 	l.registry.AddUnconfirmed(now, t)
 	l.adoptWarmups(now, t)
+	l.adoptHolders(t)
 	l.adoptedRevision = max(l.adoptedRevision, t.Revision)
 }
 
@@ -116,6 +117,7 @@
 		t.Upstreams = append(t.Upstreams, &controlpb.TopologyUpstream{
 			Id: u.ID, Service: u.Service, Address: u.Address, Place: u.Place, Slots: u.Slots, Draining: u.Draining,
 			Warming: l.isWarming(u),
+			Holders: l.holders.chosen[u.ID],
 		})
 	}
 	for _, service := range slices.Sorted(maps.Keys(l.groups)) {
--- a/gateway/engine/engine.go
+++ b/gateway/engine/engine.go
@@ -52,6 +52,9 @@
 	Permits Permits
 	// RequestReport asks for a report to the leader before the next interval. It is optional.
 	RequestReport func()
+	// Forwarder is optional. Address is the address at which this node takes forwarded units of work.
+	Forwarder Forwarder
+	Address   string
 	// Place is the place of this node.
 	Place string
 	// Regions holds the regions of all data centres, by place.
@@ -107,6 +110,7 @@
 	for _, p := range v.Topology.Primaries {
 		primaries[p.Service] = p
 	}
+	e.retainLinks(v.Topology)
 	for name, s := range v.Catalog.Services() {
 		e.group(name).setDrains(v.DrainEnds, v.PlaceDrains)
 		e.group(name).update(byService[name], primaries[name], s, v.Nodes)
@@ -124,6 +128,7 @@
 	g := e.groups[service]
 	if g == nil {
 		g = newGroup(service, e.opts.Dialer, e.opts.Permits, e.log)
+		g.forwarder, g.address = e.opts.Forwarder, e.opts.Address
 		e.groups[service] = g
 	}
 	return g
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -40,6 +40,9 @@
 	dialer  Dialer
 	permits Permits
 	log     *logrus.Entry
+	// forwarder may be nil. address is that of this node.
+	forwarder Forwarder
+	address   string
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -94,6 +97,7 @@
 		p.setPlace(u.Place, g.placeDrains)
 		p.updateWarmup(clock.Now(), u.Warming, service.WarmupRate > 0, wasDrained)
 		p.mu.Unlock()
+		p.setHolders(g.forwarder, g.address, u.Holders)
 		p.setShare(service.MaxConnections, nodes)
 		g.poolList = append(g.poolList, p)
 	}
@@ -268,15 +272,20 @@
 		return
 	}
 	deadline := time.Now().Add(positionQueryTimeout)
-	c, refusal := p.acquire(ctx, connRequest{team: team, objectiveEnd: clock.Now() + positionQueryTimeout, deadline: deadline})
-	if refusal != nil {
-		return
+	c := p.openForwarded(ctx, ForwardedUnit{Team: team, ObjectiveLeft: positionQueryTimeout, StatementTimeout: positionQueryTimeout})
+	if c == nil {
+		var refusal *Refusal
+		c, refusal = p.acquire(ctx, connRequest{team: team, objectiveEnd: clock.Now() + positionQueryTimeout, deadline: deadline})
+		if refusal != nil {
+			return
+		}
 	}
 	defer p.release(c)
 	metricPositionQueries.Inc()
 	at := clock.Now()
 	replies, err := c.roundTrip(deadline, Statement{Kind: Begin}, Statement{Kind: Rollback})
 	switch {
+	case err != nil && concernsOtherNode(err):
 	case err != nil:
 		p.recordFailure()
 	case replies[0].Outcome == Done:
--- a/gateway/engine/health.go
+++ b/gateway/engine/health.go
@@ -185,6 +185,9 @@
 func (p *pool) candidate(now time.Duration, team string, priority uint32) Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.forwards() && !p.isHolder() {
+		return p.heldCandidate(now)
+	}
 	return Candidate{
 		ID: p.target.ID, Place: p.place, Draining: p.draining || p.placeDrained, Failing: p.failing || p.closed,
 		NeedsPermit:       p.mayBeCold(now),
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -52,6 +52,8 @@
 	reasonPlaceDrained    Reason = "data_centre_drained"
 	reasonWarmup          Reason = "upstream_warming"
 	reasonOutsideHome     Reason = "outside_home_regions"
+	// reasonNotForwarded is for a statement that the node which holds its connection did not take.
+	reasonNotForwarded Reason = "not_forwarded"
 	// reasonSessionStateFull is for a session that would hold more than any may, reasonNodeStateFull for one that
 	// is refused because of what all sessions hold.
 	reasonSessionStateFull Reason = "session_state_full"
@@ -74,6 +76,7 @@
 	retryDrained     retryReason = "upstream_drained"
 	retryWarmup      retryReason = "upstream_warming"
 	retryOutsideHome retryReason = "outside_home_regions"
+	retryForward     retryReason = "not_forwarded"
 )
 
 var (
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -78,6 +78,8 @@
 	answeredAt   time.Duration
 	lastTeam     string
 	reconnecting bool
+
+	held heldElsewhere
 }
 
 func newPool(t Target, place string, dialer Dialer, log *logrus.Entry) *pool {
@@ -92,6 +94,9 @@
 	defer p.mu.Unlock()
 	fullAt, scarceUntil := p.share.fullAt, p.share.scarceUntil
 	p.share = newShare(maxConnections, nodes)
+	if p.isHolder() {
+		p.share = newHolderShare(maxConnections, len(p.held.addresses))
+	}
 	p.share.fullAt, p.share.scarceUntil = fullAt, scarceUntil
 	if p.busyAt == 0 {
 		p.window = float64(p.share.maxOpen)
@@ -218,6 +223,10 @@
 // release returns a connection to the pool, or closes it if it is broken or inside a transaction, which closing
 // rolls back.
 func (p *pool) release(c *upstreamConn) {
+	if c.forwarded {
+		p.releaseForwarded(c)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unuse(c.team)
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -86,6 +86,8 @@
 	misaligned bool
 	// resets counts the times that the upstream's session was reset.
 	resets int
+	// forwarded connections carry one unit of work to the node that holds the connections to the upstream.
+	forwarded bool
 }
 
 // connValue is a value that is set on a connection.
@@ -125,6 +127,8 @@
 			c.pool.setPosition(r.Position)
 		}
 		switch {
+		case r.Outcome == Busy && c.forwarded:
+			// The node that holds the connection has recorded it.
 		case r.Outcome == Busy:
 			c.pool.recordBusy(c.priority)
 		case st.ID != "" && r.Outcome == Done:
