Soak: single statements that ran although their callers were told that they did not

The check of refusals looked at commits only, so a read that ran and was refused as not run went unseen. The new check covers all single statements; TestChecksFindViolations shows that it fails on such a history.

--- a/cmd/internal/soak/check_test.go
+++ b/cmd/internal/soak/check_test.go
@@ -27,7 +27,7 @@
 // maxViolationsPerCheck for each check.
 func (h *history) violations() []string {
 	checks := []func(*index) []string{
-		checkOrigin, checkResults, checkExactlyOnce, checkRefusals, checkFreshness, checkTransactions,
+		checkOrigin, checkResults, checkExactlyOnce, checkRefusals, checkNotRun, checkFreshness, checkTransactions,
 		checkPrepared, checkSetups, checkKeys, checkRate, checkConfiguration, checkFenceHolders, checkUnanswered, checkRecovery,
 	}
 	return append(h.unexpectedExits, newIndex(h).violationsOf(checks)...)
@@ -149,6 +149,20 @@
 	return found
 }
 
+// checkNotRun finds single statements, reads among them, that ran although their callers were told that they did not.
+func checkNotRun(x *index) (found []string) {
+	for _, a := range x.attempts {
+		s := a.lastStatement()
+		if len(a.statements) > 1 || s.err != nil || !s.answer.NotRun() {
+			continue
+		}
+		for _, r := range x.executionsByID[s.id] {
+			found = append(found, fmt.Sprintf("ran: %s (%s) ran on %s, the caller was told %q", s.id, s.text, r.Server, s.answer.Refusal))
+		}
+	}
+	return found
+}
+
 // acknowledgement is the confirmation of a commit to a caller.
 type acknowledgement struct {
 	receivedAt   time.Time
--- a/cmd/internal/soak/violations_test.go
+++ b/cmd/internal/soak/violations_test.go
@@ -156,6 +156,7 @@
 		}},
 		{"lost: a", func(h *history) { h.commits[0].IDs = nil }},
 		{"refused", func(h *history) { h.attempts[0].statements[0].answer.Refusal = standin.RefusedNotRun }},
+		{"ran: c (READ", func(h *history) { h.attempts[2].statements[0].answer.Refusal = standin.RefusedNotRun }},
 		{"stale", func(h *history) { h.executions[2].LogLength = 1 }},
 		{"stale", func(h *history) {
 			h.executions[2].LogLength = 0
