Registry: the order of upstreams is kept between ticks

Each tick sorted the IDs of all upstreams, 10 times a second: 1.88 ms for 2,700 (BenchmarkLive), now 0.07 ms, as they are sorted again only when one was added or removed. TestLiveFollowsAdditionsAndRemovals fails without either reset.

--- a/gateway/topology/topology.go
+++ b/gateway/topology/topology.go
@@ -72,6 +72,8 @@
 	// byAddress holds the same upstreams by address and ID. Each announcement is compared with the
 	// others at its address, and there may be thousands of upstreams.
 	byAddress map[string]map[string]*Upstream
+	// sortedIDs are the IDs of upstreams in their order, nil when one was added or removed.
+	sortedIDs []string
 	revision  uint64
 	drainTime time.Duration
 }
@@ -90,7 +92,11 @@
 
 // put adds an upstream or replaces the one with its ID.
 func (r *Registry) put(u *Upstream) {
-	r.remove(u.ID)
+	if known := r.upstreams[u.ID]; known != nil {
+		r.forgetAddress(known)
+	} else {
+		r.sortedIDs = nil
+	}
 	r.upstreams[u.ID] = u
 	if r.byAddress[u.Address] == nil {
 		r.byAddress[u.Address] = map[string]*Upstream{}
@@ -105,7 +111,13 @@
 		return
 	}
 	delete(r.upstreams, id)
-	delete(r.byAddress[u.Address], id)
+	r.sortedIDs = nil
+	r.forgetAddress(u)
+}
+
+// forgetAddress removes an upstream from those at its address.
+func (r *Registry) forgetAddress(u *Upstream) {
+	delete(r.byAddress[u.Address], u.ID)
 	if len(r.byAddress[u.Address]) == 0 {
 		delete(r.byAddress, u.Address)
 	}
@@ -276,8 +288,11 @@
 
 // Live returns the upstreams that have not left, sorted by ID.
 func (r *Registry) Live() []*Upstream {
+	if r.sortedIDs == nil {
+		r.sortedIDs = slices.Sorted(maps.Keys(r.upstreams))
+	}
 	live := make([]*Upstream, 0, len(r.upstreams))
-	for _, id := range slices.Sorted(maps.Keys(r.upstreams)) {
+	for _, id := range r.sortedIDs {
 		if u := r.upstreams[id]; !u.Left {
 			live = append(live, u)
 		}
--- a/gateway/topology/topology_test.go
+++ b/gateway/topology/topology_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -200,3 +201,29 @@
 	}
 	return shortest
 }
+
+// Guards against a list of upstreams that lacks one which was added, or has one that is gone, since the last one.
+func TestLiveFollowsAdditionsAndRemovals(t *testing.T) {
+	r := NewRegistry(0)
+	ids := func() (ids []string) {
+		for _, u := range r.Live() {
+			ids = append(ids, u.ID)
+		}
+		return ids
+	}
+	announce := func(now time.Duration, id string, sequence uint64) {
+		r.ApplyAnnouncement(now, &controlpb.UpstreamAnnouncement{Id: id, Service: "wax", Address: id, Sequence: sequence})
+	}
+	announce(0, "b", 1)
+	ids()
+	announce(0, "c", 1)
+	announce(0, "a", 1)
+	if got := ids(); !slices.Equal(got, []string{"a", "b", "c"}) {
+		t.Errorf("after the additions: %v", got)
+	}
+	announce(AnnouncementTimeout, "b", 2)
+	r.Expire(AnnouncementTimeout)
+	if got := ids(); !slices.Equal(got, []string{"b"}) {
+		t.Errorf("after the others have expired: %v", got)
+	}
+}
