--- a/gateway/forward/client.go
+++ b/gateway/forward/client.go
@@ -24,12 +24,12 @@
 	silenceTimeout = 80 * time.Millisecond
 	pingTimeout    = 150 * time.Millisecond
 	// probeInterval is the pause between two attempts to reach a silent node.
-	probeInterval = 250 * time.Millisecond
+	probeInterval = 100 * time.Millisecond
 	// silentConnRetention is how long a connection that has gone silent stays open. It is above the longest wait for a
 	// statement that may write.
 	silentConnRetention = 30 * time.Second
 	// refusalPeriod is how long no unit for an upstream is sent to a node that refused one.
-	refusalPeriod = 500 * time.Millisecond
+	refusalPeriod = 150 * time.Millisecond
 )
 
 // Options configure a Client.
--- a/gateway/forward/conn.go
+++ b/gateway/forward/conn.go
@@ -187,9 +187,10 @@
 	return &engine.ForwardError{Failure: engine.ForwardNotServed}
 }
 
-// lost returns the error for a stream that ended without an answer.
+// lost returns the error for a stream that ended without an answer. A node that has gone silent says nothing about the
+// upstream.
 func (c *unitConn) lost(err error) error {
-	if errors.Is(context.Cause(c.ctx), os.ErrDeadlineExceeded) {
+	if errors.Is(context.Cause(c.ctx), os.ErrDeadlineExceeded) && !c.link.isSilent() {
 		return os.ErrDeadlineExceeded
 	}
 	metricForwardedLost.Inc()
--- a/gateway/forward/forward_test.go
+++ b/gateway/forward/forward_test.go
@@ -154,6 +154,7 @@
 		},
 		"without a lease": func(_, holder *testNode) { holder.control.expireLease() },
 		"full":            func(_, holder *testNode) { holder.server.limit = 0 },
+		"full of bytes":   func(_, holder *testNode) { holder.server.byteLimit.Store(1) },
 		"unknown upstream": func(_, holder *testNode) {
 			holder.engine.Update(holder.control.View())
 			holder.control.view.Topology.Upstreams = nil
--- a/gateway/forward/link.go
+++ b/gateway/forward/link.go
@@ -115,11 +115,10 @@
 // new link; the link counts as silent after that, so that no caller waits for it twice.
 func (l *link) unusable(ctx context.Context, now time.Duration, upstream string) fallbackReason {
 	l.mu.Lock()
-	silent := l.silent
 	refusedAt, refused := l.refusedAt[upstream]
 	l.mu.Unlock()
 	switch {
-	case silent:
+	case l.isSilent():
 		return fallbackAvoided
 	case refused && now-refusedAt < refusalPeriod:
 		return fallbackRefusedNow
@@ -190,6 +189,13 @@
 	delete(l.waiting, c)
 }
 
+// isSilent reports whether the node does not answer.
+func (l *link) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
+}
+
 // isIdle reports whether no unit is open.
 func (l *link) isIdle() bool {
 	l.mu.Lock()
--- a/gateway/forward/server.go
+++ b/gateway/forward/server.go
@@ -21,7 +21,9 @@
 
 const (
 	// maxUnits bounds the units that a node serves at the same time.
-	maxUnits = 256
+	maxUnits = 1024
+	// maxHeldBytes bounds the texts of the statements that units wait with or run.
+	maxHeldBytes = 16 << 20
 	// stopPollInterval is the pause between two checks whether all units have ended.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -34,6 +36,8 @@
 	// limit bounds the units that are served at the same time.
 	limit  int64
 	active atomic.Int64
+	// heldBytes is the size of the statements that wait or run, which byteLimit bounds.
+	heldBytes, byteLimit atomic.Int64
 	// stopping is done once running statements are given up.
 	stopping context.Context
 	giveUp   context.CancelFunc
@@ -42,6 +46,7 @@
 // NewServer returns a Server that runs units on the connections of an engine.
 func NewServer(e *engine.Engine, log *logrus.Entry) *Server {
 	s := &Server{engine: e, log: log, limit: maxUnits}
+	s.byteLimit.Store(maxHeldBytes)
 	s.stopping, s.giveUp = context.WithCancel(context.Background())
 	return s
 }
@@ -157,7 +162,13 @@
 	if c.expired {
 		return &controlpb.UnitReply{Failure: toFailure(&engine.UnitFailure{Kind: engine.UnitNotServed})}, true
 	}
-	replies, failure := c.unit.Run(ctx, duration(request.TimeoutMs), fromStatements(request.Statements))
+	statements := fromStatements(request.Statements)
+	size := int64(statementBytes(statements))
+	defer c.server.heldBytes.Add(-size)
+	if c.server.heldBytes.Add(size) > c.server.byteLimit.Load() {
+		return &controlpb.UnitReply{Failure: toFailure(&engine.UnitFailure{Kind: engine.UnitNotServed})}, true
+	}
+	replies, failure := c.unit.Run(ctx, duration(request.TimeoutMs), statements)
 	out := &controlpb.UnitReply{Replies: toReplies(replies), Load: toLoad(c.unit.Load())}
 	if failure != nil {
 		countServedFailure(failure.Kind)
