--- a/gateway/engine/forwarding.go
+++ b/gateway/engine/forwarding.go
@@ -85,6 +85,8 @@
 	self string
 	// addresses are those of the nodes that hold the connections. Empty if each node uses its own.
 	addresses []string
+	// slots is how many statements the upstream runs at once, or 0 if that is not known.
+	slots int
 	// inUse counts the units of work that this node is forwarding.
 	inUse int
 	// loads holds the newest reported loads by address.
@@ -97,10 +99,10 @@
 }
 
 // setHolders sets the nodes that hold the connections to the upstream.
-func (p *pool) setHolders(f Forwarder, self string, addresses []string) {
+func (p *pool) setHolders(f Forwarder, self string, addresses []string, slots int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.held.forwarder, p.held.self = f, self
+	p.held.forwarder, p.held.self, p.held.slots = f, self, slots
 	if slices.Equal(addresses, p.held.addresses) {
 		return
 	}
--- a/gateway/engine/forwarding_test.go
+++ b/gateway/engine/forwarding_test.go
@@ -24,7 +24,7 @@
 // reported long ago.
 func TestLoadOfHolders(t *testing.T) {
 	p := newPool(Target{ID: "p"}, "here", nil, discardLog())
-	p.setHolders(&noForwarder{}, "self", []string{"a", "b"})
+	p.setHolders(&noForwarder{}, "self", []string{"a", "b"}, 4)
 	p.RecordLoad("a", UpstreamLoad{InUse: 2, Waiting: 1, Latency: 3 * time.Millisecond})
 	p.RecordLoad("b", UpstreamLoad{InUse: 1, Latency: 7 * time.Millisecond})
 	p.RecordLoad("of another upstream", UpstreamLoad{InUse: 50})
@@ -35,7 +35,7 @@
 	if diff := cmp.Diff(UpstreamLoad{}, p.heldLoad(clock.Now()+time.Minute)); diff != "" {
 		t.Errorf("of loads that are too old: %s", diff)
 	}
-	p.setHolders(&noForwarder{}, "self", []string{"b", "c"})
+	p.setHolders(&noForwarder{}, "self", []string{"b", "c"}, 4)
 	if diff := cmp.Diff(UpstreamLoad{}, p.heldLoad(0)); diff != "" {
 		t.Errorf("after a change of holders: %s", diff)
 	}
@@ -48,7 +48,7 @@
 		forwarder := &noForwarder{}
 		p := newPool(Target{ID: "p"}, "here", nil, discardLog())
 		// The order of the team is b, a.
-		p.setHolders(forwarder, self, []string{"b", "a"})
+		p.setHolders(forwarder, self, []string{"b", "a"}, 4)
 		if c := p.openForwarded(context.Background(), ForwardedUnit{Team: "team"}); c != nil {
 			t.Error("a unit was forwarded to a node that cannot be reached")
 		}
@@ -57,3 +57,35 @@
 		}
 	}
 }
+
+// Guards against holders that together send an upstream more statements than it queues, so that it refuses them, and
+// against connections of other teams that are closed because the upstream has few slots.
+func TestShareOfHolder(t *testing.T) {
+	p := newPool(Target{ID: "p"}, "here", fakeDialer{"p": {}}, discardLog())
+	p.setHolders(&noForwarder{}, "self", []string{"other", "self"}, 4)
+	p.setShare(56, 85)
+	var held []*upstreamConn
+	for {
+		c, refusal := p.acquire(context.Background(), "team", time.Now().Add(time.Millisecond), time.Millisecond)
+		if refusal != nil {
+			break
+		}
+		held = append(held, c)
+	}
+	if len(held) != 4*maxInUsePerSlot/2 {
+		t.Errorf("%d connections in use", len(held))
+	}
+	for _, c := range held {
+		p.release(c)
+	}
+	for _, team := range []string{"b", "c", "d"} {
+		c, refusal := p.acquire(context.Background(), team, time.Now().Add(time.Second), time.Second)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		p.release(c)
+	}
+	if len(p.idle) != len(held)+3 {
+		t.Errorf("%d connections are idle", len(p.idle))
+	}
+}
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -87,7 +87,7 @@
 		p.mu.Lock()
 		p.draining, p.drainEndsAt = u.Draining, g.drainEnds[u.Id]
 		p.mu.Unlock()
-		p.setHolders(g.forwarder, g.address, u.Holders)
+		p.setHolders(g.forwarder, g.address, u.Holders, int(u.Slots))
 		p.setShare(maxConnections, nodes)
 		g.poolList = append(g.poolList, p)
 	}
--- a/gateway/engine/health.go
+++ b/gateway/engine/health.go
@@ -176,7 +176,11 @@
 // currentWindow returns how many connections may be in use. The caller holds mu.
 func (p *pool) currentWindow(now time.Duration) int {
 	grown := p.window + windowGrowthPerSecond*(now-p.busyAt).Seconds()
-	return max(1, min(p.share.currentMaxOpen(now), int(grown)))
+	limit := p.share.currentMaxOpen(now)
+	if p.share.maxInUse > 0 {
+		limit = min(limit, p.share.maxInUse)
+	}
+	return max(1, min(limit, int(grown)))
 }
 
 // recordBusy shrinks the window after the upstream refused work because of overload.
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -90,7 +90,7 @@
 	fullAt := p.share.fullAt
 	p.share = newShare(maxConnections, nodes)
 	if p.isHolder() {
-		p.share = newHolderShare(maxConnections, len(p.held.addresses))
+		p.share = newHolderShare(maxConnections, len(p.held.addresses), p.held.slots)
 	}
 	p.share.fullAt = fullAt
 	if p.busyAt == 0 {
--- a/gateway/engine/share.go
+++ b/gateway/engine/share.go
@@ -13,6 +13,9 @@
 	// holders.SmallShare. It allows for a transaction that holds a connection while its caller
 	// pauses.
 	surplusMaxOpen = 3
+	// maxInUsePerSlot is how many connections to an upstream the nodes that hold them use at once for each of its
+	// slots. Some are inside transactions whose callers pause.
+	maxInUsePerSlot = 6
 	// idleFraction is the fraction of the equal part that may stay open while idle. An
 	// upstream keeps the connections of VMs that lost power for some seconds; when all nodes
 	// have lost it, the rest is available to them as soon as they restart.
@@ -32,6 +35,8 @@
 type share struct {
 	// maxIdle bounds the connections that stay open while idle; maxOpen bounds all open ones.
 	maxIdle, maxOpen int
+	// maxInUse bounds those in use; 0 means as many as may be open.
+	maxInUse int
 	// fullAt is when the upstream last had no connection left, or zero.
 	fullAt time.Duration
 }
@@ -52,10 +57,15 @@
 }
 
 // newHolderShare returns the share of one of n nodes that hold the connections to an upstream for all others. It
-// keeps them open while idle.
-func newHolderShare(maxConnections, n int) share {
+// keeps them open while idle, for many teams, and uses fewer at once: the upstream has few slots, and statements wait
+// better in the pool's queue than in its own, where they keep a connection and may be refused.
+func newHolderShare(maxConnections, n, slots int) share {
 	limit := holders.Share(maxConnections, n)
-	return share{maxIdle: limit, maxOpen: limit}
+	s := share{maxIdle: limit, maxOpen: limit}
+	if slots > 0 {
+		s.maxInUse = max(1, maxInUsePerSlot*slots/n)
+	}
+	return s
 }
 
 // currentMaxOpen returns how many connections may be open.
--- a/gateway/holders/holders.go
+++ b/gateway/holders/holders.go
@@ -30,7 +30,7 @@
 	// connectionFraction is the fraction of an upstream's connections that its holders use. The rest is for the
 	// successor of a lost holder, whose connections the upstream keeps for some seconds, and for nodes that reach
 	// no holder.
-	connectionFraction = 0.5
+	connectionFraction = 0.7
 	// retainedShare is the equal part below which holders that were chosen stay in use, so that a node more or less
 	// does not switch them on and off.
 	retainedShare = SmallShare + 1
