--- a/gateway/forward/forward_test.go
+++ b/gateway/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/engine"
+	"github.com/jayloom/jayloom/gateway/holders"
 	"github.com/jayloom/jayloom/gateway/stop"
 )
 
@@ -198,6 +200,32 @@
 	}
 }
 
+// Load pattern: a burst that an upstream cannot serve. Guards against statements that its holder refuses and that all
+// nodes then send over connections of their own.
+func TestUpstreamWithoutRoomIsNotAskedDirectly(t *testing.T) {
+	d, edge, holder := newFleet(t)
+	answers := make(chan engine.Answer)
+	running := 0
+	for holder.dialer.count() < holders.Share(23, 1) {
+		go func() { answers <- edge.open().Handle(context.Background(), write("wait")) }()
+		<-d.started
+		running++
+	}
+	a := edge.open().Handle(context.Background(), write("too much"))
+	if a.Refusal == nil || a.Refusal.Code != rescode.QueueTimeout || slices.Contains(d.texts(), "too much") {
+		t.Errorf("answered with %+v", a.Refusal)
+	}
+	if n := edge.dialer.count(); n != 0 {
+		t.Errorf("the caller's node opened %d connections", n)
+	}
+	close(d.release)
+	for range running {
+		if a := <-answers; a.Refusal != nil {
+			t.Errorf("a write that ran was refused: %+v", a.Refusal)
+		}
+	}
+}
+
 // Guards against a second run of a write whose answer was lost with the link, and against a read that fails although it
 // may run again.
 func TestLinkCutBehindTheSend(t *testing.T) {
