--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -97,7 +97,7 @@
 		p.setPlace(u.Place, g.placeDrains)
 		p.updateWarmup(clock.Now(), u.Warming, service.WarmupRate > 0, wasDrained)
 		p.mu.Unlock()
-		p.setHolders(g.forwarder, g.address, u.Holders)
+		p.setHolders(g.forwarder, g.address, u.Holders, int(u.Slots))
 		p.setShare(service.MaxConnections, nodes)
 		g.poolList = append(g.poolList, p)
 	}
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -95,7 +95,7 @@
 	fullAt, scarceUntil := p.share.fullAt, p.share.scarceUntil
 	p.share = newShare(maxConnections, nodes)
 	if p.isHolder() {
-		p.share = newHolderShare(maxConnections, len(p.held.addresses))
+		p.share = newHolderShare(maxConnections, len(p.held.addresses), p.held.slots)
 	}
 	p.share.fullAt, p.share.scarceUntil = fullAt, scarceUntil
 	if p.busyAt == 0 {
--- a/gateway/forward/forward_test.go
+++ b/gateway/forward/forward_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/jayloom/jayloom/api/rescode"
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/engine"
+	"github.com/jayloom/jayloom/gateway/holders"
 	"github.com/jayloom/jayloom/gateway/stop"
 )
 
@@ -144,16 +147,30 @@
 	return nil
 }
 
+// unusedAddress returns an address at which nothing listens.
+func unusedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return listener.Addr().String()
+}
+
 // Guards against statements that fail because of a holder that does not take them, and against a second run: nothing
 // was sent in any of these cases.
 func TestUnitThatIsNotServedRunsDirectly(t *testing.T) {
 	for name, prepare := range map[string]func(edge, holder *testNode){
-		"unreachable": func(_, holder *testNode) { _ = holder.relay.listener.Close() },
+		"unreachable": func(edge, _ *testNode) { edge.configure(unusedAddress(edge.t)) },
 		"stopping": func(_, holder *testNode) {
 			holder.engine.BeginStop(stop.NewPlan(clock.Now(), time.Minute))
 		},
 		"without a lease": func(_, holder *testNode) { holder.control.expireLease() },
 		"full":            func(_, holder *testNode) { holder.server.limit = 0 },
+		"full of bytes":   func(_, holder *testNode) { holder.server.byteLimit.Store(1) },
 		"unknown upstream": func(_, holder *testNode) {
 			holder.engine.Update(holder.control.View())
 			holder.control.view.Topology.Upstreams = nil
@@ -183,6 +200,32 @@
 	}
 }
 
+// Load pattern: a burst that an upstream cannot serve. Guards against statements that its holder refuses and that all
+// nodes then send over connections of their own.
+func TestUpstreamWithoutRoomIsNotAskedDirectly(t *testing.T) {
+	d, edge, holder := newFleet(t)
+	answers := make(chan engine.Answer)
+	running := 0
+	for holder.dialer.count() < holders.Share(23, 1) {
+		go func() { answers <- edge.open().Handle(context.Background(), write("wait")) }()
+		<-d.started
+		running++
+	}
+	a := edge.open().Handle(context.Background(), write("too much"))
+	if a.Refusal == nil || a.Refusal.Code != rescode.QueueTimeout || slices.Contains(d.texts(), "too much") {
+		t.Errorf("answered with %+v", a.Refusal)
+	}
+	if n := edge.dialer.count(); n != 0 {
+		t.Errorf("the caller's node opened %d connections", n)
+	}
+	close(d.release)
+	for range running {
+		if a := <-answers; a.Refusal != nil {
+			t.Errorf("a write that ran was refused: %+v", a.Refusal)
+		}
+	}
+}
+
 // Guards against a second run of a write whose answer was lost with the link, and against a read that fails although it
 // may run again.
 func TestLinkCutBehindTheSend(t *testing.T) {
@@ -230,6 +273,7 @@
 func TestFrozenHolder(t *testing.T) {
 	d, edge, holder := newFleet(t)
 	edge.mustRun(edge.open(), read("first"))
+	held := d.last().conn
 	holder.relay.freeze()
 	edge.mustRun(edge.open(), read("under way"))
 	startedAt := time.Now()
@@ -248,7 +292,7 @@
 	dials := edge.dialer.count()
 	eventually(t, "the holder is not used again", func() bool {
 		edge.mustRun(edge.open(), read("after"))
-		return d.last().conn == d.ran[0].conn
+		return d.last().conn == held
 	})
 	if n := edge.dialer.count(); n > dials+1 {
 		t.Errorf("%d connections were opened beside an idle one", n-dials)
