Nodes: the limits of teams are known before the first lease

A node stored its lease and recorded the leader's answer for the gate behind that, so that requests between the two were refused with rate_unknown. Seen once, under load: cmd/jayloom-node failed in a run of the whole package (an EXECUTE of TestPreparedStatementRunsItsOwnShape's kind refused with rate_unknown 2 ms after the first stream); six other runs passed.

--- a/gateway/controlclient/stream.go
+++ b/gateway/controlclient/stream.go
@@ -174,6 +174,8 @@
 	if u.Sequence < s.firstSequence || u.Sequence+maxUnansweredReports <= c.sequence {
 		return nil
 	}
+	// The limits have to be known before the lease lets requests in.
+	c.opts.Gate.RecordAnswer(now, u.Sequence == c.sequence)
 	sentAt := c.sentAt[u.Sequence%maxUnansweredReports]
 	if until := int64(sentAt + c.opts.Lease); until > c.leaseUntil.Load() {
 		c.leaseUntil.Store(until)
@@ -186,6 +188,5 @@
 			})
 		}
 	}
-	c.opts.Gate.RecordAnswer(now, u.Sequence == c.sequence)
 	return nil
 }
