--- a/gateway/engine/forwarding_test.go
+++ b/gateway/engine/forwarding_test.go
@@ -66,7 +66,7 @@
 	p.setShare(56, 85)
 	var held []*upstreamConn
 	for {
-		c, refusal := p.acquire(context.Background(), "team", time.Now().Add(time.Millisecond), time.Millisecond)
+		c, refusal := p.acquire(context.Background(), testRequest("team", shortWait))
 		if refusal != nil {
 			break
 		}
@@ -79,7 +79,7 @@
 		p.release(c)
 	}
 	for _, team := range []string{"b", "c", "d"} {
-		c, refusal := p.acquire(context.Background(), team, time.Now().Add(time.Second), time.Second)
+		c, refusal := p.acquire(context.Background(), testRequest(team, longWait))
 		if refusal != nil {
 			t.Fatal(refusal)
 		}
