Reads that an upstream failed run elsewhere, and a failing upstream gets its proportion

Cause: an upstream that fails or sheds a part of what it is sent, while its health checks succeed, answers these statements sooner than others run theirs. And a failed read was answered as failed at once. Change: failed and shed statements do not count as latency; the cost of an upstream is divided by the fraction of statements that it runs (policy/balance); a failed read is tried once more, elsewhere if it may run there. Writes are not repeated.

--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -68,6 +68,15 @@
 	}
 }
 
+// isFailure reports whether the upstream answered and did not run the statement successfully, although it could have.
+func (result attemptResult) isFailure() bool {
+	if result.answer.Refusal == nil {
+		return false
+	}
+	reason := result.answer.Refusal.Reason
+	return reason == reasonUpstreamFailed || reason == reasonUpstreamBusy
+}
+
 func finalResult(a Answer) attemptResult { return attemptResult{answer: a} }
 
 // retryResult returns a retryable result. The refusal r goes to the caller if no attempt is
@@ -177,7 +186,17 @@
 	if reply.Outcome == Done {
 		return finalResult(Answer{Rows: reply.Rows, Digest: reply.Digest})
 	}
-	return outcomeResult(reply.Outcome)
+	return readOutcomeResult(reply.Outcome)
+}
+
+// readOutcomeResult is outcomeResult for a read, which may run again after it failed. Some upstreams fail a part of what
+// they run although their health checks succeed.
+func readOutcomeResult(o Outcome) attemptResult {
+	result := outcomeResult(o)
+	if o == Failed {
+		result.retryReason, result.retryable = retryFailed, true
+	}
+	return result
 }
 
 // readPrimaryForwarded sends the transaction of a read in one message. The other node runs the read only if the
@@ -194,7 +213,7 @@
 	case ReadOnly:
 		op.group.markPrimaryLost(c.pool.target.ID)
 	}
-	return outcomeResult(reply.Outcome)
+	return readOutcomeResult(reply.Outcome)
 }
 
 // read runs a bounded-staleness read on the upstream with the lowest expected cost, or on the
@@ -250,7 +269,7 @@
 	if reply.Outcome == Behind {
 		c.pool.recordBehind()
 	}
-	return outcomeResult(reply.Outcome)
+	return readOutcomeResult(reply.Outcome)
 }
 
 // attemptDeadline returns the deadline of one attempt. It leaves time to run a read elsewhere
@@ -352,6 +371,8 @@
 	case c.lostAnswer(result):
 		p.recordNoAnswer(clock.Now() - sentAt)
 	case !result.concernsUpstream():
+	case result.isFailure():
+		p.recordFailedStatement()
 	case s.relay.started:
 		p.recordSuccess()
 	default:
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -27,6 +27,9 @@
 	// refuseBusy is the number of statements to refuse as busy; dropAnswers is the number of
 	// answers to drop after the statement ran.
 	refuseBusy, dropAnswers int
+	// fails makes it run the statements of callers and fail them; failed counts them.
+	fails  bool
+	failed int
 	unreachable             bool
 	// dropRollbacks makes the answers to rollbacks come too late.
 	dropRollbacks bool
@@ -204,6 +207,10 @@
 	if !s.keepsNoRuns {
 		s.ran = append(s.ran, run{team: c.team, text: st.Text, inTransaction: c.tx, values: maps.Clone(c.values), prepared: prepared})
 	}
+	if s.fails {
+		s.failed++
+		return Reply{Outcome: Failed}
+	}
 	if st.Kind == Commit {
 		c.tx = false
 	}
--- a/gateway/engine/forwarding.go
+++ b/gateway/engine/forwarding.go
@@ -244,6 +244,7 @@
 	return Candidate{
 		ID: p.target.ID, Place: p.place, Draining: p.draining || p.placeDrained, Failing: p.failing || p.closed,
 		NeedsPermit:       p.mayBeCold(now),
+		Success:           p.outcomes.Rate(now),
 		HasIdleConnection: true,
 		InFlight:          p.held.inUse + p.inUse + p.waiters.Len(), Latency: p.currentLatency(now),
 		Position: p.position, RecentlyBehind: now < p.behindUntil,
--- a/gateway/engine/health.go
+++ b/gateway/engine/health.go
@@ -62,12 +62,23 @@
 	p.behindPause = 0
 }
 
+// recordFailedStatement records that the upstream answered and did not run a statement. Its latency is not that of a
+// statement that runs: an upstream that fails at once would look like the fastest one.
+func (p *pool) recordFailedStatement() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	p.markAnswering(now)
+	p.outcomes.Record(now, false)
+}
+
 // recordAnswer records that the upstream answered, and its latency.
 func (p *pool) recordAnswer(latency time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
 	p.markAnswering(now)
+	p.outcomes.Record(now, true)
 	p.updateLatency(now, latency)
 }
 
@@ -191,6 +202,7 @@
 	return Candidate{
 		ID: p.target.ID, Place: p.place, Draining: p.draining || p.placeDrained, Failing: p.failing || p.closed,
 		NeedsPermit:       p.mayBeCold(now),
+		Success:           p.outcomes.Rate(now),
 		HasIdleConnection: p.idleIndex(team) >= 0,
 		MustWait:          p.inUse >= p.currentWindow(now),
 		Pause:             p.remainingPause(now, priority),
--- a/gateway/engine/metrics.go
+++ b/gateway/engine/metrics.go
@@ -71,6 +71,7 @@
 	retryQueue       retryReason = "queue"
 	retryReadOnly    retryReason = "read_only"
 	retryAnswerLost  retryReason = "answer_lost"
+	retryFailed      retryReason = "failed"
 	retryDial        retryReason = "dial"
 	retryPlanExpired retryReason = "plan_expired"
 	retryDrained     retryReason = "upstream_drained"
--- a/gateway/engine/plan.go
+++ b/gateway/engine/plan.go
@@ -44,9 +44,11 @@
 	RecentlyBehind bool
 	// NeedsPermit is true when a statement needs a permit for the upstream, and NoPermit when there is none.
 	NeedsPermit, NoPermit bool
-	InFlight              int
-	Latency               time.Duration
-	Position              position.Position
+	// Success is the fraction of statements that the upstream runs; 0 stands for all.
+	Success  float64
+	InFlight int
+	Latency  time.Duration
+	Position position.Position
 }
 
 // chooseCandidate returns the index of the candidate with the lowest cost for a read, or -1.
@@ -79,6 +81,9 @@
 		case !c.HasIdleConnection:
 			cost += connectCost
 		}
+		if c.Success > 0 {
+			cost = time.Duration(float64(cost) / c.Success)
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -13,6 +13,7 @@
 	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/position"
 	"github.com/jayloom/jayloom/policy/admission"
+	"github.com/jayloom/jayloom/policy/balance"
 )
 
 const (
@@ -78,6 +79,8 @@
 	answeredAt   time.Duration
 	lastTeam     string
 	reconnecting bool
+	// outcomes holds which part of the statements the upstream runs.
+	outcomes balance.SuccessRate
 
 	held heldElsewhere
 }
--- a/gateway/engine/retry.go
+++ b/gateway/engine/retry.go
@@ -17,6 +17,8 @@
 	// maxBusyRetries bounds the retries after upstreams reported that they are busy: many of
 	// them would keep the upstreams overloaded.
 	maxBusyRetries = 2
+	// maxFailedRetries bounds the retries of a read that an upstream ran and failed: the read itself may be wrong.
+	maxFailedRetries = 1
 	// maxQueueRetries bounds the retries after a request could not wait for a connection.
 	maxQueueRetries = 1
 	// retryBackoff is multiplied by the number of attempts to give the mean pause before an
@@ -26,7 +28,7 @@
 
 // retryCounts counts the retries of one statement.
 type retryCounts struct {
-	total, busy, queue int
+	total, busy, queue, failed int
 }
 
 // allow counts a retry, unless there were enough already.
@@ -37,8 +39,10 @@
 		c.busy++
 	case retryQueue:
 		c.queue++
+	case retryFailed:
+		c.failed++
 	}
-	return c.total < maxAttempts && c.busy <= maxBusyRetries && c.queue <= maxQueueRetries
+	return c.total < maxAttempts && c.busy <= maxBusyRetries && c.queue <= maxQueueRetries && c.failed <= maxFailedRetries
 }
 
 // triedUpstreams holds the upstreams that a read has tried, with the reasons for trying another.
