Even load: reads are sent on once, and an upstream runs what it has slots for

Cause: nodes choose by answers that are seconds old; what is more than an upstream can run waited in its own queue of 32, in order of arrival, while others idled and urgent statements came last. Change: a holder lets 1.5 statements for each slot run and keeps the others in its queue by priority, without counting transactions whose callers pause; a read that would wait there for more than a tenth of its objective goes to another upstream once. Failures of an upstream are remembered for 3 s instead of 1 s, since a node of a large fleet rarely sends it a statement.

--- a/gateway/engine/admission.go
+++ b/gateway/engine/admission.go
@@ -35,12 +35,15 @@
 	deadline time.Time
 	// repeat is set for a further attempt for the same statement.
 	repeat bool
+	// maxWait bounds the wait besides, because the request can be served by another upstream; 0 means that it does not.
+	maxWait time.Duration
 }
 
 // connRequest returns the request for a connection of the operation's next attempt.
 func (op *operation) connRequest(deadline time.Time) connRequest {
 	return connRequest{
 		team: op.team, priority: op.route.Priority, objectiveEnd: op.objectiveEnd, deadline: deadline, repeat: op.repeated,
+		maxWait: op.maxWait,
 	}
 }
 
@@ -123,6 +126,9 @@
 // admissionRequest returns how long and with which urgency a request may wait.
 func admissionRequest(now time.Duration, r connRequest) admission.Request {
 	wait := maxConnectionWait(now, r.objectiveEnd)
+	if r.maxWait > 0 {
+		wait = min(wait, r.maxWait)
+	}
 	return admission.Request{
 		Team: r.team, Priority: r.priority, Arrived: now, ObjectiveEnd: r.objectiveEnd, WaitUntil: now + wait, Repeat: r.repeat,
 	}
@@ -147,8 +153,12 @@
 	if p.inUse == 0 && len(p.idle) == 0 {
 		dialPause = p.full.Until()
 	}
+	slots, holdTime := p.currentWindow(now), p.currentHoldTime(now)
+	if limit := p.share.maxRunning; limit > 0 && limit < slots {
+		slots, holdTime = limit, p.currentLatency(now)
+	}
 	return admission.Capacity{
-		Slots: p.currentWindow(now), HoldTime: p.currentHoldTime(now), InUse: p.inUseByTeam,
+		Slots: slots, HoldTime: holdTime, InUse: p.inUseByTeam,
 		BlockedUntil: func(priority uint32) time.Duration { return max(dialPause, p.shed.Until(priority)) },
 	}
 }
--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -232,6 +232,8 @@
 		}
 		countRead("any")
 		deadline := attemptDeadline(op, p)
+		op.mayRedirect(tried)
+		defer func() { op.maxWait = 0 }()
 		result := s.withConn(ctx, op, p, deadline, func(c *upstreamConn) attemptResult {
 			return s.readOn(ctx, op, c, st, deadline)
 		})
--- a/gateway/engine/fake_test.go
+++ b/gateway/engine/fake_test.go
@@ -28,9 +28,9 @@
 	// answers to drop after the statement ran.
 	refuseBusy, dropAnswers int
 	// fails makes it run the statements of callers and fail them; failed counts them.
-	fails  bool
-	failed int
-	unreachable             bool
+	fails       bool
+	failed      int
+	unreachable bool
 	// dropRollbacks makes the answers to rollbacks come too late.
 	dropRollbacks bool
 	// firstRows are passed on before the rest of an answer.
--- a/gateway/engine/forwarding.go
+++ b/gateway/engine/forwarding.go
@@ -31,6 +31,8 @@
 	ObjectiveLeft time.Duration
 	// Repeat is set for a further attempt for the same statement.
 	Repeat bool
+	// MaxWait bounds the wait for a connection besides, because the unit can run elsewhere; 0 means that it does not.
+	MaxWait time.Duration
 	// StatementTimeout is how long a reply may take of which rows have been passed on.
 	StatementTimeout time.Duration
 	// Load is told the load of the upstream with each reply.
@@ -152,7 +154,7 @@
 func (p *pool) load() UpstreamLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return UpstreamLoad{InUse: p.inUse, Waiting: p.waiters.Len(), Latency: p.currentLatency(clock.Now())}
+	return UpstreamLoad{InUse: p.running(), Waiting: p.waiters.Len(), Latency: p.currentLatency(clock.Now())}
 }
 
 // openForwarded returns a connection that forwards to the first usable node that holds connections of the unit's
@@ -197,7 +199,7 @@
 	if !direct && p.mayForward(op) {
 		c := p.openForwarded(ctx, ForwardedUnit{
 			Team: op.team, Priority: op.route.Priority, StatementTimeout: op.route.StatementTimeout,
-			ObjectiveLeft: op.objectiveEnd - clock.Now(), Repeat: op.repeated,
+			ObjectiveLeft: op.objectiveEnd - clock.Now(), Repeat: op.repeated, MaxWait: op.maxWait,
 		})
 		if c != nil {
 			return c, nil
--- a/gateway/engine/forwarding_test.go
+++ b/gateway/engine/forwarding_test.go
@@ -70,12 +70,16 @@
 		if refusal != nil {
 			break
 		}
+		// Inside a transaction whose caller pauses, it takes no slot.
+		c.state = InTransaction
+		c.park()
 		held = append(held, c)
 	}
 	if len(held) != 4*maxInUsePerSlot/2 {
 		t.Errorf("%d connections in use", len(held))
 	}
 	for _, c := range held {
+		c.state = Idle
 		p.release(c)
 	}
 	for _, team := range []string{"b", "c", "d"} {
--- a/gateway/engine/pool.go
+++ b/gateway/engine/pool.go
@@ -38,6 +38,8 @@
 	// open counts connections that are idle, in use or being dialed; inUse counts the latter
 	// two.
 	open, inUse int
+	// parked counts those in use inside transactions whose callers pause.
+	parked int
 	// inUseByTeam divides inUse by team.
 	inUseByTeam map[string]int
 	// share bounds open. window is the bound of inUse at busyAt, and grows from then on.
@@ -110,7 +112,7 @@
 // tryAcquire acquires an idle connection of the team, or else the right to dial one. To dial,
 // it may close the connection that has been idle for the longest time. The caller holds mu.
 func (p *pool) tryAcquire(now time.Duration, team string) (handover, bool) {
-	if p.inUse >= p.currentWindow(now) {
+	if p.inUse >= p.currentWindow(now) || !p.hasSlot() {
 		return handover{}, false
 	}
 	if i := p.idleIndex(team); i >= 0 {
@@ -232,6 +234,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.endParking(c)
 	p.unuse(c.team)
 	now := clock.Now()
 	p.recordHold(now, now-c.acquiredAt)
--- a/gateway/engine/session.go
+++ b/gateway/engine/session.go
@@ -116,6 +116,8 @@
 	// objectiveEnd is when the latency objective ends. For a transaction it is counted from its
 	// first statement.
 	objectiveEnd time.Duration
+	// maxWait bounds the wait of the next attempt for a connection besides; 0 means that it does not.
+	maxWait time.Duration
 	// repeated is set for further attempts of the node for the same statement.
 	repeated bool
 }
--- a/gateway/engine/share.go
+++ b/gateway/engine/share.go
@@ -40,6 +40,8 @@
 	maxIdle, maxOpen int
 	// maxInUse bounds those in use; 0 means as many as may be open.
 	maxInUse int
+	// maxRunning bounds the statements that run at once; 0 means without limit.
+	maxRunning int
 	// fullAt is when the upstream last had no connection left, or zero.
 	fullAt time.Duration
 	// scarceUntil is until when the upstream may have none left for other nodes because all have
@@ -70,6 +72,7 @@
 	s := share{maxIdle: limit, maxOpen: limit}
 	if slots > 0 {
 		s.maxInUse = max(1, maxInUsePerSlot*slots/n)
+		s.maxRunning = runningLimit(slots, n)
 	}
 	return s
 }
--- a/gateway/engine/unit.go
+++ b/gateway/engine/unit.go
@@ -52,6 +52,8 @@
 	ObjectiveLeft time.Duration
 	// Repeat is set for a further attempt for the same statement.
 	Repeat bool
+	// MaxWait bounds the wait for a connection besides, because the unit can run elsewhere; 0 means that it does not.
+	MaxWait time.Duration
 	// StatementTimeout is how long a reply may take of which rows have been passed on.
 	StatementTimeout time.Duration
 	// Rows takes the first rows of large replies.
@@ -99,7 +101,7 @@
 	u.session.relay.writer = u
 	u.op = &operation{
 		route: &catalog.Route{Service: o.Service, Priority: o.Priority, StatementTimeout: o.StatementTimeout},
-		team:  o.Team, group: g, started: clock.Now(), objectiveEnd: clock.Now() + o.ObjectiveLeft, repeated: o.Repeat,
+		team:  o.Team, group: g, started: clock.Now(), objectiveEnd: clock.Now() + o.ObjectiveLeft, repeated: o.Repeat, maxWait: o.MaxWait,
 	}
 	return u
 }
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -84,6 +84,8 @@
 	// misaligned connections are closed too: the upstream answers, but its session is not in the state that this
 	// node believes it to be in.
 	misaligned bool
+	// parked is set while the transaction on the connection pauses.
+	parked bool
 	// resets counts the times that the upstream's session was reset.
 	resets int
 	// forwarded connections carry one unit of work to the node that holds the connections to the upstream.
@@ -111,6 +113,10 @@
 
 // roundTripTo is a roundTrip whose rows for the statement of the caller may go to a sink.
 func (c *upstreamConn) roundTripTo(sink RowSink, deadline time.Time, statements ...Statement) ([]Reply, error) {
+	if !c.forwarded {
+		c.unpark()
+		defer c.park()
+	}
 	wasBroken := c.broken
 	c.broken = true
 	if err := c.conn.Send(deadline, statements...); err != nil {
--- a/gateway/forward/convert.go
+++ b/gateway/forward/convert.go
@@ -22,7 +22,7 @@
 func toHeader(u engine.ForwardedUnit) *controlpb.UnitHeader {
 	return &controlpb.UnitHeader{
 		Service: u.Target.Service, Upstream: u.Target.ID, Team: u.Team, Priority: u.Priority,
-		ObjectiveLeftMs: milliseconds(u.ObjectiveLeft), StatementTimeoutMs: milliseconds(u.StatementTimeout), Repeat: u.Repeat,
+		ObjectiveLeftMs: milliseconds(u.ObjectiveLeft), StatementTimeoutMs: milliseconds(u.StatementTimeout), Repeat: u.Repeat, MaxWaitMs: milliseconds(u.MaxWait),
 	}
 }
 
--- a/gateway/forward/server.go
+++ b/gateway/forward/server.go
@@ -115,7 +115,7 @@
 func unitOptions(h *controlpb.UnitHeader, rows engine.UnitRows) engine.UnitOptions {
 	return engine.UnitOptions{
 		Service: h.GetService(), Upstream: h.GetUpstream(), Team: h.GetTeam(), Priority: h.GetPriority(),
-		ObjectiveLeft: duration(h.GetObjectiveLeftMs()), Repeat: h.GetRepeat(),
+		ObjectiveLeft: duration(h.GetObjectiveLeftMs()), Repeat: h.GetRepeat(), MaxWait: duration(h.GetMaxWaitMs()),
 		StatementTimeout: duration(h.GetStatementTimeoutMs()), Rows: rows,
 	}
 }
--- a/policy/balance/success.go
+++ b/policy/balance/success.go
@@ -1,12 +1,18 @@
+// Package balance weighs servers whose state a machine knows from the answers to its own statements only. It has no
+// clock and no I/O.
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// outcomeWeight is the weight of one statement in the success rate.
 	outcomeWeight = 0.2
-	// failureTime is the time constant with which failures fade while nothing is sent to a server.
-	failureTime = time.Second
+	// failureTime is the time constant with which failures fade while nothing is sent to a server. A node of a large fleet
+	// sends a server one statement in a second or two.
+	failureTime = 3 * time.Second
 	// minSuccess is the least success rate that is assumed, so that a server that failed all is tried again.
 	minSuccess = 0.05
 )
@@ -37,5 +43,5 @@
 }
 
 func (s *SuccessRate) failureRate(now time.Duration) float64 {
-	return s.failures * decay(now-s.recordedAt, failureTime)
+	return s.failures * math.Exp(-float64(now-s.recordedAt)/float64(failureTime))
 }
