--- a/cmd/internal/e2e/deploy_test.go
+++ b/cmd/internal/e2e/deploy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -60,6 +61,8 @@
 	SelectGroups bool
 	// DrainTimeout is proxy.drain_timeout_ms; zero means the default of the settings.
 	DrainTimeout time.Duration
+	// ProxySettings are further settings of the proxies.
+	ProxySettings map[string]any
 	// ManualStart names the processes that the test starts itself.
 	ManualStart []string
 }
@@ -243,6 +246,7 @@
 	if d.options.DrainTimeout != 0 {
 		own["drain_timeout_ms"] = d.options.DrainTimeout.Milliseconds()
 	}
+	maps.Copy(own, d.options.ProxySettings)
 	args := d.overlayArgs(name, object{"proxy": own})
 	p.Process = d.addProcess(name, "jayloom-proxy", args...)
 	d.Proxies = append(d.Proxies, p)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,7 +28,11 @@
   trap 'rm -rf "$tools" "$known"' EXIT
   go test -count=1 -run "^($skip)\$" "${packages[@]}" 2>&1 | tee "$known" || true
   ./scripts/known-red.sh KNOWN-RED.txt "$known"
-  go test -count=1 -skip "^($skip)\$" "${packages[@]}"
-else
-  go test -count=1 "${packages[@]}"
 fi
+
+# Tests of clients that misbehave run one at a time, apart from other load.
+abuse='^TestAbuse'
+mapfile -t others < <(go list "${packages[@]}" | grep -v '/cmd/internal/abuse$')
+go test -count=1 -skip "^(${skip:-none})\$|$abuse" "${others[@]}"
+go test -count=1 -p 1 -skip "^(${skip:-none})\$" ./cmd/internal/abuse
+go test -count=1 -p 1 -skip "^(${skip:-none})\$" -run "$abuse" ./cmd/internal/e2e
