--- a/base/metricsrv/metricsrv.go
+++ b/base/metricsrv/metricsrv.go
@@ -4,14 +4,16 @@
 import (
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jayloom/jayloom/base/httpsrv"
 )
 
-// readHeaderTimeout bounds how long a client may take to send its headers.
-const readHeaderTimeout = 5 * time.Second
+// maxConnections bounds the open connections of a server: collectors of metrics, operators and announcements of upstreams.
+const maxConnections = 128
 
 // Handle adds GET /metrics to mux.
 func Handle(mux *http.ServeMux) {
@@ -20,23 +22,24 @@
 	})
 }
 
-// Serve serves handler on listener in a goroutine until the returned server is closed.
-func Serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+// Serve serves handler on listener in a goroutine until the returned server is closed. Clients that misbehave are bounded
+// as package httpsrv says.
+func Serve(listener net.Listener, handler http.Handler, log *logrus.Entry) *http.Server {
+	server, bounded := httpsrv.New(listener, handler, httpsrv.Options{Name: "http", MaxConnections: maxConnections, Log: log})
 	go func() {
 		// Serve always returns an error, http.ErrServerClosed after Close or Shutdown.
-		_ = server.Serve(listener)
+		_ = server.Serve(bounded)
 	}()
 	return server
 }
 
 // Start listens on address and serves /metrics there.
-func Start(address string) (*http.Server, error) {
+func Start(address string, log *logrus.Entry) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for metrics on %s", address)
 	}
 	mux := http.NewServeMux()
 	Handle(mux)
-	return Serve(listener, mux), nil
+	return Serve(listener, mux, log), nil
 }
--- a/cmd/jayloom-proxy/main.go
+++ b/cmd/jayloom-proxy/main.go
@@ -144,7 +144,7 @@
 	controlpb.RegisterPeeringServer(p.peeringServer, &proxy.PeeringServer{Server: p.proxyServer})
 	go func() { _ = p.peeringServer.Serve(peeringListener) }()
 	if s.ListenHTTP != "" {
-		if p.metricsServer, err = metricsrv.Start(s.ListenHTTP); err != nil {
+		if p.metricsServer, err = metricsrv.Start(s.ListenHTTP, p.log); err != nil {
 			return errors.Join(rescode.New(rescode.AddressInUse, "%s", s.ListenHTTP), err)
 		}
 	}
--- a/cmd/jayloom-relay/main.go
+++ b/cmd/jayloom-relay/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
 
 	"github.com/jayloom/jayloom/base/logging"
 	"github.com/jayloom/jayloom/base/metricsrv"
@@ -81,7 +82,7 @@
 	mux := http.NewServeMux()
 	forwarder.RegisterHandlers(mux)
 	metricsrv.Handle(mux)
-	httpServer := metricsrv.Serve(httpListener, mux)
+	httpServer := metricsrv.Serve(httpListener, mux, logrus.NewEntry(logrus.StandardLogger()))
 	defer httpServer.Close()
 	logger.WithField("target", o.Target).Info("forwarding")
 	<-ctx.Done()
--- a/control/process/process.go
+++ b/control/process/process.go
@@ -108,7 +108,7 @@
 	mux := http.NewServeMux()
 	metricsrv.Handle(mux)
 	server.HandleAnnouncements(mux)
-	httpServer := metricsrv.Serve(p.http, calls.Handler(mux))
+	httpServer := metricsrv.Serve(p.http, calls.Handler(mux), p.log)
 
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return member.Run(groupCtx) })
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -57,7 +58,7 @@
 	metrics      *metrics.Set
 	urgentReport atomic.Pointer[func()]
 
-	unauthenticatedCount atomic.Int64
+	unauthenticated *unauthenticatedConns
 
 	// queriesMu guards barriers and confirmers.
 	queriesMu  sync.Mutex
@@ -90,6 +91,8 @@
 		confirmers: map[string]*replayConfirmer{},
 		lags:       newLagTracker(),
 		stop:       make(chan struct{}),
+
+		unauthenticated: newUnauthenticatedConns(int(opts.Settings.MaxUnauthenticated)),
 	}
 	s.groups = &activeGroups{reportNow: s.requestReport}
 	s.admission = admission.New(opts.Tokens, s.requestReport)
@@ -165,6 +168,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if isTemporary(err) {
+			// Without descriptors the callers that are connected are still served.
+			s.opts.Log.WithError(err).Warn("accept failed")
+			time.Sleep(acceptBackoff)
+			continue
+		}
 		if err != nil {
 			return errors.Wrap(err, "accept callers")
 		}
@@ -172,6 +181,15 @@
 	}
 }
 
+// acceptBackoff is the pause after a failure to accept a connection.
+const acceptBackoff = 50 * time.Millisecond
+
+// isTemporary reports whether a failure to accept a connection says nothing about the next one.
+func isTemporary(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ECONNABORTED)
+}
+
 // serveConn authenticates one network connection and serves it until it ends.
 func (s *Server) serveConn(conn net.Conn) {
 	defer guard.Recover(s.opts.Log, "connection of a caller")
--- a/proxy/startup.go
+++ b/proxy/startup.go
@@ -173,17 +173,16 @@
 // authenticate runs the startup phase of a connection. It returns nil if the
 // connection was closed.
 func (s *Server) authenticate(conn net.Conn) *caller {
-	defer s.unauthenticatedCount.Add(-1)
 	h := &handshake{server: s}
 	h.setConn(conn)
-	unauthenticated := s.unauthenticatedCount.Add(1)
 	timeout := time.Duration(s.settings.AuthenticationTimeoutMs) * time.Millisecond
 	_ = conn.SetDeadline(time.Now().Add(timeout))
-	if unauthenticated > int64(s.settings.MaxUnauthenticated) {
+	s.unauthenticated.add(conn)
+	session, err := h.run()
+	if !s.unauthenticated.remove(conn) && session == nil {
 		h.refuse(rescode.New(rescode.TooManyUnauthenticated, ""))
 		return nil
 	}
-	session, err := h.run()
 	if err != nil {
 		h.handleError(err)
 		return nil
