--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -333,7 +333,9 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	n.callerListener = listener
-	messages := platform.NewMessageMemory(int64(messageMemoryFraction * float64(n.settings.MemoryMB) * (1 << 20)))
+	messageBytes := int64(messageMemoryFraction * float64(n.settings.MemoryMB) * (1 << 20))
+	messages := platform.NewMessageMemory(messageBytes)
+	messages.RegisterGauge(messageBytes)
 	messages.LimitProcess(int64(maxInUseFraction*float64(n.settings.MemoryMB)*(1<<20)), memoryInUse)
 	n.callerServer = server.New(server.Options{
 		Engine: n.engine, Codec: func(c net.Conn) server.Codec { return platform.NewCallerCodec(c, messages) },
