--- a/base/connlimit/listener.go
+++ b/base/connlimit/listener.go
@@ -14,9 +14,6 @@
 	"github.com/jayloom/jayloom/base/clock"
 )
 
-// ProtectionTime is how long a connection is kept for a request that is being served.
-const ProtectionTime = 2 * time.Second
-
 // Reasons for which connections are closed.
 const (
 	reasonEvicted = "evicted"
--- a/base/httpsrv/httpsrv.go
+++ b/base/httpsrv/httpsrv.go
@@ -2,6 +2,7 @@
 package httpsrv
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -22,6 +23,10 @@
 	idleTimeout = 10 * time.Second
 	// maxHeaderBytes bounds the headers of a request.
 	maxHeaderBytes = 8 << 10
+	// bodyProtection is how long a connection is kept while the body of its request arrives, answerProtection how long
+	// from then on for the answer.
+	bodyProtection   = 2 * time.Second
+	answerProtection = 5 * time.Second
 )
 
 // Options describe a server.
@@ -44,11 +49,33 @@
 	return server, listener
 }
 
-// protect keeps connections whose request is being served, for a time that a slow body cannot extend.
+// protect keeps connections whose request is being served, for a time that neither a slow body nor a slow reader of the
+// answer can extend.
 func protect(l *connlimit.Listener, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		l.Protect(r.RemoteAddr, clock.Now()+connlimit.ProtectionTime)
+		keepFor := func(d time.Duration) { l.Protect(r.RemoteAddr, clock.Now()+d) }
+		if r.Body == nil || r.Body == http.NoBody {
+			keepFor(answerProtection)
+		} else {
+			keepFor(bodyProtection)
+			r.Body = &watchedBody{ReadCloser: r.Body, complete: func() { keepFor(answerProtection) }}
+		}
 		defer l.Protect(r.RemoteAddr, 0)
 		next.ServeHTTP(w, r)
 	})
 }
+
+// watchedBody calls complete when the body has been read whole.
+type watchedBody struct {
+	io.ReadCloser
+	complete func()
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.complete()
+	}
+	return n, err
+}
