--- a/gateway/engine/admission.go
+++ b/gateway/engine/admission.go
@@ -131,6 +131,7 @@
 	}
 	return admission.Request{
 		Team: r.team, Priority: r.priority, Arrived: now, ObjectiveEnd: r.objectiveEnd, WaitUntil: now + wait, Repeat: r.repeat,
+		Movable: r.maxWait > 0,
 	}
 }
 
--- a/gateway/engine/attempt.go
+++ b/gateway/engine/attempt.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// isNotAllowed reports whether nothing was sent because the upstream may not be sent the statement now. Another node may
+// not send it either.
+func (result attemptResult) isNotAllowed() bool {
+	if result.answer.Refusal == nil {
+		return false
+	}
+	switch result.answer.Refusal.Reason {
+	case reasonDrained, reasonPlaceDrained, reasonWarmup, reasonOutsideHome:
+		return true
+	default:
+		return false
+	}
+}
+
 // isFailure reports whether the upstream answered and did not run the statement successfully, although it could have.
 func (result attemptResult) isFailure() bool {
 	if result.answer.Refusal == nil {
@@ -232,7 +246,7 @@
 		}
 		countRead("any")
 		deadline := attemptDeadline(op, p)
-		op.mayRedirect(tried)
+		op.maxWait = s.redirectWait(op, p, tried)
 		defer func() { op.maxWait = 0 }()
 		result := s.withConn(ctx, op, p, deadline, func(c *upstreamConn) attemptResult {
 			return s.readOn(ctx, op, c, st, deadline)
@@ -258,7 +272,9 @@
 	// made the one of the plan too old.
 	minPosition, ok := op.group.minReadPosition(clock.Now(), op.route.MaxStaleness, s.newestCommits[op.group.service])
 	if !ok {
-		return retryResult(retryPlanExpired, Refusal{Code: rescode.NoUpstream, Reason: reasonNoReplica, RetryAfter: shortRetryAfter})
+		result := retryResult(retryPlanExpired, Refusal{Code: rescode.NoUpstream, Reason: reasonNoReplica, RetryAfter: shortRetryAfter})
+		result.elsewhere = true
+		return result
 	}
 	st.MinPosition = minPosition
 	reply, result := s.exchange(ctx, op, c, deadline, st)
--- a/gateway/engine/group.go
+++ b/gateway/engine/group.go
@@ -281,6 +281,11 @@
 		}
 	}
 	defer p.release(c)
+	if p.isPlaceDrained(clock.Now()) {
+		// The wait for the connection was too long.
+		c.broken = true
+		return
+	}
 	metricPositionQueries.Inc()
 	at := clock.Now()
 	replies, err := c.roundTrip(deadline, Statement{Kind: Begin}, Statement{Kind: Rollback})
@@ -300,7 +305,7 @@
 // to.
 func (p *pool) reconnect(ctx context.Context, now time.Duration) {
 	p.mu.Lock()
-	due := p.failing && !p.reconnecting && !p.closed && now-p.failingAt >= reconnectInterval/2 && p.open < p.share.currentMaxOpen(now)
+	due := p.failing && !p.reconnecting && !p.closed && !drainIsOver(now, p.placeDrained, p.placeDrainEndsAt) && now-p.failingAt >= reconnectInterval/2 && p.open < p.share.currentMaxOpen(now)
 	if due {
 		p.reconnecting = true
 		p.open++
--- a/gateway/engine/redirect.go
+++ b/gateway/engine/redirect.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/jayloom/jayloom/base/clock"
+)
 
 // What a node knows of the load of an upstream is some time old, and many nodes choose at the same moment. The node that
 // holds the connections to an upstream knows the load when a read arrives there, and sends the read on to another
@@ -13,13 +17,19 @@
 // chosen first. A wait that long is worth the way to another one.
 const redirectFraction = 0.1
 
-// mayRedirect bounds the wait of the next attempt if the read has not been sent on yet.
-func (op *operation) mayRedirect(tried triedUpstreams) {
-	op.maxWait = 0
-	for _, reason := range tried {
+// redirectWait returns how long a read may wait for its turn at the upstream that was chosen before it is sent on, or 0
+// if it is not: it was sent on before, or no other upstream can serve it.
+func (s *Session) redirectWait(op *operation, chosen *pool, tried triedUpstreams) time.Duration {
+	others := triedUpstreams{chosen.target.ID: retryQueue}
+	for id, reason := range tried {
 		if reason == retryQueue {
-			return
+			return 0
 		}
+		others[id] = reason
+	}
+	own := s.newestCommits[op.group.service]
+	if _, ok := op.group.planRead(clock.Now(), op, s.engine.opts.Place, own, others); !ok {
+		return 0
 	}
-	op.maxWait = time.Duration(redirectFraction * float64(op.route.LatencyObjective))
+	return time.Duration(redirectFraction * float64(op.route.LatencyObjective))
 }
--- a/gateway/engine/slots.go
+++ b/gateway/engine/slots.go
@@ -4,8 +4,8 @@
 // there at once: what waits in the upstream's own queue is served in order of arrival, what waits in the queue of the
 // pool is served by priority.
 //
-// Load pattern: a burst of long statements of a low priority, of more than twice the usual, beside short ones of a high
-// priority. In the upstream's queue each short one would wait behind all of the burst that came before it.
+// Load pattern: a burst of long statements of a low priority beside short ones of a high priority. In the upstream's queue
+// each short one would wait behind all of the burst that came before it.
 
 // queuedPerSlot is how many statements may wait at the upstream for each of its slots, so that no slot idles for the time of
 // a round trip.
@@ -32,8 +32,7 @@
 	return limit == 0 || p.running() < limit
 }
 
-// park records that the transaction on the connection pauses, and unpark that it goes on. A statement of an open
-// transaction does not wait for others: the transaction holds a connection, and maybe locks at the upstream.
+// park records that the transaction on the connection pauses: its caller has the answer to a statement.
 func (c *upstreamConn) park() {
 	p := c.pool
 	p.mu.Lock()
@@ -46,6 +45,8 @@
 	p.serveWaiters()
 }
 
+// unpark records that the transaction goes on. Its statement does not wait for others: the transaction holds a
+// connection, and maybe locks at the upstream.
 func (c *upstreamConn) unpark() {
 	p := c.pool
 	p.mu.Lock()
--- a/gateway/engine/slots_test.go
+++ b/gateway/engine/slots_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"testing"
 	"time"
-
-	"github.com/jayloom/jayloom/gateway/catalog"
 )
 
 // newHolderPool returns a pool of the only node that holds the connections to an upstream with so many slots.
@@ -76,16 +74,33 @@
 	p.updateLatency(1, 100*time.Millisecond)
 	c := mustAcquire(t, p, "team")
 	defer p.release(c)
-	op := &operation{route: &catalog.Route{LatencyObjective: 400 * time.Millisecond}, team: "team"}
-	tried := triedUpstreams{}
-	op.mayRedirect(tried)
 	r := testRequest("team", longWait)
-	r.maxWait = op.maxWait
+	r.maxWait = time.Duration(redirectFraction * float64(400*time.Millisecond))
 	if _, refusal := p.acquire(context.Background(), r); refusal == nil || acquireFailureResult(refusal).retryReason != retryQueue {
 		t.Fatalf("the read waits at the busy upstream: %+v", refusal)
 	}
-	tried["p"] = retryQueue
-	if op.mayRedirect(tried); op.maxWait != 0 {
-		t.Errorf("the read may wait for only %s after it was sent on", op.maxWait)
+}
+
+// Guards against a read that is refused early although it was sent on before, or no other upstream can serve it.
+func TestReadWaitsAtTheLastUpstream(t *testing.T) {
+	s := newTestNode(t)
+	session := s.open("lots", "key")
+	s.mustSucceed(session, write("1"))
+	op, refusal := session.admit()
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	first := op.group.pool("p")
+	for name, c := range map[string]struct {
+		tried triedUpstreams
+		want  bool
+	}{
+		"others are left": {triedUpstreams{}, true},
+		"sent on before":  {triedUpstreams{"r1": retryQueue}, false},
+		"no other":        {triedUpstreams{"r1": retryBehind, "r2": retryBehind}, false},
+	} {
+		if got := session.redirectWait(op, first, c.tried); (got > 0) != c.want {
+			t.Errorf("%s: the read may wait for %s", name, got)
+		}
 	}
 }
--- a/gateway/engine/transaction.go
+++ b/gateway/engine/transaction.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// pause records that the caller has the answer to a statement and may take any time until its next one.
+func (t *transaction) pause() {
+	if t.conn != nil && !t.conn.forwarded {
+		t.conn.park()
+	}
+}
+
 // releaseConn returns the connection to its pool.
 func (t *transaction) releaseConn() {
 	if t.conn == nil {
@@ -50,12 +57,6 @@
 	if t.conn == nil {
 		return
 	}
-	if t.conn.pool.isPlaceDrained(clock.Now()) {
-		// Nothing more is sent there. Closing the connection rolls back.
-		t.conn.broken = true
-		t.releaseConn()
-		return
-	}
 	t.conn.rollBack(ctx, deadline)
 	t.releaseConn()
 }
@@ -88,6 +89,7 @@
 	}
 	at := clock.Now()
 	reply, result := s.exchange(ctx, t.op, t.conn, t.op.deadline, st)
+	defer t.pause()
 	if result != nil {
 		return s.failLostTransaction(result)
 	}
--- a/gateway/engine/unit.go
+++ b/gateway/engine/unit.go
@@ -175,8 +175,12 @@
 			break
 		}
 	}
-	if u.conn != nil && (u.conn.state == Idle || !u.conn.reusable() && u.conn.broken) {
+	switch {
+	case u.conn == nil:
+	case u.conn.state == Idle || u.conn.broken:
 		u.Close()
+	default:
+		u.conn.park()
 	}
 	return u.replies, nil
 }
@@ -248,10 +252,13 @@
 
 // recordReply records that the upstream has answered, and whether the transaction has run a statement.
 func (u *Unit) recordReply(st Statement, reply Reply, waited time.Duration) {
-	if u.session.relay.started {
+	switch {
+	case u.session.relay.started:
 		// The time includes the caller's for reading the answer.
 		u.pool.recordSuccess()
-	} else {
+	case reply.Outcome != Done && outcomeResult(reply.Outcome).isFailure():
+		u.pool.recordFailedStatement()
+	default:
 		u.pool.recordAnswer(waited)
 	}
 	if u.conn.state == Idle {
@@ -307,6 +314,8 @@
 // unitFailure returns the failure of a unit from the result of an exchange without a reply.
 func unitFailure(result attemptResult) *UnitFailure {
 	switch {
+	case result.cause == nil && result.isNotAllowed():
+		return &UnitFailure{Kind: UnitNoRoom, Refusal: *result.answer.Refusal}
 	case result.cause == nil:
 		return &UnitFailure{Kind: UnitNotServed}
 	case errors.Is(result.cause, ErrTooLarge):
--- a/gateway/engine/upstream.go
+++ b/gateway/engine/upstream.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jayloom/jayloom/base/clock"
 	"github.com/jayloom/jayloom/gateway/position"
 )
 
@@ -115,7 +116,6 @@
 func (c *upstreamConn) roundTripTo(sink RowSink, deadline time.Time, statements ...Statement) ([]Reply, error) {
 	if !c.forwarded {
 		c.unpark()
-		defer c.park()
 	}
 	wasBroken := c.broken
 	c.broken = true
@@ -156,6 +156,11 @@
 	if c.broken || c.misaligned {
 		return
 	}
+	if c.pool.isPlaceDrained(clock.Now()) {
+		// Nothing more is sent there. Closing the connection rolls back.
+		c.broken = true
+		return
+	}
 	defer interruptWhenDone(ctx, c)()
 	if _, err := c.roundTrip(deadline, Statement{Kind: Rollback}); err != nil {
 		c.broken = true
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -36,6 +36,8 @@
 	WaitUntil time.Duration
 	// Repeat is set for a further attempt of the node for the same request.
 	Repeat bool
+	// Movable is set for a request that another upstream can serve.
+	Movable bool
 }
 
 // Capacity is what an upstream can take now.
@@ -154,7 +156,7 @@
 			return nil, Refusal{Reason: reason, RetryAfter: wait}
 		case other == w:
 			behind = true
-		case behind && reason != "" && w.Repeat && !other.Repeat:
+		case behind && reason != "" && w.Repeat && !other.Repeat && !other.Movable:
 			return nil, Refusal{Reason: RepeatYields, RetryAfter: wait}
 		case behind && reason != "":
 			removed = append(removed, Removed[T]{Waiter: other, Refusal: Refusal{Reason: Displaced, RetryAfter: wait}})
--- a/policy/balance/success.go
+++ b/policy/balance/success.go
@@ -1,4 +1,4 @@
-// Package balance weighs servers whose state a machine knows from the answers to its own statements only. It has no
+// Package balance weighs servers whose state a node knows from the answers to its own statements only. It has no
 // clock and no I/O.
 package balance
 
