Leader: suspected warm-ups end with unchanged announcements, and an announcement needs the lease behind it too

Causes, read in review: from 256 upstreams on nodes answer unchanged announcements, so an upstream that was only suspected to be cold stayed so for its whole warm-up; a node's lost link made its upstreams suspected after 2.5 s; an announcement whose leader was replaced while it waited was acknowledged. Changes: a reported contact ends a suspected warm-up; 4 s instead of 2.5 s; the lease is checked behind the event as well. No test of its own yet for the contact; the tests of gateway/coordinator pass.

--- a/gateway/coordinator/node_stream.go
+++ b/gateway/coordinator/node_stream.go
@@ -132,7 +132,9 @@
 		if !l.registry.RecordUnchanged(now-time.Duration(c.AgeMs)*time.Millisecond, c) {
 			metricUnknownContacts.Inc()
 			s.unknownContacts = append(s.unknownContacts, c.Id)
+			continue
 		}
+		l.endSuspectedWarmup(now, c)
 	}
 }
 
--- a/gateway/coordinator/server.go
+++ b/gateway/coordinator/server.go
@@ -152,6 +152,10 @@
 	}
 	select {
 	case <-done:
+		// A leader that was replaced meanwhile has not taken the announcement, or the next one may not know of it.
+		if !s.Leads() {
+			return nil, s.redirect()
+		}
 		return &controlpb.AnnouncementReply{}, nil
 	case <-ctx.Done():
 		return nil, status.FromContextError(ctx.Err()).Err()
--- a/gateway/coordinator/warmups.go
+++ b/gateway/coordinator/warmups.go
@@ -16,7 +16,7 @@
 	lateAnnouncementTime = 2500 * time.Millisecond
 	// restartSuspectedAfter is the time without an announcement or an answer after which an upstream may have
 	// started again and be cold, until it announces that it is not.
-	restartSuspectedAfter = 2500 * time.Millisecond
+	restartSuspectedAfter = 4 * time.Second
 	// adoptedWarmupTime is how long an upstream that an earlier leader knew as warming up counts as such without
 	// an announcement.
 	adoptedWarmupTime = 10 * time.Second
@@ -97,6 +97,18 @@
 	l.registry.IncrementRevision()
 }
 
+// endSuspectedWarmup ends the warm-up of an upstream that was suspected, when a node reports an unchanged announcement:
+// nodes answer only those of upstreams that do not warm up.
+func (l *Leader) endSuspectedWarmup(now time.Duration, c *controlpb.UpstreamContact) {
+	w, ok := l.warmups.byUpstream[c.Id]
+	if !ok || now-time.Duration(c.AgeMs)*time.Millisecond < w.firmUntil {
+		return
+	}
+	if u := l.registry.Get(c.Id); u != nil {
+		l.setWarmup(now, u, upstreamWarmup{})
+	}
+}
+
 // suspectRestart treats an upstream as one that has just started, until it announces otherwise.
 func (l *Leader) suspectRestart(now time.Duration, u *topology.Upstream) {
 	if g := l.groups[u.Service]; g != nil && g.warmupTime > 0 && g.warmupLimit.Rate > 0 {
