Bounds of listeners: legal callers that connect together, resting sessions first, connections of large fleets

Causes, read in review: above a quarter of the callers before START each newcomer closed one that was about to send it; at a full node a running statement of the key with the most sessions was cut before a resting session; the proxy ended logins under way; 0.1 of the descriptors is less than a leader of 300 nodes needs that also holds connections; the lease did not heed the drain of an upstream. Changes: only connections that have sent nothing for 500 ms are closed for that bound; resting sessions of a majority go first; the proxy refuses the newcomer while the oldest login is younger than 500 ms; 0.2 of the descriptors for nodes, 0.04 for the control listener.

--- a/cmd/jayloom-node/limits.go
+++ b/cmd/jayloom-node/limits.go
@@ -17,11 +17,15 @@
 // What each listener may hold, besides callers (server.MaxCallers). The rest of the descriptors is for links to other
 // nodes and to upstreams, and for files, so that a crowd at a listener cannot take a node's place in the fleet.
 const (
-	// nodeDescriptorFraction is the fraction of the file descriptors that connections of other nodes may use. The
-	// leader has one of each node.
-	nodeDescriptorFraction = 0.1
-	// httpDescriptorFraction is the fraction for each of the HTTP listeners.
-	httpDescriptorFraction = 0.02
+	// nodeDescriptorFraction is the fraction of the file descriptors that connections of other nodes may use. A
+	// leader that also holds connections for others has two of each node.
+	nodeDescriptorFraction = 0.2
+	// httpDescriptorFraction is the fraction for each of the HTTP listeners, controlDescriptorFraction that for the
+	// one of operators and upstreams, which keep the connections on which they announce themselves.
+	httpDescriptorFraction    = 0.02
+	controlDescriptorFraction = 0.04
+	// controlListener is the name of the listener of operators and upstreams.
+	controlListener = "control"
 	// minNodeConnections and minHTTPConnections apply to nodes with few descriptors.
 	minNodeConnections = 32
 	minHTTPConnections = 8
@@ -50,8 +54,12 @@
 	return max(minNodeConnections, int(nodeDescriptorFraction*float64(descriptors)))
 }
 
-func maxHTTPConnections(descriptors int) int {
-	return max(minHTTPConnections, int(httpDescriptorFraction*float64(descriptors)))
+func maxHTTPConnections(listener string, descriptors int) int {
+	fraction := httpDescriptorFraction
+	if listener == controlListener {
+		fraction = controlDescriptorFraction
+	}
+	return max(minHTTPConnections, int(fraction*float64(descriptors)))
 }
 
 // maxBodyMemory returns what long bodies of operators' requests may hold in bytes.
--- a/cmd/jayloom-node/node.go
+++ b/cmd/jayloom-node/node.go
@@ -261,11 +261,13 @@
 }
 
 // leaseDuration returns how long a node serves without contact to the leader. It then neither accepts a withdrawn key
-// nor sends statements to a drained data centre.
+// nor sends statements to a drained upstream or data centre.
 func leaseDuration(s *platform.Settings) time.Duration {
 	longest := s.MaxRevocationDelay
-	if s.PlaceDrainTime > 0 {
-		longest = min(longest, max(s.PlaceDrainTime, minDrainLease))
+	for _, drainTime := range []time.Duration{s.DrainTime, s.PlaceDrainTime} {
+		if drainTime > 0 {
+			longest = min(longest, max(drainTime, minDrainLease))
+		}
 	}
 	return time.Duration(leaseFraction * float64(longest))
 }
@@ -332,7 +334,7 @@
 		}
 	}
 	if s.ControlAddress != "" {
-		return n.listenHTTP(s.ControlAddress, "control", platform.NewAPI(n.controlClient, s.ControlAddress, n.places, maxBodyMemory(s), n.log))
+		return n.listenHTTP(s.ControlAddress, controlListener, platform.NewAPI(n.controlClient, s.ControlAddress, n.places, maxBodyMemory(s), n.log))
 	}
 	return nil
 }
@@ -350,7 +352,7 @@
 		return errors.Wrapf(err, "listen on %s", address)
 	}
 	server, listener := httpsrv.New(inner, handler, httpsrv.Options{
-		Name: name, MaxConnections: maxHTTPConnections(n.settings.MaxFileDescriptors), Log: n.log,
+		Name: name, MaxConnections: maxHTTPConnections(name, n.settings.MaxFileDescriptors), Log: n.log,
 	})
 	n.httpServers = append(n.httpServers, server)
 	go func() {
--- a/gateway/server/admission.go
+++ b/gateway/server/admission.go
@@ -33,7 +33,9 @@
 				return false
 			}
 		case s.opening >= maxOpening(s.opts.MaxCallers):
-			s.evict(func(other *callerConn) bool { return other.owner == "" }, reasonTooManyOpening)
+			// Many legal callers may connect at the same moment: only those that have stalled are closed.
+			now := clock.Now()
+			s.evict(func(other *callerConn) bool { return other.owner == "" && other.waitsFor(now) >= minOpeningTime }, reasonTooManyOpening)
 		}
 	}
 	s.callers[c] = true
@@ -134,4 +136,13 @@
 // endWait records that a message of the caller is handled.
 func (c *callerConn) endWait() { c.waitingSince.Store(0) }
 
+// waitsFor returns how long the node has waited for the caller, or 0 while a message is handled.
+func (c *callerConn) waitsFor(now time.Duration) time.Duration {
+	since := time.Duration(c.waitingSince.Load())
+	if since == 0 {
+		return 0
+	}
+	return now - since
+}
+
 func (c *callerConn) isWaiting() bool { return c.waitingSince.Load() != 0 }
--- a/gateway/server/eviction.go
+++ b/gateway/server/eviction.go
@@ -34,7 +34,9 @@
 	stalledOpening rank = iota
 	idleSession
 	idleTransaction
-	// majoritySession is any session of an owner with more than maxBusyFraction of the connections.
+	// majorityResting waits for its caller, whose owner has more than maxBusyFraction of the connections, and
+	// majoritySession is any other session of such an owner.
+	majorityResting
 	majoritySession
 	newOpening
 	// notClosed is in use.
@@ -80,6 +82,8 @@
 		return idleSession
 	case waited >= minIdleTime:
 		return idleTransaction
+	case ownsMajority && c.waitingSince != 0 && !c.inTransaction:
+		return majorityResting
 	case ownsMajority:
 		return majoritySession
 	default:
--- a/gateway/server/eviction_test.go
+++ b/gateway/server/eviction_test.go
@@ -31,6 +31,7 @@
 		"a resting transaction before none":      {[]candidate{busy("a"), resting, busy("c")}, 1},
 		"no session that was just answered":      {[]candidate{fresh, busy("b")}, noVictim},
 		"no busy sessions of small owners":       {append(many(busy("a"), 16), many(busy("b"), 16)...), noVictim},
+		"a resting session of a majority":        {append(many(busy("a"), 20), many(fresh, 20)...), 20},
 		"a busy session of a majority":           {append([]candidate{busy("b")}, many(busy("a"), 40)...), 1},
 	} {
 		if got := chooseVictim(c.all, now); got != c.want {
--- a/proxy/startup.go
+++ b/proxy/startup.go
@@ -177,7 +177,7 @@
 	h.setConn(conn)
 	timeout := time.Duration(s.settings.AuthenticationTimeoutMs) * time.Millisecond
 	_ = conn.SetDeadline(time.Now().Add(timeout))
-	s.unauthenticated.add(conn)
+	s.unauthenticated.add(conn, time.Now())
 	session, err := h.run()
 	if !s.unauthenticated.remove(conn) && session == nil {
 		h.refuse(rescode.New(rescode.TooManyUnauthenticated, ""))
--- a/proxy/unauthenticated.go
+++ b/proxy/unauthenticated.go
@@ -12,29 +12,43 @@
 type unauthenticatedConns struct {
 	mu    sync.Mutex
 	max   int
-	conns []net.Conn
+	conns []unauthenticatedConn
+}
+
+// minLoginTime is how long a caller has for its key before its connection may be refused for another.
+const minLoginTime = 500 * time.Millisecond
+
+type unauthenticatedConn struct {
+	net.Conn
+	since time.Time
 }
 
 func newUnauthenticatedConns(max int) *unauthenticatedConns {
 	return &unauthenticatedConns{max: max}
 }
 
-// add adds a connection. Above the bound it ends the reads of the oldest one.
-func (u *unauthenticatedConns) add(conn net.Conn) {
+// add adds a connection. Above the bound it ends the reads of the oldest one, or of the new one if the oldest is not
+// minLoginTime old: many legal callers may connect at the same moment.
+func (u *unauthenticatedConns) add(conn net.Conn, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for len(u.conns) > 0 && len(u.conns) >= u.max {
-		_ = u.conns[0].SetDeadline(time.Unix(1, 0))
+	if len(u.conns) > 0 && len(u.conns) >= u.max {
+		oldest := u.conns[0]
+		if now.Sub(oldest.since) < minLoginTime {
+			_ = conn.SetDeadline(time.Unix(1, 0))
+			return
+		}
+		_ = oldest.SetDeadline(time.Unix(1, 0))
 		u.conns = u.conns[1:]
 	}
-	u.conns = append(u.conns, conn)
+	u.conns = append(u.conns, unauthenticatedConn{conn, now})
 }
 
 // remove removes a connection that has shown a key or has ended. It returns false if the connection was displaced.
 func (u *unauthenticatedConns) remove(conn net.Conn) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	i := slices.Index(u.conns, conn)
+	i := slices.IndexFunc(u.conns, func(c unauthenticatedConn) bool { return c.Conn == conn })
 	if i < 0 {
 		return false
 	}
