Divide the upstreams of a large fleet among more than its wide links

Cause: the nodes with wide links hold all scarce connections, however many upstreams there are. Change: they hold them only if each would hold at most 32 upstreams, else the nodes without a data folder do.

--- a/gateway/holders/holders.go
+++ b/gateway/holders/holders.go
@@ -27,6 +27,10 @@
 	// wideLinkFactor is how many times the bandwidth of the narrowest link of its place a node has whose link counts
 	// as wide. On a narrow link, an answer of a kilobyte that passes a holder takes as long as a short statement.
 	wideLinkFactor = 4
+	// maxPerWideNode is the number of upstreams that each node with a wide link holds at most; with more, the nodes
+	// without a data folder hold them all. Each upstream takes up to some twenty connections of its holder, and one
+	// node can't serve the traffic of hundreds.
+	maxPerWideNode = 32
 	// connectionFraction is the fraction of an upstream's connections that its holders use. The rest is for the
 	// successor of a lost holder, whose connections the upstream keeps for some seconds, and for nodes that reach
 	// no holder.
@@ -75,15 +79,16 @@
 	c := &chooser{
 		byPlace: map[string][]Node{}, byAddress: map[string]Node{}, roles: map[string]int{}, chosen: map[string][]string{},
 	}
+	scarce := scarceUpstreams(current, upstreams, fleetSize)
+	perPlace := countByPlace(scarce)
 	for place, here := range groupByPlace(nodes) {
-		c.byPlace[place] = candidates(here)
+		c.byPlace[place] = candidates(here, perPlace[place])
 		for _, n := range c.byPlace[place] {
 			c.byAddress[n.Address] = n
 		}
 	}
-	scarce := scarceUpstreams(current, upstreams, fleetSize)
 	c.keep(current, scarce)
-	c.fill(scarce)
+	c.fill(scarce, perPlace)
 	for _, addresses := range c.chosen {
 		slices.Sort(addresses)
 	}
@@ -98,13 +103,21 @@
 	return out
 }
 
-// candidates returns the nodes of a place that may hold connections, sorted by name: those with a wide link if there
-// are any, else those without a data folder, else all. The leader has its own work, and is one of them only if its
-// link is wide and there are few.
-func candidates(nodes []Node) []Node {
+func countByPlace(upstreams []Upstream) map[string]int {
+	out := map[string]int{}
+	for _, u := range upstreams {
+		out[u.Place]++
+	}
+	return out
+}
+
+// candidates returns the nodes of a place that may hold the connections to a number of upstreams, sorted by name:
+// those with a wide link if there are enough, else those without a data folder, else all. The leader has its own work,
+// and is one of them only if its link is wide and there are few.
+func candidates(nodes []Node, upstreams int) []Node {
 	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
 	others := without(nodes, func(n Node) bool { return n.Leader })
-	if wide := without(nodes, isNarrow(nodes)); len(wide) > 0 {
+	if wide := without(nodes, isNarrow(nodes)); len(wide) > 0 && minPerUpstream*upstreams <= maxPerWideNode*len(wide) {
 		if rest := without(wide, func(n Node) bool { return n.Leader }); len(rest) >= minPerUpstream {
 			return rest
 		}
@@ -175,11 +188,7 @@
 }
 
 // fill adds holders until each upstream has minPerUpstream, and more if its place has a node for each.
-func (c *chooser) fill(upstreams []Upstream) {
-	perPlace := map[string]int{}
-	for _, u := range upstreams {
-		perPlace[u.Place]++
-	}
+func (c *chooser) fill(upstreams []Upstream, perPlace map[string]int) {
 	for count := 1; count <= MaxPerUpstream; count++ {
 		for _, u := range upstreams {
 			nodes := c.byPlace[u.Place]
--- a/gateway/holders/holders_test.go
+++ b/gateway/holders/holders_test.go
@@ -155,6 +155,27 @@
 	}
 }
 
+// Guards against the few nodes with wide links that hold the thousands of upstreams of a large fleet: their processors,
+// memory and connections run out, and the leader among them falls behind.
+func TestFewWideLinksHoldFewUpstreams(t *testing.T) {
+	nodes, upstreams := fleet(300, 900)
+	for i := range nodes {
+		nodes[i].LinkMbps = 2
+		if nodes[i].Voter {
+			nodes[i].LinkMbps = 100
+		}
+	}
+	chosen := Choose(nil, upstreams, nodes, len(nodes))
+	if len(chosen) != len(upstreams) {
+		t.Errorf("%d of %d upstreams have holders", len(chosen), len(upstreams))
+	}
+	for address, n := range roles(chosen) {
+		if n > maxPerWideNode {
+			t.Errorf("%s holds %d upstreams", address, n)
+		}
+	}
+}
+
 // Guards against teams that move to a node each time that it restarts, and against an upstream that waits for a holder.
 func TestNodeThatHasJustConnected(t *testing.T) {
 	nodes := []Node{{Name: "a", Address: "a", Place: "x"}, {Name: "b", Address: "b", Place: "x"}}
