No holders in places with thousands of upstreams

Change: a place has holders only if each would hold at most 32 upstreams with a wide link, 8 without; twice as many while it has holders, so that a lost node does not switch them off.

--- a/gateway/holders/holders.go
+++ b/gateway/holders/holders.go
@@ -27,10 +27,14 @@
 	// wideLinkFactor is how many times the bandwidth of the narrowest link of its place a node has whose link counts
 	// as wide. On a narrow link, an answer of a kilobyte that passes a holder takes as long as a short statement.
 	wideLinkFactor = 4
-	// maxPerWideNode is the number of upstreams that each node with a wide link holds at most; with more, the nodes
-	// without a data folder hold them all. Each upstream takes up to some twenty connections of its holder, and one
-	// node can't serve the traffic of hundreds.
+	// maxPerWideNode and maxPerNode are the numbers of upstreams that each node with a wide link and each other node
+	// hold at most. In a place with more, each node opens connections itself: few nodes can't serve the traffic of
+	// hundreds of upstreams, and with holders everywhere each node is connected to nearly all others.
 	maxPerWideNode = 32
+	maxPerNode     = 8
+	// retainedFactor is how many times these a place may have that has holders, so that the loss of a node does not
+	// switch them off.
+	retainedFactor = 2
 	// connectionFraction is the fraction of an upstream's connections that its holders use. The rest is for the
 	// successor of a lost holder, whose connections the upstream keeps for some seconds, and for nodes that reach
 	// no holder.
@@ -80,9 +84,13 @@
 		byPlace: map[string][]Node{}, byAddress: map[string]Node{}, roles: map[string]int{}, chosen: map[string][]string{},
 	}
 	scarce := scarceUpstreams(current, upstreams, fleetSize)
-	perPlace := countByPlace(scarce)
+	perPlace, held := countByPlace(scarce, current)
 	for place, here := range groupByPlace(nodes) {
-		c.byPlace[place] = candidates(here, perPlace[place])
+		most := perPlace[place]
+		if held[place] {
+			most = (most + retainedFactor - 1) / retainedFactor
+		}
+		c.byPlace[place] = candidates(here, most)
 		for _, n := range c.byPlace[place] {
 			c.byAddress[n.Address] = n
 		}
@@ -103,30 +111,40 @@
 	return out
 }
 
-func countByPlace(upstreams []Upstream) map[string]int {
-	out := map[string]int{}
+// countByPlace returns the number of upstreams in each place, and the places that have holders.
+func countByPlace(upstreams []Upstream, current map[string][]string) (map[string]int, map[string]bool) {
+	count, held := map[string]int{}, map[string]bool{}
 	for _, u := range upstreams {
-		out[u.Place]++
+		count[u.Place]++
+		if len(current[u.ID]) > 0 {
+			held[u.Place] = true
+		}
 	}
-	return out
+	return count, held
 }
 
 // candidates returns the nodes of a place that may hold the connections to a number of upstreams, sorted by name:
-// those with a wide link if there are enough, else those without a data folder, else all. The leader has its own work,
-// and is one of them only if its link is wide and there are few.
+// those with a wide link if there are any, else those without a data folder, else all; none if each would hold too
+// many. The leader has its own work, and is one of them only if its link is wide and there are few.
 func candidates(nodes []Node, upstreams int) []Node {
 	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
+	limit := func(chosen []Node, most int) []Node {
+		if minPerUpstream*upstreams > most*len(chosen) {
+			return nil
+		}
+		return chosen
+	}
 	others := without(nodes, func(n Node) bool { return n.Leader })
-	if wide := without(nodes, isNarrow(nodes)); len(wide) > 0 && minPerUpstream*upstreams <= maxPerWideNode*len(wide) {
+	if wide := without(nodes, isNarrow(nodes)); len(wide) > 0 {
 		if rest := without(wide, func(n Node) bool { return n.Leader }); len(rest) >= minPerUpstream {
-			return rest
+			return limit(rest, maxPerWideNode)
 		}
-		return wide
+		return limit(wide, maxPerWideNode)
 	}
 	if plain := without(others, func(n Node) bool { return n.Voter }); len(plain) > 0 {
-		return plain
+		return limit(plain, maxPerNode)
 	}
-	return others
+	return limit(others, maxPerNode)
 }
 
 // isNarrow reports whether the link of a node is not much wider than the narrowest one of the nodes.
