Only the platform's package names its calls; no deployment is named in comments

Cause: cmd/internal/abuse wrote the paths of two of the platform's calls itself, and two comments named a deployment. Change: the paths stand in platform/standin; the comments say the case only.

--- a/cmd/internal/abuse/node_http_test.go
+++ b/cmd/internal/abuse/node_http_test.go
@@ -56,14 +56,14 @@
 // Guards against bodies that are left half-way.
 func TestHTTPBodiesLeftHalfWay(t *testing.T) {
 	const announced = 15 << 20
-	header := fmt.Sprintf("POST /api/Config.Put HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", announced)
+	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", standin.PathOfPut, announced)
 	playHTTP(t, 60, crowd.InOrder(crowd.Send(header), crowd.Send(crowd.Text(announced-1)), crowd.WaitForClose))
 }
 
 // Guards against bodies without end.
 func TestHTTPBodiesWithoutEnd(t *testing.T) {
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", 64<<10, crowd.Text(64<<10))
-	for name, path := range map[string]string{"configuration": "/api/Config.Put", "announcement": "/api/Instances.Heartbeat/i-9"} {
+	for name, path := range map[string]string{"configuration": standin.PathOfPut, "announcement": standin.PathOfAnnouncement + "i-9"} {
 		t.Run(name, func(t *testing.T) {
 			playHTTP(t, 60, crowd.InOrder(crowd.Send("POST "+path+" HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"), crowd.SendWithoutEnd(chunk)))
 		})
--- a/cmd/internal/soak/seeds_test.go
+++ b/cmd/internal/soak/seeds_test.go
@@ -7,7 +7,7 @@
 )
 
 // Guards against a fleet in which nobody finds the leader: the settings name seeds without a
-// disk, and all processes are killed, so that the seeds know nothing (tfsg-seal trouble-2).
+// disk, and all processes are killed, so that the seeds know nothing.
 func TestSeedsWithoutDiskAfterLossOfAllProcesses(t *testing.T) {
 	f := newFleet(t, 0)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/controlclient/client_test.go
+++ b/gateway/controlclient/client_test.go
@@ -60,8 +60,8 @@
 }
 
 // Load pattern: the settings name seeds without a data folder, and all VMs lose power. Guards
-// against a seed that knows no voter although one has told it (tfsg-seal trouble-2), and
-// against an old set, of a partitioned voter or a seed told by one, that replaces a newer one.
+// against a seed that knows no voter although one has told it, and against an old set, of a partitioned voter or a
+// seed told by one, that replaces a newer one.
 func TestSeedLearnsVoters(t *testing.T) {
 	c := newTestClient("seed")
 	if c.LearnVoters(nil) || c.LearnVoters(&controlpb.VoterSet{Index: 9}) {
