Review: a replica that refuses connections behind a cut is taken for ended, and a release loses commits (case 9)

Cause: a refused connection counts as proof that a server's process does not run (provesNotRunning in gateway/coordinator/prober.go). A cut that refuses connections looks the same. The promotion of a planned release then neither pauses that replica nor ends the primary's lead first, and the primary acknowledges commits with it that the promoted server lacks.

No code of the project is changed.

--- /dev/null
+++ b/review/harness-2/cmd/case9/main.go
@@ -0,0 +1,284 @@
+// Command case9 plays a release of a primary in a group with a synchronous replica, while another replica is partitioned
+// from all machines of the system by a cut that refuses connections.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jayloom/jayloom/platform/standin"
+	"github.com/jayloom/jayloom/review/harness-2/fleet"
+)
+
+const (
+	folder  = "review/9"
+	service = "wax"
+	// promotionTime is that of the site.
+	promotionTime = time.Second
+	// slowLag and fastLag are within the delay of replicas on the site, 8 ms on average and 48 ms at most.
+	slowLag, fastLag = 40 * time.Millisecond, 4 * time.Millisecond
+	// startsAfter and drainsAfter are when, from the begin of the cut on, the new server of the release starts and the
+	// primary drains. cutTime is the length of the cut.
+	startsAfter = 2200 * time.Millisecond
+	drainsAfter = 3200 * time.Millisecond
+	cutTime     = 5500 * time.Millisecond
+	beat        = 1200 * time.Millisecond
+	writePause  = 4 * time.Millisecond
+	warmUp      = 6 * time.Second
+	quietRun    = 8 * time.Second
+	orderMax    = 10 * time.Second
+)
+
+// cloud is the infrastructure: it carries out each order after promotionTime.
+type cloud struct {
+	record  *fleet.Record
+	group   *standin.Group
+	applied chan order
+
+	mu    sync.Mutex
+	fence uint64
+}
+
+func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o, ok := parseOrder(r)
+	if !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	c.record.Printf("infrastructure: promote %s, fence %d, by %s", o.id, o.fence, r.Header.Get("Duty-Holder"))
+	time.Sleep(promotionTime)
+	if !c.execute(o) {
+		w.WriteHeader(http.StatusConflict)
+	}
+}
+
+// execute carries an order out unless a higher fence was seen.
+func (c *cloud) execute(o order) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.fence < c.fence {
+		c.record.Printf("infrastructure: order for %s refused, fence %d is below %d", o.id, o.fence, c.fence)
+		return false
+	}
+	c.fence = o.fence
+	before := c.group.Primary()
+	ok := c.group.Promote(o.id)
+	c.record.Printf("infrastructure: order carried out, %s leads now (before: %s), accepted %t", o.id, before, ok)
+	if ok {
+		select {
+		case c.applied <- o:
+		default:
+		}
+	}
+	return ok
+}
+
+// writer writes items until the end, and keeps those that were acknowledged.
+type writer struct {
+	record       *fleet.Record
+	address, key string
+	name         string
+
+	acked []string
+}
+
+func (w *writer) run(ctx context.Context) {
+	var s *fleet.Session
+	defer func() {
+		if s != nil {
+			s.Close()
+		}
+	}()
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(writePause)
+		if s == nil {
+			opened, err := fleet.Connect(w.address, "intake", w.key)
+			if err != nil {
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+			s = opened
+		}
+		item := fmt.Sprintf("%s-%d", w.name, i)
+		r, err := s.Query("id-"+item, "WRITE "+item+" x")
+		if err == nil && r.Error == "" && r.Digest != "" && r.Digest != "-" {
+			w.record.Detail("consumer: write of %s acknowledged, digest %s", item, r.Digest)
+			w.acked = append(w.acked, item)
+			continue
+		}
+		w.record.Detail("consumer: write of %s: error %q, %v", item, r.Error, err)
+		s.Close()
+		s = nil
+	}
+}
+
+func main() {
+	record, err := fleet.NewRecord(folder)
+	if err != nil {
+		fleet.Exit(err)
+	}
+	err = play(record)
+	record.Printf("result: %v", err)
+	record.Close()
+	fleet.Exit(err)
+}
+
+func play(record *fleet.Record) error {
+	f, err := fleet.New(record)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	group, err := standin.NewGroup(service, "i-1", "i-2", "i-3")
+	if err != nil {
+		return err
+	}
+	defer group.Close()
+	group.SetSyncReplicas(1)
+	for _, s := range group.Servers() {
+		s.SetLag(slowLag)
+	}
+	relay, err := fleet.NewRelay(server(group, "i-3").Address)
+	if err != nil {
+		return err
+	}
+	defer relay.Close()
+	server(group, "i-3").SetLag(fastLag)
+	server(group, "i-3").SetAnnouncedAddress(relay.Address())
+
+	c := &cloud{record: record, group: group, applied: make(chan order, 1)}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = l.Close() }()
+	f.CloudAddress = l.Addr().String()
+	go func() { _ = http.Serve(l, c) }()
+
+	nodes, err := startNodes(f)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a := &announcer{record: record, group: group, nodes: nodes}
+	for _, s := range group.Servers() {
+		go a.announce(ctx, s)
+	}
+	if f.PutConfig(1, configuration, time.Now().Add(20*time.Second), nodes...) == nil {
+		return fmt.Errorf("%w: no node acknowledged the configuration", fleet.ErrCannotRun)
+	}
+	all, stop := startWriters(record, nodes)
+	time.Sleep(warmUp)
+	if fleet.Trouble() {
+		err = disturb(ctx, record, c, relay, a)
+	} else {
+		time.Sleep(quietRun)
+	}
+	if err != nil {
+		stop()
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	stop()
+	f.KeepLogs("promotion_ordered", "promotion_answered", "primary_changed", "replica_paused", "replica_resumed", "promotion_waits", "leadership", "upstream_changed")
+	return judge(record, group, all)
+}
+
+func server(g *standin.Group, id string) *standin.Server {
+	for _, s := range g.Servers() {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// startNodes starts three nodes with a disk and two without.
+func startNodes(f *fleet.Fleet) ([]*fleet.Node, error) {
+	var nodes []*fleet.Node
+	for host := 1; host <= 5; host++ {
+		nodes = append(nodes, f.Add(host, host <= 3))
+	}
+	for _, n := range nodes {
+		if err := n.WriteSettings(nodes[:3]...); err != nil {
+			return nil, err
+		}
+		if err := n.Start(); err != nil {
+			return nil, err
+		}
+	}
+	return nodes, nil
+}
+
+// startWriters starts three writers at each node.
+func startWriters(record *fleet.Record, nodes []*fleet.Node) ([]*writer, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var all []*writer
+	var running sync.WaitGroup
+	for i, n := range nodes {
+		for j := range 3 {
+			w := &writer{record: record, address: n.Caller(), key: "secret-key", name: fmt.Sprintf("item-%d-%d", i+1, j)}
+			all = append(all, w)
+			running.Go(func() { w.run(ctx) })
+		}
+	}
+	return all, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// disturb partitions a replica from all machines of the system, which refuses connections, and releases the primary
+// meanwhile. The replica and the primary reach each other all the time.
+func disturb(ctx context.Context, record *fleet.Record, c *cloud, relay *fleet.Relay, a *announcer) error {
+	start := time.Now()
+	record.Printf("node_cut (servers refuse): i-3 is partitioned from all machines of the system, connections are refused")
+	a.cutOff("i-3")
+	relay.Refuse()
+	time.Sleep(time.Until(start.Add(startsAfter)))
+	added, err := c.group.AddServer("i-4")
+	if err != nil {
+		return err
+	}
+	added.SetLag(slowLag)
+	record.Printf("release: i-4 starts")
+	go a.announce(ctx, added)
+	time.Sleep(time.Until(start.Add(drainsAfter)))
+	record.Printf("release: the primary i-1 drains")
+	a.drain(server(c.group, "i-1"))
+	select {
+	case <-c.applied:
+	case <-time.After(time.Until(start.Add(cutTime))):
+		record.Printf("no promotion took effect during the cut")
+		return nil
+	}
+	record.Printf("the promotion took effect %v after the begin of the cut", time.Since(start).Round(time.Millisecond))
+	return nil
+}
+
+// judge looks for acknowledged commits that are not in the log of the primary.
+func judge(record *fleet.Record, group *standin.Group, all []*writer) error {
+	lost, acked := 0, 0
+	for _, w := range all {
+		for _, item := range w.acked {
+			acked++
+			if !group.HasItem(item) {
+				lost++
+				record.Printf("LOST: the acknowledged write of %s is not in the log of %s", item, group.Primary())
+			}
+		}
+	}
+	record.Printf("%d writes acknowledged, primary %s", acked, group.Primary())
+	if acked == 0 {
+		return fmt.Errorf("%w: no write was acknowledged", fleet.ErrCannotRun)
+	}
+	if lost > 0 {
+		return fmt.Errorf("%w: LOST, %d acknowledged commits", fleet.ErrBroken, lost)
+	}
+	return nil
+}
--- a/review/harness-2/fleet/relay.go
+++ b/review/harness-2/fleet/relay.go
@@ -14,8 +14,9 @@
 	listener net.Listener
 	target   string
 
-	mu  sync.Mutex
-	cut map[string]bool
+	mu    sync.Mutex
+	cut   map[string]bool
+	conns map[net.Conn]bool
 }
 
 // NewRelay returns a Relay to a server.
@@ -24,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, target: target, cut: map[string]bool{}}
+	r := &Relay{listener: l, target: target, cut: map[string]bool{}, conns: map[net.Conn]bool{}}
 	go r.serve()
 	return r, nil
 }
@@ -35,6 +36,16 @@
 // Close ends the relay for new connections.
 func (r *Relay) Close() { _ = r.listener.Close() }
 
+// Refuse cuts everybody off: it closes all connections, and new ones are refused.
+func (r *Relay) Refuse() {
+	r.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
 // Cut cuts off those who show one of the names in START.
 func (r *Relay) Cut(names ...string) {
 	r.mu.Lock()
@@ -62,7 +73,15 @@
 
 // pass reads the START message of a connection, and passes it and all that follows on.
 func (r *Relay) pass(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	r.mu.Lock()
+	r.conns[c] = true
+	r.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		r.mu.Lock()
+		delete(r.conns, c)
+		r.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
 	line, err := in.ReadString('\n')
 	if err != nil {
