Review: a delayed Leave call makes a restarted replica count as gone, and a release loses commits (case 7)

Cause: a Leave call is tied to an id and to no boot (API.leave, markLeft in gateway/topology/topology.go). One that arrives late marks the new boot as left, whose heartbeats are then acknowledged and ignored for a minute. A planned release doesn't pause that replica, and the old primary acknowledges commits with it that the promoted server lacks.

Change: review/7 with its script and claim, its program in review/harness-2. No code of the project is changed.

--- a/review/harness-2/cmd/case7/main.go
+++ b/review/harness-2/cmd/case7/main.go
@@ -1,13 +1,16 @@
-// Command case7 starts a whole system for the first time. One of its three machines with a disk is lost for good while
-// the system starts, and an empty one takes its place at another address.
+// Command case7 plays planned work on a group with a synchronous replica: a replica is restarted in place, and then the
+// primary is released. A copy of the replica's last call before its restart is delayed by a partition, and arrives behind
+// the first heartbeat of its new boot.
 package main
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
-	"syscall"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/jayloom/jayloom/platform/standin"
@@ -15,21 +18,112 @@
 )
 
 const (
-	folder = "review/7"
-	// All machines start within 0.3 s of each other, as the pages say; the lost one is the first.
-	lostAfter = 100 * time.Millisecond
-	startGap  = 30 * time.Millisecond
-	// replacedAfter is the time from the loss to the start of the empty machine. The site's dose is x = 2.0.
-	replacedAfter = 2 * time.Second
-	// seedsAfter is when the settings files name the new machine; the operator's list lags by 3 s.
-	seedsAfter = 4 * time.Second
-	// traffic starts 10 s after the machines.
-	leadTime = 10 * time.Second
-	// The configuration is sent until lastTry. Its bound is ack_ms = 5,000 once the core is stable, which it is from
-	// contact_ms = 4,000 after the empty machine came.
-	lastTry = 100 * time.Second
+	folder  = "review/7"
+	service = "wax"
+	// promotionTime is that of the site.
+	promotionTime = time.Second
+	// slowLag and fastLag are within the delay of replicas on the site, 8 ms on average and 48 ms at most.
+	slowLag, fastLag = 40 * time.Millisecond, 4 * time.Millisecond
+	// drainTime is that of the site; a little longer is allowed.
+	drainTime = 7200 * time.Millisecond
+	// Times behind the replica's first Leave call: it tries the next node after a second without a response, starts again
+	// at its address, and the first call arrives. The site's partitions last for 5.5 s at most.
+	retryAfter   = time.Second
+	restartAfter = 2500 * time.Millisecond
+	arrivesAfter = 4500 * time.Millisecond
+	// settleTime is the pause between the two pieces of planned work.
+	settleTime = 3 * time.Second
+	// startsFirst is how long before the primary drains its successor starts.
+	startsFirst = time.Second
+	beat        = 1200 * time.Millisecond
+	writePause  = 4 * time.Millisecond
+	warmUp      = 6 * time.Second
+	orderMax    = 10 * time.Second
 )
 
+// cloud is the infrastructure: it carries out each order after promotionTime.
+type cloud struct {
+	record  *fleet.Record
+	group   *standin.Group
+	applied chan order
+
+	mu    sync.Mutex
+	fence uint64
+}
+
+func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o, ok := parseOrder(r)
+	if !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	c.record.Printf("infrastructure: promote %s, fence %d, by %s", o.id, o.fence, r.Header.Get("Duty-Holder"))
+	time.Sleep(promotionTime)
+	if !c.execute(o) {
+		w.WriteHeader(http.StatusConflict)
+	}
+}
+
+// execute carries an order out unless a higher fence was seen.
+func (c *cloud) execute(o order) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.fence < c.fence {
+		c.record.Printf("infrastructure: order for %s refused, fence %d is below %d", o.id, o.fence, c.fence)
+		return false
+	}
+	c.fence = o.fence
+	before := c.group.Primary()
+	ok := c.group.Promote(o.id)
+	c.record.Printf("infrastructure: order carried out, %s leads now (before: %s), accepted %t", o.id, before, ok)
+	if ok {
+		select {
+		case c.applied <- o:
+		default:
+		}
+	}
+	return ok
+}
+
+// writer writes items until the end, and keeps those that were acknowledged.
+type writer struct {
+	record       *fleet.Record
+	address, key string
+	name         string
+
+	acked []string
+}
+
+func (w *writer) run(ctx context.Context) {
+	var s *fleet.Session
+	defer func() {
+		if s != nil {
+			s.Close()
+		}
+	}()
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(writePause)
+		if s == nil {
+			opened, err := fleet.Connect(w.address, "intake", w.key)
+			if err != nil {
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+			s = opened
+		}
+		item := fmt.Sprintf("%s-%d", w.name, i)
+		r, err := s.Query("id-"+item, "WRITE "+item+" x")
+		if err == nil && r.Error == "" && r.Digest != "" && r.Digest != "-" {
+			w.record.Detail("consumer: write of %s acknowledged, digest %s", item, r.Digest)
+			w.acked = append(w.acked, item)
+			continue
+		}
+		w.record.Detail("consumer: write of %s: error %q, %v", item, r.Error, err)
+		s.Close()
+		s = nil
+	}
+}
+
 func main() {
 	record, err := fleet.NewRecord(folder)
 	if err != nil {
@@ -47,111 +141,191 @@
 		return err
 	}
 	defer f.Close()
-	group, err := standin.NewGroup("wax", "i-1", "i-2", "i-3")
+	group, err := standin.NewGroup(service, "i-1", "i-2", "i-3")
 	if err != nil {
 		return err
 	}
 	defer group.Close()
-	infrastructure := standin.NewInfrastructure(group)
+	group.SetSyncReplicas(1)
+	for _, s := range group.Servers() {
+		s.SetLag(slowLag)
+	}
+	server(group, "i-3").SetLag(fastLag)
+
+	c := &cloud{record: record, group: group, applied: make(chan order, 1)}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	defer func() { _ = l.Close() }()
 	f.CloudAddress = l.Addr().String()
-	go func() { _ = http.Serve(l, infrastructure) }()
+	go func() { _ = http.Serve(l, c) }()
 
-	start := time.Now()
-	running, err := startAll(f)
+	nodes, err := startNodes(f)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var controls []string
-	for _, n := range running {
-		controls = append(controls, n.Control())
-	}
-	go infrastructure.Announce(ctx, controls)
-	time.Sleep(time.Until(start.Add(leadTime)))
-	record.Printf("operator: sends the first configuration to all machines in turn, until it is acknowledged")
-	by := f.PutConfig(1, configuration, start.Add(lastTry), running...)
-	f.KeepLogs("waiting for", "formed the first", "became leader", "leadership", "disk_opened", "in_force")
-	if by == nil {
-		return fmt.Errorf("%w: Fault, no configuration was acknowledged and no request served within %v", fleet.ErrBroken, lastTry)
-	}
-	return serve(record, running)
+	a := &announcer{record: record, group: group, nodes: nodes}
+	for _, s := range group.Servers() {
+		go a.announce(ctx, s)
+	}
+	if f.PutConfig(1, configuration, time.Now().Add(20*time.Second), nodes...) == nil {
+		return fmt.Errorf("%w: no node acknowledged the configuration", fleet.ErrCannotRun)
+	}
+	all, stop := startWriters(record, nodes)
+	time.Sleep(warmUp)
+	err = restartReplica(record, group, a)
+	if err == nil {
+		time.Sleep(settleTime)
+		err = releasePrimary(ctx, record, c, a)
+	}
+	if err != nil {
+		stop()
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	stop()
+	f.KeepLogs("promotion_ordered", "promotion_answered", "primary_changed", "replica_paused", "replica_resumed", "promotion_waits", "leadership", "upstream_changed")
+	return judge(record, group, all)
 }
 
-// startAll starts five machines, three of them with a disk. With the disruption, the third one of these is lost.
-func startAll(f *fleet.Fleet) ([]*fleet.Node, error) {
-	core := []*fleet.Node{f.Add(1, true), f.Add(2, true), f.Add(3, true)}
-	others := []*fleet.Node{f.Add(4, false), f.Add(5, false)}
-	order := []*fleet.Node{core[2], core[0], core[1], others[0], others[1]}
-	for _, n := range order {
-		if err := n.WriteSettings(core...); err != nil {
-			return nil, err
+func server(g *standin.Group, id string) *standin.Server {
+	for _, s := range g.Servers() {
+		if s.ID == id {
+			return s
 		}
 	}
-	for i, n := range order {
+	return nil
+}
+
+// startNodes starts three nodes with a disk and two without.
+func startNodes(f *fleet.Fleet) ([]*fleet.Node, error) {
+	var nodes []*fleet.Node
+	for host := 1; host <= 5; host++ {
+		nodes = append(nodes, f.Add(host, host <= 3))
+	}
+	for _, n := range nodes {
+		if err := n.WriteSettings(nodes[:3]...); err != nil {
+			return nil, err
+		}
 		if err := n.Start(); err != nil {
 			return nil, err
 		}
-		if i == 0 {
-			time.Sleep(lostAfter)
-			if fleet.Trouble() {
-				f.Record.Printf("replace_core: %s is gone for good", n.Name)
-				n.Kill()
-			}
+	}
+	return nodes, nil
+}
+
+// startWriters starts three writers at each node.
+func startWriters(record *fleet.Record, nodes []*fleet.Node) ([]*writer, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var all []*writer
+	var running sync.WaitGroup
+	for i, n := range nodes {
+		for j := range 3 {
+			w := &writer{record: record, address: n.Caller(), key: "secret-key", name: fmt.Sprintf("item-%d-%d", i+1, j)}
+			all = append(all, w)
+			running.Go(func() { w.run(ctx) })
 		}
-		time.Sleep(startGap)
 	}
-	if !fleet.Trouble() {
-		return order, nil
+	return all, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// restartReplica restarts i-3 in place, as planned work. With the disruption its first Leave call is delayed.
+func restartReplica(record *fleet.Record, group *standin.Group, a *announcer) error {
+	replica := server(group, "i-3")
+	record.Printf("planned restart: i-3 drains")
+	a.drain(replica)
+	time.Sleep(drainTime)
+	start := time.Now()
+	if fleet.Trouble() {
+		record.Printf("server i-3: Leave to %s, delayed by a partition", a.nodes[3].Name)
+		time.AfterFunc(arrivesAfter, func() { a.leave(replica, a.nodes[3], "delayed") })
+		time.Sleep(retryAfter)
 	}
-	time.Sleep(replacedAfter - lostAfter)
-	empty := f.Add(6, true)
-	empty.Bootstrap = false
-	if err := empty.WriteSettings(core...); err != nil {
-		return nil, err
+	if a.leave(replica, a.nodes[0], "") != http.StatusOK {
+		return fmt.Errorf("%w: Leave was not acknowledged", fleet.ErrCannotRun)
 	}
-	f.Record.Printf("replace_core: an empty machine comes at another address")
-	if err := empty.Start(); err != nil {
-		return nil, err
+	replica.Stop()
+	a.cutOff(replica.ID)
+	record.Printf("planned restart: i-3 has ended")
+	time.Sleep(time.Until(start.Add(restartAfter)))
+	if err := replica.Start(); err != nil {
+		return err
 	}
-	time.Sleep(seedsAfter - replacedAfter)
-	running := append(order[1:], empty)
-	for _, n := range running {
-		if err := n.WriteSettings(core[0], core[1], empty); err != nil {
-			return nil, err
+	// The stand-in keeps a pause over a restart, which PROTOCOL.md says ends it.
+	if err := resume(replica); err != nil {
+		return err
+	}
+	record.Printf("planned restart: i-3 starts again under its id at its address")
+	a.restart(replica)
+	time.Sleep(time.Until(start.Add(arrivesAfter)))
+	return nil
+}
+
+// releasePrimary replaces the primary, as planned work.
+func releasePrimary(ctx context.Context, record *fleet.Record, c *cloud, a *announcer) error {
+	added, err := c.group.AddServer("i-4")
+	if err != nil {
+		return err
+	}
+	added.SetLag(slowLag)
+	record.Printf("release: i-4 starts")
+	go a.announce(ctx, added)
+	time.Sleep(startsFirst)
+	record.Printf("release: the primary i-1 drains")
+	a.drain(server(c.group, "i-1"))
+	select {
+	case <-c.applied:
+		return nil
+	case <-time.After(orderMax):
+		return fmt.Errorf("%w: no promotion took effect", fleet.ErrCannotRun)
+	}
+}
+
+// resume ends the pause of a replica.
+func resume(s *standin.Server) error {
+	c, err := net.Dial("tcp4", s.Address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := fmt.Fprintf(c, "START %s - %s\r\nQUERY - RESUME\r\n", service, s.ID); err != nil {
+		return err
+	}
+	in := bufio.NewReader(c)
+	for range 4 {
+		line, err := in.ReadString('\n')
+		if err != nil || strings.HasPrefix(line, "DONE") {
+			return err
 		}
-		n.Signal(syscall.SIGHUP)
 	}
-	return running, nil
+	return fmt.Errorf("%w: i-3 did not resume", fleet.ErrCannotRun)
 }
 
-// serve checks that the machines serve a consumer.
-func serve(record *fleet.Record, nodes []*fleet.Node) error {
-	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-		for _, n := range nodes {
-			s, err := fleet.Connect(n.Caller(), "intake", "secret-key")
-			if err != nil {
-				record.Detail("consumer at %s: %v", n.Name, err)
-				continue
-			}
-			r, err := s.Query("id-1", "WRITE item x")
-			s.Close()
-			record.Printf("consumer at %s: write answered with digest %q, error %q, %v", n.Name, r.Digest, r.Error, err)
-			if err == nil && r.Error == "" && r.Digest != "" {
-				return nil
+// judge looks for acknowledged commits that are not in the log of the primary.
+func judge(record *fleet.Record, group *standin.Group, all []*writer) error {
+	lost, acked := 0, 0
+	for _, w := range all {
+		for _, item := range w.acked {
+			acked++
+			if !group.HasItem(item) {
+				lost++
+				record.Printf("LOST: the acknowledged write of %s is not in the log of %s", item, group.Primary())
 			}
 		}
 	}
-	return fmt.Errorf("%w: Fault, no request was served", fleet.ErrBroken)
+	record.Printf("%d writes acknowledged, primary %s", acked, group.Primary())
+	if acked == 0 {
+		return fmt.Errorf("%w: no write was acknowledged", fleet.ErrCannotRun)
+	}
+	if lost > 0 {
+		return fmt.Errorf("%w: LOST, %d acknowledged commits", fleet.ErrBroken, lost)
+	}
+	return nil
 }
-
-const configuration = `{"version":1,"routes":[{"name":"r-1","host":"intake","path_prefix":"/","type":"primary","timeout_ms":1000,` +
-	`"goal_ms":200,"priority":1,"service":"wax","attempts":2,"public":false}],"services":[{"name":"wax","health_path":"/health",` +
-	`"max_conns":23,"protocol":"h1","tls":false,"sync_replicas":0}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,` +
-	`"header_timeout_ms":3000,"idle_timeout_ms":15000,"tx_idle_ms":3000},"tenants":[{"name":"team","api_keys":["secret-key"],` +
-	`"priority":1,"rate_per_s":500,"burst":500}]}`
