--- a/review/harness-2/cmd/case6/main.go
+++ b/review/harness-2/cmd/case6/main.go
@@ -17,11 +17,11 @@
 const (
 	folder = "review/6"
 	// lateAfter is when the order is carried out that got no answer. The pages name 2 to 12 s.
-	lateAfter = 11500 * time.Millisecond
+	lateAfter = 11 * time.Second
 	// promotionTime is that of the site.
 	promotionTime = time.Second
-	// slowLag and fastLag are within the delay of replicas on the site, 8 ms on average and 48 ms at most.
-	slowLag, fastLag = 40 * time.Millisecond, 4 * time.Millisecond
+	// slowLag is how far replicas are behind on the sheet, fastLag the time to one in another zone.
+	slowLag, fastLag = 8 * time.Millisecond, time.Millisecond
 	// backAfter is when a crashed primary is back after the late order was given; it was down for some 1 s then.
 	backAfter  = 100 * time.Millisecond
 	writers    = 6
@@ -68,16 +68,36 @@
 	if late {
 		go c.onLate(o)
 		time.AfterFunc(lateAfter, func() {
-			c.execute(o)
-			c.applied <- o
+			c.record.Printf("infrastructure: the late order for %s is carried out, accepted %t", o.id, c.accept(o))
+			time.AfterFunc(promotionTime, func() {
+				c.execute(o)
+				c.applied <- o
+			})
 		})
 		<-r.Context().Done()
 		return
 	}
-	time.Sleep(promotionTime)
-	if !c.execute(o) {
+	if !c.accept(o) {
 		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	time.AfterFunc(promotionTime, func() { c.execute(o) })
+}
+
+// accept checks an order and its fence. Its server leads promotionTime later.
+func (c *cloud) accept(o order) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.fence < c.fences[o.service] {
+		return false
+	}
+	for _, s := range c.groups[o.service].Servers() {
+		if s.ID == o.id && !s.Stopped() {
+			c.fences[o.service] = o.fence
+			return true
+		}
 	}
+	return false
 }
 
 // execute carries an order out unless a higher fence was seen for the service.
@@ -168,6 +188,7 @@
 			return err
 		}
 		defer g.Close()
+		fleet.RecordRuns(record, g)
 		g.SetSyncReplicas(1)
 		for _, server := range g.Servers() {
 			server.SetLag(fastLag)
--- a/review/harness-2/cmd/case7/main.go
+++ b/review/harness-2/cmd/case7/main.go
@@ -22,8 +22,8 @@
 	service = "wax"
 	// promotionTime is that of the site.
 	promotionTime = time.Second
-	// slowLag and fastLag are within the delay of replicas on the site, 8 ms on average and 48 ms at most.
-	slowLag, fastLag = 40 * time.Millisecond, 4 * time.Millisecond
+	// slowLag is how far replicas are behind on the sheet, fastLag the time to one in another zone.
+	slowLag, fastLag = 8 * time.Millisecond, time.Millisecond
 	// drainTime is that of the site; a little longer is allowed.
 	drainTime = 7200 * time.Millisecond
 	// Times behind the replica's first Leave call: it tries the next node after a second without a response, starts again
@@ -41,7 +41,7 @@
 	orderMax    = 10 * time.Second
 )
 
-// cloud is the infrastructure: it carries out each order after promotionTime.
+// cloud is the infrastructure: it answers an order at once, and its server leads after promotionTime.
 type cloud struct {
 	record  *fleet.Record
 	group   *standin.Group
@@ -58,10 +58,24 @@
 		return
 	}
 	c.record.Printf("infrastructure: promote %s, fence %d, by %s", o.id, o.fence, r.Header.Get("Duty-Holder"))
-	time.Sleep(promotionTime)
-	if !c.execute(o) {
+	if !c.accept(o) {
 		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	time.AfterFunc(promotionTime, func() { c.execute(o) })
+}
+
+// accept answers a call at once. The server leads promotionTime later.
+func (c *cloud) accept(o order) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := server(c.group, o.id)
+	if o.fence < c.fence || s == nil || s.Stopped() {
+		c.record.Printf("infrastructure: order for %s refused", o.id)
+		return false
 	}
+	c.fence = o.fence
+	return true
 }
 
 // execute carries an order out unless a higher fence was seen.
@@ -152,6 +166,7 @@
 	}
 	server(group, "i-3").SetLag(fastLag)
 
+	fleet.RecordRuns(record, group)
 	c := &cloud{record: record, group: group, applied: make(chan order, 1)}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -273,6 +288,7 @@
 	if err != nil {
 		return err
 	}
+	fleet.LimitSlots(added)
 	added.SetLag(slowLag)
 	record.Printf("release: i-4 starts")
 	go a.announce(ctx, added)
--- a/review/harness-2/cmd/case8/main.go
+++ b/review/harness-2/cmd/case8/main.go
@@ -19,7 +19,7 @@
 	service = "wax"
 	// promotionTime is that of the site.
 	promotionTime = time.Second
-	lag           = 4 * time.Millisecond
+	lag           = time.Millisecond
 	// partitioned stands for a replica that receives nothing.
 	partitioned = time.Hour
 	// newServerAfter is when the new server of the release starts, from the order of the promotion on.
@@ -35,7 +35,7 @@
 	systemName = "-"
 )
 
-// cloud is the infrastructure: it carries out each order after promotionTime.
+// cloud is the infrastructure: it answers an order at once, and its server leads after promotionTime.
 type cloud struct {
 	record  *fleet.Record
 	group   *standin.Group
@@ -57,10 +57,24 @@
 	case c.ordered <- o:
 	default:
 	}
-	time.Sleep(promotionTime)
-	if !c.execute(o) {
+	if !c.accept(o) {
 		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	time.AfterFunc(promotionTime, func() { c.execute(o) })
+}
+
+// accept answers a call at once. The server leads promotionTime later.
+func (c *cloud) accept(o order) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := server(c.group, o.id)
+	if o.fence < c.fence || s == nil || s.Stopped() {
+		c.record.Printf("infrastructure: order for %s refused", o.id)
+		return false
 	}
+	c.fence = o.fence
+	return true
 }
 
 // execute carries an order out unless a higher fence was seen.
@@ -156,6 +170,7 @@
 	defer relay.Close()
 	server(group, "i-1").SetAnnouncedAddress(relay.Address())
 
+	fleet.RecordRuns(record, group)
 	c := &cloud{record: record, group: group, ordered: make(chan order, 1), applied: make(chan order, 1)}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -263,6 +278,7 @@
 	if err != nil {
 		return err
 	}
+	fleet.LimitSlots(added)
 	added.SetLag(lag)
 	record.Printf("release: i-4 starts, with the log of the primary")
 	go a.announce(ctx, added)
--- a/review/harness-2/cmd/case9/main.go
+++ b/review/harness-2/cmd/case9/main.go
@@ -19,8 +19,8 @@
 	service = "wax"
 	// promotionTime is that of the site.
 	promotionTime = time.Second
-	// slowLag and fastLag are within the delay of replicas on the site, 8 ms on average and 48 ms at most.
-	slowLag, fastLag = 40 * time.Millisecond, 4 * time.Millisecond
+	// slowLag is how far replicas are behind on the sheet, fastLag the time to one in another zone.
+	slowLag, fastLag = 8 * time.Millisecond, time.Millisecond
 	// startsAfter and drainsAfter are when, from the begin of the cut on, the new server of the release starts and the
 	// primary drains. cutTime is the length of the cut.
 	startsAfter = 2200 * time.Millisecond
@@ -33,7 +33,7 @@
 	orderMax    = 10 * time.Second
 )
 
-// cloud is the infrastructure: it carries out each order after promotionTime.
+// cloud is the infrastructure: it answers an order at once, and its server leads after promotionTime.
 type cloud struct {
 	record  *fleet.Record
 	group   *standin.Group
@@ -50,10 +50,24 @@
 		return
 	}
 	c.record.Printf("infrastructure: promote %s, fence %d, by %s", o.id, o.fence, r.Header.Get("Duty-Holder"))
-	time.Sleep(promotionTime)
-	if !c.execute(o) {
+	if !c.accept(o) {
 		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	time.AfterFunc(promotionTime, func() { c.execute(o) })
+}
+
+// accept answers a call at once. The server leads promotionTime later.
+func (c *cloud) accept(o order) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := server(c.group, o.id)
+	if o.fence < c.fence || s == nil || s.Stopped() {
+		c.record.Printf("infrastructure: order for %s refused", o.id)
+		return false
 	}
+	c.fence = o.fence
+	return true
 }
 
 // execute carries an order out unless a higher fence was seen.
@@ -150,6 +164,7 @@
 	server(group, "i-3").SetLag(fastLag)
 	server(group, "i-3").SetAnnouncedAddress(relay.Address())
 
+	fleet.RecordRuns(record, group)
 	c := &cloud{record: record, group: group, applied: make(chan order, 1)}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -240,11 +255,16 @@
 	record.Printf("node_cut (servers refuse): i-3 is partitioned from all machines of the system, connections are refused")
 	a.cutOff("i-3")
 	relay.Refuse()
+	time.AfterFunc(cutTime, func() {
+		record.Printf("node_cut: the cut ends: %v", relay.Heal())
+		a.restore("i-3")
+	})
 	time.Sleep(time.Until(start.Add(startsAfter)))
 	added, err := c.group.AddServer("i-4")
 	if err != nil {
 		return err
 	}
+	fleet.LimitSlots(added)
 	added.SetLag(slowLag)
 	record.Printf("release: i-4 starts")
 	go a.announce(ctx, added)
--- a/review/harness-2/cmd/case9/messages.go
+++ b/review/harness-2/cmd/case9/messages.go
@@ -72,6 +72,13 @@
 	return "ready"
 }
 
+// restore ends the partition of a server.
+func (a *announcer) restore(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.cut, id)
+}
+
 func (a *announcer) isCut(id string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/review/harness-2/fleet/relay.go
+++ b/review/harness-2/fleet/relay.go
@@ -26,7 +26,7 @@
 		return nil, err
 	}
 	r := &Relay{listener: l, target: target, cut: map[string]bool{}, conns: map[net.Conn]bool{}}
-	go r.serve()
+	go r.serve(l)
 	return r, nil
 }
 
@@ -61,9 +61,22 @@
 	return r.cut[name]
 }
 
-func (r *Relay) serve() {
+// Heal ends what Refuse began.
+func (r *Relay) Heal() error {
+	l, err := net.Listen("tcp4", r.Address())
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.listener = l
+	r.mu.Unlock()
+	go r.serve(l)
+	return nil
+}
+
+func (r *Relay) serve(l net.Listener) {
 	for {
-		c, err := r.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
