Take a promotion order for possible as long as the platform states

Cause: a promotion order without an answer counted as possible for 10 s. The users state that such a call is carried out 2 to 12 s later, and its server leads up to 1 s after that. After 10 s the leader resumed the other replica, commits were acknowledged as soon as that one had them, and the late order then promoted a server without them. A new leader had the same 10 s.

The time follows from its parts now: a call may take 5 s to arrive (the limit of the call), is carried out up to 12 s later, and takes effect within the time after which an accepted order is given again. outstanding.go holds what concerns such orders; it was moved out of synchronous.go unchanged otherwise.

--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// promoteTimeout limits the call for a promotion. The platform may be slow for seconds.
-	promoteTimeout = 5 * time.Second
 	// promoteAnswerTime is the time after which a promotion order without an answer is repeated beside
 	// the call under way, because the call may have been lost. A platform that is well answers at once.
 	promoteAnswerTime = 500 * time.Millisecond
@@ -275,7 +273,7 @@
 // outcome is not known yet, and goes on waiting: a slow call may still tell that the order was accepted
 // or refused.
 func (l *Leader) sendPromotion(ctx context.Context, answer promotionAnswered) {
-	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	ctx, cancel := context.WithTimeout(ctx, failover.OrderTimeout)
 	defer cancel()
 	if !l.holdsLease(clock.Now()) {
 		return
--- a/gateway/coordinator/handover_test.go
+++ b/gateway/coordinator/handover_test.go
@@ -113,7 +113,7 @@
 			synctest.Wait()
 			drainEvents(l)
 		}
-		time.Sleep(promoteTimeout)
+		time.Sleep(failover.OrderTimeout)
 		if len(platform.outcomes) == 0 || slices.Contains(platform.outcomes, PromotionRefused) {
 			t.Errorf("outcomes of the orders: %v", platform.outcomes)
 		}
--- a/gateway/failover/synchronous.go
+++ b/gateway/failover/synchronous.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/jayloom/jayloom/gateway/position"
 )
 
 // In a group with synchronous replicas, every acknowledged commit is on a replica, draining or
@@ -13,9 +11,6 @@
 // late.
 
 const (
-	// lateOrderTimeout is how long an order without a known outcome may still be carried out. The
-	// platform states "seconds".
-	lateOrderTimeout = 10 * time.Second
 	// resumeRetryInterval is the time between two orders to resume the same replica.
 	resumeRetryInterval = 500 * time.Millisecond
 	// resumeSettleTime is how long an order to resume a replica may take to arrive. Until then, an
@@ -23,33 +18,11 @@
 	resumeSettleTime = time.Second
 )
 
-// outstandingOrder is a promotion order that may still be carried out. The candidate is empty if an
-// earlier leader may have given the order.
-type outstandingOrder struct {
-	candidate string
-	until     time.Duration
-	// pauseTerm is the term that replicas were paused for, and so the one that the candidate will lead.
-	pauseTerm uint64
-	// firstOrderedAt and orderedAt are when the order was first and last given, the latter with the
-	// candidate at position.
-	firstOrderedAt, orderedAt time.Duration
-	position                  position.Position
-	// unanswered is set if the outcome of an order is not known.
-	unanswered bool
-}
-
 // Awaited returns the servers without which no candidate is known to have every acknowledged commit.
 func (m *Machine) Awaited() []string {
 	return m.awaited
 }
 
-// clearAnswered forgets an order that will not be carried out, unless an earlier one still may be.
-func (m *Machine) clearAnswered() {
-	if !m.outstanding.unanswered {
-		m.outstanding = outstandingOrder{}
-	}
-}
-
 // startTerm forgets what belonged to the term before. An order for another server may still be carried
 // out: that of an earlier leader, or one that the new primary was promoted ahead of.
 func (m *Machine) startTerm(primary string) {
@@ -104,18 +77,6 @@
 	return actions
 }
 
-func (m *Machine) recordOutstanding(now time.Duration, candidate Server) {
-	unanswered := m.outstanding.unanswered && now < m.outstanding.until
-	first := now
-	if m.outstanding.candidate == candidate.ID {
-		first = m.outstanding.firstOrderedAt
-	}
-	m.outstanding = outstandingOrder{
-		candidate: candidate.ID, until: now + lateOrderTimeout, pauseTerm: m.pauseTerm(), unanswered: unanswered,
-		firstOrderedAt: first, orderedAt: now, position: candidate.Sample.Position,
-	}
-}
-
 func (m *Machine) recentlyRefused(now time.Duration, id string) bool {
 	at, ok := m.refusedAt[id]
 	return ok && now-at < refusalBackoff
@@ -286,18 +247,6 @@
 	return actions
 }
 
-// outstandingCandidate returns the server that an order of this leader may still promote, or nil.
-func (m *Machine) outstandingCandidate(now time.Duration, servers []Server) *Server {
-	if now >= m.outstanding.until {
-		return nil
-	}
-	s := findServer(servers, m.outstanding.candidate)
-	if s == nil || hasEnded(now, *s) {
-		return nil
-	}
-	return s
-}
-
 // resume returns the order to resume a replica, unless it was given a moment ago, or an order to promote
 // another one may still be carried out.
 func (m *Machine) resume(now time.Duration, servers []Server, s Server) []Action {
