Order the server that overtakes an ordered one

Cause: while an order is under way the leader paused a server that had come since and did not look at what it holds. The primary, which the leader does not reach, confirms commits with such a server until it is paused, and the ordered server cannot receive them. The servers were not probed more often either once the order had been given.

A server that is ahead of the ordered one, which cannot catch up, is ordered in its place as soon as no other server can have more. It may go on receiving meanwhile: all others are paused, so it has whatever is confirmed. The new order has a higher fence, which the platform checks when it carries out the older one. An ordered server that receives is only replaced once it has answered after the pause of the other one, so that an older answer is not taken for a lag. This needs NeedsFrequentProbes (Pending before) to hold while an order is under way, in groups with synchronous replicas.

--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -126,7 +126,7 @@
 		}
 		l.logAwaited(now, service, g)
 		longestWait = max(longestWait, g.waitTime(now))
-		if g.machine.Pending() {
+		if g.machine.NeedsFrequentProbes() {
 			g.probeNow()
 		}
 		id, term, changing := g.machine.Primary()
--- a/gateway/failover/course_group_test.go
+++ b/gateway/failover/course_group_test.go
@@ -55,7 +55,7 @@
 		if s == c.primary {
 			interval = 250 * time.Millisecond
 		}
-		if c.machine.Pending() {
+		if c.machine.NeedsFrequentProbes() {
 			interval = 100 * time.Millisecond
 		}
 		c.nextProbe[s] = c.now + interval
--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -153,7 +153,8 @@
 	// refusedAt is when the platform last refused to promote a server.
 	refusedAt map[string]time.Duration
 
-	// The remaining fields are used in groups with synchronous replicas.
+	// synchronous is set in groups with synchronous replicas. The remaining fields are used in these only.
+	synchronous bool
 
 	// candidate is the replica that is being prepared for the promotion, and awaited holds the servers
 	// that may have acknowledged commits which it lacks.
@@ -208,11 +209,10 @@
 	m.primary, m.term, m.lastAnswer = primary, term, now
 }
 
-// Pending reports whether a failover is due and has not been ordered yet. The servers should
-// then be probed more often, because the choice of the candidate depends on their newest
-// positions.
-func (m *Machine) Pending() bool {
-	return m.pendingReason != "" && m.order == nil
+// NeedsFrequentProbes reports whether a decision depends on the newest positions of the servers: a failover is due and
+// has not been ordered yet, or its order is under way in a group with synchronous replicas.
+func (m *Machine) NeedsFrequentProbes() bool {
+	return m.pendingReason != "" && (m.order == nil || m.synchronous)
 }
 
 // HandleAccepted records that the platform accepted the promotion order.
@@ -252,7 +252,8 @@
 // Step updates the state and returns the actions that are due, with at most one promotion.
 func (m *Machine) Step(now time.Duration, in Input) []Action {
 	m.updatePrimary(now, in.Servers)
-	if in.SyncReplicas == 0 {
+	m.synchronous = in.SyncReplicas > 0
+	if !m.synchronous {
 		m.awaited = nil
 	} else {
 		m.progress.record(now, m.position)
@@ -262,10 +263,7 @@
 	}
 	if m.order != nil {
 		if now-m.order.orderedAt < promotionTimeout {
-			if in.SyncReplicas == 0 {
-				return nil
-			}
-			return m.keepOnlyCandidateReceiving(now, in.Servers)
+			return m.guardOrder(now, in)
 		}
 		m.order = nil
 	}
--- a/gateway/failover/failover_test.go
+++ b/gateway/failover/failover_test.go
@@ -124,7 +124,7 @@
 	if got := promotions(s.advance(2*time.Second, "p", "r1", "r2")); len(got) > 0 {
 		t.Fatalf("promoted %v, which lacks 60 commits", got)
 	}
-	if !s.machine.Pending() {
+	if !s.machine.NeedsFrequentProbes() {
 		t.Error("no failover is pending, so the servers are not probed more often")
 	}
 	s.server("r2").Sample.Position.Number = 99
--- a/gateway/failover/outstanding.go
+++ b/gateway/failover/outstanding.go
@@ -61,3 +61,63 @@
 	}
 	return s
 }
+
+// guardOrder returns the actions that are due while an order is under way.
+func (m *Machine) guardOrder(now time.Duration, in Input) []Action {
+	switch {
+	case !m.synchronous:
+		return nil
+	case m.overtakingServer(now, in.Servers) != nil:
+		return m.replaceSynchronous(now, in, m.pendingReason)
+	default:
+		return m.keepOnlyCandidateReceiving(now, in.Servers)
+	}
+}
+
+// keepOnlyCandidateReceiving keeps the replicas paused while an order is carried out, also those that
+// have come since, and resumes the candidate if the primary leads again.
+func (m *Machine) keepOnlyCandidateReceiving(now time.Duration, servers []Server) []Action {
+	actions := m.pauseReplicas(now, servers, m.order.candidate)
+	candidate := findServer(servers, m.order.candidate)
+	if candidate != nil && candidate.Sample.PausedTerm != 0 && m.leads(now, servers) {
+		actions = append(actions, m.resume(now, servers, *candidate)...)
+	}
+	return actions
+}
+
+// overtakingServer returns the most advanced server that has commits which the candidate of the outstanding order
+// lacks and cannot receive any more, or nil. It has started, or started again, since the order was given, and the
+// primary, which the leader does not reach, has confirmed commits with it. An order for it voids the outstanding one.
+func (m *Machine) overtakingServer(now time.Duration, servers []Server) *Server {
+	candidate := m.outstandingCandidate(now, servers)
+	hasTakenEffect := m.newestTerm >= m.outstanding.pauseTerm
+	if candidate == nil || hasTakenEffect || m.leads(now, servers) || m.demoted.isObserved() {
+		return nil
+	}
+	var ahead *Server
+	newest := position.Max(m.outstanding.position, candidate.Sample.Position)
+	for i := range servers {
+		s := &servers[i]
+		isOther := s.ID != candidate.ID && s.ID != m.newestPrimary && !s.Sample.Primary
+		if !isOther || !s.hasFreshSample(now) || m.mayStillReceive(*candidate, *s) {
+			continue
+		}
+		if newest.Before(s.Sample.Position) {
+			ahead, newest = s, s.Sample.Position
+		}
+	}
+	return ahead
+}
+
+// mayStillReceive reports whether a candidate that is behind another server may only have been asked earlier: it
+// receives, and has not answered since the other one was paused.
+func (m *Machine) mayStillReceive(candidate, other Server) bool {
+	if m.isFinal(candidate.ID, candidate.Sample) {
+		return false
+	}
+	return !m.isFinal(other.ID, other.Sample) || candidate.Sample.At <= other.Sample.At
+}
+
+func (m *Machine) overtakes(now time.Duration, servers []Server, s *Server) bool {
+	return m.overtakingServer(now, servers) == s
+}
--- a/gateway/failover/outstanding_test.go
+++ b/gateway/failover/outstanding_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/jayloom/jayloom/gateway/position"
 )
 
 // What the platform states: a call without an answer is carried out up to platformOrderDelay later, and the
@@ -36,3 +38,105 @@
 		}
 	}
 }
+
+// orderUnderWay returns a group whose primary is silent and which has the promotion of r1 under way.
+func orderUnderWay(t *testing.T) *simulation {
+	s := newSynchronousSimulation(t)
+	s.losePrimary()
+	if got := promotions(s.advance(time.Second, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Fatalf("ordered %v", got)
+	}
+	s.machine.HandleAccepted()
+	return s
+}
+
+func (s *simulation) addServer(id string, number uint64) {
+	s.in.Servers = append(s.in.Servers, Server{
+		ID: id, Sample: Sample{Term: 1, Position: position.Position{Term: 1, Number: number}},
+	})
+}
+
+// Guards against the loss of acknowledged commits by the promotion of a server that another one has overtaken
+// (review, case 8): one that starts while the order is under way receives from a primary that the leader does
+// not reach, until it is paused. The order for it has a higher number, which voids the one under way.
+func TestServerThatOvertakesTheOrderedOneIsOrdered(t *testing.T) {
+	s := orderUnderWay(t)
+	s.addServer("r3", 140)
+	got := s.advance(100*time.Millisecond, "r1", "r2", "r3")
+	want := []Action{{Promote: "r3", Term: 2, Reason: PrimaryLost, Order: 2}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+
+	s = orderUnderWay(t)
+	s.server("r2").Sample.PausedTerm = 0
+	s.server("r2").Sample.Position.Number = 105
+	if got := promotions(s.advance(100*time.Millisecond, "r1", "r2")); !cmp.Equal(got, []string{"r2"}) {
+		t.Errorf("a replica has restarted and received: ordered %v, want r2", got)
+	}
+}
+
+// Guards against two servers that both receive, each of which may have commits that the other lacks: the one
+// that is less advanced is paused before the other is ordered.
+func TestOvertakingServerWaitsForTheOthers(t *testing.T) {
+	s := orderUnderWay(t)
+	s.addServer("r3", 140)
+	s.addServer("r4", 139)
+	got := s.advance(100*time.Millisecond, "r1", "r2", "r3", "r4")
+	if diff := cmp.Diff([]Action{{Pause: "r4", Term: 2}}, got); diff != "" {
+		t.Fatal(diff)
+	}
+	s.server("r4").Sample.PausedTerm = 2
+	if got := promotions(s.advance(100*time.Millisecond, "r1", "r2", "r3", "r4")); !cmp.Equal(got, []string{"r3"}) {
+		t.Errorf("ordered %v, want r3", got)
+	}
+}
+
+// Guards against an order that is replaced without need, which takes the time of another promotion: the new
+// server has no more than the ordered one, the primary leads and the ordered one receives from it, or the order
+// has taken effect and the ordered one has not answered since.
+func TestOrderIsKeptWithoutNeedToReplaceIt(t *testing.T) {
+	s := orderUnderWay(t)
+	s.addServer("r3", 99)
+	got := s.advance(100*time.Millisecond, "r1", "r2", "r3")
+	if diff := cmp.Diff([]Action{{Pause: "r3", Term: 2}}, got); diff != "" {
+		t.Errorf("a server that is not ahead: %s", diff)
+	}
+
+	s = orderUnderWay(t)
+	s.in.Reachability = Reachability{Nodes: 11, Reaching: 11}
+	s.addServer("r3", 140)
+	if got := promotions(s.advance(time.Second, "p", "r1", "r2", "r3")); len(got) > 0 {
+		t.Errorf("the primary leads: ordered %v", got)
+	}
+
+	s = orderUnderWay(t)
+	s.server("r1").Sample.PausedTerm = 0
+	s.addServer("r3", 140)
+	if got := promotions(s.advance(time.Second, "r1", "r2", "r3")); len(got) > 0 {
+		t.Errorf("the ordered server receives and may have been asked earlier: ordered %v", got)
+	}
+	s.server("r3").Sample.PausedTerm = 2
+	s.advance(100*time.Millisecond, "r2", "r3")
+	got = s.advance(100*time.Millisecond, "r1", "r2")
+	if diff := cmp.Diff([]Action{{Pause: "r1", Term: 2}}, got); diff != "" {
+		t.Errorf("the ordered server has not received what r3 has: %s", diff)
+	}
+	s.server("r1").Sample.PausedTerm = 2
+	if got := promotions(s.advance(100*time.Millisecond, "r1", "r2")); !cmp.Equal(got, []string{"r3"}) {
+		t.Errorf("the ordered server is paused: ordered %v, want r3", got)
+	}
+
+	s = orderUnderWay(t)
+	s.server("r2").Sample = Sample{Term: 2, Position: position.Position{Term: 2, Number: 120}}
+	if got := promotions(s.advance(time.Second, "r2")); len(got) > 0 {
+		t.Errorf("the order has taken effect: ordered %v", got)
+	}
+}
+
+// Guards against a server that starts while an order is under way and is noticed only after the promotion.
+func TestServersAreProbedOftenWhileAnOrderIsUnderWay(t *testing.T) {
+	if s := orderUnderWay(t); !s.machine.NeedsFrequentProbes() {
+		t.Error("servers are not probed more often")
+	}
+}
--- a/gateway/failover/synchronous.go
+++ b/gateway/failover/synchronous.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -43,7 +44,8 @@
 }
 
 // replaceSynchronous pauses the replicas and orders the promotion of one that has every acknowledged
-// commit. While the primary leads, the candidate goes on receiving, so that commits do not stop.
+// commit. While the primary leads, the candidate goes on receiving, so that commits do not stop. A candidate that
+// overtakes an ordered one goes on too: a pause would only take time.
 func (m *Machine) replaceSynchronous(now time.Duration, in Input, reason Reason) []Action {
 	candidate := m.selectSynchronous(now, in.Servers)
 	if candidate == nil {
@@ -51,7 +53,7 @@
 	}
 	m.candidate = candidate.ID
 	receiving := ""
-	if m.leads(now, in.Servers) || m.demoted.isObserved() {
+	if m.leads(now, in.Servers) || m.demoted.isObserved() || m.overtakes(now, in.Servers, candidate) {
 		receiving = candidate.ID
 	}
 	actions := m.pauseReplicas(now, in.Servers, receiving)
@@ -66,28 +68,17 @@
 	return append(actions, m.demotePrimary(now, in, *candidate, reason)...)
 }
 
-// keepOnlyCandidateReceiving keeps the replicas paused while an order is carried out, also those that
-// have come since, and resumes the candidate if the primary leads again.
-func (m *Machine) keepOnlyCandidateReceiving(now time.Duration, servers []Server) []Action {
-	actions := m.pauseReplicas(now, servers, m.order.candidate)
-	candidate := findServer(servers, m.order.candidate)
-	if candidate != nil && candidate.Sample.PausedTerm != 0 && m.leads(now, servers) {
-		actions = append(actions, m.resume(now, servers, *candidate)...)
-	}
-	return actions
-}
-
 func (m *Machine) recentlyRefused(now time.Duration, id string) bool {
 	at, ok := m.refusedAt[id]
 	return ok && now-at < refusalBackoff
 }
 
 // selectSynchronous returns the server to promote, or nil. A server with an order that may still be
-// carried out stays the candidate. While the primary leads, the others can catch up, so no draining
+// carried out stays the candidate unless another one overtakes it. While the primary leads, the others can catch up, so no draining
 // server is selected; without a primary, the most advanced one is.
 func (m *Machine) selectSynchronous(now time.Duration, servers []Server) *Server {
 	if s := m.outstandingCandidate(now, servers); s != nil {
-		return s
+		return cmp.Or(m.overtakingServer(now, servers), s)
 	}
 	leads := m.leads(now, servers) || m.mayStillCatchUp(now)
 	var best *Server
