Refused connections and a few seconds of silence do not show that a server has ended

Cause: the leader took a server that refused connections for 2 s for ended. It then neither paused it nor waited for it, and the primary went on confirming commits with it until the promotion. The same conclusion stood on a second path: a new leader takes a server that it knows only from an earlier leader off its list after 4 s of silence, and the failover took the first answer of the primary after that for a bound of what the server has.

TestOnlyAnotherServerAtTheAddressProvesAnEnd and the first case of TestSilentReplicaCountsAsEndedOnlyBehindAnyPartition fail on the commit before.

A server has ended when it has said that it leaves, or when another server answers at its address (the probe names the server that it expects). A refused connection counts as silence, and a silent server counts as ended after 20 s, whenever it left the list. A leaving primary is demoted when a silent server would be waited for, as before.

Tests replaced: TestRefusedConnectionProvesThatNothingRuns demanded the faulty conclusion; its successor asks for the same table with that one row turned round. In the random courses a refused connection tells the leader nothing; addresses of servers that ended for good are taken by others after 2 to 10 s, three times in four.

--- a/cmd/jayloom-node/synchronous_test.go
+++ b/cmd/jayloom-node/synchronous_test.go
@@ -114,9 +114,23 @@
 	time.Sleep(endNoticeTime)
 }
 
-// endNoticeTime is the time in which the leader notices that a replica has ended.
+// endNoticeTime is the time in which the leader notices that a server has ended whose address another one has.
 const endNoticeTime = 4 * time.Second
 
+// endAndReuseAddress ends a server for good and starts one of another service at its address.
+func (d *synchronousDeployment) endAndReuseAddress(s *standin.Server) {
+	d.t.Helper()
+	s.Stop()
+	other, err := standin.NewGroup("other", "x-1")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(other.Close)
+	if _, err := other.AddServerAt("x-2", s.Address); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
 // awaitNewPrimary waits until a write is acknowledged by another primary, and checks the time since start.
 func (d *synchronousDeployment) awaitNewPrimary(old string, start time.Time, limit time.Duration) {
 	d.t.Helper()
@@ -158,12 +172,13 @@
 }
 
 // Guards against a lost primary that is not replaced because two servers of its group have ended for good, the
-// primary before among them.
+// primary before among them. That a server refuses connections does not show its end (review, case 9): a server of
+// another service has its address.
 func TestFailoverWithEndedServers(t *testing.T) {
 	d := startSynchronousDeployment(t)
 	first := d.group.Primary()
 	start := time.Now()
-	d.server(first).Stop()
+	d.endAndReuseAddress(d.server(first))
 	d.awaitNewPrimary(first, start, maxFailoverGap)
 	time.Sleep(endNoticeTime)
 	second := d.group.Primary()
--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -46,8 +46,8 @@
 	warmupLimit warmup.Limit
 	warmupTime  time.Duration
 	samples     map[string]failover.Sample
-	// refusedSince holds when upstreams began to refuse connections.
-	refusedSince map[string]time.Duration
+	// endedSince holds when another server first answered at the addresses of upstreams.
+	endedSince map[string]time.Duration
 	// probers holds the running probe loops by upstream.
 	probers map[string]*prober
 	// primaryPosition is the newest known position of the primary.
@@ -82,7 +82,7 @@
 		term     uint64
 		sample   failover.Sample
 	}
-	connectionRefused struct {
+	addressReused struct {
 		upstream topology.Upstream
 		term     uint64
 		at       time.Duration
@@ -100,7 +100,7 @@
 	if g == nil {
 		g = &group{
 			machine: failover.New(now), samples: map[string]failover.Sample{},
-			refusedSince: map[string]time.Duration{}, probers: map[string]*prober{},
+			endedSince: map[string]time.Duration{}, probers: map[string]*prober{},
 		}
 		l.groups[service] = g
 	}
@@ -115,11 +115,12 @@
 		l.groupOf(now, u.Service)
 	}
 	l.probing.Store(intervalsFor(l.registry.Size(), len(l.groups)))
-	reports := l.primaryReports(now)
+	reports, left := l.primaryReports(now), l.registry.Left()
 	longestWait := time.Duration(0)
 	for service, g := range l.groups {
 		l.syncProbers(ctx, g, byService[service])
 		input := failoverInput(g, byService[service], reports.on(service))
+		input.Left = left[service]
 		l.markPlaceDrains(input.Servers, byService[service])
 		for _, action := range g.machine.Step(now, input) {
 			l.execute(ctx, service, g, action, byService[service])
@@ -150,18 +151,18 @@
 	for _, u := range upstreams {
 		in.Servers = append(in.Servers, failover.Server{
 			ID: u.ID, Draining: u.Draining, ClaimsPrimary: u.ClaimsPrimary, Sample: g.samples[u.ID],
-			RefusedSince: g.refusedSinceOf(u),
+			EndedSince: g.endedSinceOf(u),
 		})
 	}
 	return in
 }
 
-// refusedSinceOf returns when an upstream began to refuse connections, or zero if it has announced itself
+// endedSinceOf returns since when the process of an upstream is known to have ended, or zero if it has announced itself
 // since.
-func (g *group) refusedSinceOf(u *topology.Upstream) time.Duration {
-	since, ok := g.refusedSince[u.ID]
+func (g *group) endedSinceOf(u *topology.Upstream) time.Duration {
+	since, ok := g.endedSince[u.ID]
 	if ok && u.AnnouncedAt() > since {
-		delete(g.refusedSince, u.ID)
+		delete(g.endedSince, u.ID)
 		return 0
 	}
 	return since
@@ -380,23 +381,23 @@
 		return
 	}
 	g.samples[e.upstream.ID] = e.sample
-	delete(g.refusedSince, e.upstream.ID)
+	delete(g.endedSince, e.upstream.ID)
 	l.registry.RecordContact(clock.Now(), e.upstream.ID)
 	if e.sample.PositionAsPrimary {
 		g.primaryPosition = measuredPosition{e.upstream.ID, e.sample.Position, e.sample.At}
 	}
 }
 
-func (l *Leader) handleRefusal(e connectionRefused) {
+func (l *Leader) handleReusedAddress(e addressReused) {
 	if !l.leading || e.term != l.term {
 		return
 	}
 	g := l.groups[e.upstream.Service]
-	if g == nil || g.probers[e.upstream.ID] == nil || g.refusedSince[e.upstream.ID] != 0 {
+	if g == nil || g.probers[e.upstream.ID] == nil || g.endedSince[e.upstream.ID] != 0 {
 		return
 	}
-	g.refusedSince[e.upstream.ID] = e.at
+	g.endedSince[e.upstream.ID] = e.at
 	l.log.WithFields(logrus.Fields{
-		"event": "upstream_refuses", "service": e.upstream.Service, "upstream": e.upstream.ID,
-	}).Warn("upstream refuses connections: its process does not run")
+		"event": "upstream_address_reused", "service": e.upstream.Service, "upstream": e.upstream.ID,
+	}).Warn("another server answers at the address of an upstream: its process has ended")
 }
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -285,8 +285,8 @@
 		l.handleStreamEnded(e.stream)
 	case probeCompleted:
 		l.handleProbe(e)
-	case connectionRefused:
-		l.handleRefusal(e)
+	case addressReused:
+		l.handleReusedAddress(e)
 	case promotionAnswered:
 		l.handlePromotionOutcome(e)
 	case placesListed:
--- a/gateway/coordinator/prober.go
+++ b/gateway/coordinator/prober.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -123,7 +122,7 @@
 			p.stop()
 			delete(g.probers, id)
 			delete(g.samples, id)
-			delete(g.refusedSince, id)
+			delete(g.endedSince, id)
 		}
 	}
 }
@@ -200,8 +199,8 @@
 		case probeAnswered:
 			p.status, p.probedAt = s, now
 			l.post(p.ctx, probeCompleted{p.upstream, p.term, s})
-		case probeRefused:
-			l.post(p.ctx, connectionRefused{p.upstream, p.term, clock.Now()})
+		case probeMisdirected:
+			l.post(p.ctx, addressReused{p.upstream, p.term, clock.Now()})
 		}
 	}
 	if !p.status.Primary && !p.isPrimary.Load() {
@@ -220,8 +219,8 @@
 const (
 	probeFailed probeResult = iota
 	probeAnswered
-	// probeRefused means that the upstream's process does not run at its address.
-	probeRefused
+	// probeMisdirected means that another server answers at the upstream's address.
+	probeMisdirected
 )
 
 func (l *Leader) probe(ctx context.Context, u topology.Upstream) (failover.Sample, probeResult) {
@@ -232,8 +231,8 @@
 	sample, err := l.config.Upstreams.Probe(ctx, u)
 	if err != nil {
 		metricProbeFailures.Inc()
-		if provesNotRunning(err) {
-			return failover.Sample{}, probeRefused
+		if isMisdirected(err) {
+			return failover.Sample{}, probeMisdirected
 		}
 		return failover.Sample{}, probeFailed
 	}
@@ -241,14 +240,11 @@
 	return sample, probeAnswered
 }
 
-// provesNotRunning reports whether a failed call shows that the upstream's process does not run: nothing
-// listens at its address, or another server does.
-func provesNotRunning(err error) bool {
+// isMisdirected reports whether a failed call shows that another server answers at the upstream's address, so that the
+// upstream's process has ended. A refused connection does not show that: a partition may refuse connections too.
+func isMisdirected(err error) bool {
 	var refused *engine.DialRefusedError
-	if errors.As(err, &refused) {
-		return refused.Outcome == engine.Misdirected
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return errors.As(err, &refused) && refused.Outcome == engine.Misdirected
 }
 
 // queryPosition sends a position query and updates status from the answer. The position may
--- a/gateway/coordinator/prober_test.go
+++ b/gateway/coordinator/prober_test.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// Guards against a server that is waited for although its process does not run, and against one that counts as
-// ended because a probe was late or its connection was lost.
-func TestRefusedConnectionProvesThatNothingRuns(t *testing.T) {
+// Guards against a server that is waited for although its process has ended, and against one that counts as ended
+// because a probe was late, its connection was lost, or a partition refuses connections to it (review, case 9).
+func TestOnlyAnotherServerAtTheAddressProvesAnEnd(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -65,21 +65,21 @@
 		err  error
 		want bool
 	}{
-		{errors.Wrap(refused, "connect to upstream"), true},
+		{errors.Wrap(refused, "connect to upstream"), false},
 		{&engine.DialRefusedError{Outcome: engine.Misdirected}, true},
 		{&engine.DialRefusedError{Outcome: engine.Busy}, false},
 		{errors.Wrap(context.DeadlineExceeded, "connect to upstream"), false},
 		{syscall.ECONNRESET, false},
 		{io.EOF, false},
 	} {
-		if got := provesNotRunning(c.err); got != c.want {
+		if got := isMisdirected(c.err); got != c.want {
 			t.Errorf("%v: %v, want %v", c.err, got, c.want)
 		}
 	}
 }
 
 // Guards against a server that counts as ended although it has answered or announced itself since.
-func TestRefusalIsForgottenWhenTheServerRuns(t *testing.T) {
+func TestEndIsForgottenWhenTheServerRuns(t *testing.T) {
 	l, _ := newTestLeader(t)
 	announce := func(sequence uint64) topology.Upstream {
 		done := make(chan struct{})
@@ -91,21 +91,21 @@
 	u := announce(1)
 	g := l.groupOf(clock.Now(), "wax")
 	l.syncProbers(t.Context(), g, l.registry.Live())
-	refuse := func() time.Duration {
-		l.handleRefusal(connectionRefused{u, l.term, clock.Now()})
-		return g.refusedSinceOf(l.registry.Get("u"))
+	end := func() time.Duration {
+		l.handleReusedAddress(addressReused{u, l.term, clock.Now()})
+		return g.endedSinceOf(l.registry.Get("u"))
 	}
-	if refuse() == 0 {
-		t.Fatal("the refusal was not recorded")
+	if end() == 0 {
+		t.Fatal("the end was not recorded")
 	}
 	l.handleProbe(probeCompleted{u, l.term, failover.Sample{At: clock.Now()}})
-	if since := g.refusedSinceOf(l.registry.Get("u")); since != 0 {
-		t.Errorf("refused since %s, but it has answered", since)
+	if since := g.endedSinceOf(l.registry.Get("u")); since != 0 {
+		t.Errorf("ended %s ago, but it has answered", since)
 	}
-	refuse()
+	end()
 	announce(2)
-	if since := g.refusedSinceOf(l.registry.Get("u")); since != 0 {
-		t.Errorf("refused since %s, but it has announced itself", since)
+	if since := g.endedSinceOf(l.registry.Get("u")); since != 0 {
+		t.Errorf("ended %s ago, but it has announced itself", since)
 	}
 }
 
--- a/gateway/failover/course_events_test.go
+++ b/gateway/failover/course_events_test.go
@@ -74,7 +74,7 @@
 	if s == c.primary {
 		c.primaryEndKnownAt = c.now
 	}
-	s.up, s.listed, s.downSince, s.unlistedAt = false, false, c.now, c.now
+	s.up, s.left, s.listed, s.downSince, s.unlistedAt = false, true, false, c.now, c.now
 }
 
 // runningServers counts the servers that run and do not drain.
@@ -93,9 +93,12 @@
 	if !s.up || c.runningServers() < 3 {
 		return
 	}
-	s.up, s.gone, s.dark, s.downSince = false, true, c.isDark(), c.now
-	c.note("%s ends for good with %d commits, primary %v, dark %v", s.id, s.length, s == c.primary, s.dark)
-	c.unlistAfter(silenceTimeout, s)
+	s.up, s.gone, s.downSince = false, true, c.now
+	c.note("%s ends for good with %d commits, primary %v", s.id, s.length, s == c.primary)
+	if c.ends.IntN(4) != 0 {
+		c.after(between(c.ends, minReuseTime, maxReuseTime), func() { s.addressReused = true })
+	}
+	c.unlistAfter(unlistTimeout, s)
 }
 
 // crash stops a server, which starts again later with its log.
@@ -104,7 +107,7 @@
 		return
 	}
 	c.note("%s crashes with %d commits, primary %v", s.id, s.length, s == c.primary)
-	s.up, s.dark, s.downSince = false, c.isDark(), c.now
+	s.up, s.downSince = false, c.now
 	down := c.between(100*time.Millisecond, maxCrash)
 	if c.ends != nil && c.ends.IntN(4) == 0 {
 		down = between(c.ends, maxCrash, maxLongCrash)
@@ -121,7 +124,7 @@
 	c.note("%s is back", s.id)
 	s.up, s.paused = true, 0
 	// It announces itself.
-	c.forgetRefusal(s)
+	c.forgetEnd(s)
 	delete(c.samples, s.id)
 }
 
@@ -161,7 +164,7 @@
 
 func (c *course) startLeader() {
 	c.leader++
-	c.refusedSince, c.bounds = map[string]time.Duration{}, map[string]int{}
+	c.endedSince, c.bounds = map[string]time.Duration{}, map[string]int{}
 	c.lastSamples, c.resumedAt = map[string]Sample{}, map[string]time.Duration{}
 	c.primaryEndKnownAt = 0
 	for _, s := range c.servers {
@@ -169,7 +172,8 @@
 			c.unlistAfter(max(0, c.leaderAbsent-c.now)+adoptedTimeout, s)
 		}
 	}
-	c.machine = New(max(c.now, c.leaderAbsent))
+	c.leaderStartedAt = max(c.now, c.leaderAbsent)
+	c.machine = New(c.leaderStartedAt)
 	c.samples = map[string]Sample{}
 	c.nextProbe = map[*courseServer]time.Duration{}
 }
--- a/gateway/failover/course_group_test.go
+++ b/gateway/failover/course_group_test.go
@@ -61,8 +61,8 @@
 		c.nextProbe[s] = c.now + interval
 		sent, leader := c.now, c.leader
 		c.after(c.between(0, 30*time.Millisecond), func() {
-			if !s.up && !s.dark {
-				c.noteRefusal(s, leader)
+			if s.addressReused {
+				c.noteEnd(s, leader)
 			}
 			if !s.up || c.answerLost() {
 				return
@@ -80,7 +80,7 @@
 					return
 				}
 				c.samples[s.id] = sample
-				c.forgetRefusal(s)
+				c.forgetEnd(s)
 				if sample.Primary {
 					c.noteBounds(sample)
 				}
@@ -89,33 +89,37 @@
 	}
 }
 
-// noteRefusal records that a server refused a connection of the leader.
-func (c *course) noteRefusal(s *courseServer, leader uint64) {
-	if c.leader != leader || c.refusedSince[s.id] != 0 {
+// noteEnd records that another server answered the leader at the address of a server.
+func (c *course) noteEnd(s *courseServer, leader uint64) {
+	if c.leader != leader || c.endedSince[s.id] != 0 {
 		return
 	}
-	c.refusedSince[s.id] = c.now
+	c.endedSince[s.id] = c.now
 	if s == c.primary {
 		c.primaryEndKnownAt = c.now
 	}
 }
 
-func (c *course) forgetRefusal(s *courseServer) {
+func (c *course) forgetEnd(s *courseServer) {
 	if s == c.primary {
 		c.primaryEndKnownAt = 0
 	}
-	delete(c.refusedSince, s.id)
+	delete(c.endedSince, s.id)
 	delete(c.bounds, s.id)
 }
 
-// noteBounds records the length of the primary's log for the servers that refused connections before.
+// noteBounds records the length of the primary's log for the servers that are known to have ended before.
 func (c *course) noteBounds(sample Sample) {
 	for _, s := range c.servers {
-		since, refuses := c.refusedSince[s.id]
+		since, ended := c.endedSince[s.id]
 		if !s.listed {
 			since = s.unlistedAt + leaderStep
 		}
-		if _, ok := c.bounds[s.id]; !ok && (refuses || !s.listed) && since < sample.At {
+		if !s.listed && !s.left {
+			heardAt := max(c.lastSamples[s.id].At, c.leaderStartedAt, s.addedAt)
+			since = max(since, heardAt+silenceTimeout+leaderStep)
+		}
+		if _, ok := c.bounds[s.id]; !ok && (ended || !s.listed) && since < sample.At {
 			c.bounds[s.id] = int(sample.Position.Number)
 		}
 	}
@@ -128,11 +132,14 @@
 	}
 	in := Input{SyncReplicas: 1, Reachability: Reachability{Nodes: 11}}
 	for _, s := range c.servers {
+		if s.left {
+			in.Left = append(in.Left, s.id)
+		}
 		if s.listed {
 			c.lastSamples[s.id] = c.samples[s.id]
 			in.Servers = append(in.Servers, Server{
 				ID: s.id, Draining: s.draining, ClaimsPrimary: s == c.primary, Sample: c.samples[s.id],
-				RefusedSince: c.refusedSince[s.id],
+				EndedSince: c.endedSince[s.id],
 			})
 		}
 	}
--- a/gateway/failover/courses_test.go
+++ b/gateway/failover/courses_test.go
@@ -28,9 +28,12 @@
 	maxLongCrash   = 18 * time.Second
 	callTimeout    = 500 * time.Millisecond
 	maxSlowCall    = 3 * time.Second
-	// silenceTimeout is when a silent server is taken off the list, adoptedTimeout when a new leader does.
-	silenceTimeout = 20 * time.Second
+	// unlistTimeout is when a silent server is taken off the list, adoptedTimeout when a new leader does.
+	unlistTimeout  = 20 * time.Second
 	adoptedTimeout = 4 * time.Second
+	// minReuseTime and maxReuseTime bound the time from the end of a server until another one has its address.
+	minReuseTime = 2 * time.Second
+	maxReuseTime = 10 * time.Second
 )
 
 // Guards against the loss of acknowledged commits by a promotion, and against a service that stays
@@ -145,10 +148,12 @@
 	leaderAbsent   time.Duration
 	nextProbe      map[*courseServer]time.Duration
 	samples        map[string]Sample
-	// refusedSince holds the servers that refuse connections, as the leader knows them.
-	refusedSince map[string]time.Duration
-	// bounds holds the length of the primary's log in its first answer to the present leader after a
-	// server had left or begun to refuse connections.
+	// endedSince holds the servers at whose address another one answers, as the leader knows them.
+	endedSince map[string]time.Duration
+	// leaderStartedAt is when the present leader started.
+	leaderStartedAt time.Duration
+	// bounds holds the length of the primary's log in its first answer to the present leader after the leader
+	// knew that a server had ended.
 	bounds map[string]int
 	// lastSamples holds the last answers, also of servers that have left.
 	lastSamples map[string]Sample
@@ -169,9 +174,10 @@
 	length               int
 	paused               uint64
 	replication          time.Duration
-	// gone is set if the server has ended for good without a word, dark if it refuses no connection
-	// while it is down.
-	gone, dark bool
+	// gone is set if the server has ended for good without a word, left if it has ended as planned, addressReused if
+	// another server has its address.
+	gone, left, addressReused bool
+	addedAt                   time.Duration
 	// downSince is when the server ended or crashed, unlistedAt when it was taken off the list.
 	downSince, unlistedAt time.Duration
 }
@@ -217,15 +223,10 @@
 	return low + time.Duration(r.Int64N(int64(high-low)))
 }
 
-// isDark draws whether a server that is down refuses no connection.
-func (c *course) isDark() bool {
-	return c.ends != nil && c.ends.IntN(4) == 0
-}
-
 func (c *course) addServer() *courseServer {
 	s := &courseServer{
 		id: fmt.Sprintf("s%d", len(c.servers)), up: true, listed: true, length: len(c.terms),
-		replication: c.between(0, maxReplication),
+		replication: c.between(0, maxReplication), addedAt: c.now,
 	}
 	c.servers = append(c.servers, s)
 	return s
--- a/gateway/failover/departures.go
+++ b/gateway/failover/departures.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jayloom/jayloom/gateway/position"
@@ -10,13 +11,18 @@
 // ms".
 const minPromotionTime = 100 * time.Millisecond
 
-// refusalConfirmTime is how long a server must refuse connections, without an announcement, to count as
-// ended. It is longer than the interval of announcements, so that one that has started again is noticed.
-const refusalConfirmTime = 2 * time.Second
+const (
+	// endConfirmTime is how long a server whose address another one has taken must not announce itself to count as
+	// ended. It is longer than the interval of announcements, so that one that has started elsewhere is noticed.
+	endConfirmTime = 2 * time.Second
+	// silenceTimeout is how long a server that says nothing may still run behind a partition. The platform states
+	// partitions of some seconds.
+	silenceTimeout = 20 * time.Second
+)
 
-// departure is a server that is no longer in the group, or that refuses connections, and may have
-// acknowledged commits.
+// departure is a server that is no longer in the group, or that has ended, and may have acknowledged commits.
 type departure struct {
+	// at is the time after which the server receives nothing. It may lie ahead for one that has fallen silent.
 	at   time.Duration
 	last Sample
 	// bound is a position that no acknowledged commit on the server exceeds, or zero.
@@ -25,39 +31,61 @@
 	settled bool
 }
 
-// hasEnded reports whether the process of a listed server does not run.
+// knownServer is a server of the group, and when the leader first knew of it.
+type knownServer struct {
+	Server
+	since time.Duration
+}
+
+// heardAt is the time of the last word of a server, or when the leader first knew of it.
+func (k knownServer) heardAt() time.Duration {
+	return max(k.since, k.Sample.At)
+}
+
+// hasEnded reports whether the process of a listed server is known not to run.
 func hasEnded(now time.Duration, s Server) bool {
-	return s.RefusedSince != 0 && now-s.RefusedSince >= refusalConfirmTime
+	return s.EndedSince != 0 && now-s.EndedSince >= endConfirmTime
 }
 
-// trackDepartures keeps the servers that have left or ended until a remaining one has what they may have.
-func (m *Machine) trackDepartures(now time.Duration, servers []Server) {
-	for id, last := range m.replicas {
+// trackDepartures keeps the servers that have left or ended until a remaining one has what they may have. A server
+// that is not listed any more because it has fallen silent may receive for longer than one that has left.
+func (m *Machine) trackDepartures(now time.Duration, in Input) {
+	for id, k := range m.replicas {
 		_, known := m.departed[id]
-		if !known && findServer(servers, id) == nil {
-			m.departed[id] = departure{at: now, last: last.Sample}
+		if known || findServer(in.Servers, id) != nil {
+			continue
 		}
+		at := now
+		if !slices.Contains(in.Left, id) {
+			at = max(now, k.heardAt()+silenceTimeout)
+		}
+		m.departed[id] = departure{at: at, last: k.Sample}
 	}
-	m.replicas = map[string]Server{}
+	before := m.replicas
+	m.replicas = map[string]knownServer{}
 	newest := position.Position{}
-	for _, s := range servers {
-		m.replicas[s.ID] = s
-		m.trackRefusal(s)
+	for _, s := range in.Servers {
+		since := now
+		if k, known := before[s.ID]; known {
+			since = k.since
+		}
+		m.replicas[s.ID] = knownServer{s, since}
+		m.trackEnd(s)
 		if s.ID != m.primary {
 			newest = position.Max(newest, s.Sample.Position)
 		}
 	}
-	m.boundDepartures(now, servers, newest)
+	m.boundDepartures(now, in.Servers, newest)
 }
 
-// trackRefusal keeps a listed server among the departed while it refuses connections.
-func (m *Machine) trackRefusal(s Server) {
-	if s.RefusedSince == 0 {
+// trackEnd keeps a listed server among the departed while its process is known to have ended.
+func (m *Machine) trackEnd(s Server) {
+	if s.EndedSince == 0 {
 		delete(m.departed, s.ID)
 		return
 	}
 	if _, known := m.departed[s.ID]; !known {
-		m.departed[s.ID] = departure{at: s.RefusedSince, last: s.Sample}
+		m.departed[s.ID] = departure{at: s.EndedSince, last: s.Sample}
 	}
 }
 
@@ -65,8 +93,8 @@
 // newest is the newest position of the remaining replicas. A primary has every acknowledged commit, so its
 // position bounds the commits of all that ended before its answer. That of a replica which received nothing
 // more until it ended is known from its last answer: had it restarted since, it would have announced itself,
-// and that answer would not count any more. A server that refuses connections is kept, since its
-// bound could not be set again after the primary is lost.
+// and that answer would not count any more. A listed server is kept, since its bound could not be set again after
+// the primary is lost.
 func (m *Machine) boundDepartures(now time.Duration, servers []Server, newest position.Position) {
 	primary, leads := findServer(servers, m.primary), m.leads(now, servers)
 	for id, d := range m.departed {
@@ -101,7 +129,7 @@
 func (m *Machine) nobodyLed(now time.Duration, d departure) bool {
 	primary, ended := m.departed[m.newestPrimary]
 	orderIsOutstanding := now < m.outstanding.until && m.outstanding.candidate != m.newestPrimary
-	return ended && !orderIsOutstanding && primary.at < d.last.At && now >= d.at+refusalConfirmTime
+	return ended && !orderIsOutstanding && primary.at < d.last.At && now >= d.at+endConfirmTime
 }
 
 // mayHaveBeenPromoted reports whether an outstanding order may have been carried out before a time without
--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -54,10 +54,10 @@
 	// ClaimsPrimary is set if the upstream stated in its newest announcement that it is
 	// the primary.
 	ClaimsPrimary bool
-	// RefusedSince is when the upstream began to refuse connections, so that its process does not run; zero
+	// EndedSince is when another server first answered at the upstream's address, so that its process has ended; zero
 	// if it has answered or announced itself since.
-	RefusedSince time.Duration
-	Sample       Sample
+	EndedSince time.Duration
+	Sample     Sample
 }
 
 // Sample is the newest result of a probe or position query to the present process of an upstream.
@@ -94,7 +94,9 @@
 
 // Input holds the observations that a decision depends on.
 type Input struct {
-	Servers      []Server
+	Servers []Server
+	// Left are the IDs of servers that are not in the group any more because they have said that they leave.
+	Left         []string
 	Reachability Reachability
 	// SyncReplicas is the number of replicas that must receive a commit before it is
 	// acknowledged.
@@ -164,9 +166,9 @@
 	// or empty if that is not known.
 	newestTerm    uint64
 	newestPrimary string
-	// replicas holds the servers of the last step, departed those that have left since or refuse
-	// connections.
-	replicas map[string]Server
+	// replicas holds the servers of the last step, departed those that have left the group since or are known to have
+	// ended.
+	replicas map[string]knownServer
 	departed map[string]departure
 	// demoted describes the primary if this leader or an earlier one has ended its lead.
 	demoted demotion
@@ -259,7 +261,7 @@
 		m.progress.record(now, m.position)
 		m.observeTerms(in.Servers)
 		m.observeDemotion(now, in.Servers)
-		m.trackDepartures(now, in.Servers)
+		m.trackDepartures(now, in)
 	}
 	if m.order != nil {
 		if now-m.order.orderedAt < promotionTimeout {
--- a/gateway/failover/synchronous_test.go
+++ b/gateway/failover/synchronous_test.go
@@ -11,7 +11,7 @@
 
 // endServer lets a server refuse connections from now on.
 func (s *simulation) endServer(id string) {
-	s.server(id).RefusedSince = s.now
+	s.server(id).EndedSince = s.now
 }
 
 func demotions(orders []Action) []string {
@@ -80,9 +80,9 @@
 	s := newSynchronousSimulation(t)
 	s.endServer("r1")
 	s.server("r2").Sample.Position.Number = 100
-	s.advance(refusalConfirmTime-500*time.Millisecond, "p", "r2")
+	s.advance(endConfirmTime-500*time.Millisecond, "p", "r2")
 	s.in.Reachability.Failing = 11
-	s.server("r1").RefusedSince = 0
+	s.server("r1").EndedSince = 0
 	s.advance(time.Second, "r2")
 	s.server("r2").Sample.PausedTerm = 2
 	if got := promotions(s.advance(5*time.Second, "r2")); len(got) > 0 {
@@ -207,3 +207,33 @@
 		t.Errorf("still waits for %v", got)
 	}
 }
+
+// Guards against the loss of acknowledged commits on a replica behind a partition (review, case 9): a new leader
+// takes a server that says nothing off its list after 4 s, and the primary goes on confirming commits with it. One
+// that has said that it leaves, or has been silent for longer than partitions last, does not delay the failover.
+func TestSilentReplicaCountsAsEndedOnlyBehindAnyPartition(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		left  bool
+		quiet time.Duration
+		want  []string
+	}{
+		{"silent for a moment", false, silenceTimeout - time.Second, nil},
+		{"silent for long", false, silenceTimeout + time.Second, []string{"r2"}},
+		{"left", true, 2 * time.Second, []string{"r2"}},
+	} {
+		s := newSynchronousSimulation(t)
+		s.in.Servers = []Server{*s.server("p"), *s.server("r2")}
+		if c.left {
+			s.in.Left = []string{"r1"}
+		}
+		s.server("r2").Sample.Position.Number = 100
+		s.advance(c.quiet, "p", "r2")
+		s.in.Reachability.Failing = 11
+		s.advance(time.Second, "r2")
+		s.server("r2").Sample.PausedTerm = 2
+		if got := promotions(s.advance(time.Second, "r2")); !cmp.Equal(got, c.want) {
+			t.Errorf("%s: promoted %v, want %v; awaited %v", c.name, got, c.want, s.machine.Awaited())
+		}
+	}
+}
--- a/gateway/topology/topology.go
+++ b/gateway/topology/topology.go
@@ -299,3 +299,14 @@
 	}
 	return live
 }
+
+// Left returns the IDs of the upstreams that have left, by service.
+func (r *Registry) Left() map[string][]string {
+	left := map[string][]string{}
+	for _, u := range r.upstreams {
+		if u.Left {
+			left[u.Service] = append(left[u.Service], u.ID)
+		}
+	}
+	return left
+}
