A Leave call is believed only of an upstream that has drained

Cause: a Leave call names an ID and no process. One that arrived after a new process had started under the ID took that for gone: for a minute its announcements were acknowledged and ignored, whatever their numbers. The failover did not count with the replica, so it did not pause it, and the primary confirmed commits with it until the promotion.

What comes after the call is the only sign that it was late. A server drains before it leaves, so the call is believed of one whose drain is over. Of any other it is doubted: nodes send it no more work; two announcements of that process with rising numbers, or one of a later process, bring it back into use (one alone may be late too: TestDelayedAnnouncementDoesNotReAddLeftUpstream stands as it was); after 20 s without an announcement or an answer it has left. Meanwhile a group with synchronous replicas goes on probing it, counts with it as with one that drains, and pauses it. Groups without synchronous replicas see it as gone at once, as before.

Beside it: a Leave call made a group for the service without a name at the leader.

--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -109,11 +109,7 @@
 
 // stepGroups runs the failover state machines of all groups.
 func (l *Leader) stepGroups(ctx context.Context, now time.Duration) {
-	byService := map[string][]*topology.Upstream{}
-	for _, u := range l.registry.Live() {
-		byService[u.Service] = append(byService[u.Service], u)
-		l.groupOf(now, u.Service)
-	}
+	byService := l.upstreamsByService(now)
 	l.probing.Store(intervalsFor(l.registry.Size(), len(l.groups)))
 	reports, left := l.primaryReports(now), l.registry.Left()
 	longestWait := time.Duration(0)
@@ -146,11 +142,27 @@
 	metricLongestPromotionWait.Set(longestWait.Seconds())
 }
 
+// upstreamsByService returns the upstreams of each group that may run. In a group with synchronous replicas one whose
+// leave is doubted is among them, because it may receive commits.
+func (l *Leader) upstreamsByService(now time.Duration) map[string][]*topology.Upstream {
+	byService := map[string][]*topology.Upstream{}
+	for _, u := range l.registry.Live() {
+		byService[u.Service] = append(byService[u.Service], u)
+		l.groupOf(now, u.Service)
+	}
+	for _, u := range l.registry.Doubted() {
+		if l.groupOf(now, u.Service).syncReplicas > 0 {
+			byService[u.Service] = append(byService[u.Service], u)
+		}
+	}
+	return byService
+}
+
 func failoverInput(g *group, upstreams []*topology.Upstream, r failover.Reachability) failover.Input {
 	in := failover.Input{SyncReplicas: g.syncReplicas, Reachability: r}
 	for _, u := range upstreams {
 		in.Servers = append(in.Servers, failover.Server{
-			ID: u.ID, Draining: u.Draining, ClaimsPrimary: u.ClaimsPrimary, Sample: g.samples[u.ID],
+			ID: u.ID, Draining: u.Draining || u.LeaveDoubted, ClaimsPrimary: u.ClaimsPrimary, Sample: g.samples[u.ID],
 			EndedSince: g.endedSinceOf(u),
 		})
 	}
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -436,17 +436,20 @@
 	if !changed {
 		return
 	}
-	g := l.groupOf(now, e.announcement.Service)
+	after := l.registry.Get(e.announcement.Id)
+	g := l.groupOf(now, after.Service)
 	if l.registry.Revision() == revision && l.confirmsEarlier(g, before, e.announcement) {
 		return
 	}
 	l.log.WithFields(logrus.Fields{
-		"event": "upstream_changed", "upstream": e.announcement.Id, "service": e.announcement.Service,
+		"event": "upstream_changed", "upstream": e.announcement.Id, "service": after.Service,
 		"phase": e.announcement.Phase.String(), "primary": e.announcement.Primary,
-		"started_ms": e.announcement.StartedUnixMs, "sequence": e.announcement.Sequence,
+		"started_ms": e.announcement.StartedUnixMs, "sequence": e.announcement.Sequence, "leave_doubted": after.LeaveDoubted,
 	}).Info("upstream announced a change")
-	if after := l.registry.Get(e.announcement.Id); before != nil && before.AnnouncedAt() != 0 &&
-		after.StartedUnixMs() != before.StartedUnixMs() {
+	if after.LeaveDoubted {
+		metricDoubtedLeaves.Inc()
+	}
+	if before != nil && before.AnnouncedAt() != 0 && after.StartedUnixMs() != before.StartedUnixMs() {
 		// The samples are of an earlier process.
 		delete(g.samples, e.announcement.Id)
 	}
--- a/gateway/coordinator/metrics.go
+++ b/gateway/coordinator/metrics.go
@@ -10,8 +10,10 @@
 )
 
 var (
-	metricProbeFailures     = metrics.NewCounter("jayloom_gateway_probe_failures_total")
-	metricDemotions         = metrics.NewCounter("jayloom_gateway_demotions_total")
+	metricProbeFailures = metrics.NewCounter("jayloom_gateway_probe_failures_total")
+	metricDemotions     = metrics.NewCounter("jayloom_gateway_demotions_total")
+	// metricDoubtedLeaves counts the Leave calls that may be late ones of earlier processes.
+	metricDoubtedLeaves     = metrics.NewCounter("jayloom_gateway_doubted_leaves_total")
 	metricHolderChanges     = metrics.NewCounter("jayloom_gateway_holder_changes_total")
 	metricMembershipChanges = metrics.NewCounter("jayloom_gateway_membership_changes_total")
 	metricWarmupGrants      = metrics.NewCounter("jayloom_gateway_warmup_permits_total")
--- a/gateway/topology/topology.go
+++ b/gateway/topology/topology.go
@@ -37,6 +37,13 @@
 	// DrainEndsAt is when no new work may reach a draining upstream any more, or 0 if that is not known.
 	DrainEndsAt time.Duration
 	Left        bool
+	// LeaveDoubted is set if the upstream has left and its Leave call may be a late one of an earlier process. The
+	// upstream gets no new work, and its process may still run.
+	LeaveDoubted bool
+	// heardAt is when the upstream last announced itself or answered since a doubted Leave call, or when that came;
+	// announcedSinceLeave is set if it has announced itself since.
+	heardAt             time.Duration
+	announcedSinceLeave bool
 	// ClaimsPrimary is set if the upstream announced that it is the primary.
 	ClaimsPrimary bool
 	// startedUnixMs, the start time of the process, and sequence order its announcements.
@@ -139,9 +146,12 @@
 // anything but the time of the last contact. The revision grows only if nodes need to know.
 func (r *Registry) ApplyAnnouncement(now time.Duration, a *controlpb.UpstreamAnnouncement) bool {
 	if a.Phase == controlpb.UpstreamPhase_UPSTREAM_PHASE_LEFT {
-		return r.markLeft(now, a.Id)
+		return r.recordLeave(now, a.Id)
 	}
 	u := r.upstreams[a.Id]
+	if u != nil && u.LeaveDoubted && u.startedUnixMs == a.StartedUnixMs && !r.refutesLeave(now, u, a.Sequence) {
+		return false
+	}
 	if u != nil && !isNewer(now, u, a) {
 		return false
 	}
@@ -170,10 +180,15 @@
 	return a.Primary != u.ClaimsPrimary || a.StartedUnixMs != u.startedUnixMs
 }
 
-// RecordContact records that an upstream has answered. One whose announcements do not arrive stays
-// in use for as long as it answers.
+// RecordContact records that an upstream has answered. One whose announcements do not arrive stays in use for as long as
+// it answers, and one whose leave is doubted goes on counting as running.
 func (r *Registry) RecordContact(now time.Duration, id string) {
-	if u := r.upstreams[id]; u != nil && !u.Left {
+	u := r.upstreams[id]
+	switch {
+	case u == nil:
+	case u.LeaveDoubted:
+		u.heardAt = max(u.heardAt, now)
+	case !u.Left:
 		u.LastContact = max(u.LastContact, now)
 	}
 }
@@ -211,7 +226,7 @@
 	// A late announcement arrives seconds after it was sent. When only late ones have come for so long,
 	// the highest number was wrong.
 	sequenceIsWrong := now-u.announcedAt > AnnouncementTimeout
-	return (a.Sequence > u.sequence || sequenceIsWrong) && !u.Left
+	return (a.Sequence > u.sequence || sequenceIsWrong) && (!u.Left || u.LeaveDoubted)
 }
 
 // isReplaced reports whether another process that started later is registered at the address of a
@@ -231,21 +246,12 @@
 		a.Draining != b.Draining || a.DrainEndsAt != b.DrainEndsAt || a.Left != b.Left
 }
 
-func (r *Registry) markLeft(now time.Duration, id string) bool {
-	u := r.upstreams[id]
-	if u == nil || u.Left {
-		return false
-	}
-	u.Left, u.LastContact = true, now
-	r.revision++
-	return true
-}
-
 // Expire removes upstreams without a recent announcement, and older processes at the address
 // of a newer one. It reports whether proxies must be notified.
 func (r *Registry) Expire(now time.Duration) bool {
 	var expired []*Upstream
 	for _, u := range r.upstreams {
+		u.confirmLeaveBySilence(now)
 		if r.isExpired(now, u) {
 			expired = append(expired, u)
 		}
@@ -299,14 +305,3 @@
 	}
 	return live
 }
-
-// Left returns the IDs of the upstreams that have left, by service.
-func (r *Registry) Left() map[string][]string {
-	left := map[string][]string{}
-	for _, u := range r.upstreams {
-		if u.Left {
-			left[u.Service] = append(left[u.Service], u.ID)
-		}
-	}
-	return left
-}
