An order to resume a replica without an answer may act as late as any other

Cause: an order to resume that got no answer counted as settled after 1 s. The platform carries such orders out 2 to 12 s later, and they carry no term, so a later pause does not void them: the replica received again behind the pause that the next promotion relied on.

Evidence: TestReplicaThatMayBeResumedLateIsNotTakenAsPaused and TestReplicaThatMayBeResumedLateIsPromoted, which play that course against the state machine. The course was not played with real processes here.

The leader now records which order to resume was answered. Until 13 s after one that was not, the pause of that replica is not relied on: it becomes the candidate and goes on receiving, which is safe while all others are paused. With several of them a leaving primary is demoted first; a lost one is replaced when the time is over.

In the simulation of the state machine's tests orders to resume are answered now, unless a test says otherwise.

--- a/gateway/coordinator/groups.go
+++ b/gateway/coordinator/groups.go
@@ -87,6 +87,11 @@
 		term     uint64
 		at       time.Duration
 	}
+	// replicaResumed reports that a replica has answered an order to resume.
+	replicaResumed struct {
+		service, upstream string
+		term, order       uint64
+	}
 	promotionAnswered struct {
 		service, upstream string
 		term              uint64
@@ -330,6 +335,7 @@
 
 // setReplication pauses or resumes replication on a replica, or demotes a primary.
 func (l *Leader) setReplication(ctx context.Context, u topology.Upstream, action failover.Action) {
+	term := l.term
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
@@ -343,6 +349,9 @@
 			return
 		}
 		entry.Info("role or replication of an upstream changed")
+		if action.Resume != "" {
+			l.post(context.Background(), replicaResumed{u.Service, u.ID, term, action.Order})
+		}
 	}()
 }
 
@@ -359,6 +368,15 @@
 	}
 }
 
+func (l *Leader) handleResumed(e replicaResumed) {
+	if !l.leading || e.term != l.term {
+		return
+	}
+	if g := l.groups[e.service]; g != nil {
+		g.machine.HandleResumed(clock.Now(), e.upstream, e.order)
+	}
+}
+
 func (l *Leader) handlePromotionOutcome(e promotionAnswered) {
 	if !l.leading || e.term != l.term {
 		return
--- a/gateway/coordinator/handover_test.go
+++ b/gateway/coordinator/handover_test.go
@@ -12,6 +12,7 @@
 	"github.com/jayloom/jayloom/control/replica"
 	"github.com/jayloom/jayloom/gateway/failover"
 	"github.com/jayloom/jayloom/gateway/position"
+	"github.com/jayloom/jayloom/gateway/topology"
 )
 
 // recordingPromoter records the fences of the orders that it receives.
@@ -132,3 +133,31 @@
 		t.Errorf("reports a wait of %v s", got)
 	}
 }
+
+// silentUpstreams do not answer orders to resume.
+type silentUpstreams struct{ fakeUpstreams }
+
+func (silentUpstreams) Resume(context.Context, topology.Upstream) error {
+	return context.DeadlineExceeded
+}
+
+// Guards against an order to resume that counts as answered without an answer, so that the replica's next pause is
+// relied on, and against one whose answer is lost inside the leader, so that the next failover waits.
+func TestOnlyAnsweredOrderToResumeIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newTestLeader(t)
+		u := topology.Upstream{ID: "r", Service: "wax"}
+		for _, upstreams := range []UpstreamClient{silentUpstreams{}, fakeUpstreams{}} {
+			l.config.Upstreams = upstreams
+			l.setReplication(t.Context(), u, failover.Action{Resume: "r", Order: 3})
+			synctest.Wait()
+		}
+		if n := len(l.events); n != 1 {
+			t.Fatalf("%d events for one answered order and one without an answer", n)
+		}
+		want := replicaResumed{service: "wax", upstream: "r", term: l.term, order: 3}
+		if got := <-l.events; got != want {
+			t.Errorf("event %+v, want %+v", got, want)
+		}
+	})
+}
--- a/gateway/coordinator/leader.go
+++ b/gateway/coordinator/leader.go
@@ -287,6 +287,8 @@
 		l.handleProbe(e)
 	case addressReused:
 		l.handleReusedAddress(e)
+	case replicaResumed:
+		l.handleResumed(e)
 	case promotionAnswered:
 		l.handlePromotionOutcome(e)
 	case placesListed:
--- a/gateway/failover/course_events_test.go
+++ b/gateway/failover/course_events_test.go
@@ -165,7 +165,7 @@
 func (c *course) startLeader() {
 	c.leader++
 	c.endedSince, c.bounds = map[string]time.Duration{}, map[string]int{}
-	c.lastSamples, c.resumedAt = map[string]Sample{}, map[string]time.Duration{}
+	c.lastSamples = map[string]Sample{}
 	c.primaryEndKnownAt = 0
 	for _, s := range c.servers {
 		if s.gone {
--- a/gateway/failover/course_group_test.go
+++ b/gateway/failover/course_group_test.go
@@ -168,10 +168,7 @@
 		c.order(a)
 		return
 	}
-	if a.Resume != "" {
-		c.resumedAt[a.Resume] = c.now
-	}
-	s := c.server(a.Pause + a.Resume + a.Demote)
+	s, machine := c.server(a.Pause+a.Resume+a.Demote), c.machine
 	c.after(c.between(0, 60*time.Millisecond), func() {
 		switch {
 		case !s.up || c.answerLost():
@@ -181,6 +178,7 @@
 			}
 		case a.Resume != "":
 			s.paused = 0
+			machine.HandleResumed(c.now, s.id, a.Order)
 		case a.Term > c.term && s != c.primary:
 			s.paused = a.Term
 		}
--- a/gateway/failover/courses_test.go
+++ b/gateway/failover/courses_test.go
@@ -157,8 +157,6 @@
 	bounds map[string]int
 	// lastSamples holds the last answers, also of servers that have left.
 	lastSamples map[string]Sample
-	// resumedAt is when the present leader last ordered a replica to resume.
-	resumedAt map[string]time.Duration
 	// primaryEndKnownAt is when the present leader could know that the present primary had ended.
 	primaryEndKnownAt time.Duration
 }
@@ -320,8 +318,7 @@
 	last, answered := c.lastSamples[s.id]
 	answered = answered && s.downSince-last.At < maxSampleAge
 	nobodyLed := c.primaryEndKnownAt != 0 && c.primaryEndKnownAt < last.At
-	resumed, ok := c.resumedAt[s.id]
-	paused := last.PausedTerm > c.term && (!ok || last.At > resumed+resumeSettleTime)
+	paused := last.PausedTerm > c.term && !c.machine.mayBeResumed(s.id, last)
 	if answered && (nobodyLed || paused) {
 		return int(last.Position.Number), true
 	}
--- a/gateway/failover/demotion.go
+++ b/gateway/failover/demotion.go
@@ -53,14 +53,14 @@
 }
 
 // demotePrimary returns the order to demote a leaving primary when the promotion waits only for servers
-// that do not answer: they may have ended for good, and they may receive commits unseen. The position of
+// that do not answer, or may be resumed: they may have ended for good, and they may receive commits unseen. The position of
 // the demoted primary then shows which commits the candidate must have. The candidate has to be close to
 // that, because it receives nothing more.
 func (m *Machine) demotePrimary(now time.Duration, in Input, candidate Server, reason Reason) []Action {
 	if reason != PrimaryLeaving || !m.leads(now, in.Servers) || now-candidate.Sample.At > demotionSampleAge {
 		return nil
 	}
-	if len(m.awaited) == 0 || m.anyAnswers(now, in.Servers, m.awaited) || m.isMissingCommits(candidate.Sample.Position) {
+	if len(m.awaited) == 0 || m.anySettlesSoon(now, in.Servers, m.awaited) || m.isMissingCommits(candidate.Sample.Position) {
 		return nil
 	}
 	if now-m.pendingSince < demotionDelay || now-m.demoted.orderedAt < demotionRetryInterval {
@@ -70,9 +70,10 @@
 	return []Action{{Demote: m.primary, Term: m.pauseTerm()}}
 }
 
-func (m *Machine) anyAnswers(now time.Duration, servers []Server, ids []string) bool {
+// anySettlesSoon reports whether one of some servers answers, and will be known not to receive once it is paused.
+func (m *Machine) anySettlesSoon(now time.Duration, servers []Server, ids []string) bool {
 	for _, id := range ids {
-		if s := findServer(servers, id); s != nil && s.hasFreshSample(now) {
+		if s := findServer(servers, id); s != nil && s.hasFreshSample(now) && !m.mayBeResumed(id, s.Sample) {
 			return true
 		}
 	}
--- a/gateway/failover/failover.go
+++ b/gateway/failover/failover.go
@@ -115,7 +115,8 @@
 	Term    uint64
 	Reason  Reason
 	// Order numbers the promotion orders from 1. An order that is repeated keeps its number, so that it
-	// keeps its fence: a newer fence would void the earlier call, which may still be carried out.
+	// keeps its fence: a newer fence would void the earlier call, which may still be carried out. Orders to
+	// resume have numbers of their own, a new one each.
 	Order uint64
 }
 
@@ -176,8 +177,9 @@
 	outstanding outstandingOrder
 	// hasPaused is set if this leader has paused a replica.
 	hasPaused bool
-	// resumedAt is when a replica was last ordered to resume.
-	resumedAt map[string]time.Duration
+	// resumptions holds the orders to resume replicas, resumeOrders is the number of the newest one.
+	resumptions  map[string]resumption
+	resumeOrders uint64
 	// pausedAt is when a draining replica was last ordered to pause.
 	pausedAt map[string]time.Duration
 }
@@ -192,7 +194,7 @@
 func New(now time.Duration) *Machine {
 	return &Machine{
 		startedAt: now, refusedAt: map[string]time.Duration{}, departed: map[string]departure{},
-		resumedAt: map[string]time.Duration{}, pausedAt: map[string]time.Duration{},
+		resumptions: map[string]resumption{}, pausedAt: map[string]time.Duration{},
 		outstanding: outstandingOrder{until: now + lateOrderTimeout, unanswered: true},
 	}
 }
--- a/gateway/failover/failover_test.go
+++ b/gateway/failover/failover_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,8 @@
 	machine *Machine
 	now     time.Duration
 	in      Input
+	// unanswered are the servers that do not answer orders to resume.
+	unanswered []string
 }
 
 func newSimulation(t *testing.T) *simulation {
@@ -33,8 +36,8 @@
 	return findServer(s.in.Servers, id)
 }
 
-// advance moves time forward in steps of 100 ms, in which the named servers answer probes,
-// and returns all actions.
+// advance moves time forward in steps of 100 ms, in which the named servers answer probes, and orders to resume
+// are answered, and returns all actions.
 func (s *simulation) advance(d time.Duration, answering ...string) []Action {
 	var all []Action
 	for end := s.now + d; s.now < end; {
@@ -42,7 +45,13 @@
 		for _, id := range answering {
 			s.server(id).Sample.At = s.now
 		}
-		all = append(all, s.machine.Step(s.now, s.in)...)
+		actions := s.machine.Step(s.now, s.in)
+		all = append(all, actions...)
+		for _, a := range actions {
+			if a.Resume != "" && !slices.Contains(s.unanswered, a.Resume) {
+				s.machine.HandleResumed(s.now, a.Resume, a.Order)
+			}
+		}
 	}
 	return all
 }
--- a/gateway/failover/outstanding_test.go
+++ b/gateway/failover/outstanding_test.go
@@ -140,3 +140,67 @@
 		t.Error("servers are not probed more often")
 	}
 }
+
+// resumedLate returns a group whose primary was silent for a moment: both replicas were paused and ordered to
+// resume, and those named have not answered that order.
+func resumedLate(t *testing.T, unanswered ...string) *simulation {
+	s := newSynchronousSimulation(t)
+	s.unanswered = unanswered
+	s.losePrimary()
+	s.in.Reachability = Reachability{Nodes: 11}
+	s.advance(100*time.Millisecond, "p", "r1", "r2")
+	s.server("r1").Sample.PausedTerm, s.server("r2").Sample.PausedTerm = 0, 0
+	s.server("r1").Sample.Position.Number, s.server("r2").Sample.Position.Number = 100, 100
+	s.advance(time.Second, "p", "r1", "r2")
+	return s
+}
+
+// Guards against the loss of acknowledged commits by an order to resume a replica that is carried out late, behind
+// the pause for the next promotion (issue 53): that replica is the candidate, or the primary stops leading first.
+func TestReplicaThatMayBeResumedLateIsNotTakenAsPaused(t *testing.T) {
+	s := resumedLate(t, "r1")
+	s.server("p").Draining = true
+	s.machine.candidate = "r2"
+	s.advance(100*time.Millisecond, "p", "r1", "r2")
+	s.server("r2").Sample.PausedTerm = 2
+	if got := promotions(s.advance(200*time.Millisecond, "p", "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("one replica may be resumed: promoted %v, awaited %v", got, s.machine.Awaited())
+	}
+
+	s = resumedLate(t, "r1", "r2")
+	s.server("p").Draining = true
+	s.advance(100*time.Millisecond, "p", "r1", "r2")
+	s.server("r2").Sample.PausedTerm = 2
+	orders := s.advance(demotionDelay+200*time.Millisecond, "p", "r1", "r2")
+	if got := promotions(orders); len(got) > 0 {
+		t.Fatalf("both replicas may be resumed: promoted %v", got)
+	}
+	if got := demotions(orders); !cmp.Equal(got, []string{"p"}) {
+		t.Fatalf("both replicas may be resumed: demoted %v, want p", got)
+	}
+	s.server("p").Sample.Primary, s.server("p").Sample.PausedTerm = false, 2
+	if got := promotions(s.advance(200*time.Millisecond, "p", "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("after the primary's lead: promoted %v, awaited %v", got, s.machine.Awaited())
+	}
+}
+
+// Guards against a lost primary that is not replaced for the time in which an order to resume may be carried out: the
+// replica of that order is promoted, and whatever it receives meanwhile is kept. One that is behind is waited for, as
+// long as the order is possible.
+func TestReplicaThatMayBeResumedLateIsPromoted(t *testing.T) {
+	s := resumedLate(t, "r1")
+	s.losePrimary()
+	if got := promotions(s.advance(200*time.Millisecond, "r1", "r2")); !cmp.Equal(got, []string{"r1"}) {
+		t.Errorf("promoted %v, awaited %v", got, s.machine.Awaited())
+	}
+
+	s = resumedLate(t, "r1")
+	s.server("r1").Sample.Position.Number = 99
+	s.losePrimary()
+	if got := promotions(s.advance(5*time.Second, "r1", "r2")); len(got) > 0 {
+		t.Errorf("promoted %v, which may lack what r1 receives", got)
+	}
+	if got := promotions(s.advance(platformOrderDelay, "r1", "r2")); len(got) == 0 || got[0] != "r2" {
+		t.Errorf("promoted %v, awaited %v", got, s.machine.Awaited())
+	}
+}
--- a/gateway/failover/synchronous.go
+++ b/gateway/failover/synchronous.go
@@ -11,14 +11,6 @@
 // the paused ones have: then it has every acknowledged commit, also if the order is carried out
 // late.
 
-const (
-	// resumeRetryInterval is the time between two orders to resume the same replica.
-	resumeRetryInterval = 500 * time.Millisecond
-	// resumeSettleTime is how long an order to resume a replica may take to arrive. Until then, an
-	// answer that shows the replica as paused does not show that it stays so.
-	resumeSettleTime = time.Second
-)
-
 // Awaited returns the servers without which no candidate is known to have every acknowledged commit.
 func (m *Machine) Awaited() []string {
 	return m.awaited
@@ -44,8 +36,8 @@
 }
 
 // replaceSynchronous pauses the replicas and orders the promotion of one that has every acknowledged
-// commit. While the primary leads, the candidate goes on receiving, so that commits do not stop. A candidate that
-// overtakes an ordered one goes on too: a pause would only take time.
+// commit. While the primary leads, the candidate goes on receiving, so that commits do not stop. So does a candidate that
+// overtakes an ordered one, since a pause would only take time, and one that may be resumed.
 func (m *Machine) replaceSynchronous(now time.Duration, in Input, reason Reason) []Action {
 	candidate := m.selectSynchronous(now, in.Servers)
 	if candidate == nil {
@@ -53,7 +45,8 @@
 	}
 	m.candidate = candidate.ID
 	receiving := ""
-	if m.leads(now, in.Servers) || m.demoted.isObserved() || m.overtakes(now, in.Servers, candidate) {
+	mayReceive := m.overtakes(now, in.Servers, candidate) || m.mayBeResumed(candidate.ID, candidate.Sample)
+	if m.leads(now, in.Servers) || m.demoted.isObserved() || mayReceive {
 		receiving = candidate.ID
 	}
 	actions := m.pauseReplicas(now, in.Servers, receiving)
@@ -95,12 +88,16 @@
 }
 
 // preferred reports whether a is the better candidate. A replica that still receives, or the present
-// candidate, goes first while the primary leads, because a change of the candidate stops commits.
+// candidate, goes first while the primary leads, because a change of the candidate stops commits. Among equals a
+// replica that may be resumed goes first, because nothing else makes sure that what it receives is kept.
 func (m *Machine) preferred(now time.Duration, a, b *Server, leads bool) bool {
 	if leads {
 		if x, y := m.recentlyRefused(now, a.ID), m.recentlyRefused(now, b.ID); x != y {
 			return y
 		}
+		if x, y := m.mayBeResumed(a.ID, a.Sample), m.mayBeResumed(b.ID, b.Sample); x != y {
+			return x
+		}
 		if x, y := a.Sample.PausedTerm == 0, b.Sample.PausedTerm == 0; x != y {
 			return x
 		}
@@ -111,6 +108,9 @@
 	if a.Sample.Position != b.Sample.Position {
 		return b.Sample.Position.Before(a.Sample.Position)
 	}
+	if x, y := m.mayBeResumed(a.ID, a.Sample), m.mayBeResumed(b.ID, b.Sample); x != y {
+		return x
+	}
 	if a.Draining != b.Draining {
 		return b.Draining
 	}
@@ -208,12 +208,6 @@
 	return newest.At != 0 && !newest.Primary && newest.PausedTerm >= m.pauseTerm() && !m.mayBeResumed(id, newest)
 }
 
-// mayBeResumed reports whether an order to resume a replica may arrive after its newest sample.
-func (m *Machine) mayBeResumed(id string, newest Sample) bool {
-	at, ok := m.resumedAt[id]
-	return ok && newest.At < at+resumeSettleTime
-}
-
 // resumeReplicas resumes the paused replicas of a primary that leads, except those that drain while enough
 // others receive. While an order may still be carried out, only its candidate receives.
 func (m *Machine) resumeReplicas(now time.Duration, in Input) []Action {
@@ -237,18 +231,3 @@
 	}
 	return actions
 }
-
-// resume returns the order to resume a replica, unless it was given a moment ago, or an order to promote
-// another one may still be carried out.
-func (m *Machine) resume(now time.Duration, servers []Server, s Server) []Action {
-	candidate := m.outstandingCandidate(now, servers)
-	earlierLeader := now < m.outstanding.until && m.outstanding.candidate == ""
-	if earlierLeader && s.Sample.PausedTerm > m.term || candidate != nil && candidate.ID != s.ID {
-		return nil
-	}
-	if at, ok := m.resumedAt[s.ID]; ok && now-at < resumeRetryInterval {
-		return nil
-	}
-	m.resumedAt[s.ID] = now
-	return []Action{{Resume: s.ID}}
-}
