--- a/review/harness-3/fleet/platform.go
+++ b/review/harness-3/fleet/platform.go
@@ -116,6 +116,8 @@
 	wg     sync.WaitGroup
 	mu     sync.Mutex
 	known  map[string]bool
+	// cut has the servers that are cut off from control.
+	cut map[string]bool
 	// state returns the state of a server, "ready" if it is nil.
 	state func(id string) string
 	// Acked is called with each acknowledged report.
@@ -127,7 +129,7 @@
 
 // Announce begins to send status reports.
 func (f *Fleet) Announce(g *standin.Group, record *Record) *Announcer {
-	a := &Announcer{fleet: f, group: g, record: record, stop: make(chan struct{}), known: map[string]bool{}}
+	a := &Announcer{fleet: f, group: g, record: record, stop: make(chan struct{}), known: map[string]bool{}, cut: map[string]bool{}}
 	a.wg.Add(1)
 	go func() {
 		defer a.wg.Done()
@@ -186,6 +188,11 @@
 		// The address is chosen per report; after a failure the next node is called.
 		for k := range a.fleet.Nodes {
 			n := a.fleet.Nodes[(i+k)%len(a.fleet.Nodes)]
+			if a.isCut(s.ID) {
+				// The report gets no answer.
+				time.Sleep(time.Second)
+				break
+			}
 			if Post(n.Control(), "/api/Instances.Heartbeat/"+s.ID, []byte(body)) == http.StatusOK {
 				if a.Acked != nil {
 					a.Acked(s.ID, state, n)
@@ -221,3 +228,16 @@
 	defer a.mu.Unlock()
 	return a.state
 }
+
+// Cut cuts a server off from control, or joins it again.
+func (a *Announcer) Cut(id string, cut bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cut[id] = cut
+}
+
+func (a *Announcer) isCut(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cut[id]
+}
--- a/review/harness-3/lost/main.go
+++ b/review/harness-3/lost/main.go
@@ -18,6 +18,9 @@
 	lag = 8 * time.Millisecond
 	// cutTime is how long the primary is cut off.
 	cutTime = 6500 * time.Millisecond
+	// startBehindCut is when the new server starts in the second form, and newCutTime how long it is cut off.
+	startBehindCut = 1500 * time.Millisecond
+	newCutTime     = 4500 * time.Millisecond
 )
 
 func main() { os.Exit(run()) }
@@ -60,7 +63,10 @@
 		return 2
 	}
 	defer platform.Close()
-	platform.Recheck = os.Getenv("RECHECK") == "1"
+	// partitioned plays the second form: the new server is cut off from the core and from control, so that the leader
+	// learns of it only afterwards, and the platform checks the fence of an order once more as it takes effect.
+	partitioned := os.Getenv("PARTITIONED") == "1"
+	platform.Recheck = partitioned
 	f, err := fleet.New(os.Args[1], 3, 4, platform.Address, record)
 	if err != nil {
 		fmt.Println(err)
@@ -143,7 +149,7 @@
 		fmt.Println("too few writes")
 		return 2
 	}
-	partitioned := f.Nodes[:4]
+	cutOff := f.Nodes[:4]
 	draining := false
 	var drainMu sync.Mutex
 	announcer.SetState(func(id string) string {
@@ -157,28 +163,53 @@
 	cutAt := time.Now()
 	if trouble {
 		record.Say("the primary i-1 is cut off from the core and one more node, four of seven")
-		relay.Cut(true, partitioned...)
-		for platform.Ordered() == 0 && time.Since(cutAt) < cutTime-2*time.Second {
+		relay.Cut(true, cutOff...)
+		if partitioned {
+			time.Sleep(startBehindCut)
+		}
+		for !partitioned && platform.Ordered() == 0 && time.Since(cutAt) < cutTime-2*time.Second {
 			time.Sleep(time.Millisecond)
 		}
-		time.Sleep(time.Duration(delay) * time.Millisecond)
+		if !partitioned {
+			time.Sleep(time.Duration(delay) * time.Millisecond)
+		}
 	}
 	record.Say("the release of a replica: the new server i-4 starts in place of i-3")
+	if trouble && partitioned {
+		announcer.Cut("i-4", true)
+	}
+	startedAt := time.Now()
 	added, err := group.AddServer("i-4")
 	if err != nil {
 		fmt.Println(err)
 		return 2
 	}
 	added.SetLag(lag)
+	var addedRelay *fleet.Relay
+	if trouble && partitioned {
+		if addedRelay, err = f.NewRelay(added.Address); err != nil {
+			fmt.Println(err)
+			return 2
+		}
+		addedRelay.Cut(true, f.Nodes[:3]...)
+		added.SetAnnouncedAddress(addedRelay.Address)
+		record.Say("i-4 is cut off from the core and from control")
+	}
 	time.Sleep(time.Second)
 	drainMu.Lock()
 	draining = true
 	drainMu.Unlock()
 	record.Say("i-3 drains")
+	if trouble && partitioned {
+		time.Sleep(newCutTime - time.Since(startedAt))
+		record.Say("the cut of i-4 ends")
+		announcer.Cut("i-4", false)
+		addedRelay.Cut(false, f.Nodes[:3]...)
+	}
 	time.Sleep(cutTime - time.Since(cutAt))
 	if trouble {
 		record.Say("the cut ends")
-		relay.Cut(false, partitioned...)
+		relay.Cut(false, cutOff...)
 	}
 	time.Sleep(5 * time.Second)
 	close(stop)
