--- a/review/harness-3/fleet/fleet.go
+++ b/review/harness-3/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Folder   string
 	Nodes    []*Node
 	Platform string
+	// MemoryMB is the memory of a machine.
+	MemoryMB int
 	binary   string
 	root     string
 	record   *Record
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Folder: folder, Platform: platform, root: root, binary: filepath.Join(root, "target", "jayloom-node"), record: record, first: true}
+	f := &Fleet{Folder: folder, Platform: platform, MemoryMB: 284, root: root, binary: filepath.Join(root, "target", "jayloom-node"), record: record, first: true}
 	subnet := fmt.Sprintf("127.%d.%d", 20+rand.Intn(200), 1+rand.Intn(250))
 	for i := range core + others {
 		n := &Node{Name: fmt.Sprintf("front-%d", i+1), IP: fmt.Sprintf("%s.%d", subnet, i+1), Core: i < core, fleet: f}
@@ -168,7 +170,7 @@
 in_tolerance=%t
 limits.cpu_share=%s
 limits.cpu_cores=1
-limits.memory_mb=284
+limits.memory_mb=%d
 limits.max_fds=4200
 limits.link_mbps=1000.0
 limits.disk_mb=64
@@ -205,7 +207,7 @@
 cloud.duties=failover
 cloud.duty_per_s=50.0
 `, n.Name, n.IP, n.IP, CallerPort, n.IP, readyPort, n.Control(), internalPort, internalPort+15, strings.Join(seeds, ","),
-		f.first, n.Core, cpu, data, f.Platform)
+		f.first, n.Core, cpu, f.MemoryMB, data, f.Platform)
 }
 
 // Start starts the process with the command of the deploy file.
